--- /dev/null
+++ b/core/error_kind.cc
@@ -0,0 +1,119 @@
+#include "cicadaloft/core/error_kind.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+namespace cicadaloft {
+namespace {
+
+using enum ErrorKind;
+using enum RunState;
+
+// Rows stand in the order of the enumerators.
+constexpr std::array kAnswers = {
+    ErrorAnswer{kMalformedRequest, "malformed_request", 400, kNotRun, false,
+                "Correct the request."},
+    ErrorAnswer{kUnauthenticated, "unauthenticated", 401, kNotRun, false,
+                "Send a valid key."},
+    ErrorAnswer{kForbidden, "forbidden", 403, kNotRun, false,
+                "Ask the operator for access to this route."},
+    ErrorAnswer{kUnknownRoute, "unknown_route", 404, kNotRun, false,
+                "Check the name of the model or service."},
+    ErrorAnswer{kMethodNotAllowed, "method_not_allowed", 405, kNotRun, false,
+                "Use a method that this path has."},
+    ErrorAnswer{kBodyTooLarge, "body_too_large", 413, kNotRun, false,
+                "Send a smaller body."},
+    ErrorAnswer{kHeaderTooLarge, "header_too_large", 431, kNotRun, false,
+                "Send fewer or shorter header fields."},
+    ErrorAnswer{kSlowCaller, "slow_caller", 408, kNotRun, true,
+                "Send the whole request sooner."},
+    ErrorAnswer{kTooManyConnections, "too_many_connections", 503, kNotRun, true,
+                "Try again later or through another host."},
+    ErrorAnswer{kRateLimited, "rate_limited", 429, kNotRun, true,
+                "Try again after the time in Retry-After."},
+    ErrorAnswer{kQueueFull, "queue_full", 503, kNotRun, true,
+                "Try again after the time in Retry-After."},
+    ErrorAnswer{kDeadlineExceeded, "deadline_exceeded", 504, kNotRun, true,
+                "Allow more time or try again later."},
+    ErrorAnswer{kNoCapacity, "no_capacity", 503, kNotRun, true,
+                "Try again after the time in Retry-After."},
+    ErrorAnswer{kDataCentreOut, "data_centre_out", 503, kNotRun, true,
+                "Try again through another data centre."},
+    ErrorAnswer{kStopping, "stopping", 503, kNotRun, true,
+                "Try again through another host."},
+    ErrorAnswer{kNotConfigured, "not_configured", 503, kNotRun, true,
+                "Try again through another host."},
+    ErrorAnswer{kPoisonRequest, "poison_request", 422, kUnknown, false,
+                "Targets failed while running this request; change it."},
+    ErrorAnswer{kRetryBudgetSpent, "retry_budget_spent", 503, kUnknown, true,
+                "Try again after the time in Retry-After."},
+    ErrorAnswer{kTargetUnreachable, "target_unreachable", 503, kNotRun, true,
+                "Try again after the time in Retry-After."},
+    ErrorAnswer{kTargetFailed, "target_failed", 502, kUnknown, false,
+                "Repeat only if running twice does no harm."},
+    ErrorAnswer{kTargetTimeout, "target_timeout", 504, kUnknown, false,
+                "Repeat only if running twice does no harm."},
+    ErrorAnswer{kTruncatedAnswer, "truncated_answer", 502, kUnknown, false,
+                "Repeat only if running twice does no harm."},
+    ErrorAnswer{kClaimRunning, "claim_running", 409, kUnknown, true,
+                "The first request with this Idempotency-Key still runs."},
+    ErrorAnswer{kClaimFinished, "claim_finished", 409, kRan, false,
+                "The first request with this Idempotency-Key has run."},
+    ErrorAnswer{kClaimUnknown, "claim_unknown", 409, kUnknown, false,
+                "Check whether the first request took effect."},
+    ErrorAnswer{kClaimMismatch, "claim_mismatch", 422, kNotRun, false,
+                "Use a new Idempotency-Key for a different request."},
+    ErrorAnswer{kClaimsUnavailable, "claims_unavailable", 503, kNotRun, true,
+                "Try again after the time in Retry-After."},
+    ErrorAnswer{kTicketMalformed, "ticket_malformed", 400, kNotRun, false,
+                "Correct the ticket."},
+    ErrorAnswer{kTicketOvertaken, "ticket_overtaken", 409, kNotRun, false,
+                "Read the configuration and write a new ticket."},
+    ErrorAnswer{kTicketDangling, "ticket_dangling", 409, kNotRun, false,
+                "Name only items that exist after the ticket."},
+    ErrorAnswer{kLogUnavailable, "log_unavailable", 503, kUnknown, true,
+                "Apply the same ticket again; a repeat does no harm."},
+    ErrorAnswer{kLogRecordMalformed, "log_record_malformed", 500, kNotRun,
+                false, "Report the record's offset."},
+    ErrorAnswer{kLinkRefused, "link_refused", 403, kNotRun, false,
+                "Check the shared secret in both hosts' settings."},
+    ErrorAnswer{kStaleFencingToken, "stale_fencing_token", 409, kNotRun, false,
+                "A newer owner gives the orders."},
+    ErrorAnswer{kSettingsInvalid, "settings_invalid", 500, kNotRun, false,
+                "Correct the settings file."},
+    ErrorAnswer{kNotFound, "not_found", 404, kNotRun, false,
+                "Check the name or number."},
+    ErrorAnswer{kInternal, "internal", 500, kUnknown, false,
+                "Report the request's id."},
+};
+
+static_assert(kAnswers.size() == static_cast<std::size_t>(kInternal) + 1);
+
+}  // namespace
+
+const ErrorAnswer& AnswerFor(ErrorKind kind) {
+  return kAnswers[static_cast<std::size_t>(kind)];
+}
+
+std::optional<ErrorKind> ErrorKindFromToken(std::string_view token) {
+  const auto* row = std::ranges::find(kAnswers, token, &ErrorAnswer::token);
+  if (row == kAnswers.end()) {
+    return std::nullopt;
+  }
+  return row->kind;
+}
+
+std::string_view ToString(RunState state) {
+  switch (state) {
+    case kNotRun:
+      return "not run";
+    case kUnknown:
+      return "unknown";
+    case kRan:
+      return "ran";
+  }
+  return "unknown";
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/core/include/cicadaloft/core/error_kind.h
@@ -0,0 +1,90 @@
+#ifndef CICADALOFT_CORE_ERROR_KIND_H_
+#define CICADALOFT_CORE_ERROR_KIND_H_
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cicadaloft {
+
+/// The closed list of everything that can go wrong.
+enum class ErrorKind {
+  kMalformedRequest,
+  kUnauthenticated,
+  kForbidden,
+  kUnknownRoute,
+  kMethodNotAllowed,
+  kBodyTooLarge,
+  kHeaderTooLarge,
+  kSlowCaller,
+  kTooManyConnections,
+  kRateLimited,
+  kQueueFull,
+  kDeadlineExceeded,
+  kNoCapacity,
+  kDataCentreOut,
+  kStopping,
+  kNotConfigured,
+  kPoisonRequest,
+  kRetryBudgetSpent,
+  kTargetUnreachable,
+  kTargetFailed,
+  kTargetTimeout,
+  kTruncatedAnswer,
+  kClaimRunning,
+  kClaimFinished,
+  kClaimUnknown,
+  kClaimMismatch,
+  kClaimsUnavailable,
+  kTicketMalformed,
+  kTicketOvertaken,
+  kTicketDangling,
+  kLogUnavailable,
+  kLogRecordMalformed,
+  kLinkRefused,
+  kStaleFencingToken,
+  kSettingsInvalid,
+  kNotFound,
+  kInternal,
+};
+
+/// What is known of the request's run when it ends with an error.
+enum class RunState {
+  kNotRun,   ///< No byte of the request reached a target.
+  kUnknown,  ///< A target may have run it.
+  kRan,      ///< A target has run it.
+};
+
+/// How one kind of error is answered.
+struct ErrorAnswer {
+  const ErrorKind kind;
+  const std::string_view token;  ///< Stable name in logs and answers.
+  const int http_status;
+  const RunState run_state;
+  const bool may_retry;           ///< The same request may be sent again.
+  const std::string_view advice;  ///< One sentence for the caller.
+
+  friend auto operator<=>(const ErrorAnswer&, const ErrorAnswer&) = default;
+};
+
+/// One error: its kind, and what was expected where.
+struct Error {
+  const ErrorKind kind;
+  const std::string message;
+
+  friend auto operator<=>(const Error&, const Error&) = default;
+};
+
+/// @return the table's row for `kind`.
+const ErrorAnswer& AnswerFor(ErrorKind kind);
+
+/// @return the kind with this token, or none for an unknown token.
+std::optional<ErrorKind> ErrorKindFromToken(std::string_view token);
+
+/// @return "not run", "unknown" or "ran".
+std::string_view ToString(RunState state);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_CORE_ERROR_KIND_H_
--- /dev/null
+++ b/core/include/cicadaloft/core/id.h
@@ -0,0 +1,74 @@
+#ifndef CICADALOFT_CORE_ID_H_
+#define CICADALOFT_CORE_ID_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace cicadaloft {
+
+/// A name that can only be compared with names of its own kind.
+/// @tparam Tag tells the kinds apart; it is never defined.
+template <typename Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string text) : text(std::move(text)) {}
+
+  /// @return the name as written in tickets and settings.
+  const std::string& value() const { return this->text; }
+  bool empty() const { return this->text.empty(); }
+
+  friend auto operator<=>(const Id&, const Id&) = default;
+  friend bool operator==(const Id&, const Id&) = default;
+
+ private:
+  std::string text;
+};
+
+using BackEndId = Id<struct BackEndTag>;
+using CustomerId = Id<struct CustomerTag>;
+using DataCentreId = Id<struct DataCentreTag>;
+using HostId = Id<struct HostTag>;
+using KeyId = Id<struct KeyTag>;
+using ModelId = Id<struct ModelTag>;  ///< A base model or an adapter.
+using RegionId = Id<struct RegionTag>;
+using RequestId = Id<struct RequestTag>;
+using RouteId = Id<struct RouteTag>;
+using TargetId = Id<struct TargetTag>;
+
+/// A number that can only be compared with numbers of its own kind.
+template <typename Tag>
+class Number {
+ public:
+  constexpr Number() = default;
+  constexpr explicit Number(std::uint64_t number) : number(number) {}
+
+  constexpr std::uint64_t value() const { return this->number; }
+  /// @return the number after this one.
+  constexpr Number Next() const { return Number(this->number + 1); }
+
+  friend constexpr auto operator<=>(const Number&, const Number&) = default;
+  friend constexpr bool operator==(const Number&, const Number&) = default;
+
+ private:
+  std::uint64_t number = 0;
+};
+
+/// Position of a record in the append-only log; the first record is at 0.
+using LogOffset = Number<struct LogOffsetTag>;
+using TicketNumber = Number<struct TicketNumberTag>;
+/// Offset of the record that gave a right; higher ones fence lower ones off.
+using FencingToken = Number<struct FencingTokenTag>;
+/// Distinguishes the successive processes of one host.
+using Incarnation = Number<struct IncarnationTag>;
+/// Distinguishes the successive processes of one target.
+using TargetInstance = Number<struct TargetInstanceTag>;
+using SequenceNumber = Number<struct SequenceNumberTag>;
+using OrderId = Number<struct OrderIdTag>;
+using AttemptNumber = Number<struct AttemptNumberTag>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_CORE_ID_H_
