Add the checked reader of settings files

Daemons need one clear line for a wrong settings file. The reader gives typed values, keeps the first error with file, field path and what was expected, and refuses unknown and repeated fields, times without a unit, addresses that are no IPv4:port or stand twice, and short secrets.

--- /dev/null
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -0,0 +1,86 @@
+#ifndef CICADALOFT_SETTINGS_SETTINGS_READER_H_
+#define CICADALOFT_SETTINGS_SETTINGS_READER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/core/time.h"
+
+namespace cicadaloft {
+
+/// Limits of a whole number, both included.
+struct WholeRange {
+  const std::uint64_t least = 0;
+  const std::uint64_t most = 0;
+
+  friend auto operator<=>(const WholeRange&, const WholeRange&) = default;
+};
+
+/// Reads one settings file: a JSON object with comments. Fields are named by
+/// their path ("limits.lease_term"). A field that is wrong yields a harmless
+/// value; Finish() then names the first such field. A daemon asks for all its
+/// fields, and uses none of them before Finish() has succeeded.
+class SettingsReader {
+ public:
+  /// @param path of the file; it also stands in the error.
+  static SettingsReader FromFile(const std::string& path);
+  /// @param name stands in the error for the file.
+  static SettingsReader FromText(std::string name, std::string_view text);
+  ~SettingsReader();
+  SettingsReader(SettingsReader&& other) noexcept;
+
+  /// @return the field's text, which must not be empty.
+  std::string Text(std::string_view field);
+  /// @return the field's text, or `fallback` if the field is left out.
+  std::string TextOr(std::string_view field, std::string_view fallback);
+  /// @return the text, which must be one of `choices`, the first by default.
+  std::string Choice(std::string_view field,
+                     std::span<const std::string_view> choices);
+  /// @return a time longer than 0, written with its unit: "250ms", "6s".
+  Duration TimeOr(std::string_view field, Duration fallback);
+  std::uint64_t WholeOr(std::string_view field,
+                        std::uint64_t fallback,
+                        const WholeRange& range);
+  bool FlagOr(std::string_view field, bool fallback);
+  /// @return an "IPv4:port" that stands in no other field.
+  std::string Address(std::string_view field);
+  /// @return an "IPv4:port" that may be that of the field `twin`.
+  /// @param twin the field whose address is taken if this one is left out.
+  std::string AddressOr(std::string_view field, std::string_view twin);
+  /// @return a shared secret, from `field` or from the file that the field
+  /// `<field>_file` names; exactly one of them must be there.
+  std::string Secret(std::string_view field);
+
+  /// Call it after all fields have been asked for.
+  /// @return kSettingsInvalid with the first error as one line that names the
+  /// file, the field and what was expected; also for a field nobody asked for.
+  Result<Done> Finish();
+
+  /// Shortest secret, in bytes.
+  static constexpr std::size_t kMinSecretBytes = 16;
+
+ private:
+  struct Document;
+  explicit SettingsReader(std::unique_ptr<Document> document);
+
+  void Expect(std::string_view field, std::string_view expected);
+  std::optional<std::string> FindText(std::string_view field);
+  std::string TakeAddress(std::string_view field,
+                          const std::string& text,
+                          std::string_view twin);
+
+  std::unique_ptr<Document> document;
+};
+
+/// @param text a whole number and one of the units us, ms, s, min, h.
+/// @return the time, or none.
+std::optional<Duration> ParseDuration(std::string_view text);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_SETTINGS_SETTINGS_READER_H_
--- /dev/null
+++ b/settings/settings_reader.cc
@@ -0,0 +1,339 @@
+#include "cicadaloft/settings/settings_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <limits>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "cicadaloft/settings/socket_address.h"
+
+namespace cicadaloft {
+namespace {
+
+using nlohmann::json;
+
+struct Unit {
+  const std::string_view name;
+  const Duration length;
+};
+
+constexpr std::array kUnits = {
+    Unit{"us", std::chrono::microseconds(1)},
+    Unit{"ms", std::chrono::milliseconds(1)},
+    Unit{"s", std::chrono::seconds(1)},
+    Unit{"min", std::chrono::minutes(1)},
+    Unit{"h", std::chrono::hours(1)},
+};
+
+/// @return the file's text, or none if it can't be read.
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::string text((std::istreambuf_iterator<char>(file)),
+                   std::istreambuf_iterator<char>());
+  return file.bad() ? std::nullopt : std::optional(std::move(text));
+}
+
+/// Finds names that stand twice in one object, which the parser takes.
+class DuplicateFinder {
+ public:
+  void Take(json::parse_event_t event, const json& parsed) {
+    if (event == json::parse_event_t::object_start) {
+      this->open_objects.emplace_back();
+    }
+    if (event == json::parse_event_t::object_end) {
+      this->open_objects.pop_back();
+    }
+    if (event == json::parse_event_t::key &&
+        !this->open_objects.back().insert(parsed.get<std::string>()).second) {
+      this->duplicate = parsed.get<std::string>();
+    }
+  }
+  const std::optional<std::string>& found() const { return this->duplicate; }
+
+ private:
+  std::vector<std::set<std::string>> open_objects;
+  std::optional<std::string> duplicate;
+};
+
+std::string JoinPath(std::string_view prefix, std::string_view name) {
+  return prefix.empty() ? std::string(name)
+                        : std::string(prefix) + "." + std::string(name);
+}
+
+/// @return the first field below `node` that is not in `known`.
+std::optional<std::string> FindUnknown(const json& node,
+                                       std::string_view prefix,
+                                       const std::set<std::string>& known) {
+  for (const auto& [name, value] : node.items()) {
+    std::string path = JoinPath(prefix, name);
+    if (known.contains(path)) {
+      continue;
+    }
+    const bool is_section = std::ranges::any_of(
+        known, [&](const auto& each) { return each.starts_with(path + "."); });
+    if (!is_section || !value.is_object()) {
+      return path;
+    }
+    if (auto unknown = FindUnknown(value, path, known)) {
+      return unknown;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+struct SettingsReader::Document {
+  std::string name;
+  json root = json::object();
+  std::set<std::string> asked;
+  std::map<std::string, std::string> fields_of_addresses;
+  std::optional<std::string> error;
+
+  void SetError(std::string text) {
+    if (!this->error) {
+      this->error = this->name + ": " + std::move(text);
+    }
+  }
+
+  /// @return the field's value, or null if it is left out.
+  const json* Find(std::string_view field) {
+    this->asked.emplace(field);
+    const json* node = &this->root;
+    for (std::string_view rest = field; !rest.empty();) {
+      const std::size_t dot = std::min(rest.find('.'), rest.size());
+      const auto found = node->find(std::string(rest.substr(0, dot)));
+      if (found == node->end()) {
+        return nullptr;
+      }
+      node = &*found;
+      rest.remove_prefix(std::min(dot + 1, rest.size()));
+    }
+    return node;
+  }
+};
+
+SettingsReader::SettingsReader(std::unique_ptr<Document> document)
+    : document(std::move(document)) {}
+SettingsReader::~SettingsReader() = default;
+SettingsReader::SettingsReader(SettingsReader&& other) noexcept = default;
+
+SettingsReader SettingsReader::FromFile(const std::string& path) {
+  const std::optional<std::string> text = ReadFile(path);
+  if (text) {
+    return FromText(path, *text);
+  }
+  auto document = std::make_unique<Document>();
+  document->name = path;
+  document->SetError("expected a readable settings file");
+  return SettingsReader(std::move(document));
+}
+
+SettingsReader SettingsReader::FromText(std::string name,
+                                        std::string_view text) {
+  auto document = std::make_unique<Document>();
+  document->name = std::move(name);
+  DuplicateFinder duplicates;
+  try {
+    document->root = json::parse(
+        text,
+        [&](int /*depth*/, json::parse_event_t event, json& parsed) {
+          duplicates.Take(event, parsed);
+          return true;
+        },
+        true, true);
+  } catch (const json::exception& exception) {
+    document->SetError("expected JSON with comments: " +
+                       std::string(exception.what()));
+  }
+  if (!document->root.is_object()) {
+    document->root = json::object();
+    document->SetError("expected one JSON object");
+  }
+  if (duplicates.found()) {
+    document->SetError(*duplicates.found() + ": expected once, found twice");
+  }
+  return SettingsReader(std::move(document));
+}
+
+void SettingsReader::Expect(std::string_view field, std::string_view expected) {
+  this->document->SetError(std::string(field) + ": expected " +
+                           std::string(expected));
+}
+
+std::optional<std::string> SettingsReader::FindText(std::string_view field) {
+  const json* const value = this->document->Find(field);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  if (!value->is_string() || value->get_ref<const std::string&>().empty()) {
+    this->Expect(field, "a text that is not empty");
+    return std::string();
+  }
+  return value->get<std::string>();
+}
+
+std::string SettingsReader::Text(std::string_view field) {
+  std::optional<std::string> text = this->FindText(field);
+  if (!text) {
+    this->Expect(field, "a text, but the field is missing");
+  }
+  return std::move(text).value_or("");
+}
+
+std::string SettingsReader::TextOr(std::string_view field,
+                                   std::string_view fallback) {
+  return this->FindText(field).value_or(std::string(fallback));
+}
+
+std::string SettingsReader::Choice(std::string_view field,
+                                   std::span<const std::string_view> choices) {
+  std::string text = this->TextOr(field, choices.front());
+  if (std::ranges::find(choices, text) != choices.end()) {
+    return text;
+  }
+  std::string expected = "one of";
+  for (const std::string_view choice : choices) {
+    expected += " \"" + std::string(choice) + "\"";
+  }
+  this->Expect(field, expected);
+  return std::string(choices.front());
+}
+
+Duration SettingsReader::TimeOr(std::string_view field, Duration fallback) {
+  const json* const value = this->document->Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const std::optional<Duration> time =
+      value->is_string() ? ParseDuration(value->get_ref<const std::string&>())
+                         : std::nullopt;
+  if (!time || *time <= Duration::zero()) {
+    this->Expect(field, "a time with its unit such as \"250ms\" or \"6s\"");
+    return fallback;
+  }
+  return *time;
+}
+
+std::uint64_t SettingsReader::WholeOr(std::string_view field,
+                                      std::uint64_t fallback,
+                                      const WholeRange& range) {
+  const json* const value = this->document->Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const bool is_whole = value->is_number_unsigned();
+  const std::uint64_t number = is_whole ? value->get<std::uint64_t>() : 0;
+  if (!is_whole || number < range.least || number > range.most) {
+    this->Expect(field, "a whole number from " + std::to_string(range.least) +
+                            " to " + std::to_string(range.most));
+    return fallback;
+  }
+  return number;
+}
+
+bool SettingsReader::FlagOr(std::string_view field, bool fallback) {
+  const json* const value = this->document->Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_boolean()) {
+    this->Expect(field, "true or false");
+    return fallback;
+  }
+  return value->get<bool>();
+}
+
+std::string SettingsReader::Address(std::string_view field) {
+  return this->TakeAddress(field, this->Text(field), "");
+}
+
+std::string SettingsReader::AddressOr(std::string_view field,
+                                      std::string_view twin) {
+  const json* const value = this->document->Find(field);
+  return this->TakeAddress(
+      field, value == nullptr ? this->Text(twin) : this->Text(field), twin);
+}
+
+std::string SettingsReader::TakeAddress(std::string_view field,
+                                        const std::string& text,
+                                        std::string_view twin) {
+  const Result<SocketAddress> address = ParseSocketAddress(text);
+  if (!IsOk(address)) {
+    this->Expect(field, "an IPv4 address and port such as \"127.0.0.1:7101\"");
+    return text;
+  }
+  // Port 0 lets the kernel choose, each time another one.
+  if (ValueOf(address).port == 0) {
+    return text;
+  }
+  const auto [entry, is_new] =
+      this->document->fields_of_addresses.try_emplace(text, field);
+  if (!is_new && entry->second != twin) {
+    this->Expect(field, "another address than \"" + entry->second + "\" has");
+  }
+  return text;
+}
+
+std::string SettingsReader::Secret(std::string_view field) {
+  const std::string file_field = std::string(field) + "_file";
+  const std::optional<std::string> in_place = this->FindText(field);
+  const std::optional<std::string> path = this->FindText(file_field);
+  if (in_place.has_value() == path.has_value()) {
+    this->Expect(field, "exactly one of it and \"" + file_field + "\"");
+    return "";
+  }
+  const std::optional<std::string> read = path ? ReadFile(*path) : in_place;
+  if (!read) {
+    this->Expect(file_field, "the path of a readable file");
+    return "";
+  }
+  const std::string secret =
+      read->substr(0, read->find_last_not_of(" \t\r\n") + 1);
+  if (secret.size() < kMinSecretBytes) {
+    this->Expect(path ? file_field : field,
+                 "at least " + std::to_string(kMinSecretBytes) + " bytes");
+  }
+  return secret;
+}
+
+Result<Done> SettingsReader::Finish() {
+  const auto unknown =
+      FindUnknown(this->document->root, "", this->document->asked);
+  if (unknown) {
+    this->Expect(*unknown, "no such field; see the documentation for all");
+  }
+  if (this->document->error) {
+    return Fail(ErrorKind::kSettingsInvalid, *this->document->error);
+  }
+  return Done();
+}
+
+std::optional<Duration> ParseDuration(std::string_view text) {
+  const std::string digits(text);
+  const char* const end = digits.c_str() + digits.size();
+  std::int64_t count = 0;
+  const auto read = std::from_chars(digits.c_str(), end, count);
+  if (read.ec != std::errc() || count < 0) {
+    return std::nullopt;
+  }
+  const std::string_view name(read.ptr, end);
+  const auto* const unit = std::ranges::find(kUnits, name, &Unit::name);
+  if (unit == kUnits.end() ||
+      count > std::numeric_limits<std::int64_t>::max() / unit->length.count()) {
+    return std::nullopt;
+  }
+  return count * unit->length;
+}
+
+}  // namespace cicadaloft
