Decide a request's whole path in the entry

The path: key and route checks, the customer's token bucket, fair waiting by deficit round robin, choice among confirmed replicas with room, the end of the attempt, deadlines, the fold of relayed records and the stop.

Weighed: tokens are used only after the steward's first ShareLease{usable}, since an entry can't know otherwise that its part has not gone to others. The cap of a target is split by the allocations that may be in use somewhere, as rates are, so that parts add up while hosts read the log at different speeds.

Not in yet: borrowing, permits, retries, suspects, claims, demand.

--- /dev/null
+++ b/admission/include/cicadaloft/admission/fair_queue.h
@@ -0,0 +1,195 @@
+#ifndef CICADALOFT_ADMISSION_FAIR_QUEUE_H_
+#define CICADALOFT_ADMISSION_FAIR_QUEUE_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <ranges>
+#include <utility>
+
+#include "cicadaloft/core/id.h"
+
+namespace cicadaloft {
+
+/// How one item takes part in fair waiting.
+struct WaitingShare {
+  const CustomerId customer;  ///< Empty for callers without a key.
+  const double weight = 1;    ///< Part beside other customers; > 0.
+  const double cost = 1;      ///< Expected work in tokens; > 0.
+
+  friend auto operator<=>(const WaitingShare&, const WaitingShare&) = default;
+};
+
+/// Deficit round robin over customers: each gets work in proportion to its
+/// weight, measured by cost, and its own items in order of their numbers.
+/// @tparam Item what waits; cheap to copy.
+template <typename Item>
+class FairLane {
+ public:
+  /// @param number orders a customer's items; unique over the lane.
+  void Push(const WaitingShare& share, std::uint64_t number, Item item) {
+    const auto flow = this->FindOrAddFlow(share);
+    flow->waiting.emplace(number, Entry{.item = item, .cost = share.cost});
+    ++this->count;
+  }
+
+  /// @return whether the item was waiting.
+  bool Remove(const CustomerId& customer, std::uint64_t number) {
+    const auto found = this->index.find(customer);
+    if (found == this->index.end() ||
+        found->second->waiting.erase(number) == 0) {
+      return false;
+    }
+    --this->count;
+    this->DropIfEmpty(found->second);
+    return true;
+  }
+
+  /// Takes the item whose turn it is.
+  std::optional<Item> Pop() {
+    if (this->count == 0) {
+      return std::nullopt;
+    }
+    const auto flow = this->FindServable();
+    const auto first = flow->waiting.begin();
+    const Item item = first->second.item;
+    flow->deficit -= first->second.cost;
+    flow->waiting.erase(first);
+    --this->count;
+    this->DropIfEmpty(flow);
+    return item;
+  }
+
+  std::size_t size() const { return this->count; }
+  /// @return customers that have items waiting.
+  std::size_t CustomerCount() const { return this->flows.size(); }
+  /// @return items of one customer.
+  std::size_t SizeOf(const CustomerId& customer) const {
+    const auto found = this->index.find(customer);
+    return found == this->index.end() ? 0 : found->second->waiting.size();
+  }
+
+ private:
+  struct Entry {
+    Item item;
+    double cost;
+  };
+  struct Flow {
+    CustomerId customer;
+    double weight = 1;
+    double deficit = 0;
+    std::map<std::uint64_t, Entry> waiting;
+  };
+  using FlowRef = typename std::list<Flow>::iterator;
+
+  /// Cost that a customer of weight 1 may spend in a round.
+  static constexpr double kQuantum = 1000;
+
+  FlowRef FindOrAddFlow(const WaitingShare& share) {
+    const auto found = this->index.find(share.customer);
+    if (found != this->index.end()) {
+      found->second->weight = share.weight;
+      return found->second;
+    }
+    const FlowRef added = this->flows.insert(
+        this->flows.end(),
+        Flow{.customer = share.customer, .weight = share.weight});
+    this->index.emplace(share.customer, added);
+    return added;
+  }
+
+  static bool IsServable(const Flow& flow) {
+    return flow.deficit >= flow.waiting.begin()->second.cost;
+  }
+
+  static double RoundsUntilServable(const Flow& flow) {
+    const double missing = flow.waiting.begin()->second.cost - flow.deficit;
+    return std::max(0.0, std::ceil(missing / (kQuantum * flow.weight)));
+  }
+
+  /// Goes round from the customer that was served last. If none can go, all
+  /// get as many quanta as the nearest of them needs.
+  FlowRef FindServable() {
+    // The first customer goes on as long as its deficit lasts.
+    const auto servable = std::ranges::find_if(this->flows, IsServable);
+    if (servable != this->flows.end()) {
+      this->flows.splice(this->flows.end(), this->flows, this->flows.begin(),
+                         servable);
+      return servable;
+    }
+    const double rounds = std::ranges::min(
+        this->flows | std::views::transform(RoundsUntilServable));
+    std::ranges::for_each(this->flows, [&](Flow& flow) {
+      flow.deficit += rounds * kQuantum * flow.weight;
+    });
+    return this->FindServable();
+  }
+
+  /// An idle customer saves nothing up.
+  void DropIfEmpty(FlowRef flow) {
+    if (flow->waiting.empty()) {
+      this->index.erase(flow->customer);
+      this->flows.erase(flow);
+    }
+  }
+
+  std::list<Flow> flows;
+  std::map<CustomerId, FlowRef> index;
+  std::size_t count = 0;
+};
+
+/// Two lanes: batch items go when no interactive one waits, and in every
+/// kBatchTurn-th turn in any case.
+template <typename Item>
+class FairQueue {
+ public:
+  /// One in so many turns goes to batch items if some wait.
+  static constexpr std::uint64_t kBatchTurn = 20;
+
+  void Push(bool is_batch,
+            const WaitingShare& share,
+            std::uint64_t number,
+            Item item) {
+    this->LaneOf(is_batch).Push(share, number, item);
+  }
+
+  bool Remove(bool is_batch, const CustomerId& customer, std::uint64_t number) {
+    return this->LaneOf(is_batch).Remove(customer, number);
+  }
+
+  /// Takes the item whose turn it is.
+  std::optional<Item> Pop() {
+    if (this->size() == 0) {
+      return std::nullopt;
+    }
+    ++this->turn;
+    const bool is_batch_turn =
+        this->interactive.size() == 0 ||
+        (this->batch.size() > 0 && this->turn % kBatchTurn == 0);
+    return this->LaneOf(is_batch_turn).Pop();
+  }
+
+  std::size_t size() const {
+    return this->interactive.size() + this->batch.size();
+  }
+  const FairLane<Item>& lane(bool is_batch) const {
+    return is_batch ? this->batch : this->interactive;
+  }
+
+ private:
+  FairLane<Item>& LaneOf(bool is_batch) {
+    return is_batch ? this->batch : this->interactive;
+  }
+
+  FairLane<Item> interactive;
+  FairLane<Item> batch;
+  std::uint64_t turn = 0;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_ADMISSION_FAIR_QUEUE_H_
--- /dev/null
+++ b/entry/entry_dispatch.h
@@ -0,0 +1,24 @@
+#ifndef CICADALOFT_ENTRY_ENTRY_DISPATCH_H_
+#define CICADALOFT_ENTRY_ENTRY_DISPATCH_H_
+
+#include "entry_core.h"
+
+namespace cicadaloft {
+
+/// Sends the path's waiting requests as far as there is room.
+void Pump(EntryCore& core, Path& path);
+
+/// Sends what waits for room on one target, paths in turn.
+void PumpTarget(EntryCore& core, TargetView& target);
+
+/// Sends what waits on any path.
+void PumpWaiting(EntryCore& core);
+
+/// The path's targets need no longer tell it of room.
+void Unregister(EntryCore& core, Path& path);
+
+bool IsOwnDataCentreOut(const EntryCore& core);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_ENTRY_ENTRY_DISPATCH_H_
