--- a/membership/include/cicadaloft/membership/member_table.h
+++ b/membership/include/cicadaloft/membership/member_table.h
@@ -67,6 +67,9 @@
   const DutyHolder* FindDuty(const DutyId& duty) const;
   /// @return whether `member` owns `duty`.
   bool Owns(const Member& member, const DutyId& duty) const;
+  /// @return the member that the duty would go to if it were free; null while
+  /// its data centre has none.
+  const MemberInfo* PreferredOwnerOf(const DutyId& duty) const;
   /// @return the duty that serializes the claims of a key, or none while no
   /// data centre can. The text is the key's customer and its own text.
   std::optional<DutyId> ClaimsDutyOf(const std::string& claim_text) const;
--- a/membership/member_table.cc
+++ b/membership/member_table.cc
@@ -70,6 +70,14 @@
   return holder != nullptr && holder->owner == member;
 }
 
+const MemberInfo* MemberTable::PreferredOwnerOf(const DutyId& duty) const {
+  const std::vector<MemberInfo> mates = this->MembersOf(duty.data_centre);
+  const auto owner = PickByRendezvous(
+      TextOf(duty), mates,
+      [](const MemberInfo& m) { return m.member.host.value(); });
+  return owner == mates.end() ? nullptr : this->Find(owner->member.host);
+}
+
 std::optional<DutyId> MemberTable::ClaimsDutyOf(
     const std::string& claim_text) const {
   std::vector<DataCentreId> settled;
@@ -189,16 +197,13 @@
 
 void MemberTable::AssignFreeDuties(const DataCentreId& data_centre,
                                    LogOffset at) {
-  const std::vector<MemberInfo> mates = this->MembersOf(data_centre);
-  if (mates.empty()) {
+  if (this->MembersOf(data_centre).empty()) {
     this->homes.erase(data_centre);
     return;
   }
   this->homes.try_emplace(data_centre, at);
   std::ranges::for_each(DutiesOf(data_centre), [&](const DutyId& duty) {
-    const auto owner = PickByRendezvous(
-        TextOf(duty), mates,
-        [](const MemberInfo& m) { return m.member.host.value(); });
+    const MemberInfo* owner = this->PreferredOwnerOf(duty);
     this->duty_holders.try_emplace(
         duty,
         DutyHolder{.owner = owner->member, .token = FencingToken(at.value())});
--- a/steward/include/cicadaloft/steward/messages.h
+++ b/steward/include/cicadaloft/steward/messages.h
@@ -160,6 +160,9 @@
 /// Send to another host's steward.
 struct SendPeer {
   const Envelope envelope;
+  /// The host over whose link it goes, where there is none to `envelope.to`;
+  /// empty otherwise. That host passes it on.
+  const HostId via;
 
   friend auto operator<=>(const SendPeer&, const SendPeer&) = default;
   friend bool operator==(const SendPeer&, const SendPeer&) = default;
