--- a/codec/include/cicadaloft/codec/json_containers.h
+++ b/codec/include/cicadaloft/codec/json_containers.h
@@ -187,14 +187,15 @@
           std::visit([](const auto& v) { return ToJson(v); }, value)}});
   }
   static Variant Decode(const Json& json, JsonReader& reader) {
-    if (!CheckFields(json, kNames, reader)) {
+    if (!json.is_object() || json.size() != 1) {
+      reader.Fail("expected one of " + ListOf(kNames) + Found(json));
       return Variant();
     }
-    if (json.size() != 1) {
+    const auto* name = std::ranges::find(kNames, json.begin().key());
+    if (name == kNames.end()) {
       reader.Fail("expected one of " + ListOf(kNames));
       return Variant();
     }
-    const auto* name = std::ranges::find(kNames, json.begin().key());
     return reader.InField(*name, [&] {
       return kDecoders.at(name - kNames.begin())(json.front(), reader);
     });
--- a/codec/include/cicadaloft/codec/json_reader.h
+++ b/codec/include/cicadaloft/codec/json_reader.h
@@ -13,11 +13,19 @@
 
 namespace cicadaloft {
 
+/// What becomes of fields that an aggregate does not have.
+enum class UnknownFields { kRefused, kIgnored };
+
 /// Knows where in a value the reading stands, and keeps the first error.
 /// Readers go on with default values after an error; so each type is read in
 /// one expression, and the error is asked for once, at the end.
 class JsonReader {
  public:
+  explicit JsonReader(UnknownFields unknown_fields = UnknownFields::kRefused)
+      : unknown(unknown_fields) {}
+
+  UnknownFields unknown_fields() const { return this->unknown; }
+
   /// Keeps an error unless there is one.
   /// @param expected says what should have stood here.
   void Fail(std::string_view expected);
@@ -70,6 +78,7 @@
 
   static std::string TextOf(const Place& place);
 
+  UnknownFields unknown;
   std::vector<Place> path;
   std::optional<std::string> message;
 };
--- a/codec/json_codec.cc
+++ b/codec/json_codec.cc
@@ -117,6 +117,9 @@
     reader.Fail("expected an object" + Found(json));
     return false;
   }
+  if (reader.unknown_fields() == UnknownFields::kIgnored) {
+    return true;
+  }
   const auto& object = json.get_ref<const Json::object_t&>();
   const auto unknown = std::ranges::find_if(object, [&](const auto& field) {
     return std::ranges::find(known, field.first) == known.end();
