--- a/codec/include/cicadaloft/codec/json_containers.h
+++ b/codec/include/cicadaloft/codec/json_containers.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/pfr/tuple_size.hpp>
 #include <concepts>
 #include <cstddef>
 #include <deque>
@@ -211,6 +212,11 @@
 
 template <HasJsonFields T>
 struct JsonCodec<T> {
+  static_assert(
+      std::tuple_size_v<std::remove_const_t<decltype(kJsonFields<T>)>> ==
+          boost::pfr::tuple_size_v<T>,
+      "each field of the aggregate must be described");
+
   static Json Encode(const T& value) {
     Json::object_t object;
     const auto put = [&](const auto& field) {
