--- a/codec/include/cicadaloft/codec/json_containers.h
+++ b/codec/include/cicadaloft/codec/json_containers.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/pfr/tuple_size.hpp>
 #include <concepts>
 #include <cstddef>
 #include <deque>
@@ -187,14 +188,15 @@
           std::visit([](const auto& v) { return ToJson(v); }, value)}});
   }
   static Variant Decode(const Json& json, JsonReader& reader) {
-    if (!CheckFields(json, kNames, reader)) {
+    if (!json.is_object() || json.size() != 1) {
+      reader.Fail("expected one of " + ListOf(kNames) + Found(json));
       return Variant();
     }
-    if (json.size() != 1) {
+    const auto* name = std::ranges::find(kNames, json.begin().key());
+    if (name == kNames.end()) {
       reader.Fail("expected one of " + ListOf(kNames));
       return Variant();
     }
-    const auto* name = std::ranges::find(kNames, json.begin().key());
     return reader.InField(*name, [&] {
       return kDecoders.at(name - kNames.begin())(json.front(), reader);
     });
@@ -210,6 +212,11 @@
 
 template <HasJsonFields T>
 struct JsonCodec<T> {
+  static_assert(
+      std::tuple_size_v<std::remove_const_t<decltype(kJsonFields<T>)>> ==
+          boost::pfr::tuple_size_v<T>,
+      "each field of the aggregate must be described");
+
   static Json Encode(const T& value) {
     Json::object_t object;
     const auto put = [&](const auto& field) {
