Forward callers' requests to targets and stream the answers

A slice of tasks: a reader and a session for each caller's connection, an exchange for each attempt, and the node task, a template over its decider, clock and sink. Sessions and exchanges hear each other by a mailbox without room, so that an attempt counts as completed only when the session has taken its end, and a slow caller slows the target's answer.

Dispatch gets a field: only an idempotent request goes over a connection used before, since a stale one would leave in doubt whether a byte had left.

Two causes found on the way: g++ 12 destroys aggregates built inside a co_await expression twice (messages are named first), and a second read after the end of a stream waits for ever under edge-triggered epoll (the reader drains only what has not ended).

--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -142,6 +142,7 @@
   const std::string address;
   const std::optional<ModelId> model;  ///< As the target is to be asked.
   const Duration start_within{};       ///< Until the answer's first byte.
+  const bool idempotent = false;  ///< May go over a connection used before.
 
   friend auto operator<=>(const Dispatch&, const Dispatch&) = default;
   friend bool operator==(const Dispatch&, const Dispatch&) = default;
--- /dev/null
+++ b/forwarding/answer_writer.cc
@@ -0,0 +1,106 @@
+#include "answer_writer.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdio>
+#include <tuple>
+
+#include "deadline.h"
+
+namespace cicadaloft {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+std::string FormatMilliseconds(Duration duration) {
+  const std::chrono::duration<double, std::milli> milliseconds = duration;
+  std::array<char, 32> text{};
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.1f", milliseconds.count());
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
+bool MayHaveBody(const AnswerHead& head, const CallerFraming& caller) {
+  return !caller.is_head && head.status != kNoContent &&
+         head.status != kNotModified;
+}
+
+std::string FormatFraming(const AnswerHead& head, const CallerFraming& caller) {
+  if (FramingFor(head, caller) == BodyFraming::kChunked) {
+    return "Transfer-Encoding: chunked\r\n";
+  }
+  if (head.length && head.status != kNoContent) {
+    return "Content-Length: " + std::to_string(*head.length) + "\r\n";
+  }
+  const bool is_empty =
+      head.framing == BodyFraming::kNone && MayHaveBody(head, caller);
+  return is_empty ? "Content-Length: 0\r\n" : "";
+}
+
+}  // namespace
+
+BodyFraming FramingFor(const AnswerHead& head, const CallerFraming& caller) {
+  const bool is_chunked = head.framing == BodyFraming::kChunked;
+  return is_chunked && caller.is_http_1_0 ? BodyFraming::kUntilClose
+                                          : head.framing;
+}
+
+std::string FormatAnswerHeader(const AnswerHead& head,
+                               const CallerFraming& caller,
+                               bool keep_alive) {
+  std::string text =
+      "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
+  for (const HeaderField& field : head.fields) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  text += FormatFraming(head, caller);
+  text += "X-Request-Id: " + head.request.value() + "\r\n";
+  text += "Server-Timing: queue;dur=" + FormatMilliseconds(head.queue_time) +
+          ", target;dur=" + FormatMilliseconds(head.target_time) + "\r\n";
+  if (!keep_alive) {
+    text += "Connection: close\r\n";
+  } else if (caller.is_http_1_0) {
+    text += "Connection: keep-alive\r\n";
+  }
+  return text + "\r\n";
+}
+
+std::string FormatPiece(const std::string& bytes, BodyFraming framing) {
+  if (framing != BodyFraming::kChunked) {
+    return bytes;
+  }
+  std::array<char, 32> size{};
+  const int length =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string text(size.data(), static_cast<std::size_t>(length));
+  text += bytes;
+  return text + "\r\n";
+}
+
+std::string FormatBodyEnd(BodyFraming framing) {
+  return framing == BodyFraming::kChunked ? "0\r\n\r\n" : "";
+}
+
+asio::awaitable<bool> WriteAll(asio::ip::tcp::socket& socket,
+                               std::string bytes,
+                               Duration stall) {
+  asio::const_buffer rest = asio::buffer(bytes);
+  while (rest.size() != 0) {
+    const auto result =
+        co_await Within(stall, socket.async_write_some(rest, kAsTuple));
+    if (!result || std::get<0>(*result)) {
+      co_return false;
+    }
+    rest += std::get<1>(*result);
+  }
+  co_return true;
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/forwarding/caller_connection.h
@@ -0,0 +1,39 @@
+#ifndef CICADALOFT_FORWARDING_CALLER_CONNECTION_H_
+#define CICADALOFT_FORWARDING_CALLER_CONNECTION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/forwarding/mailbox.h"
+#include "cicadaloft/forwarding/messages.h"
+#include "cicadaloft/forwarding/node_messages.h"
+
+namespace cicadaloft {
+
+/// Of a connection at most two requests are read and not yet answered.
+inline constexpr std::size_t kServedRoom = 4;
+
+/// A caller's connection: its reader reads from the socket, its session writes
+/// to it, and they tell each other by the two mailboxes.
+struct CallerConnection {
+  CallerConnection(boost::asio::ip::tcp::socket socket, std::string id_prefix)
+      : socket(std::move(socket)),
+        to_session(
+            std::make_shared<SessionMailbox>(this->socket.get_executor(), 0)),
+        to_reader(this->socket.get_executor(), kServedRoom),
+        id_prefix(std::move(id_prefix)) {}
+
+  boost::asio::ip::tcp::socket socket;
+  /// Without room, so that a message is sent when the session has taken it.
+  const std::shared_ptr<SessionMailbox> to_session;
+  Mailbox<RequestServed> to_reader;
+  const std::string id_prefix;  ///< Host, incarnation and connection.
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_CALLER_CONNECTION_H_
--- /dev/null
+++ b/forwarding/header_rules.h
@@ -0,0 +1,26 @@
+#ifndef CICADALOFT_FORWARDING_HEADER_RULES_H_
+#define CICADALOFT_FORWARDING_HEADER_RULES_H_
+
+#include <string_view>
+#include <vector>
+
+#include "cicadaloft/forwarding/messages.h"
+
+namespace cicadaloft {
+
+/// @return the fields of a caller's request that a target may see.
+/// @param credential the caller's key; a field that holds it is left out.
+std::vector<HeaderField> FieldsForTarget(const std::vector<HeaderField>& fields,
+                                         std::string_view credential);
+
+/// @return the fields of a target's answer that a caller may see. The body's
+/// framing is left out; it is chosen anew for the caller's connection.
+std::vector<HeaderField> FieldsForCaller(
+    const std::vector<HeaderField>& fields);
+
+/// @return whether the names are the same but for the case of letters.
+bool IsSameName(std::string_view left, std::string_view right);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_HEADER_RULES_H_
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/boot_clock.h
@@ -0,0 +1,42 @@
+#ifndef CICADALOFT_FORWARDING_BOOT_CLOCK_H_
+#define CICADALOFT_FORWARDING_BOOT_CLOCK_H_
+
+#include <time.h>
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+
+#include "cicadaloft/core/time.h"
+
+namespace cicadaloft {
+
+/// Where the node task takes the time from.
+template <typename C>
+concept EntryClock = requires(const C& clock) {
+  { clock.Now() } -> std::same_as<TimePoint>;
+  { clock.UnixMilliseconds() } -> std::same_as<std::int64_t>;
+};
+
+/// The system's time since boot. It goes on while the host is suspended, so
+/// that a suspension shows.
+struct BootClock {
+  TimePoint Now() const {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto since_boot = std::chrono::seconds(time.tv_sec) +
+                            std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
+  }
+
+  /// @return the wall time, for people alone.
+  std::int64_t UnixMilliseconds() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_BOOT_CLOCK_H_
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
@@ -0,0 +1,41 @@
+#ifndef CICADALOFT_FORWARDING_FORWARDING_SETTINGS_H_
+#define CICADALOFT_FORWARDING_FORWARDING_SETTINGS_H_
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+
+#include "cicadaloft/core/time.h"
+
+namespace cicadaloft {
+
+/// What one caller, and all callers together, may take up.
+struct CallerLimits {
+  const std::size_t header_bytes = std::size_t{16} * 1024;
+  const std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
+  const std::size_t connections = 2000;
+  /// To send a header, and then to send a body.
+  const Duration read_time = std::chrono::seconds(10);
+  const Duration idle_time = std::chrono::seconds(60);
+  /// Without the caller taking one byte of the answer.
+  const Duration write_stall = std::chrono::seconds(30);
+
+  friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
+/// How long targets are waited for, and how many connections are kept.
+struct TargetLimits {
+  const Duration connect_time = std::chrono::seconds(1);
+  /// Between two pieces of an answer.
+  const Duration answer_stall = std::chrono::seconds(60);
+  const Duration idle_time = std::chrono::seconds(10);
+  const std::size_t idle_connections = 8;  ///< Kept for each address.
+
+  friend auto operator<=>(const TargetLimits&, const TargetLimits&) = default;
+  friend bool operator==(const TargetLimits&, const TargetLimits&) = default;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_FORWARDING_SETTINGS_H_
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/mailbox.h
@@ -0,0 +1,80 @@
+#ifndef CICADALOFT_FORWARDING_MAILBOX_H_
+#define CICADALOFT_FORWARDING_MAILBOX_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace cicadaloft {
+
+/// A bounded channel of immutable messages from task to task.
+template <typename T>
+class Mailbox {
+ public:
+  using Channel = boost::asio::experimental::concurrent_channel<
+      void(boost::system::error_code, std::shared_ptr<const T>)>;
+
+  /// @param room messages that may wait; 0: a message is sent when the receiver
+  /// takes it.
+  Mailbox(const boost::asio::any_io_executor& executor, std::size_t room)
+      : messages(executor, room) {}
+
+  Channel& channel() { return this->messages; }
+  /// Ends all waiting; nothing is taken any more.
+  void Close() { this->messages.close(); }
+
+ private:
+  Channel messages;
+};
+
+/// Waits until there is room.
+/// @return whether the message has been taken; false if the mailbox is closed.
+template <typename T>
+boost::asio::awaitable<bool> SendShared(Mailbox<T>& mailbox,
+                                        std::shared_ptr<const T> message) {
+  const auto [error] = co_await mailbox.channel().async_send(
+      boost::system::error_code{}, std::move(message),
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_return !error;
+}
+
+/// As SendShared(), for a message that is not shared yet.
+template <typename T, typename M>
+boost::asio::awaitable<bool> Send(Mailbox<T>& mailbox, M message) {
+  return SendShared<T>(mailbox, std::make_shared<const T>(std::move(message)));
+}
+
+/// Sends without waiting: the message stands in line until there is room.
+template <typename T, typename M>
+void Post(Mailbox<T>& mailbox, M message) {
+  mailbox.channel().async_send(boost::system::error_code{},
+                               std::make_shared<const T>(std::move(message)),
+                               boost::asio::detached);
+}
+
+/// @return whether there was room for the message.
+template <typename T, typename M>
+bool TrySend(Mailbox<T>& mailbox, M message) {
+  return mailbox.channel().try_send(
+      boost::system::error_code{},
+      std::make_shared<const T>(std::move(message)));
+}
+
+/// @return the next message, or null if the mailbox is closed.
+template <typename T>
+boost::asio::awaitable<std::shared_ptr<const T>> Receive(Mailbox<T>& mailbox) {
+  auto [error, message] = co_await mailbox.channel().async_receive(
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_return error ? nullptr : std::move(message);
+}
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_MAILBOX_H_
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -0,0 +1,162 @@
+#ifndef CICADALOFT_FORWARDING_MESSAGES_H_
+#define CICADALOFT_FORWARDING_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/core/error_kind.h"
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/entry/messages.h"
+
+namespace cicadaloft {
+
+struct HeaderField {
+  const std::string name;
+  const std::string value;
+
+  friend auto operator<=>(const HeaderField&, const HeaderField&) = default;
+  friend bool operator==(const HeaderField&, const HeaderField&) = default;
+};
+
+/// A caller's whole request as a target may see it, and as it is decided upon.
+struct CallerRequest {
+  const RequestArrived arrival;
+  const std::string method;
+  const std::string path;  ///< Path and query that the target is asked.
+  const std::vector<HeaderField> fields;  ///< Cleared for targets.
+  const std::string body;
+
+  friend auto operator<=>(const CallerRequest&, const CallerRequest&) = default;
+  friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
+};
+
+/// What the request's form asks of the answer's form.
+struct CallerFraming {
+  const bool keep_alive = false;
+  const bool is_http_1_0 = false;  ///< Knows no chunked answer.
+  const bool is_head = false;      ///< The answer has no body.
+
+  friend auto operator<=>(const CallerFraming&, const CallerFraming&) = default;
+  friend bool operator==(const CallerFraming&, const CallerFraming&) = default;
+};
+
+/// From the connection's reader: a whole, valid request.
+struct RequestRead {
+  const std::shared_ptr<const CallerRequest> request;
+  const CallerFraming framing;
+
+  friend auto operator<=>(const RequestRead&, const RequestRead&) = default;
+  friend bool operator==(const RequestRead&, const RequestRead&) = default;
+};
+
+/// From the connection's reader: input that is no valid request.
+struct RequestRejected {
+  const RequestId request;
+  const Error error;
+  const CallerFraming framing;
+
+  friend auto operator<=>(const RequestRejected&,
+                          const RequestRejected&) = default;
+  friend bool operator==(const RequestRejected&,
+                         const RequestRejected&) = default;
+};
+
+/// From the connection's reader: a request's first byte has come.
+struct RequestBegun {
+  friend auto operator<=>(const RequestBegun&, const RequestBegun&) = default;
+  friend bool operator==(const RequestBegun&, const RequestBegun&) = default;
+};
+
+/// To the connection's reader: one more request has been answered.
+struct RequestServed {
+  friend auto operator<=>(const RequestServed&, const RequestServed&) = default;
+  friend bool operator==(const RequestServed&, const RequestServed&) = default;
+};
+
+/// From the connection's reader: the caller waits for "100 Continue".
+struct ContinueAwaited {
+  friend auto operator<=>(const ContinueAwaited&,
+                          const ContinueAwaited&) = default;
+  friend bool operator==(const ContinueAwaited&,
+                         const ContinueAwaited&) = default;
+};
+
+/// From the connection's reader: the caller sends no more.
+struct CallerLeft {
+  friend auto operator<=>(const CallerLeft&, const CallerLeft&) = default;
+  friend bool operator==(const CallerLeft&, const CallerLeft&) = default;
+};
+
+/// How the end of an answer's body is known.
+enum class BodyFraming {
+  kLength,      ///< By its stated length.
+  kChunked,     ///< By the last chunk.
+  kUntilClose,  ///< By the connection's end.
+  kNone,        ///< There is no body.
+};
+
+/// From an exchange: the head of the target's answer.
+struct AnswerHead {
+  const RequestId request;
+  const AttemptNumber attempt;
+  const int status = 0;
+  const std::string reason;
+  const std::vector<HeaderField> fields;  ///< Cleared for callers.
+  const BodyFraming framing = BodyFraming::kNone;
+  const std::optional<std::uint64_t> length;  ///< Stated content length.
+  const Duration queue_time{};
+  const Duration target_time{};  ///< From dispatch to the head.
+
+  friend auto operator<=>(const AnswerHead&, const AnswerHead&) = default;
+  friend bool operator==(const AnswerHead&, const AnswerHead&) = default;
+};
+
+/// From an exchange: the next bytes of the answer's body.
+struct AnswerBody {
+  const RequestId request;
+  const AttemptNumber attempt;
+  const std::string bytes;
+
+  friend auto operator<=>(const AnswerBody&, const AnswerBody&) = default;
+  friend bool operator==(const AnswerBody&, const AnswerBody&) = default;
+};
+
+/// From an exchange: the whole answer has been passed on.
+struct AnswerEnd {
+  const RequestId request;
+  const AttemptNumber attempt;
+
+  friend auto operator<=>(const AnswerEnd&, const AnswerEnd&) = default;
+  friend bool operator==(const AnswerEnd&, const AnswerEnd&) = default;
+};
+
+/// From an exchange: the rest of the answer will never come.
+struct AnswerBroken {
+  const RequestId request;
+  const AttemptNumber attempt;
+
+  friend auto operator<=>(const AnswerBroken&, const AnswerBroken&) = default;
+  friend bool operator==(const AnswerBroken&, const AnswerBroken&) = default;
+};
+
+/// All that a caller's session hears of.
+using SessionMessage = std::variant<RequestRead,
+                                    RequestRejected,
+                                    RequestBegun,
+                                    ContinueAwaited,
+                                    CallerLeft,
+                                    Refuse,
+                                    AnswerHead,
+                                    AnswerBody,
+                                    AnswerEnd,
+                                    AnswerBroken>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_MESSAGES_H_
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/node_messages.h
@@ -0,0 +1,61 @@
+#ifndef CICADALOFT_FORWARDING_NODE_MESSAGES_H_
+#define CICADALOFT_FORWARDING_NODE_MESSAGES_H_
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "cicadaloft/forwarding/admin_messages.h"
+#include "cicadaloft/forwarding/mailbox.h"
+#include "cicadaloft/forwarding/messages.h"
+
+namespace cicadaloft {
+
+/// A connection to a target; defined with the exchanges that use it.
+struct TargetConnection;
+
+using SessionMailbox = Mailbox<SessionMessage>;
+using AdminMailbox = Mailbox<AdminReply>;
+
+/// A caller's request, and where its answer is to go.
+struct CallerArrived {
+  const std::shared_ptr<const CallerRequest> request;
+  const std::shared_ptr<SessionMailbox> session;
+};
+
+/// The session has done with a request, answered or not.
+struct CallerDone {
+  const RequestId request;
+};
+
+/// A session has refused input that is no request.
+struct CallerRejected {
+  const RequestId request;
+  const ErrorKind kind = ErrorKind::kMalformedRequest;
+};
+
+/// A target connection after a whole answer, ready for another request.
+struct ConnectionFreed {
+  const std::string address;
+  const std::shared_ptr<TargetConnection> connection;
+};
+
+/// The admin endpoint wants to know something.
+struct AdminQuestion {
+  const AdminAsk ask;
+  const std::shared_ptr<AdminMailbox> reply_to;
+};
+
+/// All that the node task hears of.
+using NodeMessage = std::variant<EntryEvent,
+                                 CallerArrived,
+                                 CallerDone,
+                                 CallerRejected,
+                                 ConnectionFreed,
+                                 AdminQuestion>;
+
+using NodeMailbox = Mailbox<NodeMessage>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_NODE_MESSAGES_H_
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -0,0 +1,210 @@
+#ifndef CICADALOFT_FORWARDING_NODE_TASK_H_
+#define CICADALOFT_FORWARDING_NODE_TASK_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <concepts>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/core/step.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/entry/messages.h"
+#include "cicadaloft/forwarding/boot_clock.h"
+#include "cicadaloft/forwarding/decision_history.h"
+#include "cicadaloft/forwarding/effect_carrier.h"
+#include "cicadaloft/forwarding/entry_metrics.h"
+#include "cicadaloft/forwarding/forwarding_settings.h"
+#include "cicadaloft/forwarding/node_messages.h"
+
+namespace cicadaloft {
+
+/// A state that decides on an entry's events; EntryState is the real one.
+template <typename S>
+concept EntryDecider =
+    std::movable<S> &&
+    requires(S state, const S& seen, const EntryEvent& event, TimePoint now) {
+      {
+        Decide(std::move(state), event, now)
+      } -> std::same_as<Step<S, EntryEffect>>;
+      { seen.IsReady() } -> std::convertible_to<bool>;
+      { seen.OpenRequests() } -> std::convertible_to<std::size_t>;
+    };
+
+/// Where decision lines go.
+template <typename L>
+concept DecisionSink = std::invocable<const L&, const DecisionLine&>;
+
+using LinkMailbox = Mailbox<Envelope>;
+using DrainedMailbox = Mailbox<EntryDrained>;
+
+/// The mailboxes at the node task's borders.
+struct NodeLinks {
+  const std::shared_ptr<NodeMailbox> inbox;
+  const std::shared_ptr<LinkMailbox> link;        ///< To the steward.
+  const std::shared_ptr<DrainedMailbox> drained;  ///< To the program.
+};
+
+/// Messages that may wait for the node task.
+inline constexpr std::size_t kNodeRoom = 1024;
+
+/// Owns the entry's state: feeds it events and carries its effects.
+template <EntryDecider State, EntryClock Clock, DecisionSink Sink>
+class NodeTask {
+ public:
+  NodeTask(boost::asio::any_io_executor executor,
+           State state,
+           NodeLinks links,
+           const TargetLimits& limits,
+           Clock clock,
+           Sink sink)
+      : state(std::move(state)),
+        links(std::move(links)),
+        clock(std::move(clock)),
+        sink(std::move(sink)),
+        carrier(std::move(executor), this->links.inbox, limits) {}
+
+  /// Runs until the inbox is closed.
+  boost::asio::awaitable<void> Run() {
+    auto message = co_await Receive(*this->links.inbox);
+    while (message != nullptr) {
+      std::visit([this](const auto& item) { this->Take(item); }, *message);
+      message = co_await Receive(*this->links.inbox);
+    }
+  }
+
+ private:
+  void Take(const EntryEvent& event) {
+    this->pending.push_back(event);
+    while (!this->pending.empty()) {
+      const EntryEvent next = this->pending.front();
+      this->pending.pop_front();
+      this->Feed(next);
+    }
+  }
+
+  void Take(const CallerArrived& arrived) {
+    this->carrier.Admit(arrived, this->clock.Now());
+    this->Take(EntryEvent(arrived.request->arrival));
+  }
+
+  void Take(const CallerDone& done) { this->carrier.Forget(done.request); }
+
+  void Take(const CallerRejected& rejected) {
+    const ErrorAnswer& answer = AnswerFor(rejected.kind);
+    this->metrics.CountRefusal(rejected.kind);
+    this->Carry(DecisionLine{.reason = "caller.rejected",
+                             .request = rejected.request,
+                             .detail = "kind=" + std::string(answer.token)});
+  }
+
+  void Take(const ConnectionFreed& freed) {
+    this->carrier.KeepConnection(freed, this->clock.Now());
+  }
+
+  void Take(const AdminQuestion& question) {
+    const AdminReply reply = std::visit(
+        [this](const auto& ask) { return this->Answer(ask); }, question.ask);
+    TrySend(*question.reply_to, reply);
+  }
+
+  void Feed(const EntryEvent& event) {
+    this->Note(event);
+    Step<State, EntryEffect> step =
+        Decide(std::move(this->state), event, this->clock.Now());
+    this->state = std::move(step.state);
+    for (const EntryEffect& effect : step.effects) {
+      std::visit([this](const auto& item) { this->Carry(item); }, effect);
+    }
+  }
+
+  // What metrics and the carrier learn from an event before it is decided on.
+  void Note(const EntryEvent& event) {
+    const TimePoint now = this->clock.Now();
+    if (const auto* started = std::get_if<AttemptStarted>(&event)) {
+      if (const auto arrival = this->carrier.ArrivalOf(started->request)) {
+        this->metrics.CountStart(now - *arrival);
+      }
+    } else if (const auto* ended = std::get_if<AttemptEnded>(&event)) {
+      const auto arrival = this->carrier.ArrivalOf(ended->request);
+      if (ended->outcome == AttemptOutcome::kCompleted && arrival) {
+        this->metrics.CountAnswer(ended->http_status, now - *arrival);
+      }
+      this->carrier.NoteEnd(*ended);
+    } else if (std::holds_alternative<EntryStopRequested>(event)) {
+      this->is_stopping = true;
+    }
+  }
+
+  void Carry(const Dispatch& dispatch) {
+    const auto ended = this->carrier.Carry(dispatch, this->clock.Now());
+    if (ended) {
+      this->pending.emplace_back(*ended);
+    }
+  }
+
+  void Carry(const CancelAttempt& cancel) { this->carrier.Carry(cancel); }
+
+  void Carry(const Refuse& refusal) {
+    this->metrics.CountRefusal(refusal.error.kind);
+    this->carrier.Carry(refusal);
+  }
+
+  // A link too slow for its messages loses them, as a broken one does.
+  void Carry(const SendLink& send) {
+    if (!TrySend(*this->links.link, send.envelope)) {
+      this->metrics.CountDecision("link.message_lost");
+    }
+  }
+
+  void Carry(const DecisionLine& line) {
+    this->metrics.CountDecision(line.reason);
+    this->history.Add(this->clock.UnixMilliseconds(), line);
+    this->sink(line);
+  }
+
+  void Carry(const EntryDrained& drained) {
+    TrySend(*this->links.drained, drained);
+  }
+
+  StatusReply Status() const {
+    return StatusReply{.is_ready = this->state.IsReady() && !this->is_stopping,
+                       .is_stopping = this->is_stopping,
+                       .open_requests = this->carrier.open_requests(),
+                       .running_attempts = this->carrier.running_attempts()};
+  }
+
+  AdminReply Answer(const StatusAsk&) const { return this->Status(); }
+  AdminReply Answer(const MetricsAsk&) const {
+    return this->metrics.Read(this->Status());
+  }
+  AdminReply Answer(const ExplainAsk& ask) const {
+    return this->history.Find(ask.request);
+  }
+
+  State state;
+  const NodeLinks links;
+  const Clock clock;
+  const Sink sink;
+  EffectCarrier carrier;
+  EntryMetrics metrics;
+  DecisionHistory history;
+  std::deque<EntryEvent> pending;
+  bool is_stopping = false;
+};
+
+/// Sends an EntryTick at each kEntryTickInterval until the inbox is closed.
+boost::asio::awaitable<void> RunTicks(std::shared_ptr<NodeMailbox> inbox);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_NODE_TASK_H_
--- /dev/null
+++ b/forwarding/target_pool.cc
@@ -0,0 +1,69 @@
+#include "target_pool.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <tuple>
+#include <utility>
+
+namespace cicadaloft {
+namespace {
+
+// An end of file or an unasked byte makes the connection unfit: the byte would
+// be taken for the next request's answer.
+bool IsQuiet(TargetConnection& connection) {
+  if (connection.buffer.size() != 0) {
+    return false;
+  }
+  boost::system::error_code error;
+  std::ignore = connection.socket.non_blocking(true, error);
+  if (error) {
+    return false;
+  }
+  std::array<char, 1> byte{};
+  connection.socket.receive(boost::asio::buffer(byte),
+                            boost::asio::socket_base::message_peek, error);
+  return error == boost::asio::error::would_block;
+}
+
+}  // namespace
+
+std::shared_ptr<TargetConnection> TargetPool::Take(const std::string& address,
+                                                   TimePoint now) {
+  this->Prune(now);
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end()) {
+    return nullptr;
+  }
+  std::deque<Idle>& line = found->second;
+  while (!line.empty()) {
+    const Idle newest = std::move(line.back());
+    line.pop_back();
+    if (IsQuiet(*newest.connection)) {
+      return newest.connection;
+    }
+  }
+  return nullptr;
+}
+
+void TargetPool::Keep(const std::string& address,
+                      std::shared_ptr<TargetConnection> connection,
+                      TimePoint now) {
+  std::deque<Idle>& line = this->idle[address];
+  line.push_back(Idle{.connection = std::move(connection), .since = now});
+  if (line.size() > this->limits.idle_connections) {
+    line.pop_front();
+  }
+}
+
+void TargetPool::Prune(TimePoint now) {
+  for (auto& [address, line] : this->idle) {
+    std::erase_if(line, [&](const Idle& item) {
+      return now - item.since >= this->limits.idle_time;
+    });
+  }
+  std::erase_if(this->idle,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/forwarding/tests/direct_decider.h
@@ -0,0 +1,130 @@
+#ifndef CICADALOFT_FORWARDING_TESTS_DIRECT_DECIDER_H_
+#define CICADALOFT_FORWARDING_TESTS_DIRECT_DECIDER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/core/step.h"
+#include "cicadaloft/entry/messages.h"
+
+namespace cicadaloft {
+
+/// What the direct decider does, and all events that it has seen but ticks.
+struct DirectPlan {
+  std::string address;
+  bool idempotent = true;
+  Duration start_within = std::chrono::seconds(20);
+  bool refuses = false;  ///< Answers each request with kRateLimited.
+  std::vector<EntryEvent> seen;
+
+  template <typename E>
+  std::vector<E> All() const {
+    std::vector<E> found;
+    for (const EntryEvent& event : this->seen) {
+      if (const auto* match = std::get_if<E>(&event)) {
+        found.push_back(*match);
+      }
+    }
+    return found;
+  }
+};
+
+/// Sends each request to one target at once, and once more where the target
+/// says that it has not run it.
+class DirectState {
+ public:
+  explicit DirectState(std::shared_ptr<DirectPlan> plan)
+      : plan(std::move(plan)) {}
+
+  bool IsReady() const { return !this->stopping; }
+  std::size_t OpenRequests() const { return this->open.size(); }
+
+  friend Step<DirectState, EntryEffect> Decide(DirectState state,
+                                               const EntryEvent& event,
+                                               TimePoint) {
+    std::vector<EntryEffect> effects;
+    if (!std::holds_alternative<EntryTick>(event)) {
+      state.plan->seen.push_back(event);
+    }
+    std::visit(
+        Overloaded{
+            [&](const RequestArrived& arrived) {
+              state.Begin(arrived, effects);
+            },
+            [&](const AttemptEnded& ended) { state.End(ended, effects); },
+            [&](const CallerGone& gone) {
+              effects.emplace_back(CancelAttempt{.request = gone.request,
+                                                 .attempt = AttemptNumber(1)});
+            },
+            [&](const EntryStopRequested&) { state.stopping = true; },
+            [](const auto&) {}},
+        event);
+    if (state.stopping && state.open.empty() && !state.drained) {
+      state.drained = true;
+      effects.emplace_back(EntryDrained{});
+    }
+    return {std::move(state), std::move(effects)};
+  }
+
+ private:
+  void Begin(const RequestArrived& arrived, std::vector<EntryEffect>& effects) {
+    if (this->stopping || this->plan->refuses) {
+      const ErrorKind kind =
+          this->stopping ? ErrorKind::kStopping : ErrorKind::kRateLimited;
+      effects.emplace_back(
+          Refuse{.request = arrived.request,
+                 .error = Fail(kind, "refused by plan"),
+                 .retry_after = std::chrono::milliseconds(1200)});
+      return;
+    }
+    this->open.insert(arrived.request);
+    effects.emplace_back(DecisionLine{.reason = "route.direct",
+                                      .request = arrived.request,
+                                      .detail = "target=t1"});
+    effects.emplace_back(this->Attempt(arrived.request, AttemptNumber(1)));
+  }
+
+  void End(const AttemptEnded& ended, std::vector<EntryEffect>& effects) {
+    const bool not_run = ended.outcome == AttemptOutcome::kNotLoaded ||
+                         ended.outcome == AttemptOutcome::kRefused;
+    if (not_run && ended.attempt == AttemptNumber(1)) {
+      effects.emplace_back(this->Attempt(ended.request, AttemptNumber(2)));
+      return;
+    }
+    this->open.erase(ended.request);
+    if (ended.outcome == AttemptOutcome::kCompleted) {
+      return;
+    }
+    const ErrorKind kind = ended.outcome == AttemptOutcome::kNotSent
+                               ? ErrorKind::kTargetUnreachable
+                               : ErrorKind::kTargetFailed;
+    effects.emplace_back(Refuse{.request = ended.request,
+                                .error = Fail(kind, "attempt failed"),
+                                .run_state = AnswerFor(kind).run_state});
+  }
+
+  Dispatch Attempt(const RequestId& request, AttemptNumber attempt) const {
+    return Dispatch{.request = request,
+                    .attempt = attempt,
+                    .target = TargetId("t1"),
+                    .address = this->plan->address,
+                    .start_within = this->plan->start_within,
+                    .idempotent = this->plan->idempotent};
+  }
+
+  std::shared_ptr<DirectPlan> plan;
+  std::set<RequestId> open;
+  bool stopping = false;
+  bool drained = false;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_TESTS_DIRECT_DECIDER_H_
