Decide retries, suspects, claims, permits, demand and lent tokens

Cause: the entry's first path knew no faults and no other hosts.

A broken connection alone bars nobody: popular content that is cut twice by a faulty target would be refused for ten minutes. It takes a new process, an unreachable target, or two targets that broke off before answering.

--- a/admission/include/cicadaloft/admission/fair_queue.h
+++ b/admission/include/cicadaloft/admission/fair_queue.h
@@ -5,11 +5,13 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <list>
 #include <map>
 #include <optional>
 #include <ranges>
 #include <utility>
+#include <vector>
 
 #include "cicadaloft/core/id.h"
 
@@ -56,7 +58,7 @@
     }
     const auto flow = this->FindServable();
     const auto first = flow->waiting.begin();
-    const Item item = first->second.item;
+    Item item = first->second.item;
     flow->deficit -= first->second.cost;
     flow->waiting.erase(first);
     --this->count;
@@ -64,6 +66,29 @@
     return item;
   }
 
+  /// @return all items, customer by customer.
+  std::vector<Item> Items() const {
+    std::vector<Item> items;
+    items.reserve(this->count);
+    std::ranges::for_each(this->flows, [&](const Flow& flow) {
+      std::ranges::transform(flow.waiting | std::views::values,
+                             std::back_inserter(items), &Entry::item);
+    });
+    return items;
+  }
+
+  /// @return the item with the lowest number, and its number.
+  std::optional<std::pair<std::uint64_t, Item>> Oldest() const {
+    std::optional<std::pair<std::uint64_t, Item>> oldest;
+    std::ranges::for_each(this->flows, [&](const Flow& flow) {
+      const auto& [number, entry] = *flow.waiting.begin();
+      if (!oldest.has_value() || number < oldest->first) {
+        oldest.emplace(number, entry.item);
+      }
+    });
+    return oldest;
+  }
+
   std::size_t size() const { return this->count; }
   /// @return customers that have items waiting.
   std::size_t CustomerCount() const { return this->flows.size(); }
@@ -173,6 +198,24 @@
     return this->LaneOf(is_batch_turn).Pop();
   }
 
+  std::vector<Item> Items() const {
+    std::vector<Item> items = this->interactive.Items();
+    std::ranges::copy(this->batch.Items(), std::back_inserter(items));
+    return items;
+  }
+
+  /// @return the item with the lowest number.
+  std::optional<Item> Oldest() const {
+    const auto first = this->interactive.Oldest();
+    const auto second = this->batch.Oldest();
+    if (!first.has_value() && !second.has_value()) {
+      return std::nullopt;
+    }
+    const bool is_first = !second.has_value() ||
+                          (first.has_value() && first->first < second->first);
+    return is_first ? first->second : second->second;
+  }
+
   std::size_t size() const {
     return this->interactive.size() + this->batch.size();
   }
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,12 +13,17 @@
 #include <vector>
 
 #include "cicadaloft/admission/key_cache.h"
+#include "cicadaloft/admission/token_asks.h"
 #include "cicadaloft/admission/token_bucket.h"
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/ledger/ledger.h"
+#include "cicadaloft/routing/permit_book.h"
+#include "cicadaloft/routing/prefix_cache.h"
+#include "cicadaloft/routing/retry_budget.h"
+#include "cicadaloft/routing/suspect_list.h"
 #include "cicadaloft/routing/target_view.h"
 #include "open_request.h"
 #include "path.h"
@@ -35,6 +41,8 @@
   TokenBucket bucket;
   /// Requests that wait for tokens, by number.
   std::map<std::uint64_t, OpenRequest*> short_of_tokens;
+  TokenAsks asks;
+  RetryBudget retries;
 };
 
 /// Paths that wait for room on one target.
@@ -44,6 +52,27 @@
   std::uint64_t turn = 0;
 };
 
+/// How a claimed request has ended, told to the claims' owner until the ledger
+/// shows it.
+struct ClaimEnd {
+  ClaimOutcomeRecord outcome;
+  /// False: the right has not come, so there may be nothing to end.
+  bool is_granted = false;
+  TimePoint until{};
+  Duration interval{};
+};
+
+using ClaimEndKey = std::pair<ClaimKey, RequestId>;
+
+/// Room on one target beyond the own part of its cap.
+struct TargetPermits {
+  PermitAsks asks;
+  std::vector<HostId> lenders;
+  std::uint64_t lenders_version = 0;
+  /// Lent to this host and not in use.
+  std::map<std::uint64_t, HeldPermit> held;
+};
+
 /// Whether the tokens of this host may be used.
 struct ShareUse {
   bool is_usable = false;
@@ -68,6 +97,7 @@
   std::optional<TimePoint> last_event;
   bool is_link_up = false;
   bool is_stopping = false;
+  TimePoint stop_asked{};
   bool is_drained = false;
   std::optional<TimePoint> state_asked_at;
 
@@ -77,6 +107,8 @@
 
   KeyCache keys;
   std::map<CustomerId, CustomerRate> rates;
+  std::set<CustomerId> short_customers;  ///< With requests short of tokens.
+  std::vector<HostId> lenders;           ///< Of tokens, the nearest first.
   ShareUse share;
 
   std::unordered_map<RequestId, OpenRequest, RequestIdHash> requests;
@@ -89,7 +121,23 @@
   std::map<std::uint64_t, Path*> waiting_paths;  ///< By number.
   std::map<TargetId, TargetView> targets;
   std::map<BackEndId, std::vector<TargetView*>> targets_of;
+  std::map<BackEndId, std::set<DataCentreId>> data_centres_of;
   std::unordered_map<const TargetView*, TargetWaiters> waiters;
+  std::map<TargetId, TargetPermits> permits;
+  LentPermits lent_permits;
+  /// Requests that run on a permit, by the time at which they must end.
+  std::set<std::pair<TimePoint, RequestId>> permit_ends;
+  PrefixCache prefixes;
+  SuspectList suspects;
+
+  /// Requests that wait for their claim, by the time of the next ask.
+  std::set<std::pair<TimePoint, RequestId>> claim_asks;
+  std::map<ClaimEndKey, ClaimEnd> claim_ends;
+  std::set<std::pair<TimePoint, ClaimEndKey>> claim_ends_due;
+
+  std::map<KeyId, std::set<RequestId>> requests_of_key;
+  std::map<std::uint64_t, Path*> demanding_paths;  ///< By number.
+  TimePoint demand_checked{};
 
   std::vector<EntryEffect> effects;
 };
--- a/entry/entry_links.cc
+++ b/entry/entry_links.cc
@@ -1,11 +1,18 @@
 #include "entry_links.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <set>
 #include <utility>
 
 #include "cicadaloft/core/result.h"
+#include "entry_claims.h"
+#include "entry_demand.h"
 #include "entry_dispatch.h"
+#include "entry_permits.h"
+#include "entry_requests.h"
+#include "entry_suspects.h"
 #include "entry_targets.h"
 #include "entry_tokens.h"
 
@@ -26,12 +33,95 @@
   core.Send(HostId(), StateRequest{.from = core.ledger.next()});
 }
 
+/// What a run of records has touched.
+struct Touched {
+  bool config = false;
+  bool members = false;
+
+  bool all_keys = false;
+  std::set<KeyId> keys;
+  std::set<TargetId> targets;
+  std::set<ModelId> models;
+};
+
+void NoteTicket(const Ticket& ticket, Touched& touched) {
+  touched.config = true;
+  const auto note = [&](const ItemRef& ref) {
+    if (ref.kind == ItemKind::kKey) {
+      touched.keys.insert(KeyId(ref.name));
+    } else if (ref.kind != ItemKind::kTarget) {
+      touched.all_keys = true;
+    }
+  };
+  std::ranges::for_each(ticket.items,
+                        [&](const Item& item) { note(RefOf(item)); });
+  std::ranges::for_each(ticket.removed, note);
+}
+
+void NotePlacement(EntryCore& core,
+                   const TargetId& target,
+                   const ModelId& model,
+                   Touched& touched) {
+  touched.models.insert(model);
+  const auto view = core.targets.find(target);
+  if (view != core.targets.end()) {
+    view->second.DropHint(model);
+  }
+}
+
+void NoteRecord(EntryCore& core, const RecordBody& body, Touched& touched) {
+  std::visit(
+      Overloaded{
+          [&](const TicketRecord& r) { NoteTicket(r.ticket, touched); },
+          [&](const JoinRecord&) { touched.members = true; },
+          [&](const LeaveRecord&) { touched.members = true; },
+          [&](const EvictRecord&) { touched.members = true; },
+          // It may confirm an allocation of shares.
+          [&](const RenewRecord&) {
+            touched.members |= core.ledger.shares().allocations().size() > 1;
+          },
+          [&](const PlacementRecord& r) {
+            NotePlacement(core, r.target, r.model, touched);
+          },
+          [&](const PlacementOutcomeRecord& r) {
+            NotePlacement(core, r.target, r.model, touched);
+          },
+          [&](const TargetInstanceRecord& r) {
+            touched.targets.insert(r.target);
+            std::ranges::copy(
+                core.ledger.placements().MemoryOf(r.target).reservations |
+                    std::views::keys,
+                std::inserter(touched.models, touched.models.end()));
+          },
+          [](const auto&) {},
+      },
+      body);
+}
+
 /// Acts on the ledger as it now stands, and only then reports the position.
-void ActOnLedger(EntryCore& core) {
-  ++core.routing_version;
-  SyncRates(core);
-  SyncTargets(core);
-  PumpWaiting(core);
+void ActOnLedger(EntryCore& core, const Touched& touched) {
+  const bool moves_parts = touched.config || touched.members;
+  if (moves_parts) {
+    SyncRates(core);
+    SyncTargets(core);
+  }
+  std::ranges::for_each(touched.targets, [&](const TargetId& target) {
+    SyncInstance(core, target);
+  });
+  if (touched.all_keys) {
+    RecheckAllKeys(core);
+  }
+  std::ranges::for_each(touched.keys,
+                        [&](const KeyId& key) { RecheckKey(core, key); });
+  std::ranges::for_each(touched.models, [&](const ModelId& model) {
+    MarkStale(core, model);
+    PumpModel(core, model);
+  });
+  if (moves_parts) {
+    ++core.routing_version;
+    RefuseUnserved(core);
+    PumpWaiting(core);
+  }
   core.Send(HostId(), LogPosition{.next = core.ledger.next(),
                                   .log_reachable = false,
                                   .applied_by_entry = core.ledger.next()});
@@ -39,9 +129,15 @@
 
 void Take(EntryCore& core, const RelayRecords& relay) {
   const LogOffset before = core.ledger.next();
+  Touched touched;
+  std::ranges::for_each(relay.records, [&](const PlacedRecord& placed) {
+    if (placed.offset >= before) {
+      NoteRecord(core, placed.record.body, touched);
+    }
+  });
   core.ledger = ApplyAll(std::move(core.ledger), relay.records).state;
   if (core.ledger.next() > before) {
-    ActOnLedger(core);
+    ActOnLedger(core, touched);
   }
   if (relay.next > core.ledger.next()) {
     AskForState(core);
@@ -54,7 +150,13 @@
     return;
   }
   core.ledger = Ledger(state);
-  ActOnLedger(core);
+  Touched touched{.config = true, .all_keys = true};
+  std::ranges::for_each(core.targets | std::views::values,
+                        [&](TargetView& view) {
+                          view.DropHints();
+                          touched.targets.insert(view.id());
+                        });
+  ActOnLedger(core, touched);
 }
 
 }  // namespace
@@ -66,6 +168,14 @@
           [&](const StateTransfer& transfer) { Take(core, transfer); },
           [&](const ShareLease& lease) { OnShareLease(core, lease); },
           [&](const TargetNews& news) { OnTargetNews(core, news.report); },
+          [&](const NoCapacityNotice& notice) { OnNoCapacity(core, notice); },
+          [&](const BorrowTokens& ask) { OnBorrowTokens(core, ask); },
+          [&](const LendTokens& loan) { OnLendTokens(core, loan); },
+          [&](const BorrowPermit& ask) { OnBorrowPermit(core, ask); },
+          [&](const LendPermit& loan) { OnLendPermit(core, loan); },
+          [&](const ReturnPermit& permit) { OnReturnPermit(core, permit); },
+          [&](const SuspectNotice& notice) { OnSuspectNotice(core, notice); },
+          [&](const ClaimReply& reply) { OnClaimReply(core, reply); },
           [](const auto&) {},
       },
       envelope.message);
--- a/entry/entry_node.cc
+++ b/entry/entry_node.cc
@@ -4,9 +4,12 @@
 
 #include "cicadaloft/core/result.h"
 #include "entry_attempts.h"
+#include "entry_claims.h"
 #include "entry_core.h"
+#include "entry_demand.h"
 #include "entry_dispatch.h"
 #include "entry_links.h"
+#include "entry_permits.h"
 #include "entry_requests.h"
 #include "entry_tokens.h"
 
@@ -38,6 +41,8 @@
 
 namespace {
 
+constexpr Duration kLongestEndWait = std::chrono::seconds(3);
+
 void NoteTime(EntryCore& core, TimePoint now) {
   const bool was_suspended =
       core.last_event.has_value() &&
@@ -51,12 +56,25 @@
 
 void OnTick(EntryCore& core) {
   ServeShortOfTokens(core);
+  ExpirePermits(core);
+  ResendClaims(core);
   PumpWaiting(core);
   ExpireWaiting(core);
+  ReportDemand(core);
+}
+
+void OnStop(EntryCore& core) {
+  core.stop_asked = core.is_stopping ? core.stop_asked : core.now;
+  core.is_stopping = true;
 }
 
+/// Ends of claims that are not in the ledger yet are worth a short wait: nobody
+/// else knows them.
 void Finish(EntryCore& core) {
-  if (core.is_stopping && !core.is_drained && core.requests.empty()) {
+  const bool waits_for_ends =
+      !core.claim_ends.empty() && core.now - core.stop_asked < kLongestEndWait;
+  if (core.is_stopping && !core.is_drained && core.requests.empty() &&
+      !waits_for_ends) {
     core.is_drained = true;
     core.Emit(EntryDrained{});
   }
@@ -78,7 +96,7 @@
           [&](const LinkReceived& e) { OnLinkReceived(core, e.envelope); },
           [&](const LinkChanged& e) { OnLinkChanged(core, e); },
           [&](const EntryTick&) { OnTick(core); },
-          [&](const EntryStopRequested&) { core.is_stopping = true; },
+          [&](const EntryStopRequested&) { OnStop(core); },
       },
       event);
   Finish(core);
--- a/entry/entry_requests.cc
+++ b/entry/entry_requests.cc
@@ -1,16 +1,31 @@
 #include "entry_requests.h"
 
 #include <algorithm>
+#include <chrono>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
 #include "cicadaloft/entry/reasons.h"
+#include "entry_claims.h"
+#include "entry_demand.h"
 #include "entry_dispatch.h"
+#include "entry_targets.h"
 #include "entry_tokens.h"
 
 namespace cicadaloft {
 namespace {
 
+/// The pace of a path is known after so many requests.
+constexpr std::uint32_t kLeastPaceSamples = 8;
+
+/// A request is refused at once only if it would be late at this part of the
+/// expected wait, since paths speed up as targets warm up.
+constexpr double kSureOfLateness = 0.6;
+
+/// What a caller hears whose request has waited in vain.
+constexpr Duration kRetryAfterDeadline = std::chrono::seconds(1);
+
 /// Why nothing new is taken at all.
 std::optional<Error> Closed(const EntryCore& core) {
   if (core.is_stopping) {
@@ -69,10 +84,28 @@
   OpenRequest& request = place->second;
   ++core.waiting;
   core.deadlines.emplace(std::pair(request.deadline, request.number), &request);
+  if (request.key.has_value()) {
+    core.requests_of_key[*request.key].insert(arrived.request);
+  }
   return request;
 }
 
-Error DeadlineError(const OpenRequest& request) {
+/// @return how long the request will wait at least, by the pace at which its
+/// path is served; none while that is not known.
+std::optional<Duration> ExpectedWait(const Path& path,
+                                     const OpenRequest& request) {
+  if (path.pace.samples < kLeastPaceSamples) {
+    return std::nullopt;
+  }
+  const auto& lane = path.queue.lane(request.IsBatch());
+  const std::size_t own = lane.SizeOf(request.customer.value_or(CustomerId()));
+  const std::size_t ahead = std::min(lane.size(), own * lane.CustomerCount());
+  return std::chrono::duration_cast<Duration>(
+      path.pace.interval * (static_cast<double>(ahead) * kSureOfLateness));
+}
+
+Error DeadlineError(const EntryCore& core, const OpenRequest& request) {
+  const std::optional<TimePoint>& full = request.path->demand.no_capacity_until;
   switch (request.phase) {
     case RequestPhase::kShortOfTokens:
       return Fail(ErrorKind::kRateLimited, "the customer's rate is used up");
@@ -80,6 +113,9 @@
       return Fail(ErrorKind::kClaimsUnavailable,
                   "the right to run once has not been given in time");
     default:
+      if (full.has_value() && core.now < *full) {
+        return Fail(ErrorKind::kNoCapacity, "the model can't be loaded now");
+      }
       return Fail(ErrorKind::kDeadlineExceeded, "no target had room in time");
   }
 }
@@ -101,13 +137,48 @@
                  std::nullopt);
     return;
   }
+  if (core.suspects.IsBarred(arrived.fingerprint, core.now)) {
+    RefuseAtOnce(core, arrived.request,
+                 Fail(ErrorKind::kPoisonRequest,
+                      "targets have died while running this content"),
+                 RunState::kNotRun, std::nullopt);
+    return;
+  }
   OpenRequest& request = Open(core, arrived, ValueOf(permission));
   TakeToken(core, request);
 }
 
 void OnTokenTaken(EntryCore& core, OpenRequest& request) {
+  if (NeedsClaim(request)) {
+    StartClaim(core, request);
+    return;
+  }
+  EnqueueNew(core, request);
+}
+
+void EnqueueNew(EntryCore& core, OpenRequest& request) {
+  const RequestId id = request.arrived.request;
+  Path& path = *request.path;
   Enqueue(core, request);
-  Pump(core, *request.path);
+  Pump(core, path);
+  NoteArrival(core, path);
+  const auto found = core.requests.find(id);
+  const bool still_waits = found != core.requests.end() &&
+                           found->second.phase == RequestPhase::kWaiting;
+  if (!still_waits) {
+    return;
+  }
+  const bool is_cold = path.local.empty() && path.regional.empty();
+  core.Log(is_cold ? reason::kWaitReplica : reason::kWaitRoom, id,
+           "waiting=" + std::to_string(path.WaitingCount()));
+  const std::optional<Duration> wait =
+      is_cold ? std::nullopt : ExpectedWait(path, found->second);
+  if (wait.has_value() && core.now + *wait > found->second.deadline) {
+    RefuseOpen(core, found->second,
+               Fail(ErrorKind::kDeadlineExceeded,
+                    "too much waits before it for the same targets"),
+               RunState::kNotRun, wait);
+  }
 }
 
 void Enqueue(EntryCore& core, OpenRequest& request) {
@@ -136,15 +207,31 @@
   if (request.phase == RequestPhase::kShortOfTokens) {
     core.rates[*request.customer].short_of_tokens.erase(request.number);
   }
+
   if (request.phase == RequestPhase::kWaiting) {
+    request.path->held.erase(request.number);
+    NoteDemand(core, *request.path);
     request.path->queue.Remove(request.IsBatch(),
                                request.customer.value_or(CustomerId()),
                                request.number);
   }
 }
 
+void ReopenWaiting(EntryCore& core, OpenRequest& request) {
+  request.phase = RequestPhase::kBetween;
+  ++core.waiting;
+  core.deadlines.emplace(std::pair(request.deadline, request.number), &request);
+}
+
 void Forget(EntryCore& core, OpenRequest& request) {
   const RequestId id = request.arrived.request;
+  if (request.key.has_value()) {
+    const auto of_key = core.requests_of_key.find(*request.key);
+    of_key->second.erase(id);
+    if (of_key->second.empty()) {
+      core.requests_of_key.erase(of_key);
+    }
+  }
   core.requests.erase(id);
 }
 
@@ -154,7 +241,14 @@
                 RunState run_state,
                 std::optional<Duration> retry_after) {
   StopWaiting(core, request);
-  RefuseAtOnce(core, request.arrived.request, error, run_state, retry_after);
+  const bool may_have_run = request.attempts_run > 0;
+  EndClaim(core, request,
+           may_have_run ? ClaimOutcome::kUnknown : ClaimOutcome::kNotRun, 0);
+  RefuseAtOnce(core, request.arrived.request, error,
+               may_have_run && run_state == RunState::kNotRun
+                   ? RunState::kUnknown
+                   : run_state,
+               retry_after);
   Forget(core, request);
 }
 
@@ -167,24 +261,82 @@
   if (request.phase != RequestPhase::kRunning) {
     core.Log(reason::kCallerGone, event.request, "state=waiting");
     StopWaiting(core, request);
+    EndClaim(core, request,
+             request.attempts_run > 0 ? ClaimOutcome::kUnknown
+                                      : ClaimOutcome::kNotRun,
+             0);
     Forget(core, request);
     return;
   }
-  const bool may_cut =
-      request.is_idempotent && request.running->canceled == CancelCause::kNone;
-  if (may_cut) {
-    core.Log(reason::kCallerGone, event.request, "state=running");
-    request.running->canceled = CancelCause::kCallerGone;
+  const bool is_cut = request.running->canceled != CancelCause::kNone;
+  core.Log(reason::kCallerGone, event.request, "state=running");
+  request.running->canceled = CancelCause::kCallerGone;
+  // What runs and may not be repeated runs to its end, so that it is known.
+  if (request.is_idempotent && !is_cut) {
     core.Emit(
         CancelAttempt{.request = event.request, .attempt = request.attempt});
   }
 }
 
+void RecheckKey(EntryCore& core, const KeyId& key) {
+  const auto found = core.requests_of_key.find(key);
+  if (found == core.requests_of_key.end()) {
+    return;
+  }
+  const std::set<RequestId> ids = found->second;
+  std::ranges::for_each(ids, [&](const RequestId& id) {
+    OpenRequest& request = core.requests.at(id);
+    const Result<Permission> permission = Authorize(core, request.arrived);
+    if (IsOk(permission)) {
+      return;
+    }
+    if (request.phase != RequestPhase::kRunning) {
+      RefuseOpen(core, request, ErrorOf(permission));
+      return;
+    }
+    const bool may_cut = request.is_idempotent &&
+                         request.running->canceled == CancelCause::kNone;
+    if (may_cut) {
+      core.Log(reason::kCancelKey, id, "key=" + key.value());
+      request.running->canceled = CancelCause::kKeyWithdrawn;
+      core.Emit(CancelAttempt{.request = id, .attempt = request.attempt});
+    }
+  });
+}
+
+void RecheckAllKeys(EntryCore& core) {
+  std::vector<KeyId> keys;
+  std::ranges::copy(core.requests_of_key | std::views::keys,
+                    std::back_inserter(keys));
+  std::ranges::for_each(keys, [&](const KeyId& key) { RecheckKey(core, key); });
+}
+
+void RefuseUnserved(EntryCore& core) {
+  if (!IsOwnDataCentreOut(core)) {
+    return;
+  }
+  std::vector<OpenRequest*> unserved;
+  for (const auto& [deadline, request] : core.deadlines) {
+    RefreshTargets(core, *request->path);
+    const bool may_run = request->phase != RequestPhase::kShortOfTokens &&
+                         !request->path->regional.empty();
+    if (!may_run) {
+      unserved.push_back(request);
+    }
+  }
+  std::ranges::for_each(unserved, [&](OpenRequest* request) {
+    RefuseOpen(
+        core, *request,
+        Fail(ErrorKind::kDataCentreOut, "the data centre is out of service"));
+  });
+}
+
 void ExpireWaiting(EntryCore& core) {
   while (!core.deadlines.empty() &&
          core.deadlines.begin()->first.first <= core.now) {
     OpenRequest& request = *core.deadlines.begin()->second;
-    RefuseOpen(core, request, DeadlineError(request));
+    RefuseOpen(core, request, DeadlineError(core, request), RunState::kNotRun,
+               kRetryAfterDeadline);
   }
 }
 
--- a/entry/entry_requests.h
+++ b/entry/entry_requests.h
@@ -25,6 +25,10 @@
 /// The request has its token: claims it or puts it into its path's queue.
 void OnTokenTaken(EntryCore& core, OpenRequest& request);
 
+/// Puts a new request into its path's queue and serves the path; refuses it at
+/// once if its turn would come too late.
+void EnqueueNew(EntryCore& core, OpenRequest& request);
+
 /// Puts a request into its path's queue.
 void Enqueue(EntryCore& core, OpenRequest& request);
 
@@ -35,6 +39,9 @@
                 RunState run_state = RunState::kNotRun,
                 std::optional<Duration> retry_after = std::nullopt);
 
+/// An attempt has ended: the request is neither at a target nor in a queue.
+void ReopenWaiting(EntryCore& core, OpenRequest& request);
+
 /// Takes the request out of wherever it waits.
 void StopWaiting(EntryCore& core, OpenRequest& request);
 
@@ -44,8 +51,16 @@
 /// Refuses what has waited until its deadline.
 void ExpireWaiting(EntryCore& core);
 
-/// Checks the open requests of withdrawn or changed keys again.
-void RecheckKeys(EntryCore& core, const std::vector<KeyId>& keys);
+/// Checks the open requests of a withdrawn or changed key again. Those that
+/// wait are refused. Idempotent ones that run are cut; others run on, since a
+/// cut would leave it unknown what they have done.
+void RecheckKey(EntryCore& core, const KeyId& key);
+
+/// Checks the open requests of all keys again.
+void RecheckAllKeys(EntryCore& core);
+
+/// The own data centre is out: refuses what no target elsewhere can serve.
+void RefuseUnserved(EntryCore& core);
 
 }  // namespace cicadaloft
 
--- a/entry/entry_targets.cc
+++ b/entry/entry_targets.cc
@@ -5,39 +5,39 @@
 #include <ranges>
 
 #include "entry_dispatch.h"
+#include "entry_suspects.h"
 
 namespace cicadaloft {
 namespace {
 
-/// @return hosts of the data centre in one allocation.
-std::vector<HostId> HostsOf(const EntryCore& core,
-                            const Allocation& allocation,
-                            const DataCentreId& data_centre) {
+/// @return hosts of the own data centre in one allocation.
+std::vector<HostId> MatesIn(const EntryCore& core,
+                            const Allocation& allocation) {
   std::vector<HostId> hosts;
   std::ranges::copy_if(allocation.fractions | std::views::keys,
                        std::back_inserter(hosts), [&](const HostId& host) {
                          const auto* info = core.ledger.members().Find(host);
                          return info != nullptr &&
-                                info->data_centre == data_centre;
+                                info->data_centre == core.settings.data_centre;
                        });
   return hosts;
 }
 
 /// As for rates, the smallest part in all allocations that may be in use
 /// somewhere: so the parts add up to the cap whatever each host has read.
-RampBounds BoundsOf(const EntryCore& core, const Target& target) {
+RampBounds BoundsOf(const EntryCore& core,
+                    const std::vector<std::vector<HostId>>& splits,
+                    const Target& target) {
   const auto* back_end =
       core.ledger.config().Find<BackEnd>(target.back_end.value());
-  const auto& allocations = core.ledger.shares().allocations();
-  if (back_end == nullptr || allocations.empty() ||
+  if (back_end == nullptr || splits.empty() ||
       target.data_centre != core.settings.data_centre) {
     return RampBounds{};
   }
   const auto smallest_part = [&](std::uint32_t total) {
     return std::ranges::min(
-        allocations | std::views::transform([&](const Allocation& a) {
-          return PartOf(total, target.id, HostsOf(core, a, target.data_centre),
-                        core.settings.host);
+        splits | std::views::transform([&](const std::vector<HostId>& hosts) {
+          return PartOf(total, target.id, hosts, core.settings.host);
         }));
   };
   const std::uint32_t initial =
@@ -108,13 +108,19 @@
 }
 
 void SyncTargets(EntryCore& core) {
+  std::vector<std::vector<HostId>> splits;
+  std::ranges::transform(core.ledger.shares().allocations(),
+                         std::back_inserter(splits),
+                         [&](const Allocation& a) { return MatesIn(core, a); });
   const auto& items = core.ledger.config().All<Target>();
   core.targets_of.clear();
+  core.data_centres_of.clear();
   std::ranges::for_each(items | std::views::values, [&](const auto& item) {
     TargetView& view =
         core.targets.try_emplace(item->id, item->id).first->second;
-    view.Configure(item, BoundsOf(core, *item));
+    view.Configure(item, BoundsOf(core, splits, *item));
     core.targets_of[item->back_end].push_back(&view);
+    core.data_centres_of[item->back_end].insert(item->data_centre);
     SyncInstance(core, item->id);
   });
   std::ranges::for_each(core.targets | std::views::values, [&](auto& view) {
@@ -127,7 +133,10 @@
 void SyncInstance(EntryCore& core, const TargetId& target) {
   const auto view = core.targets.find(target);
   if (view != core.targets.end()) {
-    view->second.OnInstance(core.ledger.placements().MemoryOf(target).instance);
+    const TargetInstance instance =
+        core.ledger.placements().MemoryOf(target).instance;
+    view->second.OnInstance(instance);
+    NoteTargetDied(core, target, instance);
   }
 }
 
@@ -152,12 +161,23 @@
   });
 }
 
+void MarkStale(EntryCore& core, const ModelId& model) {
+  const auto found = core.paths.find(PathKey(model));
+  if (found != core.paths.end()) {
+    Unregister(core, found->second);
+    found->second.version = kStaleVersion;
+  }
+}
+
 void OnTargetNews(EntryCore& core, const TargetReport& report) {
   const auto found = core.targets.find(report.target);
+  const TargetInstance before =
+      found == core.targets.end() ? TargetInstance() : found->second.instance();
   if (found == core.targets.end() ||
       !found->second.OnReport(report, core.now)) {
     return;
   }
+  NoteTargetDied(core, report.target, report.instance);
   TargetView& view = found->second;
   const TargetMemory& memory = core.ledger.placements().MemoryOf(report.target);
   std::ranges::for_each(
@@ -166,11 +186,15 @@
             std::ranges::any_of(report.models, [&](const ReportedModel& m) {
               return m.model == model && m.loaded;
             });
-        view.SetHint(model,
-                     is_loaded ? LoadHint::kLoaded : LoadHint::kNotLoaded);
+        const bool is_news =
+            view.SetHint(
+                model, is_loaded ? LoadHint::kLoaded : LoadHint::kNotLoaded) ||
+            view.instance() != before;
+        if (is_news) {
+          MarkStale(core, model);
+          PumpModel(core, model);
+        }
       });
-  ++core.routing_version;
-  PumpWaiting(core);
 }
 
 }  // namespace cicadaloft
--- a/entry/entry_targets.h
+++ b/entry/entry_targets.h
@@ -18,6 +18,9 @@
 /// @return the back end of a path; null if its route is gone.
 const BackEndId* BackEndOf(const EntryCore& core, const Path& path);
 
+/// The targets that hold the model may have changed.
+void MarkStale(EntryCore& core, const ModelId& model);
+
 void OnTargetNews(EntryCore& core, const TargetReport& report);
 
 }  // namespace cicadaloft
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -8,6 +8,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/messages.h"
+#include "cicadaloft/routing/permit_book.h"
 #include "cicadaloft/routing/target_view.h"
 
 namespace cicadaloft {
@@ -18,6 +19,7 @@
   kShortOfTokens,  ///< Waits for its customer's rate.
   kClaiming,       ///< Waits for the right to run once.
   kWaiting,        ///< Waits in its path's queue for room.
+  kBetween,        ///< Has left one phase for another.
   kRunning,        ///< Is at a target.
 };
 
@@ -29,9 +31,9 @@
   TargetView* target = nullptr;
   TargetInstance instance;
   TimePoint begun{};
-  bool has_started = false;  ///< The answer's first byte has come.
-  bool is_suspect = false;   ///< Counts in the target's suspects.
-  std::optional<std::uint64_t> permit;
+  bool has_started = false;          ///< The answer's first byte has come.
+  bool is_suspect = false;           ///< Counts in the target's suspects.
+  std::optional<HeldPermit> permit;  ///< Lent room, if not own one.
   CancelCause canceled = CancelCause::kNone;
 };
 
--- a/routing/ejection.cc
+++ b/routing/ejection.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-void Ejection::OnFailure(TimePoint now) {
+void Ejection::OnFailure(FailureKind kind, TimePoint now) {
   // Requests that fail together are one failure of the target.
   const bool is_same_failure = this->failures_in_a_row > 0 &&
                                now - this->last_failure < kLastResortPause;
@@ -18,6 +18,9 @@
   if (!is_same_failure) {
     ++this->failures_in_a_row;
   }
+  if (kind == FailureKind::kDoubtful && this->failures_in_a_row < 2) {
+    return;
+  }
   const std::uint32_t doublings =
       std::min(this->failures_in_a_row - 1, kMostDoublings);
   const Duration back_off =
--- a/routing/include/cicadaloft/routing/ejection.h
+++ b/routing/include/cicadaloft/routing/ejection.h
@@ -8,6 +8,11 @@
 
 namespace cicadaloft {
 
+enum class FailureKind {
+  kPlain,     ///< The target can't be reached or broke off without an answer.
+  kDoubtful,  ///< It was slow or cut an answer: counts from the second one on.
+};
+
 /// Keeps new work off a target that fails, for a time that doubles with each
 /// further failure.
 class Ejection {
@@ -20,7 +25,7 @@
   /// tried all the same.
   static constexpr Duration kLastResortPause = std::chrono::milliseconds(250);
 
-  void OnFailure(TimePoint now);
+  void OnFailure(FailureKind kind, TimePoint now);
   void OnOverload(TimePoint now);
   void OnGoodAnswer();
   /// Another process runs there: its predecessor's faults don't count.
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -39,9 +39,11 @@
   /// @return whether the report is of the known or a newer process.
   bool OnReport(const TargetReport& report, TimePoint now);
   /// Contradicts or runs ahead of the log until it is dropped.
-  void SetHint(const ModelId& model, LoadHint hint);
+  /// @return whether this changes what was known.
+  bool SetHint(const ModelId& model, LoadHint hint);
   /// The log has spoken of the model: what was reported before is void.
   void DropHint(const ModelId& model);
+  void DropHints();
   std::optional<LoadHint> HintOf(const ModelId& model) const;
   /// The target has denied to have the model.
   void OnNotLoaded(const ModelId& model, TimePoint now);
@@ -50,7 +52,7 @@
   /// A request has ended, however.
   void OnEnd();
   void OnGoodAnswer(Duration took);
-  void OnFailure(TimePoint now);
+  void OnFailure(FailureKind kind, TimePoint now);
   void OnOverload(TimePoint now);
 
   /// @return whether the own part of the cap has room.
@@ -68,8 +70,10 @@
   double ExpectedCompletion() const;
   std::uint32_t in_flight() const { return this->running; }
 
-  /// Suspects of this host that run there and have not begun to answer.
-  std::uint32_t suspects = 0;
+  /// Suspects of this host that run there.
+  std::uint32_t suspects() const { return this->running_suspects; }
+  void AddSuspect() { ++this->running_suspects; }
+  void RemoveSuspect() { --this->running_suspects; }
 
  private:
   TargetId target;
@@ -83,6 +87,7 @@
   std::int64_t sent_since_report = 0;  ///< Minus those ended since.
   std::uint32_t running = 0;
   std::uint32_t used = 0;
+  std::uint32_t running_suspects = 0;
   double seconds_per_answer = 1;
 };
 
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -47,10 +47,12 @@
   return true;
 }
 
-void TargetView::SetHint(const ModelId& model, LoadHint hint) {
-  if (!this->denials.contains(model)) {
-    this->hints.insert_or_assign(model, hint);
+bool TargetView::SetHint(const ModelId& model, LoadHint hint) {
+  if (this->denials.contains(model) || this->HintOf(model) == hint) {
+    return false;
   }
+  this->hints.insert_or_assign(model, hint);
+  return true;
 }
 
 void TargetView::DropHint(const ModelId& model) {
@@ -58,6 +60,11 @@
   this->denials.erase(model);
 }
 
+void TargetView::DropHints() {
+  this->hints.clear();
+  this->denials.clear();
+}
+
 std::optional<LoadHint> TargetView::HintOf(const ModelId& model) const {
   const auto found = this->hints.find(model);
   if (found == this->hints.end()) {
@@ -89,9 +96,11 @@
   this->ejected.OnGoodAnswer();
 }
 
-void TargetView::OnFailure(TimePoint now) {
-  this->ejected.OnFailure(now);
-  this->ramp.Restart();
+void TargetView::OnFailure(FailureKind kind, TimePoint now) {
+  this->ejected.OnFailure(kind, now);
+  if (this->ejected.IsEjected(now)) {
+    this->ramp.Restart();
+  }
 }
 
 void TargetView::OnOverload(TimePoint now) {
