--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -43,14 +43,6 @@
          outcome == AttemptOutcome::kNotLoaded;
 }
 
-/// A slow or cut answer may be the request's own; a broken connection without
-/// an answer is the target's.
-FailureKind FailureOf(AttemptOutcome outcome) {
-  const bool is_plain = outcome == AttemptOutcome::kNotSent ||
-                        outcome == AttemptOutcome::kDiedUnstarted;
-  return is_plain ? FailureKind::kPlain : FailureKind::kDoubtful;
-}
-
 /// Tells the target's books how the attempt has ended.
 void JudgeTarget(EntryCore& core,
                  const OpenRequest& request,
@@ -78,7 +70,7 @@
       if (is_own_doing) {
         return;
       }
-      target.OnFailure(FailureOf(event.outcome), core.now);
+      target.OnFailure(core.now);
       if (target.ejection().IsEjected(core.now)) {
         core.Log(reason::kEject, request.arrived.request,
                  "target=" + target.id().value());
@@ -97,6 +89,7 @@
     target.RemoveSuspect();
     core.suspects.OnRunEnded(request.arrived.fingerprint);
   }
+  request.last_target = &target;
   request.running.reset();
 }
 
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -40,10 +40,10 @@
 /// Own data centre first; others of the region when it has no room.
 /// @param suits what else a target must fulfil.
 template <typename Suits>
-Choice Choose(EntryCore& core,
-              const Path& path,
-              const OpenRequest& request,
-              Suits suits) {
+Choice ChooseAmong(EntryCore& core,
+                   const Path& path,
+                   const OpenRequest& request,
+                   Suits suits) {
   const auto allowed = [&](const TargetView& target) {
     return CanTake(core, target) && suits(target);
   };
@@ -70,6 +70,23 @@
          LastResortOf(core, path) != nullptr;
 }
 
+/// A repeat goes to another target than the one that failed it, if it can.
+template <typename Suits>
+Choice Choose(EntryCore& core,
+              const Path& path,
+              const OpenRequest& request,
+              Suits suits) {
+  if (request.last_target == nullptr) {
+    return ChooseAmong(core, path, request, suits);
+  }
+  const Choice other =
+      ChooseAmong(core, path, request, [&](const TargetView& target) {
+        return &target != request.last_target && suits(target);
+      });
+  return other.target != nullptr ? other
+                                 : ChooseAmong(core, path, request, suits);
+}
+
 Duration StartWithin(const EntryCore& core, const OpenRequest& request) {
   const Duration left = request.deadline - core.now;
   const Path& path = *request.path;
--- a/entry/entry_tokens.cc
+++ b/entry/entry_tokens.cc
@@ -155,6 +155,22 @@
          RendezvousWeight(key, core.settings.host.value());
 }
 
+/// Parts of a token that the borrower can't complete in time are lost, so only
+/// whole ones are lent, unless no host ever has a whole one.
+double MostToLend(EntryCore& core,
+                  const BorrowTokens& ask,
+                  CustomerRate& rate) {
+  if (rate.bucket.capacity() >= 1) {
+    return rate.short_of_tokens.empty()
+               ? std::min(std::ceil(ask.wanted_requests),
+                          std::floor(rate.bucket.Available(core.now)))
+               : 0.0;
+  }
+  const bool keeps_all = !rate.short_of_tokens.empty() &&
+                         !GoesFirst(core, ask.borrower, ask.customer);
+  return keeps_all ? 0.0 : ask.wanted_requests;
+}
+
 }  // namespace
 
 void SyncRates(EntryCore& core) {
@@ -245,9 +261,7 @@
   if (found != core.rates.end() && core.share.is_usable &&
       std::isfinite(ask.wanted_requests) && ask.wanted_requests > 0) {
     CustomerRate& rate = found->second;
-    const bool keeps_all = !rate.short_of_tokens.empty() &&
-                           !GoesFirst(core, ask.borrower, ask.customer);
-    given = keeps_all ? 0 : rate.bucket.Lend(ask.wanted_requests, 0, core.now);
+    given = rate.bucket.Lend(MostToLend(core, ask, rate), 0, core.now);
   }
   // An answer without tokens lets the borrower ask another host.
   core.Send(ask.borrower, LendTokens{.lender = core.settings.host,
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -52,6 +52,7 @@
   std::uint32_t attempts_run = 0;      ///< Ended, and may have run.
   std::uint32_t attempts_not_run = 0;  ///< Ended, and surely not run.
   std::optional<RunningAttempt> running;
+  const TargetView* last_target = nullptr;  ///< Of the last ended attempt.
   std::optional<ClaimRecord> claim;
   bool has_claim = false;  ///< Granted.
 
--- a/routing/ejection.cc
+++ b/routing/ejection.cc
@@ -5,27 +5,24 @@
 namespace cicadaloft {
 namespace {
 
+constexpr std::uint32_t kFailuresToEject = 2;
+
 /// Doubling stops to matter after this many steps.
 constexpr std::uint32_t kMostDoublings = 5;
 
 }  // namespace
 
-void Ejection::OnFailure(FailureKind kind, TimePoint now) {
-  // Requests that fail together are one failure of the target.
-  const bool is_same_failure = this->failures_in_a_row > 0 &&
-                               now - this->last_failure < kLastResortPause;
+void Ejection::OnFailure(TimePoint now) {
+  ++this->failures_in_a_row;
   this->last_failure = now;
-  if (!is_same_failure) {
-    ++this->failures_in_a_row;
-  }
-  if (kind == FailureKind::kDoubtful && this->failures_in_a_row < 2) {
+  // Requests that fail together don't double the time.
+  if (this->failures_in_a_row < kFailuresToEject || this->IsEjected(now)) {
     return;
   }
   const std::uint32_t doublings =
-      std::min(this->failures_in_a_row - 1, kMostDoublings);
-  const Duration back_off =
-      std::min(kLongestBackOff, kFirstBackOff * (1 << doublings));
-  this->ejected_until = now + back_off;
+      std::min(this->ejections_in_a_row++, kMostDoublings);
+  this->ejected_until =
+      now + std::min(kLongestBackOff, kFirstBackOff * (1 << doublings));
 }
 
 void Ejection::OnOverload(TimePoint now) {
@@ -35,6 +32,7 @@
 
 void Ejection::OnGoodAnswer() {
   this->failures_in_a_row = 0;
+  this->ejections_in_a_row = 0;
 }
 
 void Ejection::Forget() {
--- a/routing/include/cicadaloft/routing/ejection.h
+++ b/routing/include/cicadaloft/routing/ejection.h
@@ -8,13 +8,8 @@
 
 namespace cicadaloft {
 
-enum class FailureKind {
-  kPlain,     ///< The target can't be reached or broke off without an answer.
-  kDoubtful,  ///< It was slow or cut an answer: counts from the second one on.
-};
-
-/// Keeps new work off a target that fails, for a time that doubles with each
-/// further failure.
+/// Keeps new work off a target that fails twice in a row, for a time that
+/// doubles with each further failure. One failure may be the request's own.
 class Ejection {
  public:
   static constexpr Duration kFirstBackOff = std::chrono::seconds(1);
@@ -25,7 +20,7 @@
   /// tried all the same.
   static constexpr Duration kLastResortPause = std::chrono::milliseconds(250);
 
-  void OnFailure(FailureKind kind, TimePoint now);
+  void OnFailure(TimePoint now);
   void OnOverload(TimePoint now);
   void OnGoodAnswer();
   /// Another process runs there: its predecessor's faults don't count.
@@ -35,10 +30,10 @@
   /// @return whether it may be tried although it is ejected.
   bool IsLastResort(TimePoint now) const;
   TimePoint until() const { return this->ejected_until; }
-  std::uint32_t failures() const { return this->failures_in_a_row; }
 
  private:
   std::uint32_t failures_in_a_row = 0;
+  std::uint32_t ejections_in_a_row = 0;
   TimePoint last_failure{};
   TimePoint ejected_until{};
 };
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -52,7 +52,7 @@
   /// A request has ended, however.
   void OnEnd();
   void OnGoodAnswer(Duration took);
-  void OnFailure(FailureKind kind, TimePoint now);
+  void OnFailure(TimePoint now);
   void OnOverload(TimePoint now);
 
   /// @return whether the own part of the cap has room.
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -96,8 +96,8 @@
   this->ejected.OnGoodAnswer();
 }
 
-void TargetView::OnFailure(FailureKind kind, TimePoint now) {
-  this->ejected.OnFailure(kind, now);
+void TargetView::OnFailure(TimePoint now) {
+  this->ejected.OnFailure(now);
   if (this->ejected.IsEjected(now)) {
     this->ramp.Restart();
   }
