--- a/routing/include/cicadaloft/routing/ejection.h
+++ b/routing/include/cicadaloft/routing/ejection.h
@@ -8,8 +8,8 @@
 
 namespace cicadaloft {
 
-/// Keeps new work off a target that fails, for a time that doubles with each
-/// further failure.
+/// Keeps new work off a target that fails twice in a row, for a time that
+/// doubles with each further failure. One failure may be the request's own.
 class Ejection {
  public:
   static constexpr Duration kFirstBackOff = std::chrono::seconds(1);
@@ -30,10 +30,10 @@
   /// @return whether it may be tried although it is ejected.
   bool IsLastResort(TimePoint now) const;
   TimePoint until() const { return this->ejected_until; }
-  std::uint32_t failures() const { return this->failures_in_a_row; }
 
  private:
   std::uint32_t failures_in_a_row = 0;
+  std::uint32_t ejections_in_a_row = 0;
   TimePoint last_failure{};
   TimePoint ejected_until{};
 };
