Decide placement, claims and mirrors of a steward

Placement of one data centre: target watch, demand queue by wait saved per load cost, use history, order book with the overlay of records on their way, policy (room, nearest checkpoint, least loaded, cheapest idle victims, adapters before bases), reconciliation by reports, takeover wait, mirrored decisions while the log is out. Claims: owner with group commit, mirrors, orphans. Handover of duties by rendezvous. Ruled out: a copy of the claim table as overlay (100,000 claims); only claims on their way are held.

--- a/steward/link_work.cc
+++ b/steward/link_work.cc
@@ -4,8 +4,11 @@
 #include <ranges>
 #include <variant>
 
+#include "claim_work.h"
 #include "log_work.h"
 #include "member_work.h"
+#include "mirror_work.h"
+#include "placement_work.h"
 
 namespace cicadaloft {
 namespace {
@@ -54,6 +57,31 @@
   void operator()(const AppendForMe& message) {
     this->parts.writer.AddForMate(message.record);
   }
+  void operator()(const MirrorRecord& message) {
+    TakeMirrorRecord(this->parts, this->from, message);
+  }
+  void operator()(const MirrorAck& message) {
+    TakeMirrorAck(this->parts, this->from, message);
+  }
+  void operator()(const MirrorRequest& message) {
+    TakeMirrorRequest(this->parts, this->from, message);
+  }
+  void operator()(const MirrorReply& message) {
+    TakeMirrorReply(this->parts, this->from, message);
+  }
+  void operator()(const DemandReport& message) {
+    if (this->is_from_entry) {
+      RouteDemands(this->parts, message);
+    } else {
+      TakeDemands(this->parts, message);
+    }
+  }
+  void operator()(const ClaimAsk& message) {
+    TakeClaimAsk(this->parts, this->from, message, this->is_from_entry);
+  }
+  void operator()(const ClaimFinished& message) {
+    TakeClaimFinished(this->parts, message, this->is_from_entry);
+  }
   template <typename Message>
   void operator()(const Message& message) {
     // What is left goes between entries; peers' stewards only pass it on.
@@ -120,8 +148,11 @@
 }
 
 bool WorkOnLinks(StewardParts& parts) {
-  std::ranges::for_each(parts.links.Update(parts.ledger().members()),
-                        [&](const HoldLink& change) { parts.Emit(change); });
+  if (parts.has_new_hosts) {
+    parts.has_new_hosts = false;
+    std::ranges::for_each(parts.links.Update(parts.ledger().members()),
+                          [&](const HoldLink& change) { parts.Emit(change); });
+  }
   if (parts.now < parts.next_heartbeat) {
     return false;
   }
--- a/steward/log_work.cc
+++ b/steward/log_work.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <memory>
 #include <ranges>
+#include <set>
 #include <utility>
 
 #include "cicadaloft/core/rendezvous.h"
+#include "claim_work.h"
 
 namespace cicadaloft {
 namespace {
@@ -79,6 +81,7 @@
   const Ledger& ledger = parts.ledger();
   parts.relay.Note(advance);
   if (advance.has_jumped) {
+    parts.has_new_hosts = true;
     parts.SendToEntry(parts.relay.Answer(advance.from, ledger));
     parts.last_checkpoint = ledger.next();
   } else {
@@ -86,6 +89,16 @@
         RelayRecords{.records = advance.applied, .next = ledger.next()});
   }
   std::ranges::for_each(advance.applied, [&](const PlacedRecord& placed) {
+    const RecordBody& body = placed.record.body;
+    parts.has_new_hosts = parts.has_new_hosts ||
+                          std::holds_alternative<JoinRecord>(body) ||
+                          std::holds_alternative<LeaveRecord>(body) ||
+                          std::holds_alternative<EvictRecord>(body) ||
+                          std::holds_alternative<HandoverRecord>(body);
+    if (std::holds_alternative<HandoverRecord>(body) ||
+        std::holds_alternative<LeaveRecord>(body)) {
+      parts.given_up.insert(FencingToken(placed.offset.value()));
+    }
     if (std::holds_alternative<CheckpointRecord>(placed.record.body)) {
       parts.last_checkpoint = placed.offset;
       parts.checkpoint_due.reset();
@@ -94,6 +107,17 @@
   const SequenceNumber last = ledger.LastSequenceOf(parts.self());
   parts.writer.ReadBack(last);
   parts.lease.NoteReadBack(last);
+  std::set<SequenceNumber> rejected;
+  std::ranges::for_each(advance.rejected, [&](const RejectedRecord& record) {
+    if (record.placed.record.writer == parts.self()) {
+      rejected.insert(record.placed.record.sequence);
+    }
+  });
+  if (advance.has_jumped) {
+    parts.placement.StartOver();
+  }
+  parts.placement.ReadBack(last, rejected, parts.now);
+  parts.claims.ReadBack(ViewOfClaims(parts), last);
 }
 
 void WorkOnCheckpoint(StewardParts& parts) {
--- a/steward/log_writer.cc
+++ b/steward/log_writer.cc
@@ -106,6 +106,13 @@
   return this->queue.front();
 }
 
+std::optional<LogRecord> LogWriter::Find(SequenceNumber sequence) const {
+  const auto found =
+      std::ranges::find(this->queue, sequence, &LogRecord::sequence);
+  return found == this->queue.end() ? std::nullopt
+                                    : std::optional<LogRecord>(*found);
+}
+
 bool LogWriter::IsQueued(SequenceNumber sequence) const {
   return std::ranges::any_of(this->queue, [&](const LogRecord& record) {
     return record.sequence == sequence;
--- a/steward/log_writer.h
+++ b/steward/log_writer.h
@@ -47,6 +47,8 @@
   /// @return the one record that a mate is to append now, if any is due.
   std::optional<LogRecord> TakeForMate(TimePoint now);
 
+  /// @return the record while it is on its way.
+  std::optional<LogRecord> Find(SequenceNumber sequence) const;
   /// @return whether the record is still on its way.
   bool IsQueued(SequenceNumber sequence) const;
   /// @return whether the last appends have failed.
--- a/steward/member_work.cc
+++ b/steward/member_work.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "cicadaloft/core/control_reasons.h"
+#include "claim_work.h"
 
 namespace cicadaloft {
 namespace {
@@ -15,6 +16,8 @@
 
 /// A first read that is not answered by then is a wait for new records.
 constexpr Duration kJoinPatience = milliseconds(300);
+/// A member in force for so long may be handed duties.
+constexpr Duration kSettledTime = seconds(10);
 constexpr Duration kDrainTime = seconds(10);
 constexpr Duration kLeaveTime = seconds(5);
 
@@ -73,6 +76,11 @@
   parts.lease.NoteRenewal(sequence, parts.now);
 }
 
+bool MayHandOver(const StewardParts& parts) {
+  return parts.MayUseRights() && parts.follower.IsLogReachable() &&
+         !parts.IsStopping();
+}
+
 EvictionScope ScopeOf(const StewardParts& parts) {
   const Config& config = parts.ledger().config();
   std::set<DataCentreId> out;
@@ -104,6 +112,9 @@
     parts.writer.Clear();
     parts.lease.Forget();
     parts.join.reset();
+    parts.handovers.clear();
+    parts.placement.StartOver();
+    parts.claims.StartOver(ViewOfClaims(parts));
   }
   parts.was_in_force = is_in_force;
 }
@@ -137,6 +148,57 @@
                         });
 }
 
+void BeginHandovers(StewardParts& parts) {
+  const MemberTable& members = parts.ledger().members();
+  std::erase_if(parts.member_since, [&](const auto& entry) {
+    return !members.IsInForce(entry.first);
+  });
+  std::ranges::for_each(members.MembersOf(parts.settings.data_centre),
+                        [&](const MemberInfo& mate) {
+                          parts.member_since.try_emplace(mate.member,
+                                                         parts.now);
+                        });
+  if (!parts.handovers.empty() || !MayHandOver(parts)) {
+    return;
+  }
+  const std::vector<DutyId> duties = DutiesOf(parts.settings.data_centre);
+  const auto belongs_elsewhere = [&](const DutyId& duty) {
+    const MemberInfo* to = members.PreferredOwnerOf(duty);
+    return members.Owns(parts.self(), duty) && to->member != parts.self() &&
+           parts.links.IsUp(to->member.host) &&
+           parts.now - parts.member_since.at(to->member) >= kSettledTime;
+  };
+  const auto duty = std::ranges::find_if(duties, belongs_elsewhere);
+  if (duty != duties.end()) {
+    parts.handovers.emplace(
+        *duty, Handover{.to = members.PreferredOwnerOf(*duty)->member.host,
+                        .sequence = std::nullopt});
+  }
+}
+
+void WorkOnHandovers(StewardParts& parts) {
+  std::erase_if(parts.handovers, [&](const auto& entry) {
+    const Handover& handover = entry.second;
+    const bool was_read_back = handover.sequence.has_value() &&
+                               !parts.writer.IsQueued(*handover.sequence);
+    const bool is_void =
+        !handover.sequence.has_value() &&
+        (!parts.links.IsUp(handover.to) || !MayHandOver(parts));
+    return was_read_back || is_void;
+  });
+  std::ranges::for_each(parts.handovers, [&](auto& entry) {
+    auto& [duty, handover] = entry;
+    const bool is_quiet = duty.kind == DutyKind::kPlacement
+                              ? parts.placement.IsQuiet()
+                              : parts.claims.IsQuiet();
+    if (is_quiet && !handover.sequence.has_value()) {
+      handover.sequence =
+          parts.writer.Submit(HandoverRecord{.duty = duty, .to = handover.to});
+      parts.Explain(reasons::kHandover, "to=" + handover.to.value());
+    }
+  });
+}
+
 void WorkOnShareLease(StewardParts& parts, bool is_heartbeat) {
   const bool usable = parts.IsInForce() && parts.lease.IsConfirmed() &&
                       !parts.stop.left.has_value();
@@ -153,8 +215,10 @@
   if (!parts.IsStopping() || parts.stop.is_stopped) {
     return;
   }
+  const bool is_quiet =
+      !parts.entry.is_up && parts.placement.IsQuiet() && parts.claims.IsQuiet();
   const bool has_drained =
-      !parts.entry.is_up || parts.now - *parts.stop.asked >= kDrainTime;
+      is_quiet || parts.now - *parts.stop.asked >= kDrainTime;
   if (!parts.stop.left.has_value() && has_drained) {
     parts.stop.left = parts.now;
     if (parts.IsInForce()) {
--- a/steward/member_work.h
+++ b/steward/member_work.h
@@ -14,6 +14,12 @@
 /// Evicts mates that are gone.
 void WorkOnEvictions(StewardParts& parts);
 
+/// Begins to give up a duty that belongs to a settled mate by rendezvous.
+void BeginHandovers(StewardParts& parts);
+
+/// Hands duties over whose work has come to an end.
+void WorkOnHandovers(StewardParts& parts);
+
 /// Tells the entry whether its shares may be used.
 void WorkOnShareLease(StewardParts& parts, bool is_heartbeat);
 
--- a/steward/steward_node.cc
+++ b/steward/steward_node.cc
@@ -6,9 +6,12 @@
 #include <utility>
 
 #include "cicadaloft/core/control_reasons.h"
+#include "claim_work.h"
 #include "link_work.h"
 #include "log_work.h"
 #include "member_work.h"
+#include "mirror_work.h"
+#include "placement_work.h"
 #include "steward_parts.h"
 
 namespace cicadaloft {
@@ -31,6 +34,7 @@
   }
   void operator()(const HostListRead& event) {
     this->parts.links.TakeHostList(event.hosts);
+    this->parts.has_new_hosts = true;
     this->parts.evictions.TakeHostList(event.hosts, this->parts.now);
   }
   void operator()(const StewardLinkReceived& event) {
@@ -39,6 +43,13 @@
   void operator()(const PeerChanged& event) {
     TakePeerChange(this->parts, event);
   }
+  void operator()(const TargetReported& event) {
+    TakeTargetReport(this->parts, event);
+  }
+  void operator()(const TargetPollFailed& event) {
+    this->parts.placement.PollFailed(event.target);
+  }
+  void operator()(const OrderEnded& event) { TakeOrderEnd(this->parts, event); }
   void operator()(const TicketSubmitted& event) {
     this->parts.tickets.Submit(event, this->parts.now);
   }
@@ -47,7 +58,7 @@
       this->parts.stop.asked = this->parts.now;
     }
   }
-  void operator()(const auto& /*event*/) {}
+  void operator()(const StewardTick& /*event*/) {}
 
  private:
   StewardParts& parts;
@@ -58,7 +69,14 @@
   NotePlace(parts);
   const bool is_heartbeat = WorkOnLinks(parts);
   WorkOnMembership(parts);
-  WorkOnEvictions(parts);
+  if (is_heartbeat) {
+    WorkOnEvictions(parts);
+    BeginHandovers(parts);
+  }
+  WorkOnHandovers(parts);
+  WorkOnMirrors(parts);
+  WorkOnPlacement(parts);
+  WorkOnClaims(parts);
   std::ranges::for_each(
       parts.tickets.Work(parts.ledger().config(), parts.IsInForce(),
                          parts.writer, parts.now),
--- a/steward/steward_parts.cc
+++ b/steward/steward_parts.cc
@@ -16,7 +16,10 @@
                        .stale_message_time = settings.heartbeat_interval}),
       evictions(EvictionTerms{
           .lapse_time = settings.lease_term + settings.drift_bound,
-          .order_term = settings.order_term}) {}
+          .order_term = settings.order_term}),
+      placement(PlacementTerms{.data_centre = settings.data_centre,
+                               .poll_interval = settings.poll_interval,
+                               .order_term = settings.order_term}) {}
 
 bool StewardParts::IsInForce() const {
   return this->ledger().members().IsInForce(this->self());
@@ -29,23 +32,25 @@
 }
 
 MateView StewardParts::ViewOfMates() const {
-  const std::vector<MemberInfo> mates =
-      this->ledger().members().MembersOf(this->settings.data_centre);
-  const auto is_linked = [this](const MemberInfo& mate) {
-    return mate.member.host != this->self().host &&
-           this->links.IsUp(mate.member.host);
+  const auto is_mate = [this](const MemberInfo& member) {
+    return member.data_centre == this->settings.data_centre &&
+           member.member.host != this->self().host;
   };
-  const auto reaches_log = [&](const MemberInfo& mate) {
-    const auto found = this->links.positions().find(mate.member.host);
-    return is_linked(mate) && found != this->links.positions().end() &&
+  const auto is_linked = [&](const MemberInfo& member) {
+    return is_mate(member) && this->links.IsUp(member.member.host);
+  };
+  const auto reaches_log = [&](const MemberInfo& member) {
+    const auto found = this->links.positions().find(member.member.host);
+    return is_linked(member) && found != this->links.positions().end() &&
            found->second.log_reachable;
   };
+  const auto members = this->ledger().members().members() | std::views::values;
   return MateView{
       .is_in_force = this->IsInForce(),
       .is_log_reachable = this->follower.IsLogReachable(),
-      .does_mate_reach_log = std::ranges::any_of(mates, reaches_log),
-      .is_mate_linked = std::ranges::any_of(mates, is_linked),
-      .is_only_member = mates.size() == 1};
+      .does_mate_reach_log = std::ranges::any_of(members, reaches_log),
+      .is_mate_linked = std::ranges::any_of(members, is_linked),
+      .is_only_member = std::ranges::none_of(members, is_mate)};
 }
 
 bool StewardParts::MayUseRights() const {
@@ -53,6 +58,18 @@
          this->lease.MayUseRights(this->ViewOfMates(), this->now);
 }
 
+std::vector<HostId> StewardParts::LinkedMates() const {
+  std::vector<HostId> linked;
+  std::ranges::for_each(
+      this->ledger().members().MembersOf(this->settings.data_centre),
+      [&](const MemberInfo& mate) {
+        if (mate.member != this->self() && this->links.IsUp(mate.member.host)) {
+          linked.push_back(mate.member.host);
+        }
+      });
+  return linked;
+}
+
 void StewardParts::Emit(StewardEffect effect) {
   this->effects.push_back(std::move(effect));
 }
--- a/steward/steward_parts.h
+++ b/steward/steward_parts.h
@@ -3,18 +3,23 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "cicadaloft/claims/claim_owner.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/ledger/ledger.h"
 #include "cicadaloft/membership/eviction_watch.h"
 #include "cicadaloft/membership/lease_keeper.h"
+#include "cicadaloft/placement/placement_owner.h"
 #include "cicadaloft/steward/messages.h"
 #include "cicadaloft/steward/steward_settings.h"
 #include "link_book.h"
 #include "log_follower.h"
 #include "log_writer.h"
+#include "mirror_collector.h"
+#include "mirror_holder.h"
 #include "relay.h"
 #include "ticket_desk.h"
 
@@ -35,6 +40,18 @@
   bool is_stopped = false;
 };
 
+/// Mates that were told of a decision while the log is out.
+struct MirrorTally {
+  std::set<HostId> told;
+  std::set<HostId> acknowledged;
+};
+
+/// A duty that is being given up to a better placed member.
+struct Handover {
+  HostId to;
+  std::optional<SequenceNumber> sequence;  ///< Once the record was made.
+};
+
 /// The parts of a steward, and the step that they are in.
 struct StewardParts {
   explicit StewardParts(const StewardSettings& settings);
@@ -47,6 +64,10 @@
   bool IsLogUsable() const;
   MateView ViewOfMates() const;
   bool MayUseRights() const;
+  /// Whether nobody here reaches the log, so that mates must do.
+  bool IsOutage() const { return !this->IsLogUsable(); }
+  /// @return mates of the data centre whose links are up.
+  std::vector<HostId> LinkedMates() const;
 
   void Emit(StewardEffect effect);
   void Explain(const char* reason, std::string detail);
@@ -66,6 +87,15 @@
   TicketDesk tickets;
   LeaseKeeper lease;
   EvictionWatch evictions;
+  PlacementOwner placement;
+  ClaimOwner claims;
+  MirrorHolder mirrors;
+  MirrorCollector collector;
+  std::map<SequenceNumber, MirrorTally> tallies;
+  std::map<DutyId, Handover> handovers;
+  std::map<Member, TimePoint> member_since;  ///< When each was first seen.
+  /// Tokens of duties that their last owners gave up by themselves.
+  std::set<FencingToken> given_up;
   EntryLink entry;
   StopProgress stop;
 
@@ -76,6 +106,8 @@
   LogOffset last_checkpoint;                ///< Where the last one seen stands.
   std::optional<TimePoint> checkpoint_due;  ///< Since when one is wanted.
   std::optional<SequenceNumber> join;       ///< Under way.
+  /// Members or the host list have changed since the links were looked at.
+  bool has_new_hosts = true;
   bool was_in_force = false;
   bool had_rights = false;
 };
--- a/steward/tests/steward_bench.cc
+++ b/steward/tests/steward_bench.cc
@@ -12,6 +12,11 @@
       hosts, [&](const std::string& host) { this->Add(host, data_centre); });
 }
 
+std::set<HostId> StewardBench::hosts() const {
+  const auto names = this->nodes | std::views::keys;
+  return {names.begin(), names.end()};
+}
+
 void StewardBench::Add(const std::string& host,
                        const std::string& data_centre,
                        std::uint64_t incarnation) {
@@ -23,6 +28,7 @@
           .self = Member{.host = id, .incarnation = Incarnation(incarnation)},
           .data_centre = DataCentreId(data_centre),
           .peer_address = "127.0.0.1:1"}));
+  this->queue.push_back(Pending{id, PeerChanged{.peer = id, .is_up = true}});
   for (const auto& other : this->nodes | std::views::keys) {
     if (other != id) {
       this->Link(host, other.value(), true);
@@ -146,6 +152,7 @@
           },
           [&](const SendEntry& e) {
             this->to_entries.emplace_back(host, e.envelope.message);
+            this->AnswerAsEntry(host, e.envelope.message);
           },
           [&](const PollTarget& e) {
             const auto report = this->reports.find(e.target);
@@ -163,6 +170,26 @@
       effect);
 }
 
+void StewardBench::AnswerAsEntry(const HostId& host,
+                                 const LinkMessage& message) {
+  std::optional<LogOffset> next;
+  if (const auto* records = std::get_if<RelayRecords>(&message)) {
+    next = records->next;
+  } else if (const auto* state = std::get_if<StateTransfer>(&message)) {
+    next = state->checkpoint.offset;
+  }
+  if (next.has_value()) {
+    this->queue.push_back(Pending{
+        host,
+        StewardLinkReceived{
+            .envelope = {.from = host,
+                         .to = HostId(),
+                         .message = LogPosition{.next = *next,
+                                                .applied_by_entry = *next}},
+            .from_entry = true}});
+  }
+}
+
 void StewardBench::AnswerReads() {
   const std::map<HostId, LogOffset> waiting = this->reads;
   for (const auto& [host, from] : waiting) {
--- a/steward/tests/steward_bench.h
+++ b/steward/tests/steward_bench.h
@@ -23,6 +23,7 @@
   StewardState& at(const std::string& host) {
     return this->nodes.at(HostId(host));
   }
+  std::set<HostId> hosts() const;
   void Add(const std::string& host,
            const std::string& data_centre,
            std::uint64_t incarnation = 1);
@@ -79,6 +80,7 @@
   void Take(const HostId& host, const StewardEffect& effect);
   void Append(const HostId& host, const AppendRecords& append);
   void CarryOut(const HostId& host, const OrderTarget& order);
+  void AnswerAsEntry(const HostId& host, const LinkMessage& message);
   void AnswerReads();
   void Drain();
 
--- a/steward/tests/steward_log_test.cc
+++ b/steward/tests/steward_log_test.cc
@@ -103,6 +103,9 @@
   bench.Run(seconds(1));
   bench.Put("h1", StewardStopRequested{});
   bench.Run(seconds(1));
+  BOOST_TEST(bench.stopped.empty());
+  bench.Put("h1", PeerChanged{.peer = HostId("h1"), .is_up = false});
+  bench.Run(seconds(1));
   BOOST_TEST(bench.stopped.contains(HostId("h1")));
   BOOST_TEST(bench.at("h2").ledger().members().members().size() == 1);
 }
