--- a/codec/include/cicadaloft/codec/json_containers.h
+++ b/codec/include/cicadaloft/codec/json_containers.h
@@ -49,6 +49,11 @@
 template <typename T>
 inline constexpr std::nullptr_t kJsonFields = nullptr;
 
+/// Whether the aggregate is written as an array of its fields' values, which
+/// takes less room where there are many of them.
+template <typename T>
+inline constexpr bool kIsJsonRow = false;
+
 /// The tokens of an enum's enumerators, or of a variant's alternatives, in
 /// their order.
 template <typename T>
@@ -210,6 +215,9 @@
   static constexpr std::array kDecoders = {&DecodeAs<Ts>...};
 };
 
+template <typename T>
+concept JsonRow = HasJsonFields<T> && kIsJsonRow<T>;
+
 template <HasJsonFields T>
 struct JsonCodec<T> {
   static_assert(
@@ -262,6 +270,33 @@
   }
 };
 
+template <JsonRow T>
+struct JsonCodec<T> {
+  static constexpr std::size_t kWidth = boost::pfr::tuple_size_v<T>;
+
+  static Json Encode(const T& value) {
+    return std::apply(
+        [&](const auto&... fields) {
+          return Json::array({ToJson(value.*fields.member)...});
+        },
+        kJsonFields<T>);
+  }
+  static T Decode(const Json& json, JsonReader& reader) {
+    if (!json.is_array() || json.size() != kWidth) {
+      reader.Fail("expected a row of " + std::to_string(kWidth) + " values");
+      return T{};
+    }
+    std::size_t index = 0;
+    return std::apply(
+        [&]<typename... Fields>(const Fields&... fields) {
+          return T{reader.InField(fields.name, [&] {
+            return FromJson<typename Fields::Value>(json[index++], reader);
+          })...};
+        },
+        kJsonFields<T>);
+  }
+};
+
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_CODEC_JSON_CONTAINERS_H_
--- a/ledger/ledger_codec.cc
+++ b/ledger/ledger_codec.cc
@@ -1,6 +1,7 @@
 #include "cicadaloft/ledger/ledger_codec.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <iterator>
 #include <map>
@@ -13,6 +14,34 @@
 
 namespace cicadaloft {
 
+/// One claim. Most of a ledger's size is in its claims.
+struct ClaimRow {
+  const CustomerId customer;
+  const std::string idempotency_key;
+  const std::uint64_t fingerprint;
+  const RequestId request;
+  const HostId host;
+  const Incarnation incarnation;
+  const LogOffset offset;
+  const ClaimOutcome outcome;
+  const int http_status;
+};
+
+template <>
+inline constexpr bool kIsJsonRow<ClaimRow> = true;
+
+template <>
+inline constexpr auto kJsonFields<ClaimRow> =
+    std::tuple(Required("customer", &ClaimRow::customer),
+               Required("idempotency_key", &ClaimRow::idempotency_key),
+               Required("fingerprint", &ClaimRow::fingerprint),
+               Required("request", &ClaimRow::request),
+               Required("host", &ClaimRow::host),
+               Required("incarnation", &ClaimRow::incarnation),
+               Required("offset", &ClaimRow::offset),
+               Required("outcome", &ClaimRow::outcome),
+               Required("http_status", &ClaimRow::http_status));
+
 /// What a Ledger is made of.
 struct LedgerParts {
   const LogOffset next;
@@ -22,7 +51,7 @@
   const std::map<DataCentreId, LogOffset> claim_homes;
   const std::deque<Allocation> shares;
   const std::map<TargetId, TargetMemory> placements;
-  const std::map<ClaimKey, Claim> claims;
+  const std::vector<ClaimRow> claims;
   const std::map<Member, SequenceNumber> writers;
 };
 
@@ -48,6 +77,51 @@
   return Sha256Hex(state.dump());
 }
 
+ClaimRow RowOf(const Claim& claim) {
+  const ClaimRecord& record = claim.record;
+  return ClaimRow{.customer = record.key.customer,
+                  .idempotency_key = record.key.idempotency_key,
+                  .fingerprint = record.fingerprint,
+                  .request = record.request,
+                  .host = record.runner.host,
+                  .incarnation = record.runner.incarnation,
+                  .offset = claim.offset,
+                  .outcome = claim.outcome,
+                  .http_status = claim.http_status};
+}
+
+Claim ClaimOf(const ClaimRow& row) {
+  return Claim{
+      .record = {.key = {.customer = row.customer,
+                         .idempotency_key = row.idempotency_key},
+                 .fingerprint = row.fingerprint,
+                 .request = row.request,
+                 .runner = {.host = row.host, .incarnation = row.incarnation}},
+      .offset = row.offset,
+      .outcome = row.outcome,
+      .http_status = row.http_status};
+}
+
+std::vector<ClaimRow> RowsOf(const ClaimTable& table) {
+  std::vector<ClaimRow> rows;
+  rows.reserve(table.claims().size());
+  std::ranges::transform(table.claims() | std::views::values,
+                         std::back_inserter(rows), RowOf);
+  return rows;
+}
+
+ClaimTable TableOf(const std::vector<ClaimRow>& rows, JsonReader& reader) {
+  std::map<ClaimKey, Claim> claims;
+  std::ranges::for_each(rows, [&](const ClaimRow& row) {
+    const Claim claim = ClaimOf(row);
+    claims.emplace(claim.record.key, claim);
+  });
+  if (claims.size() != rows.size()) {
+    reader.Fail("expected each claim once");
+  }
+  return ClaimTable(std::move(claims));
+}
+
 /// @return what the field holds, or any value if it holds none.
 template <typename T>
 T ReadLeniently(const Json& json, const char* field) {
@@ -78,7 +152,7 @@
                             .claim_homes = ledger.members().claim_homes(),
                             .shares = ledger.shares().allocations(),
                             .placements = ledger.placements().targets(),
-                            .claims = ledger.claims().claims(),
+                            .claims = RowsOf(ledger.claims()),
                             .writers = ledger.writers()});
 }
 
@@ -87,7 +161,7 @@
   return Ledger(parts.next, parts.config,
                 MemberTable(parts.members, parts.duties, parts.claim_homes),
                 ShareTable(parts.shares), PlacementTable(parts.placements),
-                ClaimTable(parts.claims), parts.writers);
+                TableOf(parts.claims, reader), parts.writers);
 }
 
 Json JsonCodec<CheckpointRecord>::Encode(const CheckpointRecord& record) {
--- a/ledger/tests/ledger_generators.h
+++ b/ledger/tests/ledger_generators.h
@@ -27,6 +27,15 @@
   }
 };
 
+inline ClaimTable DrawClaims() {
+  std::map<ClaimKey, Claim> claims;
+  DrawSeveral([&] {
+    const auto claim = Draw<Claim>();
+    claims.emplace(claim.record.key, claim);
+  });
+  return ClaimTable(std::move(claims));
+}
+
 template <>
 struct Random<Ledger> {
   static Ledger Draw() {
@@ -34,15 +43,14 @@
     using Duties = std::map<DutyId, DutyHolder>;
     using Homes = std::map<DataCentreId, LogOffset>;
     using Targets = std::map<TargetId, TargetMemory>;
-    using Claims = std::map<ClaimKey, Claim>;
     using Writers = std::map<Member, SequenceNumber>;
     return Ledger(
         cicadaloft::Draw<LogOffset>(), cicadaloft::Draw<Config>(),
         MemberTable(cicadaloft::Draw<Members>(), cicadaloft::Draw<Duties>(),
                     cicadaloft::Draw<Homes>()),
         ShareTable(cicadaloft::Draw<std::deque<Allocation>>()),
-        PlacementTable(cicadaloft::Draw<Targets>()),
-        ClaimTable(cicadaloft::Draw<Claims>()), cicadaloft::Draw<Writers>());
+        PlacementTable(cicadaloft::Draw<Targets>()), DrawClaims(),
+        cicadaloft::Draw<Writers>());
   }
 };
 
--- a/operator_cli/run.cc
+++ b/operator_cli/run.cc
@@ -61,6 +61,10 @@
 }
 
 CommandResult MakeKey(const NewKey& command, bool as_json) {
+  if (command.customer.empty()) {
+    return BadInput(
+        Fail(ErrorKind::kMalformedRequest, "CUSTOMER: expected a name"));
+  }
   const Result<KeyMaterial> material = DrawKeyMaterial();
   if (!IsOk(material)) {
     return Refused(ErrorOf(material));
