--- /dev/null
+++ b/forwarding/admin_format.cc
@@ -0,0 +1,56 @@
+#include "admin_format.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <cstdio>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace cicadaloft {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+// As 2026-01-31T12:00:00.000Z.
+std::string FormatTime(std::int64_t unix_ms) {
+  const std::time_t seconds = unix_ms / kMillisecondsPerSecond;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> date{};
+  const std::size_t size =
+      std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::array<char, 8> fraction{};
+  std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                static_cast<int>(unix_ms % kMillisecondsPerSecond));
+  return std::string(date.data(), size) + fraction.data();
+}
+
+}  // namespace
+
+std::string FormatStatus(const StatusReply& status, const std::string& host) {
+  return Dump({{"host", host},
+               {"ready", status.is_ready},
+               {"stopping", status.is_stopping},
+               {"open_requests", status.open_requests},
+               {"running_attempts", status.running_attempts}});
+}
+
+std::string FormatExplanation(const ExplainReply& explanation) {
+  Json decisions = Json::array();
+  for (const TimedDecision& decision : explanation.decisions) {
+    decisions.push_back({{"time", FormatTime(decision.unix_ms)},
+                         {"reason", decision.line.reason},
+                         {"request", decision.line.request.value()},
+                         {"detail", decision.line.detail}});
+  }
+  return Dump({{"decisions", decisions}});
+}
+
+}  // namespace cicadaloft
--- a/forwarding/effect_carrier.cc
+++ b/forwarding/effect_carrier.cc
@@ -46,8 +46,9 @@
                         .outcome = AttemptOutcome::kNotSent};
   }
   auto cancel = std::make_shared<CancelMailbox>(this->executor, 1);
-  this->attempts.emplace(AttemptKey(dispatch.request, dispatch.attempt),
-                         cancel);
+  this->attempts.emplace(
+      AttemptKey(dispatch.request, dispatch.attempt),
+      Attempt{.cancel = cancel, .arrived = caller->second.at});
   // A kept connection may turn out closed when part of the request has left.
   auto kept = dispatch.idempotent
                   ? this->parts->pool.Take(dispatch.address, now)
@@ -71,7 +72,7 @@
   const auto found =
       this->attempts.find(AttemptKey(cancel.request, cancel.attempt));
   if (found != this->attempts.end()) {
-    TrySend(*found->second, cancel);
+    TrySend(*found->second.cancel, cancel);
   }
 }
 
@@ -86,11 +87,11 @@
   this->attempts.erase(AttemptKey(ended.request, ended.attempt));
 }
 
-std::optional<TimePoint> EffectCarrier::ArrivalOf(
-    const RequestId& request) const {
-  const auto found = this->callers.find(request);
-  return found == this->callers.end() ? std::nullopt
-                                      : std::optional(found->second.at);
+std::optional<TimePoint> EffectCarrier::ArrivalOf(const RequestId& request,
+                                                  AttemptNumber attempt) const {
+  const auto found = this->attempts.find(AttemptKey(request, attempt));
+  return found == this->attempts.end() ? std::nullopt
+                                       : std::optional(found->second.arrived);
 }
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/admin_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/admin_messages.h
@@ -4,15 +4,12 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "cicadaloft/core/decision_line.h"
-#include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/id.h"
-#include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
 
@@ -46,26 +43,8 @@
   friend bool operator==(const StatusReply&, const StatusReply&) = default;
 };
 
-/// Percentiles of one duration over the process's life.
-struct LatencySummary {
-  const std::uint64_t count = 0;
-  const Duration median{};
-  const Duration p95{};
-  const Duration p99{};
-
-  friend auto operator<=>(const LatencySummary&,
-                          const LatencySummary&) = default;
-  friend bool operator==(const LatencySummary&,
-                         const LatencySummary&) = default;
-};
-
 struct MetricsReply {
-  const StatusReply status;
-  const std::map<std::string, std::uint64_t> decisions;  ///< By reason.
-  const std::map<ErrorKind, std::uint64_t> refusals;
-  const std::map<int, std::uint64_t> answers;  ///< By HTTP status.
-  const LatencySummary first_byte;  ///< From arrival to the answer's start.
-  const LatencySummary whole;       ///< From arrival to the answer's end.
+  const std::string text;  ///< In the text format of Prometheus.
 
   friend auto operator<=>(const MetricsReply&, const MetricsReply&) = default;
   friend bool operator==(const MetricsReply&, const MetricsReply&) = default;
--- a/forwarding/include/cicadaloft/forwarding/effect_carrier.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_carrier.h
@@ -37,8 +37,10 @@
   /// Takes note that an exchange has ended.
   void NoteEnd(const AttemptEnded& ended);
 
-  /// @return when the request arrived, if its session still waits for it.
-  std::optional<TimePoint> ArrivalOf(const RequestId& request) const;
+  /// @return when the request of a running attempt arrived, or none if there is
+  /// no such attempt.
+  std::optional<TimePoint> ArrivalOf(const RequestId& request,
+                                     AttemptNumber attempt) const;
   std::size_t open_requests() const { return this->callers.size(); }
   std::size_t running_attempts() const { return this->attempts.size(); }
 
@@ -48,6 +50,10 @@
     CallerArrived arrived;
     TimePoint at;
   };
+  struct Attempt {
+    std::shared_ptr<Mailbox<CancelAttempt>> cancel;
+    TimePoint arrived;
+  };
   using AttemptKey = std::pair<RequestId, AttemptNumber>;
 
   const boost::asio::any_io_executor executor;
@@ -55,7 +61,7 @@
   const TargetLimits limits;
   const std::unique_ptr<Parts> parts;
   std::map<RequestId, Caller> callers;
-  std::map<AttemptKey, std::shared_ptr<Mailbox<CancelAttempt>>> attempts;
+  std::map<AttemptKey, Attempt> attempts;
 };
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -97,7 +97,10 @@
     this->Take(EntryEvent(arrived.request->arrival));
   }
 
-  void Take(const CallerDone& done) { this->carrier.Forget(done.request); }
+  void Take(const CallerDone& done) {
+    this->carrier.Forget(done.request);
+    this->TellDrained();
+  }
 
   void Take(const CallerRejected& rejected) {
     const ErrorAnswer& answer = AnswerFor(rejected.kind);
@@ -131,11 +134,13 @@
   void Note(const EntryEvent& event) {
     const TimePoint now = this->clock.Now();
     if (const auto* started = std::get_if<AttemptStarted>(&event)) {
-      if (const auto arrival = this->carrier.ArrivalOf(started->request)) {
+      if (const auto arrival =
+              this->carrier.ArrivalOf(started->request, started->attempt)) {
         this->metrics.CountStart(now - *arrival);
       }
     } else if (const auto* ended = std::get_if<AttemptEnded>(&event)) {
-      const auto arrival = this->carrier.ArrivalOf(ended->request);
+      const auto arrival =
+          this->carrier.ArrivalOf(ended->request, ended->attempt);
       if (ended->outcome == AttemptOutcome::kCompleted && arrival) {
         this->metrics.CountAnswer(ended->http_status, now - *arrival);
       }
@@ -162,7 +167,7 @@
   // A link too slow for its messages loses them, as a broken one does.
   void Carry(const SendLink& send) {
     if (!TrySend(*this->links.link, send.envelope)) {
-      this->metrics.CountDecision("link.message_lost");
+      this->metrics.CountLostMessage();
     }
   }
 
@@ -172,8 +177,16 @@
     this->sink(line);
   }
 
-  void Carry(const EntryDrained& drained) {
-    TrySend(*this->links.drained, drained);
+  void Carry(const EntryDrained&) {
+    this->is_drained = true;
+    this->TellDrained();
+  }
+
+  // The program may end when the last answer has been written, too.
+  void TellDrained() {
+    if (this->is_drained && this->carrier.open_requests() == 0) {
+      TrySend(*this->links.drained, EntryDrained{});
+    }
   }
 
   StatusReply Status() const {
@@ -184,7 +197,7 @@
   }
 
   AdminReply Answer(const StatusAsk&) const { return this->Status(); }
-  AdminReply Answer(const MetricsAsk&) const {
+  AdminReply Answer(const MetricsAsk&) {
     return this->metrics.Read(this->Status());
   }
   AdminReply Answer(const ExplainAsk& ask) const {
@@ -200,6 +213,7 @@
   DecisionHistory history;
   std::deque<EntryEvent> pending;
   bool is_stopping = false;
+  bool is_drained = false;
 };
 
 /// Sends an EntryTick at each kEntryTickInterval until the inbox is closed.
--- a/forwarding/target_exchange.cc
+++ b/forwarding/target_exchange.cc
@@ -195,19 +195,21 @@
     if (taken && !this->held.empty()) {
       taken = co_await this->PassPiece(std::move(this->held));
     }
-    while (taken && !this->parser->is_done()) {
+    // Where the caller has left, the run's end still counts: the node cancels
+    // the attempt unless the run may not be cut.
+    while (!this->parser->is_done()) {
       auto piece = co_await this->ReadPiece(this->limits.answer_stall);
       if (const auto* failure = std::get_if<AttemptOutcome>(&piece)) {
         co_return *failure;
       }
-      taken = co_await this->PassPiece(std::move(std::get<0>(piece)));
-    }
-    if (taken) {
-      const auto message =
-          AnswerEnd{.request = dispatch.request, .attempt = dispatch.attempt};
-      taken = co_await Send(*this->order->session, message);
+      if (taken) {
+        taken = co_await this->PassPiece(std::move(std::get<0>(piece)));
+      }
     }
-    co_return taken ? AttemptOutcome::kCompleted : AttemptOutcome::kDiedStarted;
+    const auto end =
+        AnswerEnd{.request = dispatch.request, .attempt = dispatch.attempt};
+    co_await Send(*this->order->session, end);
+    co_return AttemptOutcome::kCompleted;
   }
 
   asio::awaitable<bool> PassPiece(std::string bytes) {
--- a/forwarding/tests/direct_decider.h
+++ b/forwarding/tests/direct_decider.h
@@ -21,6 +21,7 @@
   std::string address;
   bool idempotent = true;
   Duration start_within = std::chrono::seconds(20);
+  bool cancels = true;   ///< Ends the attempts of callers that leave.
   bool refuses = false;  ///< Answers each request with kRateLimited.
   std::vector<EntryEvent> seen;
 
@@ -59,10 +60,7 @@
               state.Begin(arrived, effects);
             },
             [&](const AttemptEnded& ended) { state.End(ended, effects); },
-            [&](const CallerGone& gone) {
-              effects.emplace_back(CancelAttempt{.request = gone.request,
-                                                 .attempt = AttemptNumber(1)});
-            },
+            [&](const CallerGone& gone) { state.Leave(gone, effects); },
             [&](const EntryStopRequested&) { state.stopping = true; },
             [](const auto&) {}},
         event);
@@ -91,6 +89,13 @@
     effects.emplace_back(this->Attempt(arrived.request, AttemptNumber(1)));
   }
 
+  void Leave(const CallerGone& gone, std::vector<EntryEffect>& effects) const {
+    if (this->plan->cancels) {
+      effects.emplace_back(
+          CancelAttempt{.request = gone.request, .attempt = AttemptNumber(1)});
+    }
+  }
+
   void End(const AttemptEnded& ended, std::vector<EntryEffect>& effects) {
     const bool not_run = ended.outcome == AttemptOutcome::kNotLoaded ||
                          ended.outcome == AttemptOutcome::kRefused;
--- a/forwarding/tests/entry_fixture.h
+++ b/forwarding/tests/entry_fixture.h
@@ -152,9 +152,11 @@
         [this, count] { return this->Outcomes().size() >= count; });
   }
 
-  boost::asio::awaitable<TestCaller> Caller() {
+  boost::asio::awaitable<TestCaller> Caller() { return this->Caller(Port()); }
+
+  boost::asio::awaitable<TestCaller> Caller(std::uint16_t port) {
     TestCaller caller(this->context);
-    co_await caller.Connect(this->Port());
+    co_await caller.Connect(port);
     co_return caller;
   }
 
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -232,6 +232,28 @@
   BOOST_TEST((entry.Outcomes() == Outcomes{kDiedUnstarted}));
 }
 
+BOOST_AUTO_TEST_CASE(RunThatIsNotCutCompletesWithoutItsCaller) {
+  EntryFixture entry;
+  entry.plan->cancels = false;
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\ndo", "ne"},
+       .waits_between = true});
+  entry.Run([&]() -> awaitable<void> {
+    auto caller = co_await entry.Caller();
+    co_await caller.Write(ServiceGet("/"));
+    co_await entry.Until([&] { return !entry.target.seen.empty(); });
+    caller.socket.close();
+    co_await entry.Until(
+        [&] { return !entry.plan->All<CallerGone>().empty(); });
+    entry.target.Allow();
+    entry.target.Allow();
+    co_await entry.Ended(1);
+  });
+  const auto ended = entry.plan->All<AttemptEnded>();
+  BOOST_TEST((entry.Outcomes() == Outcomes{kCompleted}));
+  BOOST_TEST(ended.at(0).http_status == 201);
+}
+
 BOOST_AUTO_TEST_CASE(HeadAndEmptyAnswersKeepTheConnection) {
   EntryFixture entry;
   entry.target.scripts.push_back(
--- a/forwarding/tests/scripted_target.h
+++ b/forwarding/tests/scripted_target.h
@@ -54,6 +54,7 @@
   std::vector<Request> seen;
   std::size_t connections = 0;
   std::size_t closed_by_peer = 0;
+  std::size_t pieces_sent = 0;
 
  private:
   boost::asio::awaitable<void> Accept() {
@@ -100,6 +101,7 @@
       co_await boost::asio::async_write(
           socket, boost::asio::buffer(piece),
           boost::asio::as_tuple(boost::asio::use_awaitable));
+      ++this->pieces_sent;
     }
     // A hanging target still reads, and so sees the connection's end.
     co_return script.after != TargetScript::After::kClose;
