Link stewards and entries over WebSocket with a shared secret

websocketpp does not compile as C++20 under g++ 12, so its transport-free configuration stands behind a plain header in a C++17 library; an Asio task owns the socket and feeds it. Both ends prove the secret by HMAC-SHA256 over both nonces, hosts, roles and the side; the client proves first, so that a stranger gets nothing to try secrets on. No envelope is decoded before. Too long messages, too many queued bytes and 3 s of silence close a link; the client connects again with jittered back-off.

Cause of crashes seen on the way: g++ 12 destroys braced temporaries of an expression with co_await twice (found with the address sanitizer); events are named first. It also reports a false mismatch of new and delete for coroutine frames, which is off for targets that link this library.

--- /dev/null
+++ b/peering/include/cicadaloft/peering/link_channel.h
@@ -0,0 +1,21 @@
+#ifndef CICADALOFT_PEERING_LINK_CHANNEL_H_
+#define CICADALOFT_PEERING_LINK_CHANNEL_H_
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/system/error_code.hpp>
+#include <memory>
+
+#include "cicadaloft/peering/link_messages.h"
+
+namespace cicadaloft {
+
+/// Where link tasks tell their user what happens. A full channel holds the
+/// links back; they are closed if that lasts.
+using LinkEventChannel = boost::asio::experimental::concurrent_channel<
+    void(boost::system::error_code, LinkEvent)>;
+
+using LinkEventSink = std::shared_ptr<LinkEventChannel>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PEERING_LINK_CHANNEL_H_
--- /dev/null
+++ b/peering/include/cicadaloft/peering/link_client.h
@@ -0,0 +1,46 @@
+#ifndef CICADALOFT_PEERING_LINK_CLIENT_H_
+#define CICADALOFT_PEERING_LINK_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "cicadaloft/peering/link_channel.h"
+#include "cicadaloft/peering/link_messages.h"
+
+namespace cicadaloft {
+
+/// Handle of a task that keeps one link to a server, and connects again with
+/// jittered back-off whenever it breaks. The executor must run on one thread.
+/// The handle's end ends the task; a link that was up is then reported down.
+class LinkClient {
+ public:
+  struct Options {
+    const LinkSettings settings;
+    const std::string address;  ///< "IP:port".
+    const LinkPeer expected;    ///< Any other peer is refused.
+    const std::uint64_t jitter_seed = 0;
+  };
+
+  /// @param sink hears of LinkUp, LinkDown and LinkDelivery.
+  LinkClient(const boost::asio::any_io_executor& executor,
+             Options options,
+             LinkEventSink sink);
+  ~LinkClient();
+  LinkClient(LinkClient&& other) noexcept;
+  LinkClient& operator=(LinkClient&& other) noexcept;
+
+  /// Queues an envelope on the link.
+  /// @return false if the link is down, or has been closed because too many
+  /// bytes were waiting.
+  bool Send(const Envelope& envelope);
+
+ private:
+  class Task;
+  std::shared_ptr<Task> task;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PEERING_LINK_CLIENT_H_
--- /dev/null
+++ b/peering/include/cicadaloft/peering/link_messages.h
@@ -0,0 +1,81 @@
+#ifndef CICADALOFT_PEERING_LINK_MESSAGES_H_
+#define CICADALOFT_PEERING_LINK_MESSAGES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/peering/messages.h"
+
+namespace cicadaloft {
+
+/// Which of a host's processes stands at an end of a link.
+enum class LinkRole { kEntry, kSteward };
+
+/// @return "entry" or "steward".
+std::string_view ToString(LinkRole role);
+
+/// The process at the other end, proved by the shared secret.
+struct LinkPeer {
+  const HostId host;
+  const LinkRole role = LinkRole::kSteward;
+
+  friend auto operator<=>(const LinkPeer&, const LinkPeer&) = default;
+  friend bool operator==(const LinkPeer&, const LinkPeer&) = default;
+};
+
+/// A link has been authenticated by both ends.
+struct LinkUp {
+  const LinkPeer peer;
+
+  friend auto operator<=>(const LinkUp&, const LinkUp&) = default;
+  friend bool operator==(const LinkUp&, const LinkUp&) = default;
+};
+
+/// Follows each LinkUp once. What was sent and not delivered is lost.
+struct LinkDown {
+  const LinkPeer peer;
+
+  friend auto operator<=>(const LinkDown&, const LinkDown&) = default;
+  friend bool operator==(const LinkDown&, const LinkDown&) = default;
+};
+
+struct LinkDelivery {
+  const LinkPeer peer;
+  const Envelope envelope;
+
+  friend auto operator<=>(const LinkDelivery&, const LinkDelivery&) = default;
+  friend bool operator==(const LinkDelivery&, const LinkDelivery&) = default;
+};
+
+/// What the tasks of links tell their user.
+using LinkEvent = std::variant<LinkUp, LinkDown, LinkDelivery>;
+
+/// Who this process is on links, and their limits.
+struct LinkSettings {
+  const LinkPeer self;
+  const std::string secret;  ///< Shared by all processes of the system.
+  const Duration ping_interval = std::chrono::seconds(1);
+  /// A link on which nothing has come for so long is closed.
+  const Duration silence_limit = std::chrono::seconds(3);
+  /// For the connection and, once more, for the authentication.
+  const Duration handshake_timeout = std::chrono::seconds(3);
+  const Duration min_backoff = std::chrono::milliseconds(50);
+  const Duration max_backoff = std::chrono::seconds(2);
+  const std::size_t max_message_bytes = std::size_t{16} << 20;
+  /// A link with more bytes waiting to be sent is closed.
+  const std::size_t max_queued_bytes = std::size_t{32} << 20;
+  const std::size_t max_links = 1024;  ///< That a server takes.
+
+  friend auto operator<=>(const LinkSettings&, const LinkSettings&) = default;
+  friend bool operator==(const LinkSettings&, const LinkSettings&) = default;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PEERING_LINK_MESSAGES_H_
--- /dev/null
+++ b/peering/include/cicadaloft/peering/link_server.h
@@ -0,0 +1,45 @@
+#ifndef CICADALOFT_PEERING_LINK_SERVER_H_
+#define CICADALOFT_PEERING_LINK_SERVER_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/peering/link_channel.h"
+#include "cicadaloft/peering/link_messages.h"
+
+namespace cicadaloft {
+
+/// Handle of a task that takes links from stewards and from the own host's
+/// entry. The executor must run on one thread. The handle's end closes all.
+class LinkServer {
+ public:
+  /// @param address "IP:port" to listen on; port 0 lets the kernel choose.
+  /// @param sink hears of LinkUp, LinkDown and LinkDelivery.
+  /// @return the server, or kSettingsInvalid if it can't listen there.
+  static Result<LinkServer> Open(const boost::asio::any_io_executor& executor,
+                                 const LinkSettings& settings,
+                                 const std::string& address,
+                                 LinkEventSink sink);
+  ~LinkServer();
+  LinkServer(LinkServer&& other) noexcept;
+  LinkServer& operator=(LinkServer&& other) noexcept;
+
+  /// Queues an envelope on the link from `peer`.
+  /// @return false if there is none, or if it has been closed because too many
+  /// bytes were waiting.
+  bool Send(const LinkPeer& peer, const Envelope& envelope);
+  std::uint16_t port() const;
+
+ private:
+  class Task;
+  explicit LinkServer(std::shared_ptr<Task> task);
+
+  std::shared_ptr<Task> task;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PEERING_LINK_SERVER_H_
--- /dev/null
+++ b/peering/link_auth.cc
@@ -0,0 +1,110 @@
+#include "link_auth.h"
+
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "cicadaloft/core/sha256.h"
+
+namespace cicadaloft {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kProtocol[] = "cicadaloft-link-1";
+constexpr std::size_t kHelloFields = 4;
+
+/// Appends a text with its length, so that no two lists of texts look alike.
+void AppendText(std::string& to, std::string_view text) {
+  to += std::to_string(text.size());
+  to += ':';
+  to += text;
+}
+
+void AppendHello(std::string& to, const LinkHello& hello) {
+  AppendText(to, hello.self.host.value());
+  AppendText(to, ToString(hello.self.role));
+  AppendText(to, hello.nonce);
+}
+
+std::optional<LinkRole> RoleFromText(const std::string& text) {
+  if (text == ToString(LinkRole::kEntry)) {
+    return LinkRole::kEntry;
+  }
+  if (text == ToString(LinkRole::kSteward)) {
+    return LinkRole::kSteward;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view ToString(LinkRole role) {
+  return role == LinkRole::kEntry ? "entry" : "steward";
+}
+
+LinkHello MakeHello(const LinkPeer& self) {
+  std::string nonce(kNonceBytes, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
+                 static_cast<int>(nonce.size())) != 1) {
+    std::abort();
+  }
+  return LinkHello{.self = self, .nonce = std::move(nonce)};
+}
+
+std::vector<std::uint8_t> EncodeHello(const LinkHello& hello) {
+  const std::vector<std::uint8_t> nonce(hello.nonce.begin(), hello.nonce.end());
+  return json::to_cbor(json::array({kProtocol, hello.self.host.value(),
+                                    std::string(ToString(hello.self.role)),
+                                    json::binary(nonce)}));
+}
+
+std::optional<LinkHello> DecodeHello(const std::vector<std::uint8_t>& bytes) {
+  const json fields = json::from_cbor(bytes, true, false);
+  if (!fields.is_array() || fields.size() != kHelloFields ||
+      fields[0] != kProtocol || !fields[1].is_string() ||
+      !fields[2].is_string() || !fields[3].is_binary()) {
+    return std::nullopt;
+  }
+  const auto role = RoleFromText(fields[2].get<std::string>());
+  const auto& nonce = fields[3].get_binary();
+  if (!role || nonce.size() != kNonceBytes) {
+    return std::nullopt;
+  }
+  return LinkHello{
+      .self =
+          LinkPeer{.host = HostId(fields[1].get<std::string>()), .role = *role},
+      .nonce = std::string(nonce.begin(), nonce.end())};
+}
+
+std::vector<std::uint8_t> ProveSecret(const std::string& secret,
+                                      LinkSide side,
+                                      const LinkHello& client,
+                                      const LinkHello& server) {
+  std::string text;
+  AppendText(text, kProtocol);
+  AppendText(text, side == LinkSide::kClient ? "client" : "server");
+  AppendHello(text, client);
+  AppendHello(text, server);
+  std::vector<std::uint8_t> proof(EVP_MAX_MD_SIZE);
+  unsigned int size = 0;
+  if (HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+           reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+           proof.data(), &size) == nullptr) {
+    std::abort();
+  }
+  proof.resize(size);
+  return proof;
+}
+
+bool IsSameProof(const std::vector<std::uint8_t>& left,
+                 const std::vector<std::uint8_t>& right) {
+  return EqualInConstantTime(std::string(left.begin(), left.end()),
+                             std::string(right.begin(), right.end()));
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/peering/tests/links_test.cc
@@ -0,0 +1,249 @@
+#define BOOST_TEST_MODULE links
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <optional>
+
+#include "cicadaloft/peering/link_client.h"
+#include "cicadaloft/peering/link_server.h"
+
+namespace cicadaloft {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+const std::string kSecret = "0123456789abcdef";
+constexpr std::chrono::seconds kPatience{10};
+
+LinkPeer Steward(const std::string& host) {
+  return LinkPeer{.host = HostId(host), .role = LinkRole::kSteward};
+}
+
+LinkSettings SettingsOf(const LinkPeer& self, const std::string& secret) {
+  return LinkSettings{.self = self,
+                      .secret = secret,
+                      .ping_interval = std::chrono::milliseconds(50),
+                      .silence_limit = std::chrono::milliseconds(400),
+                      .handshake_timeout = std::chrono::milliseconds(400),
+                      .min_backoff = std::chrono::milliseconds(5),
+                      .max_backoff = std::chrono::milliseconds(20),
+                      .max_message_bytes = 4096,
+                      .max_queued_bytes = 1 << 20};
+}
+
+Envelope MakeEnvelope(std::uint64_t next, const std::string& to = "b") {
+  return Envelope{.from = HostId("a"),
+                  .to = HostId(to),
+                  .message = StateRequest{.from = LogOffset(next)}};
+}
+
+/// One end's events, as they come.
+struct Sink {
+  explicit Sink(asio::io_context& context)
+      : channel(std::make_shared<LinkEventChannel>(context, 100)) {
+    asio::co_spawn(
+        context, [this]() { return this->Collect(); }, asio::detached);
+  }
+  asio::awaitable<void> Collect() {
+    for (;;) {
+      auto [error, event] = co_await this->channel->async_receive(
+          asio::as_tuple(asio::use_awaitable));
+      if (error) {
+        co_return;
+      }
+      this->events.push_back(std::move(event));
+    }
+  }
+  template <typename Event>
+  std::size_t CountOf() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->events, [](const LinkEvent& event) {
+          return std::holds_alternative<Event>(event);
+        }));
+  }
+
+  LinkEventSink channel;
+  std::deque<LinkEvent> events;
+};
+
+/// A server on host "b" and room for a client on host "a".
+struct Ends {
+  asio::io_context context;
+  Sink server_sink{context};
+  Sink client_sink{context};
+  std::optional<LinkServer> server;
+  std::optional<LinkClient> client;
+
+  void Serve(const std::string& address = "127.0.0.1:0") {
+    this->server.emplace(TakeValue(LinkServer::Open(
+        this->context.get_executor(), SettingsOf(Steward("b"), kSecret),
+        address, this->server_sink.channel)));
+  }
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->server->port());
+  }
+  void Connect(const std::string& address,
+               const LinkPeer& self = Steward("a"),
+               const std::string& secret = kSecret) {
+    this->client.emplace(
+        this->context.get_executor(),
+        LinkClient::Options{.settings = SettingsOf(self, secret),
+                            .address = address,
+                            .expected = Steward("b")},
+        this->client_sink.channel);
+  }
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const auto deadline = std::chrono::steady_clock::now() + kPatience;
+    while (!condition() && std::chrono::steady_clock::now() < deadline) {
+      this->context.run_one_for(std::chrono::milliseconds(100));
+    }
+    return condition();
+  }
+  void RunFor(std::chrono::milliseconds time) { this->context.run_for(time); }
+  bool IsUp() const {
+    return this->client_sink.CountOf<LinkUp>() >
+               this->client_sink.CountOf<LinkDown>() &&
+           this->server_sink.CountOf<LinkUp>() >
+               this->server_sink.CountOf<LinkDown>();
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(links)
+
+BOOST_AUTO_TEST_CASE(EnvelopesGoBothWays) {
+  Ends ends;
+  ends.Serve();
+  ends.Connect(ends.Address());
+  BOOST_REQUIRE(ends.RunUntil([&] { return ends.IsUp(); }));
+  BOOST_TEST(ends.client->Send(MakeEnvelope(1)));
+  BOOST_TEST(ends.client->Send(MakeEnvelope(2)));
+  BOOST_TEST(ends.server->Send(Steward("a"), MakeEnvelope(3, "a")));
+  BOOST_TEST(!ends.server->Send(Steward("c"), MakeEnvelope(4, "c")));
+  BOOST_REQUIRE(ends.RunUntil([&] {
+    return ends.server_sink.CountOf<LinkDelivery>() == 2 &&
+           ends.client_sink.CountOf<LinkDelivery>() == 1;
+  }));
+  BOOST_TEST((ends.server_sink.events.back() ==
+              LinkEvent(LinkDelivery{.peer = Steward("a"),
+                                     .envelope = MakeEnvelope(2)})));
+}
+
+BOOST_AUTO_TEST_CASE(ALinkLivesOnWithoutMessages) {
+  Ends ends;
+  ends.Serve();
+  ends.Connect(ends.Address());
+  BOOST_REQUIRE(ends.RunUntil([&] { return ends.IsUp(); }));
+  ends.RunFor(std::chrono::milliseconds(1000));
+  BOOST_TEST(ends.client_sink.CountOf<LinkDown>() == 0);
+  BOOST_TEST(ends.server_sink.CountOf<LinkDown>() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AHostWithoutTheSecretIsRefused) {
+  Ends ends;
+  ends.Serve();
+  ends.Connect(ends.Address(), Steward("a"), "fedcba9876543210");
+  ends.RunFor(std::chrono::milliseconds(300));
+  BOOST_TEST(!ends.client->Send(MakeEnvelope(1)));
+  BOOST_TEST(ends.client_sink.events.empty());
+  BOOST_TEST(ends.server_sink.events.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnotherHostsEntryIsRefused) {
+  Ends ends;
+  ends.Serve();
+  ends.Connect(ends.Address(),
+               LinkPeer{.host = HostId("a"), .role = LinkRole::kEntry});
+  ends.RunFor(std::chrono::milliseconds(300));
+  BOOST_TEST(ends.server_sink.events.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ATooLongMessageEndsTheLink) {
+  Ends ends;
+  ends.Serve();
+  ends.Connect(ends.Address());
+  BOOST_REQUIRE(ends.RunUntil([&] { return ends.IsUp(); }));
+  ends.client->Send(MakeEnvelope(1, std::string(5000, 'x')));
+  BOOST_TEST(
+      ends.RunUntil([&] { return ends.server_sink.CountOf<LinkDown>() == 1; }));
+  BOOST_TEST(ends.server_sink.CountOf<LinkDelivery>() == 0);
+  BOOST_TEST(ends.RunUntil([&] { return ends.IsUp(); }));
+}
+
+BOOST_AUTO_TEST_CASE(ALinkThatCannotSendFastEnoughIsClosed) {
+  Ends ends;
+  ends.Serve();
+  ends.Connect(ends.Address());
+  BOOST_REQUIRE(ends.RunUntil([&] { return ends.IsUp(); }));
+  const Envelope envelope = MakeEnvelope(1, std::string(4000, 'x'));
+  int sent = 0;
+  while (sent < 1000 && ends.client->Send(envelope)) {
+    ++sent;
+  }
+  BOOST_TEST(sent > 200);
+  BOOST_TEST(sent < 300);
+  BOOST_TEST(
+      ends.RunUntil([&] { return ends.client_sink.CountOf<LinkDown>() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(APeerThatFallsSilentIsDropped) {
+  // A relay between the ends stops passing bytes on without closing.
+  Ends ends;
+  ends.Serve();
+  tcp::acceptor acceptor(ends.context,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  bool is_passing = true;
+  const auto pump = [&](tcp::socket& from, tcp::socket& to) {
+    return [&from, &to, &is_passing]() -> asio::awaitable<void> {
+      std::array<char, 4096> bytes{};
+      for (;;) {
+        const std::size_t count = co_await from.async_read_some(
+            asio::buffer(bytes), asio::use_awaitable);
+        if (is_passing) {
+          co_await to.async_write_some(asio::buffer(bytes, count),
+                                       asio::use_awaitable);
+        }
+      }
+    };
+  };
+  tcp::socket near(ends.context);
+  tcp::socket far(ends.context);
+  far.connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(), ends.server->port()));
+  acceptor.async_accept(near, [&](boost::system::error_code) {
+    asio::co_spawn(ends.context, pump(near, far), asio::detached);
+    asio::co_spawn(ends.context, pump(far, near), asio::detached);
+  });
+  ends.Connect("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+  BOOST_REQUIRE(ends.RunUntil([&] { return ends.IsUp(); }));
+  is_passing = false;
+  BOOST_TEST(ends.RunUntil([&] {
+    return ends.client_sink.CountOf<LinkDown>() == 1 &&
+           ends.server_sink.CountOf<LinkDown>() == 1;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(AClientConnectsAgain) {
+  Ends ends;
+  ends.Serve();
+  const std::string address = ends.Address();
+  ends.Connect(address);
+  BOOST_REQUIRE(ends.RunUntil([&] { return ends.IsUp(); }));
+  ends.server.reset();
+  BOOST_REQUIRE(
+      ends.RunUntil([&] { return ends.client_sink.CountOf<LinkDown>() == 1; }));
+  ends.RunFor(std::chrono::milliseconds(50));
+  ends.Serve(address);
+  BOOST_TEST(ends.RunUntil([&] { return ends.IsUp(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cicadaloft
--- /dev/null
+++ b/peering/tests/websocket_engine_test.cc
@@ -0,0 +1,67 @@
+#include "cicadaloft/websocket/websocket_engine.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cicadaloft {
+namespace {
+
+using Side = WebSocketEngine::Side;
+using State = WebSocketEngine::State;
+using Bytes = WebSocketEngine::Bytes;
+
+constexpr std::size_t kMaxMessageBytes = 100000;
+
+/// Passes bytes both ways until neither end has any, one byte at a time where
+/// `step` is 1.
+void Pass(WebSocketEngine& left, WebSocketEngine& right, std::size_t step) {
+  const auto deliver = [&](const Bytes& bytes, WebSocketEngine& to) {
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+      to.Feed(bytes.data() + at, std::min(step, bytes.size() - at));
+    }
+  };
+  while (left.OutputBytes() + right.OutputBytes() > 0) {
+    deliver(left.TakeOutput(), right);
+    deliver(right.TakeOutput(), left);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(websocket_engine)
+
+BOOST_AUTO_TEST_CASE(MessagesGoBothWaysInAnyPieces) {
+  WebSocketEngine client(Side::kClient, kMaxMessageBytes);
+  WebSocketEngine server(Side::kServer, kMaxMessageBytes);
+  BOOST_TEST((client.state() == State::kConnecting));
+  Pass(client, server, 1);
+  BOOST_TEST(
+      (client.state() == State::kOpen && server.state() == State::kOpen));
+  const Bytes large(70000, 7);
+  client.Send({1, 2});
+  client.Send(large);
+  client.Ping();
+  server.Send({3});
+  Pass(client, server, 1000);
+  BOOST_TEST((server.TakeMessages() == std::vector<Bytes>{{1, 2}, large}));
+  BOOST_TEST((client.TakeMessages() == std::vector<Bytes>{{3}}));
+}
+
+BOOST_AUTO_TEST_CASE(ATooLongMessageClosesTheConnection) {
+  WebSocketEngine client(Side::kClient, kMaxMessageBytes);
+  WebSocketEngine server(Side::kServer, 10);
+  Pass(client, server, 1000);
+  client.Send(Bytes(11, 1));
+  Pass(client, server, 1000);
+  BOOST_TEST((server.state() == State::kClosed));
+  BOOST_TEST(server.TakeMessages().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnythingElseThanWebSocketIsRefused) {
+  WebSocketEngine server(Side::kServer, kMaxMessageBytes);
+  const std::string text = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  server.Feed(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+  BOOST_TEST((server.state() == State::kClosed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cicadaloft
--- a/settings/tests/settings_test.cc
+++ b/settings/tests/settings_test.cc
@@ -1,5 +1,8 @@
 #define BOOST_TEST_MODULE settings
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
 #include <fstream>
 
 #include "cicadaloft/settings/settings_reader.h"
@@ -78,9 +81,12 @@
   SettingsReader shorter = Read(R"({"secret": "short"})");
   shorter.Secret("secret");
   BOOST_TEST(Verdict(shorter).starts_with("s.json: secret: expected at least"));
-  std::ofstream("settings_test.secret") << "0123456789abcdef\n";
-  SettingsReader file = Read(R"({"secret_file": "settings_test.secret"})");
+  const std::string path = std::filesystem::temp_directory_path() /
+                           ("settings_test." + std::to_string(getpid()));
+  std::ofstream(path) << "0123456789abcdef\n";
+  SettingsReader file = Read(R"({"secret_file": ")" + path + R"("})");
   BOOST_TEST(file.Secret("secret") == "0123456789abcdef");
+  std::filesystem::remove(path);
   BOOST_TEST(Verdict(file) == "ok");
 }
 
--- a/telemetry/log.cc
+++ b/telemetry/log.cc
@@ -14,9 +14,15 @@
 
 constexpr char kPattern[] = "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c %m%n";
 
-log4cplus::Initializer& Library() {
-  static log4cplus::Initializer initializer;
-  return initializer;
+struct Library {
+  Library() { log4cplus::Logger::getRoot().setLogLevel(kSilent); }
+
+  static constexpr log4cplus::LogLevel kSilent = log4cplus::OFF_LOG_LEVEL;
+  const log4cplus::Initializer initializer;
+};
+
+void UseLibrary() {
+  static const Library kLibrary;
 }
 
 log4cplus::LogLevel LevelFromName(std::string_view name) {
@@ -30,7 +36,7 @@
 void Write(const std::string& component,
            log4cplus::LogLevel level,
            std::string_view text) {
-  Library();
+  UseLibrary();
   const log4cplus::Logger logger = log4cplus::Logger::getInstance(component);
   if (logger.isEnabledFor(level)) {
     logger.forcedLog(level, OneLine(text));
@@ -40,7 +46,7 @@
 }  // namespace
 
 LogSession::LogSession(std::string_view level) {
-  Library();
+  UseLibrary();
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
