--- a/telemetry/decision_log.cc
+++ b/telemetry/decision_log.cc
@@ -12,7 +12,7 @@
   return OneLine(line.detail.empty() ? head : head + " " + line.detail);
 }
 
-DecisionLog::DecisionLog(std::size_t kept) : log("decision"), kept(kept) {}
+DecisionLog::DecisionLog(std::size_t kept) : log("node"), kept(kept) {}
 
 void DecisionLog::Write(const DecisionLine& line) {
   this->log.Info(FormatDecision(line));
