--- a/admission/include/cicadaloft/admission/token_asks.h
+++ b/admission/include/cicadaloft/admission/token_asks.h
@@ -39,11 +39,11 @@
                                     double tokens,
                                     TimePoint now);
 
+  /// Call it again and again while tokens are wanted; what came before a longer
+  /// pause is forgotten.
   /// @param hoped_for tokens a second to expect while nothing is known.
   /// @return tokens a second that have come lately.
   double Income(double hoped_for, TimePoint now);
-  /// Nothing is wanted any more: what came is forgotten after a while.
-  void OnQuiet(TimePoint now);
 
  private:
   struct Ask {
--- a/admission/token_asks.cc
+++ b/admission/token_asks.cc
@@ -69,29 +69,27 @@
 }
 
 double TokenAsks::Income(double hoped_for, TimePoint now) {
-  if (!this->window_began.has_value()) {
-    this->window_began = now;
-    this->came_in_window = 0;
+  const bool has_paused = this->window_began.has_value() &&
+                          now - *this->window_began >= kIncomeTerm;
+  if (has_paused) {
+    this->income.reset();
+    this->round_interval = Duration{};
   }
-  const Duration passed = now - *this->window_began;
-  if (passed >= kIncomeWindow) {
-    const double rate =
-        this->came_in_window / std::chrono::duration<double>(passed).count();
-    const double before = this->income.value_or(hoped_for);
-    this->income = before + kNewestWeight * (rate - before);
+  if (has_paused || !this->window_began.has_value()) {
     this->window_began = now;
     this->came_in_window = 0;
   }
-  return this->income.value_or(hoped_for);
-}
-
-void TokenAsks::OnQuiet(TimePoint now) {
-  if (this->window_began.has_value() &&
-      now - *this->window_began >= kIncomeTerm) {
-    this->window_began.reset();
-    this->income.reset();
-    this->round_interval = Duration{};
+  const Duration passed = now - *this->window_began;
+  if (passed < kIncomeWindow) {
+    return this->income.value_or(hoped_for);
   }
+  const double rate =
+      this->came_in_window / std::chrono::duration<double>(passed).count();
+  const double before = this->income.value_or(hoped_for);
+  this->income = before + kNewestWeight * (rate - before);
+  this->window_began = now;
+  this->came_in_window = 0;
+  return *this->income;
 }
 
 }  // namespace cicadaloft
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <ranges>
 #include <string>
 #include <utility>
@@ -346,9 +347,14 @@
 }
 
 void PumpWaiting(EntryCore& core) {
-  const std::map<std::uint64_t, Path*> paths = core.waiting_paths;
-  std::ranges::for_each(paths | std::views::values,
-                        [&](Path* path) { Pump(core, *path); });
+  // Pumping changes the map; cold paths have nothing to be pumped to.
+  std::vector<Path*> paths;
+  std::ranges::copy_if(core.waiting_paths | std::views::values,
+                       std::back_inserter(paths), [&](const Path* path) {
+                         return path->version != core.routing_version ||
+                                !path->local.empty() || !path->regional.empty();
+                       });
+  std::ranges::for_each(paths, [&](Path* path) { Pump(core, *path); });
 }
 
 }  // namespace cicadaloft
--- a/entry/entry_permits.cc
+++ b/entry/entry_permits.cc
@@ -134,6 +134,10 @@
 }
 
 void AskForPermits(EntryCore& core, Path& path) {
+  const bool is_cold = path.local.empty() && path.regional.empty();
+  if (is_cold || !core.is_link_up) {
+    return;
+  }
   const auto may_serve = [&](const TargetView& t) {
     return !t.ejection().IsEjected(core.now) && !t.HasOwnRoom();
   };
@@ -142,7 +146,7 @@
   if (target == nullptr) {
     target = ChooseTarget(path.regional, seed, nullptr, may_serve);
   }
-  if (target == nullptr || !core.is_link_up) {
+  if (target == nullptr) {
     return;
   }
   TargetPermits& permits = core.permits[target->id()];
--- a/entry/entry_tokens.cc
+++ b/entry/entry_tokens.cc
@@ -131,10 +131,6 @@
 void ServeCustomer(EntryCore& core,
                    const CustomerId& customer,
                    CustomerRate& rate) {
-  if (rate.short_of_tokens.empty()) {
-    rate.asks.OnQuiet(core.now);
-    return;
-  }
   while (!rate.short_of_tokens.empty() && rate.bucket.TryTake(core.now)) {
     OpenRequest& request = *rate.short_of_tokens.begin()->second;
     rate.short_of_tokens.erase(rate.short_of_tokens.begin());
--- a/entry/tests/entry_hosts_test.cc
+++ b/entry/tests/entry_hosts_test.cc
@@ -68,7 +68,9 @@
 
 BOOST_AUTO_TEST_CASE(NoLossMakesMoreOfARate) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-    Cluster cluster(5, seed, ClusterFaults{.message_loss = 0.1 * seed});
+    Cluster cluster(
+        5, seed,
+        ClusterFaults{.message_loss = 0.1 * static_cast<double>(seed)});
     cluster.SetUp(ItemsWithRate(kRate, kBurst));
     cluster.Pass(seconds(3));
     cluster.run_time = milliseconds(5);
