Let paths leave the list of waiting ones when all was refused

Cause: a cold path whose requests were refused stayed listed, since cold paths are no longer pumped on ticks.

Run: ctest 11 of 11; admission, routing and entry tests clean under the address and undefined sanitizers.

--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -347,11 +347,13 @@
 }
 
 void PumpWaiting(EntryCore& core) {
-  // Pumping changes the map; cold paths have nothing to be pumped to.
+  // Pumping changes the map. Cold paths have nothing to be pumped to; those
+  // whose requests have all been refused leave the map.
   std::vector<Path*> paths;
   std::ranges::copy_if(core.waiting_paths | std::views::values,
                        std::back_inserter(paths), [&](const Path* path) {
-                         return path->version != core.routing_version ||
+                         return path->WaitingCount() == 0 ||
+                                path->version != core.routing_version ||
                                 !path->local.empty() || !path->regional.empty();
                        });
   std::ranges::for_each(paths, [&](Path* path) { Pump(core, *path); });
