Hold claims while their duty moves; never count a withdrawn renewal

Cause: a renewal dropped from the queue in favour of a newer one counted for the lease once a later record was read back, so a lease could seem longer than what stands in the log. The keeper is now told; a test shows it. Claims that arrive during a handover or takeover wait up to 2 s instead of being refused.

--- a/claims/claim_owner.cc
+++ b/claims/claim_owner.cc
@@ -33,7 +33,8 @@
 void ClaimOwner::Ask(const ClaimView& view,
                      const HostId& from,
                      const ClaimRecord& asked) {
-  if (!MayDecide(view, asked.key)) {
+  const bool is_alone = view.is_outage && !view.has_linked_mate;
+  if (!MayDecide(view, asked.key) || is_alone) {
     this->Refuse(from, asked);
     return;
   }
--- a/claims/include/cicadaloft/claims/claim_owner.h
+++ b/claims/include/cicadaloft/claims/claim_owner.h
@@ -26,7 +26,8 @@
   const MemberTable& members;
   const ClaimTable& folded;
   const bool may_use_rights = false;
-  const bool is_outage = false;    ///< Nobody here reaches the log.
+  const bool is_outage = false;  ///< Nobody here reaches the log.
+  const bool has_linked_mate = false;
   const bool is_stopping = false;  ///< No new claims.
   const TimePoint now{};
   /// Whether the mates' mirrors of a duty have been collected.
--- a/membership/include/cicadaloft/membership/lease_keeper.h
+++ b/membership/include/cicadaloft/membership/lease_keeper.h
@@ -48,6 +48,9 @@
 
   /// A join or renewal has been made.
   void NoteRenewal(SequenceNumber sequence, TimePoint now);
+  /// A renewal will not be sent: it must never count, though records around it
+  /// are read back.
+  void Withdraw(SequenceNumber sequence);
   /// Renewals up to this number stand in the log.
   void NoteReadBack(SequenceNumber last);
   /// A mate has told its position: the own place stands as far as it knows.
--- a/membership/lease_keeper.cc
+++ b/membership/lease_keeper.cc
@@ -29,6 +29,10 @@
   this->last_made = now;
 }
 
+void LeaseKeeper::Withdraw(SequenceNumber sequence) {
+  this->renewals.erase(sequence);
+}
+
 void LeaseKeeper::NoteReadBack(SequenceNumber last) {
   const auto end = this->renewals.upper_bound(last);
   if (end == this->renewals.begin()) {
--- a/membership/tests/membership_test.cc
+++ b/membership/tests/membership_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 
+#include "cicadaloft/membership/lease_keeper.h"
 #include "cicadaloft/membership/member_table.h"
 #include "cicadaloft/membership/share_table.h"
 
@@ -116,6 +117,48 @@
   BOOST_TEST(shares.FractionOf(HostId("h2")) == 0.5);
 }
 
+LeaseKeeper MakeLease() {
+  using std::chrono::milliseconds;
+  return LeaseKeeper(LeaseTerms{.lease_term = milliseconds(6000),
+                                .renew_interval = milliseconds(2000),
+                                .suspension_limit = milliseconds(1000),
+                                .stale_message_time = milliseconds(500)});
+}
+
+constexpr TimePoint At(int milliseconds) {
+  return TimePoint(std::chrono::milliseconds(milliseconds));
+}
+
+BOOST_AUTO_TEST_CASE(ALeaseRunsFromWhenItsRenewalWasMade) {
+  LeaseKeeper lease = MakeLease();
+  lease.NoteRenewal(SequenceNumber(1), At(0));
+  BOOST_TEST(!lease.HasLease(At(0)));
+  lease.NoteReadBack(SequenceNumber(1));
+  BOOST_TEST(lease.HasLease(At(5999)));
+  BOOST_TEST(!lease.HasLease(At(6000)));
+}
+
+BOOST_AUTO_TEST_CASE(ARenewalThatWasWithdrawnNeverCounts) {
+  LeaseKeeper lease = MakeLease();
+  lease.NoteRenewal(SequenceNumber(1), At(0));
+  lease.NoteRenewal(SequenceNumber(2), At(3000));
+  lease.Withdraw(SequenceNumber(2));
+  lease.NoteReadBack(SequenceNumber(3));
+  BOOST_TEST(!lease.HasLease(At(6000)));
+}
+
+BOOST_AUTO_TEST_CASE(ARenewalMadeBeforeASuspensionConfirmsNothing) {
+  LeaseKeeper lease = MakeLease();
+  lease.NoteEvent(At(0));
+  lease.NoteRenewal(SequenceNumber(1), At(0));
+  BOOST_TEST(lease.NoteEvent(At(2000)));
+  lease.NoteReadBack(SequenceNumber(1));
+  BOOST_TEST(!lease.IsConfirmed());
+  lease.NoteRenewal(SequenceNumber(2), At(2000));
+  lease.NoteReadBack(SequenceNumber(2));
+  BOOST_TEST(lease.IsConfirmed());
+}
+
 BOOST_AUTO_TEST_CASE(ADataCentreTakenOutKeepsItsShareUntilItHasAppliedIt) {
   MemberTable table;
   ShareTable shares;
--- a/placement/include/cicadaloft/placement/placement_owner.h
+++ b/placement/include/cicadaloft/placement/placement_owner.h
@@ -110,6 +110,7 @@
 
  private:
   void NoteToken(const PlacementView& view);
+  void Poll(const PlacementView& view);
   void Emit(PlacementEffect effect);
   void Explain(const char* reason, std::string detail);
 
@@ -169,6 +170,7 @@
   std::map<PlaceKey, std::uint32_t> strays;    ///< Reports in a row.
   std::map<ModelId, TimePoint> refused;  ///< When capacity was last missing.
   std::map<ModelId, TimePoint> wanted_since;
+  TimePoint next_poll{};
   std::vector<PlacementEffect> effects;
   std::optional<PlacementTable> overlay;  ///< Of the current step.
 };
--- a/placement/placement_orders.cc
+++ b/placement/placement_orders.cc
@@ -93,17 +93,13 @@
 
 void PlacementOwner::SendOrder(const PlacementView& view, const PlaceKey& key) {
   const PlacementOrder order = *this->book.Find(key);
-  if (!view.may_order || !view.token.has_value()) {
-    this->Explain(reasons::kOrderWithheld, Describe(key));
-    this->touched.insert_or_assign(key, view.now);
-    this->book.Erase(key);
-    return;
-  }
   const bool is_known =
       view.config.Find<Target>(key.target.value()) != nullptr &&
       (order.record.action == PlacementAction::kUnload ||
        view.config.Find<ModelRoute>(key.model.value()) != nullptr);
-  if (!is_known) {
+  if (!is_known || !view.may_order) {
+    // Nothing was ordered, so nothing has changed on the target.
+    this->Explain(reasons::kOrderWithheld, Describe(key));
     this->Conclude(view, key, order.record.instance,
                    order.record.action == PlacementAction::kLoad
                        ? PlacementOutcome::kFailed
--- a/placement/placement_owner.cc
+++ b/placement/placement_owner.cc
@@ -12,6 +12,8 @@
 
 using std::chrono::seconds;
 
+/// Between two looks at which targets are to be polled.
+constexpr Duration kPollStep = std::chrono::milliseconds(40);
 /// Requests that have waited so long for a loaded model get another replica.
 constexpr Duration kReplicaWait = seconds(2);
 /// Between two loads of the same model.
@@ -56,11 +58,7 @@
     return;
   }
   this->queue.Expire(view.now);
-  std::ranges::for_each(this->watch.Due(view.config, this->terms.data_centre,
-                                        this->terms.poll_interval, view.now),
-                        [this](const TargetId& target) {
-                          this->Emit(PollWanted{.target = target});
-                        });
+  this->Poll(view);
   this->RetryInOutage(view);
   this->SendOrders(view);
   if (view.may_order && !view.is_stopping) {
@@ -70,6 +68,18 @@
   this->overlay.reset();
 }
 
+void PlacementOwner::Poll(const PlacementView& view) {
+  if (view.now < this->next_poll) {
+    return;
+  }
+  this->next_poll = view.now + kPollStep;
+  std::ranges::for_each(this->watch.Due(view.config, this->terms.data_centre,
+                                        this->terms.poll_interval, view.now),
+                        [this](const TargetId& target) {
+                          this->Emit(PollWanted{.target = target});
+                        });
+}
+
 void PlacementOwner::NoteToken(const PlacementView& view) {
   if (view.token == this->known_token) {
     return;
--- a/steward/claim_work.cc
+++ b/steward/claim_work.cc
@@ -8,6 +8,9 @@
 namespace cicadaloft {
 namespace {
 
+/// An ask waits so long for a duty that is moving.
+constexpr Duration kHoldTime = std::chrono::seconds(2);
+
 std::optional<HostId> OwnerOf(const StewardParts& parts, const ClaimKey& key) {
   const MemberTable& members = parts.ledger().members();
   const std::optional<DutyId> duty = members.ClaimsDutyOf(TextOf(key));
@@ -17,6 +20,32 @@
                            : std::optional<HostId>(holder->owner.host);
 }
 
+/// @return whether the key's duty is just being taken over or handed over here.
+bool IsDutyMoving(const StewardParts& parts, const ClaimKey& key) {
+  const MemberTable& members = parts.ledger().members();
+  const std::optional<DutyId> duty = members.ClaimsDutyOf(TextOf(key));
+  return duty.has_value() && members.Owns(parts.self(), *duty) &&
+         parts.MayUseRights() && !parts.IsStopping() &&
+         (parts.handovers.contains(*duty) ||
+          !parts.collector.IsCollected(*duty));
+}
+
+/// Decides the asks whose duty has settled, and refuses those that have waited
+/// too long for it.
+void WorkOnHeldAsks(StewardParts& parts) {
+  std::deque<HeldAsk> held;
+  held.swap(parts.held_asks);
+  std::ranges::for_each(held, [&](const HeldAsk& waiting) {
+    if (parts.now - waiting.since >= kHoldTime) {
+      parts.claims.Ask(ViewOfClaims(parts), waiting.from, waiting.ask.claim);
+    } else if (IsDutyMoving(parts, waiting.ask.claim.key)) {
+      parts.held_asks.push_back(waiting);
+    } else {
+      TakeClaimAsk(parts, waiting.from, waiting.ask, waiting.is_from_entry);
+    }
+  });
+}
+
 void SendReply(StewardParts& parts, const HostId& to, const ClaimReply& reply) {
   if (to == parts.self().host) {
     parts.SendToEntry(reply);
@@ -35,6 +64,7 @@
       .folded = ledger.claims(),
       .may_use_rights = parts.MayUseRights(),
       .is_outage = parts.IsOutage(),
+      .has_linked_mate = parts.ViewOfMates().is_mate_linked,
       .is_stopping = parts.IsStopping(),
       .now = parts.now,
       .is_collected =
@@ -55,6 +85,13 @@
                   const ClaimAsk& ask,
                   bool is_from_entry) {
   const HostId asker = is_from_entry ? parts.self().host : from;
+  if (IsDutyMoving(parts, ask.claim.key)) {
+    parts.held_asks.push_back(HeldAsk{.from = asker,
+                                      .ask = ask,
+                                      .is_from_entry = is_from_entry,
+                                      .since = parts.now});
+    return;
+  }
   const std::optional<HostId> owner = OwnerOf(parts, ask.claim.key);
   const bool is_elsewhere =
       is_from_entry && owner.has_value() && *owner != parts.self().host;
@@ -82,6 +119,7 @@
 }
 
 void WorkOnClaims(StewardParts& parts) {
+  WorkOnHeldAsks(parts);
   parts.claims.Work(ViewOfClaims(parts));
   std::ranges::for_each(
       parts.claims.TakeEffects(), [&](const ClaimEffect& effect) {
--- a/steward/log_writer.cc
+++ b/steward/log_writer.cc
@@ -31,15 +31,20 @@
   return this->last_given;
 }
 
-void LogWriter::DropUnsentRenewals() {
+std::vector<SequenceNumber> LogWriter::DropUnsentRenewals() {
   std::deque<LogRecord> kept;
+  std::vector<SequenceNumber> dropped;
   std::size_t index = 0;
-  std::ranges::copy_if(
-      this->queue, std::back_inserter(kept), [&](const LogRecord& record) {
-        const bool was_sent = index++ < this->sent;
-        return was_sent || !std::holds_alternative<RenewRecord>(record.body);
-      });
+  std::ranges::for_each(this->queue, [&](const LogRecord& record) {
+    const bool was_sent = index++ < this->sent;
+    if (!was_sent && std::holds_alternative<RenewRecord>(record.body)) {
+      dropped.push_back(record.sequence);
+    } else {
+      kept.push_back(record);
+    }
+  });
   this->queue.swap(kept);
+  return dropped;
 }
 
 void LogWriter::AddForMate(const LogRecord& record) {
--- a/steward/log_writer.h
+++ b/steward/log_writer.h
@@ -27,7 +27,8 @@
   SequenceNumber Submit(RecordBody body);
 
   /// Takes renewals back that have not been sent, in favour of a newer one.
-  void DropUnsentRenewals();
+  /// @return their sequence numbers.
+  std::vector<SequenceNumber> DropUnsentRenewals();
 
   /// Queues a mate's record as the mate has made it; sent beside own ones.
   void AddForMate(const LogRecord& record);
--- a/steward/member_work.cc
+++ b/steward/member_work.cc
@@ -69,7 +69,9 @@
   if (!parts.lease.IsRenewalDue(IsAwaited(parts), parts.now)) {
     return;
   }
-  parts.writer.DropUnsentRenewals();
+  std::ranges::for_each(
+      parts.writer.DropUnsentRenewals(),
+      [&](SequenceNumber dropped) { parts.lease.Withdraw(dropped); });
   const SequenceNumber sequence = parts.writer.Submit(
       RenewRecord{.renewals = {Renewal{.member = parts.self(),
                                        .applied = AppliedHere(parts)}}});
@@ -150,6 +152,11 @@
 
 void BeginHandovers(StewardParts& parts) {
   const MemberTable& members = parts.ledger().members();
+  std::erase_if(parts.given_up, [&](FencingToken token) {
+    return std::ranges::none_of(
+        members.duties() | std::views::values,
+        [&](const DutyHolder& holder) { return holder.token == token; });
+  });
   std::erase_if(parts.member_since, [&](const auto& entry) {
     return !members.IsInForce(entry.first);
   });
--- a/steward/steward_parts.h
+++ b/steward/steward_parts.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_STEWARD_STEWARD_PARTS_H_
 #define CICADALOFT_STEWARD_STEWARD_PARTS_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,6 +53,14 @@
   std::optional<SequenceNumber> sequence;  ///< Once the record was made.
 };
 
+/// A claim that waits for its duty to settle.
+struct HeldAsk {
+  const HostId from;
+  const ClaimAsk ask;
+  const bool is_from_entry = false;
+  const TimePoint since{};
+};
+
 /// The parts of a steward, and the step that they are in.
 struct StewardParts {
   explicit StewardParts(const StewardSettings& settings);
@@ -93,6 +102,7 @@
   MirrorCollector collector;
   std::map<SequenceNumber, MirrorTally> tallies;
   std::map<DutyId, Handover> handovers;
+  std::deque<HeldAsk> held_asks;
   std::map<Member, TimePoint> member_since;  ///< When each was first seen.
   /// Tokens of duties that their last owners gave up by themselves.
   std::set<FencingToken> given_up;
