--- a/placement/include/cicadaloft/placement/placement_owner.h
+++ b/placement/include/cicadaloft/placement/placement_owner.h
@@ -139,6 +139,7 @@
 
   void DecideLoads(const PlacementView& view);
   bool DecideLoad(const PlacementView& view, const ModelWanted& wanted);
+  void TellNoCapacity(const ModelWanted& wanted, TimePoint now);
   void LoadAhead(const PlacementView& view);
   bool MayLoadMore(const PlacementView& view, const ModelRoute& route) const;
   bool WantsReplica(const PlacementView& view,
--- a/placement/placement_owner.cc
+++ b/placement/placement_owner.cc
@@ -254,18 +254,23 @@
         has_replica ? reasons::kReplicaDecided : reasons::kLoadDecided);
     return true;
   }
-  const auto last = this->refused.find(wanted.model);
-  const bool is_told = last != this->refused.end() &&
-                       view.now - last->second < kCapacityInterval;
-  if (result.state == PlanState::kNoCapacity && !has_replica && !is_told &&
+  if (result.state == PlanState::kNoCapacity && !has_replica &&
       view.now - since >= kCapacityPatience) {
-    this->refused.insert_or_assign(wanted.model, view.now);
-    this->Explain(reasons::kNoCapacity, "model=" + wanted.model.value());
-    this->Emit(CapacityMissing{.wanted = wanted});
+    this->TellNoCapacity(wanted, view.now);
   }
   return false;
 }
 
+void PlacementOwner::TellNoCapacity(const ModelWanted& wanted, TimePoint now) {
+  const auto last = this->refused.find(wanted.model);
+  if (last != this->refused.end() && now - last->second < kCapacityInterval) {
+    return;
+  }
+  this->refused.insert_or_assign(wanted.model, now);
+  this->Explain(reasons::kNoCapacity, "model=" + wanted.model.value());
+  this->Emit(CapacityMissing{.wanted = wanted});
+}
+
 void PlacementOwner::CarryOut(const PlacementView& view,
                               const ModelRoute& route,
                               const LoadPlan& plan,
--- a/placement/placement_policy.cc
+++ b/placement/placement_policy.cc
@@ -105,6 +105,48 @@
   return victims;
 }
 
+std::uint64_t UnloadingMib(const TargetMemory& memory) {
+  std::uint64_t sum = 0;
+  std::ranges::for_each(memory.reservations | std::views::values,
+                        [&](const Reservation& held) {
+                          if (held.state == ReservationState::kUnloading) {
+                            sum += held.memory_mib;
+                          }
+                        });
+  return sum;
+}
+
+/// @return whether the target may ever take the model beside what it holds.
+bool IsSuitable(const PlacementScene& scene,
+                const Target& target,
+                const ModelRoute& route) {
+  const bool has_base = !route.base.has_value() ||
+                        scene.table.Find(target.id, *route.base) != nullptr;
+  return target.data_centre == scene.data_centre &&
+         target.back_end == route.back_end && has_base &&
+         target.memory_mib >= route.memory_mib &&
+         TakesNewWork(scene.config, target) &&
+         scene.table.Find(target.id, route.model) == nullptr;
+}
+
+/// @return whether an order may go to the suitable target right now.
+bool IsReady(const PlacementScene& scene,
+             const TargetId& target,
+             const ModelRoute& route) {
+  const auto bar =
+      scene.barred.find(PlaceKey{.target = target, .model = route.model});
+  const bool is_barred =
+      bar != scene.barred.end() && scene.now < bar->second.until;
+  const TargetReport* report = scene.watch.FreshReport(target, scene.now);
+  const Reservation* base =
+      route.base.has_value() ? scene.table.Find(target, *route.base) : nullptr;
+  return !is_barred && report != nullptr &&
+         scene.table.MemoryOf(target).instance == report->instance &&
+         !scene.unready.contains(target) &&
+         (base == nullptr || base->state == ReservationState::kLoaded);
+}
+
+/// @param may_come set where a suitable target is only not ready yet.
 std::vector<Candidate> CandidatesFor(const PlacementScene& scene,
                                      const ModelRoute& route,
                                      bool& may_come) {
@@ -112,56 +154,49 @@
   std::ranges::for_each(
       scene.config.All<Target>() | std::views::values, [&](const auto& item) {
         const Target& target = *item;
-        const bool is_possible =
-            target.data_centre == scene.data_centre &&
-            target.back_end == route.back_end &&
-            target.memory_mib >= route.memory_mib &&
-            TakesNewWork(scene.config, target) &&
-            scene.table.Find(target.id, route.model) == nullptr;
-        const Reservation* base = route.base.has_value()
-                                      ? scene.table.Find(target.id, *route.base)
-                                      : nullptr;
-        if (!is_possible || (route.base.has_value() && base == nullptr)) {
+        if (!IsSuitable(scene, target, route)) {
           return;
         }
         const TargetReport* report =
             scene.watch.FreshReport(target.id, scene.now);
-        const TargetMemory& memory = scene.table.MemoryOf(target.id);
-        const bool is_ready =
-            report != nullptr && memory.instance == report->instance &&
-            !scene.unready.contains(target.id) &&
-            (base == nullptr || base->state == ReservationState::kLoaded);
-        const auto bar = scene.barred.find(
-            PlaceKey{.target = target.id, .model = route.model});
-        if (bar != scene.barred.end() && scene.now < bar->second.until) {
-          may_come = true;
-          return;
-        }
-        if (!is_ready) {
+        if (!IsReady(scene, target.id, route)) {
           const bool was_seen = scene.watch.Find(target.id) != nullptr;
           may_come = may_come || report != nullptr || !was_seen ||
                      scene.unready.contains(target.id);
           return;
         }
+        const TargetMemory& memory = scene.table.MemoryOf(target.id);
         const std::uint64_t used =
             memory.ReservedMib() + StrayMib(scene, *report, memory);
-        std::uint64_t unloading = 0;
-        std::ranges::for_each(
-            memory.reservations | std::views::values, [&](const auto& held) {
-              if (held.state == ReservationState::kUnloading) {
-                unloading += held.memory_mib;
-              }
-            });
         candidates.push_back(Candidate{
             .target = &target,
             .report = report,
             .tier = TierOf(*report, route.model),
             .free_mib = target.memory_mib - std::min(target.memory_mib, used),
-            .unloading_mib = unloading});
+            .unloading_mib = UnloadingMib(memory)});
       });
   return candidates;
 }
 
+/// @return the best candidate with room, or null.
+const Candidate* PickWithRoom(const std::vector<Candidate>& candidates,
+                              std::uint64_t memory_mib) {
+  const auto rank = [](const Candidate& candidate) {
+    return std::tuple(-static_cast<int>(candidate.tier),
+                      candidate.report->running + candidate.report->queued,
+                      -static_cast<double>(candidate.free_mib),
+                      candidate.target->id);
+  };
+  const Candidate* best = nullptr;
+  std::ranges::for_each(candidates, [&](const Candidate& candidate) {
+    if (candidate.free_mib >= memory_mib &&
+        (best == nullptr || rank(candidate) < rank(*best))) {
+      best = &candidate;
+    }
+  });
+  return best;
+}
+
 /// The victims to unload now, and what losing them costs; none where even all
 /// of them would not make room.
 std::optional<std::pair<double, std::vector<ModelId>>> PlanRoom(
@@ -220,19 +255,7 @@
   bool may_come = false;
   const std::vector<Candidate> candidates =
       CandidatesFor(scene, route, may_come);
-  const auto rank = [](const Candidate& candidate) {
-    return std::tuple(-static_cast<int>(candidate.tier),
-                      candidate.report->running + candidate.report->queued,
-                      -static_cast<double>(candidate.free_mib),
-                      candidate.target->id);
-  };
-  const Candidate* best = nullptr;
-  std::ranges::for_each(candidates, [&](const Candidate& candidate) {
-    if (candidate.free_mib >= route.memory_mib &&
-        (best == nullptr || rank(candidate) < rank(*best))) {
-      best = &candidate;
-    }
-  });
+  const Candidate* best = PickWithRoom(candidates, route.memory_mib);
   if (best != nullptr) {
     return PlanResult{
         .state = PlanState::kPlanned,
--- a/steward/link_book.cc
+++ b/steward/link_book.cc
@@ -65,15 +65,7 @@
   return hosts;
 }
 
-std::vector<HoldLink> LinkBook::Update(const MemberTable& members) {
-  std::vector<HoldLink> changes;
-  std::map<HostId, Place> hosts = this->KnownHosts(members);
-  std::set<HostId> placement_owners = PlacementOwners(members);
-  if (hosts == this->known && placement_owners == this->owners) {
-    return changes;
-  }
-  this->known = std::move(hosts);
-  this->owners = std::move(placement_owners);
+std::map<HostId, std::string> LinkBook::Wanted() const {
   HostsByDataCentre by_data_centre;
   by_data_centre[this->data_centre].push_back(this->self);
   std::ranges::for_each(this->known, [&](const auto& host) {
@@ -91,19 +83,30 @@
       wanted.emplace(host, place.address);
     }
   });
-  std::ranges::for_each(this->dialled, [&](const auto& link) {
-    const auto found = wanted.find(link.first);
-    if (found == wanted.end() || found->second != link.second) {
-      changes.push_back(HoldLink{
-          .peer = link.first, .address = link.second, .is_held = false});
-    }
-  });
-  std::ranges::for_each(wanted, [&](const auto& link) {
-    const auto found = this->dialled.find(link.first);
-    if (found == this->dialled.end() || found->second != link.second) {
-      changes.push_back(HoldLink{.peer = link.first, .address = link.second});
-    }
-  });
+  return wanted;
+}
+
+std::vector<HoldLink> LinkBook::Update(const MemberTable& members) {
+  std::vector<HoldLink> changes;
+  std::map<HostId, Place> hosts = this->KnownHosts(members);
+  std::set<HostId> placement_owners = PlacementOwners(members);
+  if (hosts == this->known && placement_owners == this->owners) {
+    return changes;
+  }
+  this->known = std::move(hosts);
+  this->owners = std::move(placement_owners);
+  std::map<HostId, std::string> wanted = this->Wanted();
+  const auto add_missing = [&](const auto& from, const auto& in, bool is_held) {
+    std::ranges::for_each(from, [&](const auto& link) {
+      const auto found = in.find(link.first);
+      if (found == in.end() || found->second != link.second) {
+        changes.push_back(HoldLink{
+            .peer = link.first, .address = link.second, .is_held = is_held});
+      }
+    });
+  };
+  add_missing(this->dialled, wanted, false);
+  add_missing(wanted, this->dialled, true);
   this->dialled = std::move(wanted);
   return changes;
 }
--- a/steward/link_book.h
+++ b/steward/link_book.h
@@ -52,6 +52,8 @@
   };
 
   std::map<HostId, Place> KnownHosts(const MemberTable& members) const;
+  /// @return the hosts to dial, with their addresses.
+  std::map<HostId, std::string> Wanted() const;
 
   HostId self;
   DataCentreId data_centre;
--- a/steward/log_work.cc
+++ b/steward/log_work.cc
@@ -72,6 +72,33 @@
   });
 }
 
+void NoteRecord(StewardParts& parts, const PlacedRecord& placed) {
+  const RecordBody& body = placed.record.body;
+  const bool gives_up = std::holds_alternative<HandoverRecord>(body) ||
+                        std::holds_alternative<LeaveRecord>(body);
+  if (gives_up) {
+    parts.given_up.insert(FencingToken(placed.offset.value()));
+  }
+  parts.has_new_hosts = parts.has_new_hosts || gives_up ||
+                        std::holds_alternative<JoinRecord>(body) ||
+                        std::holds_alternative<EvictRecord>(body);
+  if (std::holds_alternative<CheckpointRecord>(body)) {
+    parts.last_checkpoint = placed.offset;
+    parts.checkpoint_due.reset();
+  }
+}
+
+std::set<SequenceNumber> OwnRejected(const StewardParts& parts,
+                                     const Advance& advance) {
+  std::set<SequenceNumber> rejected;
+  std::ranges::for_each(advance.rejected, [&](const RejectedRecord& record) {
+    if (record.placed.record.writer == parts.self()) {
+      rejected.insert(record.placed.record.sequence);
+    }
+  });
+  return rejected;
+}
+
 }  // namespace
 
 void TakeAdvance(StewardParts& parts, const Advance& advance) {
@@ -89,34 +116,15 @@
         RelayRecords{.records = advance.applied, .next = ledger.next()});
   }
   std::ranges::for_each(advance.applied, [&](const PlacedRecord& placed) {
-    const RecordBody& body = placed.record.body;
-    parts.has_new_hosts = parts.has_new_hosts ||
-                          std::holds_alternative<JoinRecord>(body) ||
-                          std::holds_alternative<LeaveRecord>(body) ||
-                          std::holds_alternative<EvictRecord>(body) ||
-                          std::holds_alternative<HandoverRecord>(body);
-    if (std::holds_alternative<HandoverRecord>(body) ||
-        std::holds_alternative<LeaveRecord>(body)) {
-      parts.given_up.insert(FencingToken(placed.offset.value()));
-    }
-    if (std::holds_alternative<CheckpointRecord>(placed.record.body)) {
-      parts.last_checkpoint = placed.offset;
-      parts.checkpoint_due.reset();
-    }
+    NoteRecord(parts, placed);
   });
   const SequenceNumber last = ledger.LastSequenceOf(parts.self());
   parts.writer.ReadBack(last);
   parts.lease.NoteReadBack(last);
-  std::set<SequenceNumber> rejected;
-  std::ranges::for_each(advance.rejected, [&](const RejectedRecord& record) {
-    if (record.placed.record.writer == parts.self()) {
-      rejected.insert(record.placed.record.sequence);
-    }
-  });
   if (advance.has_jumped) {
     parts.placement.StartOver();
   }
-  parts.placement.ReadBack(last, rejected, parts.now);
+  parts.placement.ReadBack(last, OwnRejected(parts, advance), parts.now);
   parts.claims.ReadBack(ViewOfClaims(parts), last);
 }
 
