--- a/steward/link_work.cc
+++ b/steward/link_work.cc
@@ -82,18 +82,33 @@
   void operator()(const ClaimFinished& message) {
     TakeClaimFinished(this->parts, message, this->is_from_entry);
   }
+  void operator()(const SuspectNotice& message) {
+    if (!this->is_from_entry) {
+      this->PassToEntry(message);
+      return;
+    }
+    std::ranges::for_each(
+        this->parts.links.peers_up(),
+        [&](const HostId& peer) { this->parts.Send(peer, message); });
+  }
+  void operator()(const ShareLease& /*message*/) {
+    // Only the own steward gives one.
+  }
   template <typename Message>
   void operator()(const Message& message) {
     // What is left goes between entries; peers' stewards only pass it on.
     if (!this->is_from_entry) {
-      this->parts.Emit(
-          SendEntry{.envelope = Envelope{.from = this->from,
-                                         .to = this->parts.self().host,
-                                         .message = message}});
+      this->PassToEntry(message);
     }
   }
 
  private:
+  void PassToEntry(LinkMessage message) {
+    this->parts.Emit(
+        SendEntry{.envelope = Envelope{.from = this->from,
+                                       .to = this->parts.self().host,
+                                       .message = std::move(message)}});
+  }
   void Answer(LinkMessage message) {
     if (this->is_from_entry) {
       this->parts.SendToEntry(std::move(message));
--- a/steward/tests/steward_bench.cc
+++ b/steward/tests/steward_bench.cc
@@ -27,7 +27,8 @@
       StewardState(StewardSettings{
           .self = Member{.host = id, .incarnation = Incarnation(incarnation)},
           .data_centre = DataCentreId(data_centre),
-          .peer_address = "127.0.0.1:1"}));
+          .peer_address = "127.0.0.1:1",
+          .checkpoint_records = this->checkpoint_records}));
   this->queue.push_back(Pending{id, PeerChanged{.peer = id, .is_up = true}});
   for (const auto& other : this->nodes | std::views::keys) {
     if (other != id) {
@@ -199,11 +200,12 @@
     } else if (from.value() < this->log.size()) {
       this->reads.erase(host);
       std::vector<PlacedRecord> records;
-      std::ranges::copy(this->log | std::views::drop(from.value()),
+      std::ranges::copy(this->log | std::views::drop(std::max(
+                                        from.value(), first_kept.value())),
                         std::back_inserter(records));
       this->queue.push_back(
           Pending{host, LogRead{.records = std::move(records),
-                                .first_kept = LogOffset(),
+                                .first_kept = this->first_kept,
                                 .next = LogOffset(this->log.size())}});
     }
   }
--- a/steward/tests/steward_bench.h
+++ b/steward/tests/steward_bench.h
@@ -56,6 +56,8 @@
     return last;
   }
 
+  std::uint64_t checkpoint_records = 2000;
+  LogOffset first_kept;  ///< Older records of the log have expired.
   bool is_log_up = true;
   bool is_answer_lost = false;  ///< Appends take effect but seem to fail.
   std::set<HostId> cut_from_log;
--- a/steward/tests/steward_placement_test.cc
+++ b/steward/tests/steward_placement_test.cc
@@ -219,5 +219,60 @@
   BOOST_TEST(bench.orders.empty());
 }
 
+Target RemoteTarget(const std::string& name, std::uint64_t memory_mib) {
+  return Target{.id = TargetId(name),
+                .back_end = BackEndId("b"),
+                .data_centre = DataCentreId("far"),
+                .address = "127.0.0.1:1",
+                .memory_mib = memory_mib};
+}
+
+BOOST_AUTO_TEST_CASE(WhatFindsNoRoomHereIsLoadedElsewhere) {
+  PlacementBench bench({"h1"});
+  bench.Add("x1", "far");
+  bench.reports.emplace(
+      TargetId("far1"),
+      TargetReport{.target = TargetId("far1"), .instance = TargetInstance(3)});
+  bench.Submit(
+      "h1", Ticket{.number = TicketNumber(2),
+                   .author = "a",
+                   .items = {DataCentre{.id = DataCentreId("far"),
+                                        .region = RegionId("r")},
+                             RemoteTarget("far1", 500), Model("huge", 300)}});
+  bench.Run(seconds(2));
+  for (int i = 0; i < 4; ++i) {
+    bench.Want("h1", "huge");
+    bench.Run(seconds(1));
+  }
+  BOOST_REQUIRE(bench.orders.size() == 1);
+  BOOST_TEST((bench.orders[0].first == HostId("x1")));
+  BOOST_TEST(!bench.LastToEntry<NoCapacityNotice>("h1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TwoDataCentresLoadOneReplica) {
+  PlacementBench bench({"h1"});
+  bench.Add("x1", "far");
+  bench.reports.emplace(
+      TargetId("far1"),
+      TargetReport{.target = TargetId("far1"), .instance = TargetInstance(3)});
+  bench.Submit("h1", Ticket{.number = TicketNumber(2),
+                            .author = "a",
+                            .items = {DataCentre{.id = DataCentreId("far"),
+                                                 .region = RegionId("r")},
+                                      RemoteTarget("far1", 100)}});
+  bench.Run(seconds(2));
+  const DemandReport demand{.host = HostId("h1"),
+                            .demands = {ModelDemand{.model = ModelId("big"),
+                                                    .waiting_interactive = 1}}};
+  // Both owners are asked, as when their views of the members differ.
+  for (const std::string host : {"h1", "x1"}) {
+    bench.Put(host, StewardLinkReceived{.envelope = {.from = HostId("y"),
+                                                     .to = HostId(host),
+                                                     .message = demand}});
+  }
+  bench.Run(seconds(1));
+  BOOST_TEST(bench.orders.size() == 1);
+}
+
 }  // namespace
 }  // namespace cicadaloft
