Keep a steward's cost within bounds at the coming size

A renewal changes no member, so the fold now looks at shares for it only while an allocation waits; the folded state is the same. News of targets' loads to mates are spaced to 20 messages a second; changes of models go at once. Ruled out: a fixed longer interval, which would starve the small sizes of today.

--- a/ledger/ledger.cc
+++ b/ledger/ledger.cc
@@ -154,9 +154,11 @@
     rejected.push_back(RejectedRecord{.placed = placed, .reason = *reason});
   }
   const RecordBody& body = placed.record.body;
+  // A renewal changes no member; it can only confirm an allocation that waits.
   const bool moves_shares = std::holds_alternative<TicketRecord>(body) ||
                             std::holds_alternative<JoinRecord>(body) ||
-                            std::holds_alternative<RenewRecord>(body) ||
+                            (std::holds_alternative<RenewRecord>(body) &&
+                             ledger.share_table.allocations().size() > 1) ||
                             std::holds_alternative<LeaveRecord>(body) ||
                             std::holds_alternative<EvictRecord>(body);
   if (moves_shares) {
--- a/steward/placement_work.cc
+++ b/steward/placement_work.cc
@@ -15,6 +15,10 @@
 
 constexpr Duration kNoCapacityRetry = std::chrono::seconds(5);
 
+/// Between two messages on targets' loads, on the average: a node may spend 6
+/// KB a second on control. Changes of models go at once.
+constexpr Duration kLoadNewsSpacing = std::chrono::milliseconds(50);
+
 ModelDemand WithoutWaiting(const ModelDemand& demand) {
   return ModelDemand{.model = demand.model,
                      .running = demand.running,
@@ -101,13 +105,20 @@
 void SendNews(StewardParts& parts, const NewsWanted& wanted) {
   const TargetNews news{.report = wanted.report};
   parts.SendToEntry(news);
+  const bool is_for_all = wanted.reach == NewsReach::kAll;
+  if (!is_for_all && parts.now < parts.next_load_news) {
+    return;
+  }
+  std::int64_t sent = 0;
   std::ranges::for_each(parts.links.peers_up(), [&](const HostId& peer) {
     const bool is_mate =
         parts.links.DataCentreOf(peer) == parts.settings.data_centre;
-    if (is_mate || wanted.reach == NewsReach::kAll) {
+    if (is_mate || is_for_all) {
       parts.Send(peer, news);
+      ++sent;
     }
   });
+  parts.next_load_news = parts.now + sent * kLoadNewsSpacing;
 }
 
 void SendPoll(StewardParts& parts, const PollWanted& wanted) {
--- a/steward/steward_parts.h
+++ b/steward/steward_parts.h
@@ -112,6 +112,7 @@
   std::optional<TimePoint> started;
   TimePoint next_heartbeat{};
   std::uint64_t heartbeats = 0;
+  TimePoint next_load_news{};  ///< When mates may hear of loads again.
   TimePoint next_state_request{};
   LogOffset last_checkpoint;                ///< Where the last one seen stands.
   std::optional<TimePoint> checkpoint_due;  ///< Since when one is wanted.
