--- a/placement/placement_owner.cc
+++ b/placement/placement_owner.cc
@@ -12,6 +12,8 @@
 
 using std::chrono::seconds;
 
+/// Between two looks at which targets are to be polled.
+constexpr Duration kPollStep = std::chrono::milliseconds(40);
 /// Requests that have waited so long for a loaded model get another replica.
 constexpr Duration kReplicaWait = seconds(2);
 /// Between two loads of the same model.
@@ -56,11 +58,7 @@
     return;
   }
   this->queue.Expire(view.now);
-  std::ranges::for_each(this->watch.Due(view.config, this->terms.data_centre,
-                                        this->terms.poll_interval, view.now),
-                        [this](const TargetId& target) {
-                          this->Emit(PollWanted{.target = target});
-                        });
+  this->Poll(view);
   this->RetryInOutage(view);
   this->SendOrders(view);
   if (view.may_order && !view.is_stopping) {
@@ -70,6 +68,18 @@
   this->overlay.reset();
 }
 
+void PlacementOwner::Poll(const PlacementView& view) {
+  if (view.now < this->next_poll) {
+    return;
+  }
+  this->next_poll = view.now + kPollStep;
+  std::ranges::for_each(this->watch.Due(view.config, this->terms.data_centre,
+                                        this->terms.poll_interval, view.now),
+                        [this](const TargetId& target) {
+                          this->Emit(PollWanted{.target = target});
+                        });
+}
+
 void PlacementOwner::NoteToken(const PlacementView& view) {
   if (view.token == this->known_token) {
     return;
@@ -244,18 +254,23 @@
         has_replica ? reasons::kReplicaDecided : reasons::kLoadDecided);
     return true;
   }
-  const auto last = this->refused.find(wanted.model);
-  const bool is_told = last != this->refused.end() &&
-                       view.now - last->second < kCapacityInterval;
-  if (result.state == PlanState::kNoCapacity && !has_replica && !is_told &&
+  if (result.state == PlanState::kNoCapacity && !has_replica &&
       view.now - since >= kCapacityPatience) {
-    this->refused.insert_or_assign(wanted.model, view.now);
-    this->Explain(reasons::kNoCapacity, "model=" + wanted.model.value());
-    this->Emit(CapacityMissing{.wanted = wanted});
+    this->TellNoCapacity(wanted, view.now);
   }
   return false;
 }
 
+void PlacementOwner::TellNoCapacity(const ModelWanted& wanted, TimePoint now) {
+  const auto last = this->refused.find(wanted.model);
+  if (last != this->refused.end() && now - last->second < kCapacityInterval) {
+    return;
+  }
+  this->refused.insert_or_assign(wanted.model, now);
+  this->Explain(reasons::kNoCapacity, "model=" + wanted.model.value());
+  this->Emit(CapacityMissing{.wanted = wanted});
+}
+
 void PlacementOwner::CarryOut(const PlacementView& view,
                               const ModelRoute& route,
                               const LoadPlan& plan,
