--- a/cmake/cicadaloft.cmake
+++ b/cmake/cicadaloft.cmake
@@ -13,14 +13,22 @@
 endif()
 
 option(CICADALOFT_SANITIZE "Build with the address and undefined sanitizers" OFF)
-add_compile_options(-Wall -Wextra -Werror -Wno-missing-field-initializers)
+# g++ 12 sees overlaps in joined strings that are none (its bug 105329).
+add_compile_options(-Wall -Wextra -Werror -Wno-missing-field-initializers
+  -Wno-restrict)
 if(CICADALOFT_SANITIZE)
   add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all)
   add_link_options(-fsanitize=address,undefined)
 endif()
 
+option(CICADALOFT_TESTS "Build the tests, too" ON)
+
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+find_package(Boost 1.81 REQUIRED)
+if(CICADALOFT_TESTS)
+  find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+  find_package(rapidcheck REQUIRED)
+endif()
 find_package(OpenSSL REQUIRED)
 
 # One slice: a static library with public headers under include/ and private
@@ -38,6 +46,9 @@
 # One Boost.Test program registered with ctest.
 #   cicadaloft_test(<name> SOURCES ... [DEPENDS ...])
 function(cicadaloft_test name)
+  if(NOT CICADALOFT_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
--- /dev/null
+++ b/configuration/active_configuration.cc
@@ -0,0 +1,121 @@
+#include "cicadaloft/configuration/active_configuration.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace cicadaloft {
+namespace {
+
+// A host's name has no line break, so the two parts can't run together.
+std::string PlaceOf(std::string_view host, std::string_view prefix) {
+  std::string place(host);
+  place += '\n';
+  place += prefix;
+  return place;
+}
+
+template <typename Map, typename Key>
+typename Map::mapped_type FindOrNull(const Map& map, const Key& key) {
+  const auto found = map.find(key);
+  return found == map.end() ? nullptr : found->second;
+}
+
+}  // namespace
+
+ActiveConfiguration::ActiveConfiguration(Configuration given)
+    : configuration(std::move(given)) {
+  for (const Route& route : this->configuration.routes) {
+    this->routes_by_place.emplace(PlaceOf(route.host, route.path_prefix),
+                                  &route);
+  }
+  for (const Customer& customer : this->configuration.customers) {
+    this->customers.emplace(customer.id, &customer);
+    for (const std::string& key : customer.keys) {
+      this->customers_by_key.emplace(key, &customer);
+    }
+  }
+  for (const Service& service : this->configuration.services) {
+    this->services.emplace(service.id, &service);
+    if (!service.engine) {
+      continue;
+    }
+    auto& known = this->models[service.id];
+    for (const Model& model : service.engine->models) {
+      known.emplace(model.id, &model);
+    }
+  }
+}
+
+const Route* ActiveConfiguration::FindRoute(std::string_view host,
+                                            std::string_view path) const {
+  std::size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto found =
+        this->routes_by_place.find(PlaceOf(host, path.substr(0, end + 1)));
+    if (found != this->routes_by_place.end()) {
+      return found->second;
+    }
+    end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const Route* ActiveConfiguration::FindRoute(const RouteId& id) const {
+  const auto found =
+      std::ranges::find(this->configuration.routes, id, &Route::id);
+  return found == this->configuration.routes.end() ? nullptr : &*found;
+}
+
+const Customer* ActiveConfiguration::FindCustomerByKey(
+    const std::string& key) const {
+  return FindOrNull(this->customers_by_key, key);
+}
+
+const Customer* ActiveConfiguration::FindCustomer(const CustomerId& id) const {
+  return FindOrNull(this->customers, id);
+}
+
+const Service* ActiveConfiguration::FindService(const ServiceId& id) const {
+  return FindOrNull(this->services, id);
+}
+
+const Model* ActiveConfiguration::FindModel(const ServiceId& service,
+                                            const ModelId& model) const {
+  const auto known = this->models.find(service);
+  return known == this->models.end() ? nullptr
+                                     : FindOrNull(known->second, model);
+}
+
+const Service* ActiveConfiguration::FindServiceOfModel(
+    const ModelId& model) const {
+  const auto found = std::ranges::find_if(
+      this->models,
+      [&](const auto& entry) { return entry.second.contains(model); });
+  return found == this->models.end() ? nullptr
+                                     : this->FindService(found->first);
+}
+
+ServiceId PickService(const Route& route, std::uint64_t draw) {
+  const double total = std::accumulate(
+      route.shares.begin(), route.shares.end(), 0.0,
+      [](double sum, const RouteShare& share) { return sum + share.weight; });
+  constexpr std::uint64_t kSteps = 1'000'000;
+  const double part =
+      static_cast<double>(draw % kSteps) / static_cast<double>(kSteps);
+  if (total <= 0) {
+    const auto index = static_cast<std::size_t>(
+        part * static_cast<double>(route.shares.size()));
+    return route.shares[index].service;
+  }
+  double rest = part * total;
+  const auto taken =
+      std::ranges::find_if(route.shares, [&](const RouteShare& share) {
+        rest -= share.weight;
+        return rest < 0;
+      });
+  return taken == route.shares.end() ? route.shares.back().service
+                                     : taken->service;
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/configuration/include/cicadaloft/configuration/active_configuration.h
@@ -0,0 +1,57 @@
+#ifndef CICADALOFT_CONFIGURATION_ACTIVE_CONFIGURATION_H_
+#define CICADALOFT_CONFIGURATION_ACTIVE_CONFIGURATION_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "cicadaloft/configuration/configuration.h"
+
+namespace cicadaloft {
+
+/// A configuration with what is needed to look things up in it. Immutable;
+/// requests hold on to the one under which they were admitted.
+class ActiveConfiguration {
+ public:
+  explicit ActiveConfiguration(Configuration configuration);
+  ActiveConfiguration(const ActiveConfiguration&) = delete;
+  ActiveConfiguration& operator=(const ActiveConfiguration&) = delete;
+
+  const Configuration& value() const { return this->configuration; }
+  ConfigurationVersion version() const { return this->configuration.version; }
+
+  /// @param path without a query.
+  /// @return the route of this host with the longest prefix of the path, or
+  /// null.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+  const Route* FindRoute(const RouteId& id) const;
+  /// @return null for an unknown key.
+  const Customer* FindCustomerByKey(const std::string& key) const;
+  const Customer* FindCustomer(const CustomerId& id) const;
+  const Service* FindService(const ServiceId& id) const;
+  /// @return null if the service does not know the model.
+  const Model* FindModel(const ServiceId& service, const ModelId& model) const;
+  /// @return the first service whose engine has the model, or null.
+  const Service* FindServiceOfModel(const ModelId& model) const;
+
+ private:
+  const Configuration configuration;
+  std::unordered_map<std::string, const Route*> routes_by_place;
+  std::unordered_map<std::string, const Customer*> customers_by_key;
+  std::map<CustomerId, const Customer*> customers;
+  std::map<ServiceId, const Service*> services;
+  std::map<ServiceId, std::map<ModelId, const Model*>> models;
+};
+
+using ActiveConfigurationPtr = std::shared_ptr<const ActiveConfiguration>;
+
+/// Picks the service of one request by the route's weights.
+/// @param draw a number that is spread evenly over requests.
+/// @return the service; all weights 0 count as equal.
+ServiceId PickService(const Route& route, std::uint64_t draw);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_CONFIGURATION_ACTIVE_CONFIGURATION_H_
--- a/peering/include/cicadaloft/peering/backoff.h
+++ b/core/include/cicadaloft/core/backoff.h
@@ -1,5 +1,5 @@
-#ifndef CICADALOFT_PEERING_BACKOFF_H_
-#define CICADALOFT_PEERING_BACKOFF_H_
+#ifndef CICADALOFT_CORE_BACKOFF_H_
+#define CICADALOFT_CORE_BACKOFF_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -36,4 +36,4 @@
 
 }  // namespace cicadaloft
 
-#endif  // CICADALOFT_PEERING_BACKOFF_H_
+#endif  // CICADALOFT_CORE_BACKOFF_H_
--- a/core/include/cicadaloft/core/decision_line.h
+++ b/core/include/cicadaloft/core/decision_line.h
@@ -1,20 +1,48 @@
 #ifndef CICADALOFT_CORE_DECISION_LINE_H_
 #define CICADALOFT_CORE_DECISION_LINE_H_
 
+#include <chrono>
 #include <compare>
+#include <concepts>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
 
-/// One routing or placement decision, for the log and for `explain`.
+/// One input or outcome of a decision.
+struct LogField {
+  std::string name;
+  std::string value;
+
+  LogField(std::string_view name, std::string_view value)
+      : name(name), value(value) {}
+  LogField(std::string_view name, const char* value)
+      : name(name), value(value) {}
+  LogField(std::string_view name, std::integral auto value)
+      : name(name), value(std::to_string(value)) {}
+  /// Times are logged in whole milliseconds.
+  LogField(std::string_view name, Duration value)
+      : name(name),
+        value(std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(value)
+                .count())) {}
+
+  friend auto operator<=>(const LogField&, const LogField&) = default;
+  friend bool operator==(const LogField&, const LogField&) = default;
+};
+
+/// One decision, for the log and for `explain`.
 struct DecisionLine {
-  const std::string reason;  ///< Stable token, such as "route.least_loaded".
-  const RequestId request;   ///< Empty where no request is behind it.
-  const std::string detail;  ///< "key=value" pairs parted by spaces.
+  std::string reason;  ///< Stable token, such as "route.dispatch".
+  RequestId request;   ///< The caller's id; empty where no request is behind.
+  std::vector<LogField> fields;
 
   friend auto operator<=>(const DecisionLine&, const DecisionLine&) = default;
+  friend bool operator==(const DecisionLine&, const DecisionLine&) = default;
 };
 
 }  // namespace cicadaloft
--- a/core/include/cicadaloft/core/id.h
+++ b/core/include/cicadaloft/core/id.h
@@ -27,15 +27,17 @@
   std::string text;
 };
 
-using BackEndId = Id<struct BackEndTag>;
+using AdapterId = Id<struct AdapterTag>;
 using CustomerId = Id<struct CustomerTag>;
 using DataCentreId = Id<struct DataCentreTag>;
 using HostId = Id<struct HostTag>;
 using KeyId = Id<struct KeyTag>;
-using ModelId = Id<struct ModelTag>;  ///< A base model or an adapter.
+using ModelId = Id<struct ModelTag>;  ///< A base model.
 using RegionId = Id<struct RegionTag>;
 using RequestId = Id<struct RequestTag>;
 using RouteId = Id<struct RouteTag>;
+/// A group of targets that serve the same routes.
+using ServiceId = Id<struct ServiceTag>;
 using TargetId = Id<struct TargetTag>;
 
 /// A number that can only be compared with numbers of its own kind.
@@ -58,15 +60,13 @@
 
 /// Position of a record in the append-only log; the first record is at 0.
 using LogOffset = Number<struct LogOffsetTag>;
-using TicketNumber = Number<struct TicketNumberTag>;
+using ConfigurationVersion = Number<struct ConfigurationVersionTag>;
 /// Offset of the record that gave a right; higher ones fence lower ones off.
 using FencingToken = Number<struct FencingTokenTag>;
-/// Distinguishes the successive processes of one host.
-using Incarnation = Number<struct IncarnationTag>;
 /// Distinguishes the successive processes of one target.
 using TargetInstance = Number<struct TargetInstanceTag>;
-using SequenceNumber = Number<struct SequenceNumberTag>;
-using OrderId = Number<struct OrderIdTag>;
+/// Counts the orders that a target has accepted.
+using OrderSequence = Number<struct OrderSequenceTag>;
 using AttemptNumber = Number<struct AttemptNumberTag>;
 
 }  // namespace cicadaloft
--- /dev/null
+++ b/core/include/cicadaloft/core/model_path.h
@@ -0,0 +1,31 @@
+#ifndef CICADALOFT_CORE_MODEL_PATH_H_
+#define CICADALOFT_CORE_MODEL_PATH_H_
+
+#include <compare>
+#include <string>
+
+#include "cicadaloft/core/id.h"
+
+namespace cicadaloft {
+
+/// What a request needs to be loaded: a base model, or one of its adapters.
+struct ModelPath {
+  ModelId model;
+  AdapterId adapter;  ///< Empty: the base model alone.
+
+  bool IsAdapter() const { return !this->adapter.empty(); }
+  /// @return the path of the base model.
+  ModelPath Base() const { return ModelPath{.model = this->model}; }
+  /// @return "MODEL" or "MODEL/ADAPTER", for logs.
+  std::string ToString() const {
+    return this->IsAdapter() ? this->model.value() + "/" + this->adapter.value()
+                             : this->model.value();
+  }
+
+  friend auto operator<=>(const ModelPath&, const ModelPath&) = default;
+  friend bool operator==(const ModelPath&, const ModelPath&) = default;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_CORE_MODEL_PATH_H_
--- /dev/null
+++ b/entry/entry_admission.cc
@@ -0,0 +1,196 @@
+#include <algorithm>
+
+#include "cicadaloft/core/rendezvous.h"
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/entry/reasons.h"
+#include "entry_core.h"
+
+namespace cicadaloft {
+namespace {
+
+/// Part of the time that a request has which it may wait unserved. What is
+/// left is for the run; a wait beyond it seldom ends with an answer in time.
+constexpr double kWaitPart = 0.5;
+
+/// A caller that is told to come back is told at least this, so that it does
+/// not come back before anything can have changed.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(200);
+
+}  // namespace
+
+void EntryCore::Take(const RequestArrived& arrived) {
+  Result<OpenRequest> admitted = this->Admit(arrived);
+  if (IsOk(admitted)) {
+    OpenRequest request = TakeValue(std::move(admitted));
+    this->budgets.try_emplace(request.line.service);
+    RetryBudget& budget = this->budgets[request.line.service];
+    const double hosts = std::max(1U, this->shares.hosts);
+    budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
+    budget.OnRequest();
+    const LineKey line = request.line;
+    const RequestId id = arrived.request;
+    this->requests.emplace(id, std::move(request));
+    this->Enqueue(this->requests.at(id));
+    this->Pump(line);
+    const auto found = this->requests.find(id);
+    if (found != this->requests.end() && !found->second.is_running) {
+      this->LogWait(found->second);
+    }
+    return;
+  }
+  const Error& error = ErrorOf(admitted);
+  std::optional<Duration> retry_after;
+  if (AnswerFor(error.kind).may_retry) {
+    retry_after = kLeastRetryAfter;
+  }
+  this->Log(reasons::kRefuse, arrived.caller_id,
+            {{"kind", AnswerFor(error.kind).token},
+             {"message", error.message},
+             {"configuration",
+              this->configuration ? this->configuration->version().value()
+                                  : 0}});
+  this->effects.emplace_back(
+      Refuse{.request = arrived.request,
+             .error = error,
+             .run_state = AnswerFor(error.kind).run_state,
+             .retry_after = retry_after});
+}
+
+Result<OpenRequest> EntryCore::Admit(const RequestArrived& arrived) {
+  if (!this->configuration) {
+    return Fail(ErrorKind::kNotConfigured, "no configuration is known yet");
+  }
+  const Result<const Route*> route = this->FindRoute(arrived);
+  if (!IsOk(route)) {
+    return ErrorOf(route);
+  }
+  OpenRequest request{.arrival = arrived,
+                      .arrived = this->now,
+                      .number = ++this->last_number,
+                      .configuration = this->configuration,
+                      .route = ValueOf(route)};
+  request.line = LineKey{
+      .service = PickService(*request.route,
+                             StableHash(arrived.caller_id.value())),
+      .model = arrived.model};
+  const Duration time = std::min(request.route->timeout, arrived.deadline);
+  request.ends_at = this->now + time;
+  request.gives_up_at =
+      this->now + std::chrono::duration_cast<Duration>(time * kWaitPart);
+  if (auto error = this->CheckCustomer(request)) {
+    return *error;
+  }
+  if (this->suspects.IsBarred(arrived.fingerprint, this->now)) {
+    return Fail(ErrorKind::kPoisonRequest,
+                "several targets have died running this request");
+  }
+  if (auto error = this->TakeQuota(request)) {
+    return *error;
+  }
+  return request;
+}
+
+Result<const Route*> EntryCore::FindRoute(const RequestArrived& arrived) const {
+  const ActiveConfiguration& active = *this->configuration;
+  const Route* route = nullptr;
+  if (const auto* place = std::get_if<ByPlace>(&arrived.destination)) {
+    route = active.FindRoute(place->host, place->path);
+  } else if (const auto* named = std::get_if<ByRoute>(&arrived.destination)) {
+    route = active.FindRoute(named->route);
+  } else if (const Service* service =
+                 arrived.model ? active.FindServiceOfModel(arrived.model->model)
+                               : nullptr) {
+    const auto& routes = active.value().routes;
+    const auto found = std::ranges::find_if(routes, [&](const Route& item) {
+      return std::ranges::any_of(item.shares, [&](const RouteShare& share) {
+        return share.service == service->id;
+      });
+    });
+    route = found == routes.end() ? nullptr : &*found;
+  }
+  if (route == nullptr) {
+    return Fail(ErrorKind::kUnknownRoute, "no route matches host and path");
+  }
+  return route;
+}
+
+std::optional<Error> EntryCore::CheckCustomer(OpenRequest& request) {
+  if (request.route->is_public) {
+    return std::nullopt;
+  }
+  // Without customers no key can be known, and none is asked for.
+  if (this->configuration->value().customers.empty()) {
+    return std::nullopt;
+  }
+  request.customer =
+      this->configuration->FindCustomerByKey(request.arrival.credential);
+  if (request.customer == nullptr) {
+    return Fail(ErrorKind::kUnauthenticated, "the key is not known");
+  }
+  const Customer& customer = *request.customer;
+  request.cost = customer.counts_tokens
+                     ? request.arrival.tokens.value_or(customer.plain_tokens)
+                     : 1;
+  return std::nullopt;
+}
+
+std::optional<Error> EntryCore::TakeQuota(const OpenRequest& request) {
+  if (request.customer == nullptr || request.customer->rate_per_second <= 0) {
+    return std::nullopt;
+  }
+  CustomerShare& share = this->ShareOf(*request.customer);
+  if (share.TryTake(request.cost, this->now)) {
+    return std::nullopt;
+  }
+  return Fail(ErrorKind::kRateLimited,
+              "over the limit of customer " + request.customer->id.value());
+}
+
+void EntryCore::GiveQuotaBack(const OpenRequest& request) {
+  if (request.customer != nullptr && request.customer->rate_per_second > 0) {
+    this->ShareOf(*request.customer).GiveBack(request.cost, this->now);
+  }
+}
+
+CustomerShare& EntryCore::ShareOf(const Customer& customer) {
+  const auto found = this->customer_shares.find(customer.id);
+  if (found != this->customer_shares.end()) {
+    return found->second;
+  }
+  CustomerShare& share =
+      this->customer_shares
+          .emplace(customer.id,
+                   CustomerShare(this->settings.is_first_start, this->now))
+          .first->second;
+  this->SetShare(customer, share);
+  return share;
+}
+
+void EntryCore::SetShare(const Customer& customer, CustomerShare& share) const {
+  const auto granted = std::ranges::find(this->shares.customers, customer.id,
+                                         &GrantedShare::customer);
+  const double part = granted == this->shares.customers.end()
+                          ? this->shares.usual_share
+                          : granted->share;
+  share.Set(CustomerLimit{.rate_per_second = customer.rate_per_second,
+                          .burst = customer.burst},
+            part, this->now);
+}
+
+std::optional<Duration> EntryCore::RetryAfter(const OpenRequest& request,
+                                              ErrorKind kind) {
+  if (!AnswerFor(kind).may_retry) {
+    return std::nullopt;
+  }
+  Duration wait = kLeastRetryAfter;
+  if (request.line.model) {
+    const auto expected =
+        this->whereabouts.ExpectedAt(*request.line.model, this->now);
+    if (expected) {
+      wait = std::max(wait, *expected - this->now);
+    }
+  }
+  return wait;
+}
+
+}  // namespace cicadaloft
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -1,231 +1,252 @@
-#include "entry_attempts.h"
-
 #include <algorithm>
-#include <string>
 
 #include "cicadaloft/entry/reasons.h"
-#include "entry_claims.h"
-#include "entry_demand.h"
-#include "entry_dispatch.h"
-#include "entry_permits.h"
-#include "entry_requests.h"
-#include "entry_suspects.h"
-#include "entry_targets.h"
+#include "entry_core.h"
 
 namespace cicadaloft {
 namespace {
 
-/// Attempts of one request that may have run.
-constexpr std::uint32_t kMostRunAttempts = 3;
-
-/// A suspect is sent once more, not oftener.
-constexpr std::uint32_t kMostSuspectAttempts = 2;
-
-/// Attempts of one request that surely have not run.
-constexpr std::uint32_t kMostNotRunAttempts = 40;
-
-/// The first HTTP status that tells of a fault of the target.
-constexpr int kServerErrorStatus = 500;
-
-OpenRequest* FindRunning(EntryCore& core,
-                         const RequestId& id,
-                         AttemptNumber attempt) {
-  const auto found = core.requests.find(id);
-  const bool is_running = found != core.requests.end() &&
-                          found->second.phase == RequestPhase::kRunning &&
-                          found->second.attempt == attempt;
-  return is_running ? &found->second : nullptr;
-}
-
-bool IsSurelyNotRun(AttemptOutcome outcome) {
-  return outcome == AttemptOutcome::kNotSent ||
-         outcome == AttemptOutcome::kRefused ||
-         outcome == AttemptOutcome::kNotLoaded;
-}
-
-/// Tells the target's books how the attempt has ended.
-void JudgeTarget(EntryCore& core,
-                 const OpenRequest& request,
-                 const AttemptEnded& event) {
-  TargetView& target = *request.running->target;
-  const bool is_own_doing =
-      request.running->canceled != CancelCause::kNone && request.is_idempotent;
-  switch (event.outcome) {
-    case AttemptOutcome::kCompleted:
-      if (event.http_status < kServerErrorStatus) {
-        target.OnGoodAnswer(core.now - request.running->begun);
-        core.suspects.OnGoodAnswer(request.arrived.fingerprint);
-      }
-      return;
-    case AttemptOutcome::kRefused:
-      target.OnOverload(core.now);
-      return;
+bool MayHaveRun(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kShed:
     case AttemptOutcome::kNotLoaded:
-      if (const auto* model = std::get_if<ModelId>(&request.path->key)) {
-        target.OnNotLoaded(*model, core.now);
-        MarkStale(core, *model);
-      }
-      return;
-    default:
-      if (is_own_doing) {
-        return;
-      }
-      target.OnFailure(core.now);
-      if (target.ejection().IsEjected(core.now)) {
-        core.Log(reason::kEject, request.arrived.request,
-                 "target=" + target.id().value());
-      }
-      NoteBrokenRun(core, request, event.outcome);
+    case AttemptOutcome::kOtherInstance:
+      return false;
+    case AttemptOutcome::kCompleted:
+    case AttemptOutcome::kFailedAnswer:
+    case AttemptOutcome::kDiedUnstarted:
+    case AttemptOutcome::kDiedStarted:
+    case AttemptOutcome::kTimedOut:
+    case AttemptOutcome::kCancelled:
+      return true;
   }
+  return true;
 }
 
-/// Ends the books of the running attempt.
-void CloseAttempt(EntryCore& core, OpenRequest& request) {
-  TargetView& target = *request.running->target;
-  target.OnEnd();
-  --request.path->demand.running;
-  FreeRoom(core, request);
-  if (request.running->is_suspect) {
-    target.RemoveSuspect();
-    core.suspects.OnRunEnded(request.arrived.fingerprint);
-  }
-  request.last_target = &target;
-  request.running.reset();
-}
-
-Error ErrorFor(AttemptOutcome outcome) {
+Error ErrorAfter(AttemptOutcome outcome, const TargetId& target) {
+  const std::string who = "target " + target.value();
   switch (outcome) {
-    case AttemptOutcome::kTimedOut:
-      return Fail(ErrorKind::kTargetTimeout, "the target did not answer");
     case AttemptOutcome::kNotSent:
-      return Fail(ErrorKind::kTargetUnreachable, "no target can be reached");
-    case AttemptOutcome::kRefused:
+      return Fail(ErrorKind::kTargetUnreachable, who + " can't be reached");
+    case AttemptOutcome::kShed:
+      return Fail(ErrorKind::kQueueFull, who + " has no room");
     case AttemptOutcome::kNotLoaded:
-      return Fail(ErrorKind::kNoCapacity, "the targets have no room");
+    case AttemptOutcome::kOtherInstance:
+      return Fail(ErrorKind::kNoCapacity, who + " can't serve it any more");
+    case AttemptOutcome::kTimedOut:
+      return Fail(ErrorKind::kTargetTimeout, who + " did not answer in time");
     default:
-      return Fail(ErrorKind::kTargetFailed, "the target broke off");
+      return Fail(ErrorKind::kTargetFailed, who + " gave no whole answer");
   }
 }
 
-/// @return why the request is not sent again; none if it may be.
-std::optional<Error> WhyNoRetry(EntryCore& core,
-                                const OpenRequest& request,
-                                AttemptOutcome outcome) {
-  const std::uint64_t fingerprint = request.arrived.fingerprint;
-  if (core.suspects.IsBarred(fingerprint, core.now)) {
-    return Fail(ErrorKind::kPoisonRequest,
-                "targets have died while running this content");
-  }
-  if (request.deadline <= core.now) {
-    return ErrorFor(outcome);
-  }
-  if (IsSurelyNotRun(outcome)) {
-    return request.attempts_not_run < kMostNotRunAttempts
-               ? std::nullopt
-               : std::optional(ErrorFor(outcome));
-  }
-  const std::uint32_t most = core.suspects.IsSuspect(fingerprint, core.now)
-                                 ? kMostSuspectAttempts
-                                 : kMostRunAttempts;
-  if (!request.is_idempotent || request.attempts_run >= most) {
-    return ErrorFor(outcome);
-  }
-  const bool is_in_budget =
-      !request.customer.has_value() ||
-      core.rates[*request.customer].retries.TryTake(core.now);
-  return is_in_budget
-             ? std::nullopt
-             : std::optional(Fail(ErrorKind::kRetryBudgetSpent,
-                                  "the customer's retries are used up"));
-}
+}  // namespace
 
-void RetryOrRefuse(EntryCore& core,
-                   OpenRequest& request,
-                   AttemptOutcome outcome) {
-  ++(IsSurelyNotRun(outcome) ? request.attempts_not_run : request.attempts_run);
-  ReopenWaiting(core, request);
-  if (const std::optional<Error> error = WhyNoRetry(core, request, outcome)) {
-    RefuseOpen(core, request, *error, RunState::kNotRun,
-               error->kind == ErrorKind::kTargetFailed ||
-                       error->kind == ErrorKind::kTargetTimeout
-                   ? std::nullopt
-                   : std::optional<Duration>(std::chrono::seconds(1)));
+void EntryCore::Take(const AttemptStarted& started) {
+  const auto found = this->requests.find(started.request);
+  if (found == this->requests.end() ||
+      found->second.attempt != started.attempt) {
     return;
   }
-  core.Log(reason::kRetry, request.arrived.request,
-           "attempts=" + std::to_string(request.attempt.value()));
-  Enqueue(core, request);
+  found->second.has_started = true;
+  const auto target = this->targets.find(found->second.target);
+  if (target != this->targets.end() && started.load) {
+    target->second.OnLoad(*started.load, this->now);
+  }
 }
 
-/// An attempt that was ended from here.
-void EndCanceled(EntryCore& core,
-                 OpenRequest& request,
-                 CancelCause cause,
-                 const AttemptEnded& event) {
-  const bool has_answer_begun = event.outcome == AttemptOutcome::kDiedStarted;
-  if (cause == CancelCause::kCallerGone || has_answer_begun) {
-    EndClaim(core, request,
-             IsSurelyNotRun(event.outcome) ? ClaimOutcome::kNotRun
-                                           : ClaimOutcome::kUnknown,
-             0);
-    Forget(core, request);
+void EntryCore::Take(const AttemptEnded& ended) {
+  const auto found = this->requests.find(ended.request);
+  if (found == this->requests.end() || found->second.attempt != ended.attempt) {
     return;
   }
-  request.attempts_run += IsSurelyNotRun(event.outcome) ? 0 : 1;
-  ReopenWaiting(core, request);
-  RefuseOpen(core, request,
-             cause == CancelCause::kKeyWithdrawn
-                 ? Fail(ErrorKind::kUnauthenticated, "the key was withdrawn")
-                 : Fail(ErrorKind::kTargetTimeout, "lent room had to go back"));
+  OpenRequest& request = found->second;
+  this->Note(request, ended);
+  request.is_running = false;
+  this->expiries.erase({request.ends_at, ended.request});
+  if (ended.outcome == AttemptOutcome::kCompleted ||
+      ended.outcome == AttemptOutcome::kCancelled || request.has_started) {
+    this->Close(request);
+  } else {
+    this->TakeFailure(request, ended);
+  }
+  this->PumpAll();
 }
 
-void EndAttempt(EntryCore& core,
-                OpenRequest& request,
-                CancelCause cause,
-                const AttemptEnded& event) {
-  if (event.outcome == AttemptOutcome::kCompleted) {
-    EndClaim(core, request, ClaimOutcome::kRan, event.http_status);
-    Forget(core, request);
+// Updates what is known of the target.
+void EntryCore::Note(const OpenRequest& request, const AttemptEnded& ended) {
+  this->Log(reasons::kAttemptEnded, request.arrival.caller_id,
+            {{"target", request.target.value()},
+             {"attempt", request.attempt.value()},
+             {"outcome", ToString(ended.outcome)},
+             {"status", ended.http_status},
+             {"total_ms", this->now - request.arrived}});
+  const auto found = this->targets.find(request.target);
+  if (found == this->targets.end() ||
+      found->second.record().instance != request.instance) {
     return;
   }
-  if (cause != CancelCause::kNone) {
-    EndCanceled(core, request, cause, event);
+  TargetView& target = found->second;
+  target.OnEnd();
+  if (ended.load) {
+    target.OnLoad(*ended.load, this->now);
+  }
+  const bool has_broken = ended.outcome == AttemptOutcome::kDiedUnstarted ||
+                          ended.outcome == AttemptOutcome::kDiedStarted;
+  if (has_broken) {
+    this->suspects.OnBrokenRun(
+        BrokenRun{.fingerprint = request.arrival.fingerprint,
+                  .target = request.target,
+                  .instance = request.instance,
+                  .had_started = request.has_started},
+        this->now);
+  }
+  switch (ended.outcome) {
+    case AttemptOutcome::kCompleted:
+      target.OnGoodAnswer();
+      this->suspects.OnGoodAnswer(request.arrival.fingerprint);
+      break;
+    case AttemptOutcome::kShed:
+      target.OnOverload(this->now);
+      break;
+    case AttemptOutcome::kNotLoaded:
+      if (request.line.model) {
+        this->whereabouts.OnDenial(request.target, *request.line.model,
+                                   this->now);
+      }
+      break;
+    case AttemptOutcome::kNotSent:
+      this->suspects.OnTargetDied(request.target, std::nullopt, this->now);
+      target.OnFailure(this->now);
+      break;
+    case AttemptOutcome::kCancelled:
+      break;
+    default:
+      target.OnFailure(this->now);
+      break;
+  }
+}
+
+void EntryCore::TakeFailure(OpenRequest& request, const AttemptEnded& ended) {
+  const bool may_have_run = MayHaveRun(ended.outcome);
+  request.runs += may_have_run ? 1 : 0;
+  request.avoided.insert(request.target);
+  if (may_have_run && !this->MayRunAgain(request)) {
+    this->RefuseOpen(request, ErrorAfter(ended.outcome, request.target));
+    this->Close(request);
     return;
   }
-  if (event.outcome == AttemptOutcome::kDiedStarted) {
-    core.Log(reason::kTruncated, event.request, "");
-    EndClaim(core, request, ClaimOutcome::kUnknown, 0);
-    Forget(core, request);
+  const bool has_arrived = ended.outcome != AttemptOutcome::kNotSent;
+  request.arrivals += has_arrived ? 1 : 0;
+  this->TrySendAgain(request, ended, request.arrivals > 0);
+}
+
+void EntryCore::TrySendAgain(OpenRequest& request,
+                             const AttemptEnded& ended,
+                             bool needs_budget) {
+  const bool is_barred =
+      this->suspects.IsBarred(request.arrival.fingerprint, this->now);
+  const bool has_budget =
+      !needs_budget || this->budgets[request.line.service].TryTake();
+  if (is_barred || !has_budget || this->now >= request.gives_up_at) {
+    this->RefuseOpen(
+        request, is_barred ? Fail(ErrorKind::kPoisonRequest,
+                                  "several targets have died running this")
+                           : ErrorAfter(ended.outcome, request.target));
+    this->Close(request);
     return;
   }
-  RetryOrRefuse(core, request, event.outcome);
+  // A target that is merely full, or lacks the model for now, may serve it
+  // later on.
+  if (ended.outcome == AttemptOutcome::kShed ||
+      ended.outcome == AttemptOutcome::kNotLoaded) {
+    request.avoided.erase(request.target);
+  }
+  this->Enqueue(request);
 }
 
-}  // namespace
+bool EntryCore::MayRunAgain(const OpenRequest& request) const {
+  return request.route->repetition != Repetition::kOnce &&
+         request.runs < request.route->most_runs;
+}
 
-void OnStarted(EntryCore& core, const AttemptStarted& event) {
-  if (OpenRequest* request = FindRunning(core, event.request, event.attempt)) {
-    request->running->has_started = true;
+void EntryCore::RefuseOpen(const OpenRequest& request, const Error& error) {
+  // What may have run must not be said not to have.
+  const bool is_false = request.runs > 0 &&
+                        AnswerFor(error.kind).run_state == RunState::kNotRun;
+  const Error said = is_false ? Fail(ErrorKind::kTargetFailed,
+                                     error.message + "; an earlier run broke")
+                              : error;
+  if (request.runs == 0) {
+    this->GiveQuotaBack(request);
   }
+  this->Log(reasons::kRefuse, request.arrival.caller_id,
+            {{"kind", AnswerFor(said.kind).token},
+             {"message", said.message},
+             {"model",
+              request.line.model ? request.line.model->ToString() : "-"},
+             {"waited_ms", this->now - request.arrived},
+             {"runs", request.runs}});
+  this->effects.emplace_back(
+      Refuse{.request = request.arrival.request,
+             .error = said,
+             .run_state = AnswerFor(said.kind).run_state,
+             .retry_after = this->RetryAfter(request, said.kind)});
 }
 
-void OnEnded(EntryCore& core, const AttemptEnded& event) {
-  OpenRequest* request = FindRunning(core, event.request, event.attempt);
-  if (request == nullptr) {
+void EntryCore::Take(const CallerGone& gone) {
+  const auto found = this->requests.find(gone.request);
+  if (found == this->requests.end()) {
+    return;
+  }
+  const OpenRequest& request = found->second;
+  this->Log(reasons::kCallerGone, request.arrival.caller_id,
+            {{"is_running", request.is_running ? "yes" : "no"},
+             {"total_ms", this->now - request.arrived}});
+  if (request.is_running) {
+    // The attempt's end closes the request.
+    this->effects.emplace_back(CancelAttempt{
+        .request = gone.request, .attempt = request.attempt});
     return;
   }
-  TargetView& target = *request->running->target;
-  Path& path = *request->path;
-  const CancelCause cause = request->running->canceled;
-  JudgeTarget(core, *request, event);
-  CloseAttempt(core, *request);
-  NoteDemand(core, path);
-  EndAttempt(core, *request, cause, event);
-  if (path.WaitingCount() > 0) {
-    Pump(core, path);
-  }
-  PumpTarget(core, target);
-  ReturnUnused(core, target.id());
+  this->GiveQuotaBack(request);
+  this->Close(request);
+}
+
+void EntryCore::EndExpired() {
+  while (!this->expiries.empty() &&
+         this->expiries.begin()->first <= this->now) {
+    const RequestId id = this->expiries.begin()->second;
+    this->expiries.erase(this->expiries.begin());
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+      continue;
+    }
+    OpenRequest& request = found->second;
+    if (request.is_running) {
+      request.runs += 1;
+      this->effects.emplace_back(
+          CancelAttempt{.request = id, .attempt = request.attempt});
+      this->RefuseOpen(request, Fail(ErrorKind::kTargetTimeout,
+                                     "no whole answer within the time limit"));
+      continue;
+    }
+    this->RefuseOpen(request,
+                     Fail(ErrorKind::kNoCapacity,
+                          "no target could take it within the time to wait"));
+    this->Close(request);
+  }
+}
+
+void EntryCore::Close(const OpenRequest& request) {
+  const RequestId id = request.arrival.request;
+  this->expiries.erase({request.gives_up_at, id});
+  this->expiries.erase({request.ends_at, id});
+  if (!request.is_running) {
+    this->LeaveLine(request);
+  }
+  this->requests.erase(id);
 }
 
 }  // namespace cicadaloft
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -1,26 +1,175 @@
 #include "entry_core.h"
 
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+#include "cicadaloft/core/rendezvous.h"
+
+#include "cicadaloft/entry/reasons.h"
+
 namespace cicadaloft {
 
-PathKey PathKeyOf(const Call& call) {
-  if (const auto* model = std::get_if<ModelCall>(&call)) {
-    return model->model;
+bool OpenRequest::IsBatch() const {
+  // Requests that nobody waits for in front of a screen.
+  constexpr Duration kBatchAim = std::chrono::seconds(1);
+  return this->route->latency_aim >= kBatchAim;
+}
+
+int OpenRequest::Rank() const {
+  // Batch work yields to what is awaited: its aim leaves it the time.
+  constexpr int kBatchRank = 7;
+  constexpr int kMostRank = 9;
+  return this->IsBatch() ? kBatchRank
+                         : std::clamp(this->route->rank, 0, kMostRank);
+}
+
+std::string_view ToString(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kCompleted:
+      return "completed";
+    case AttemptOutcome::kNotSent:
+      return "not_sent";
+    case AttemptOutcome::kShed:
+      return "shed";
+    case AttemptOutcome::kNotLoaded:
+      return "not_loaded";
+    case AttemptOutcome::kOtherInstance:
+      return "other_instance";
+    case AttemptOutcome::kFailedAnswer:
+      return "failed_answer";
+    case AttemptOutcome::kDiedUnstarted:
+      return "died_unstarted";
+    case AttemptOutcome::kDiedStarted:
+      return "died_started";
+    case AttemptOutcome::kTimedOut:
+      return "timed_out";
+    case AttemptOutcome::kCancelled:
+      return "cancelled";
   }
-  return std::get<ServiceCall>(call).route;
+  return "unknown";
 }
 
-void EntryCore::Log(std::string_view reason,
-                    const RequestId& request,
-                    std::string detail) {
-  this->Emit(DecisionLine{.reason = std::string(reason),
-                          .request = request,
-                          .detail = std::move(detail)});
+EntryCore::EntryCore(const EntrySettings& settings) : settings(settings) {}
+
+std::size_t EntryCore::WaitingRequests() const {
+  return std::accumulate(
+      this->lines.begin(), this->lines.end(), std::size_t{0},
+      [](std::size_t sum, const auto& entry) {
+        return sum + entry.second.queue.size();
+      });
+}
+
+void EntryCore::Take(const ConfigurationChanged& change) {
+  const ConfigurationVersion version = change.configuration->version();
+  if (this->configuration && version <= this->configuration->version()) {
+    if (version < this->configuration->version()) {
+      this->Log(reasons::kConfigurationOlder, RequestId(),
+                {{"version", version.value()},
+                 {"in_force", this->configuration->version().value()}});
+    }
+    return;
+  }
+  this->configuration = change.configuration;
+  this->configured_at = this->now;
+  for (auto& [id, share] : this->customer_shares) {
+    if (const Customer* customer = this->configuration->FindCustomer(id)) {
+      this->SetShare(*customer, share);
+    }
+  }
+  const Configuration& value = this->configuration->value();
+  this->Log(reasons::kConfiguration, RequestId(),
+            {{"version", version.value()},
+             {"routes", value.routes.size()},
+             {"customers", value.customers.size()}});
+  this->PumpAll();
+}
+
+void EntryCore::Take(const EvacuationsChanged& change) {
+  if (change.data_centres == this->evacuated) {
+    return;
+  }
+  this->evacuated = change.data_centres;
+  std::string names;
+  for (const DataCentreId& id : this->evacuated) {
+    names += (names.empty() ? "" : ",") + id.value();
+  }
+  this->Log(reasons::kEvacuations, RequestId(), {{"data_centres", names}});
+  this->PumpAll();
 }
 
-void EntryCore::Send(const HostId& to, LinkMessage message) {
-  this->Emit(SendLink{.envelope = Envelope{.from = this->settings.host,
-                                           .to = to,
-                                           .message = std::move(message)}});
+void EntryCore::Take(const FleetChanged& change) {
+  const FleetPtr before = this->fleet;
+  this->fleet = change.fleet;
+  this->targets_of.clear();
+  for (const auto& [id, record] : this->fleet->targets) {
+    this->targets_of[record->service].push_back(id);
+    const auto found = this->targets.find(id);
+    const bool is_known = found != this->targets.end();
+    if (is_known && found->second.record_ptr() == record) {
+      continue;
+    }
+    if (is_known && found->second.record().instance != record->instance) {
+      this->suspects.OnTargetDied(id, record->instance, this->now);
+    }
+    TargetView& view =
+        is_known ? found->second
+                 : this->targets.emplace(id, TargetView(record)).first->second;
+    view.Update(record, this->now);
+    this->whereabouts.Update(*record, this->now);
+  }
+  std::erase_if(this->targets, [this](const auto& entry) {
+    const bool is_gone = !this->fleet->targets.contains(entry.first);
+    if (is_gone) {
+      this->whereabouts.Remove(entry.first);
+      this->suspects.OnTargetDied(entry.first, std::nullopt, this->now);
+    }
+    return is_gone;
+  });
+  this->PumpAll();
+}
+
+void EntryCore::Take(const PlacementChange& change) {
+  this->whereabouts.OnChange(change, this->now);
+  this->PumpAll();
+}
+
+void EntryCore::Take(const SharesChanged& change) {
+  if (change == this->shares) {
+    return;
+  }
+  const bool has_new_hosts = change.hosts != this->shares.hosts;
+  this->shares = change;
+  if (this->configuration) {
+    for (auto& [id, share] : this->customer_shares) {
+      if (const Customer* customer = this->configuration->FindCustomer(id)) {
+        this->SetShare(*customer, share);
+      }
+    }
+  }
+  const double hosts = std::max(1U, this->shares.hosts);
+  for (auto& [service, budget] : this->budgets) {
+    budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
+  }
+  if (has_new_hosts) {
+    this->Log(reasons::kShares, RequestId(), {{"hosts", this->shares.hosts}});
+  }
+}
+
+void EntryCore::Take(const EntryTick&) {
+  this->EndExpired();
+  this->PumpAll();
+}
+
+void EntryCore::Take(const EntryStopRequested&) {
+  this->is_stopping = true;
+}
+
+void EntryCore::Log(const char* reason,
+                    const RequestId& request,
+                    std::vector<LogField> fields) {
+  this->effects.emplace_back(DecisionLine{
+      .reason = reason, .request = request, .fields = std::move(fields)});
 }
 
 }  // namespace cicadaloft
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -1,145 +1,122 @@
 #ifndef CICADALOFT_ENTRY_ENTRY_CORE_H_
 #define CICADALOFT_ENTRY_ENTRY_CORE_H_
 
-#include <cstdint>
-#include <functional>
+#include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "cicadaloft/admission/key_cache.h"
-#include "cicadaloft/admission/token_asks.h"
-#include "cicadaloft/admission/token_bucket.h"
-#include "cicadaloft/core/id.h"
-#include "cicadaloft/core/time.h"
+#include "cicadaloft/admission/customer_share.h"
+#include "cicadaloft/admission/fair_queue.h"
+#include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
-#include "cicadaloft/ledger/ledger.h"
-#include "cicadaloft/routing/permit_book.h"
-#include "cicadaloft/routing/prefix_cache.h"
+#include "cicadaloft/routing/model_whereabouts.h"
 #include "cicadaloft/routing/retry_budget.h"
 #include "cicadaloft/routing/suspect_list.h"
 #include "cicadaloft/routing/target_view.h"
 #include "open_request.h"
-#include "path.h"
 
 namespace cicadaloft {
 
-struct RequestIdHash {
-  std::size_t operator()(const RequestId& id) const {
-    return std::hash<std::string>()(id.value());
+/// The decisions of one entry, an event at a time.
+class EntryCore {
+ public:
+  explicit EntryCore(const EntrySettings& settings);
+
+  /// Takes one event and leaves the effects in `effects`.
+  void Take(const RequestArrived& arrived);
+  void Take(const AttemptStarted& started);
+  void Take(const AttemptEnded& ended);
+  void Take(const CallerGone& gone);
+  void Take(const ConfigurationChanged& change);
+  void Take(const EvacuationsChanged& change);
+  void Take(const FleetChanged& change);
+  void Take(const PlacementChange& change);
+  void Take(const SharesChanged& change);
+  void Take(const EntryTick& tick);
+  void Take(const EntryStopRequested& stop);
+
+  void SetNow(TimePoint time) { this->now = time; }
+  std::vector<EntryEffect> TakeEffects() {
+    return std::exchange(this->effects, {});
   }
-};
-
-/// One customer's rate on this host.
-struct CustomerRate {
-  TokenBucket bucket;
-  /// Requests that wait for tokens, by number.
-  std::map<std::uint64_t, OpenRequest*> short_of_tokens;
-  TokenAsks asks;
-  RetryBudget retries;
-};
 
-/// Paths that wait for room on one target.
-struct TargetWaiters {
-  std::map<std::uint64_t, Path*> paths;  ///< By number.
-  std::uint64_t last_served = 0;         ///< A path's number.
-  std::uint64_t turn = 0;
-};
-
-/// How a claimed request has ended, told to the claims' owner until the ledger
-/// shows it.
-struct ClaimEnd {
-  ClaimOutcomeRecord outcome;
-  /// False: the right has not come, so there may be nothing to end.
-  bool is_granted = false;
-  TimePoint until{};
-  Duration interval{};
-};
-
-using ClaimEndKey = std::pair<ClaimKey, RequestId>;
-
-/// Room on one target beyond the own part of its cap.
-struct TargetPermits {
-  PermitAsks asks;
-  std::vector<HostId> lenders;
-  std::uint64_t lenders_version = 0;
-  /// Lent to this host and not in use.
-  std::map<std::uint64_t, HeldPermit> held;
-};
-
-/// Whether the tokens of this host may be used.
-struct ShareUse {
-  bool is_usable = false;
-  /// After a suspension: what the steward must have read before it counts.
-  LogOffset confirmed_from;
-};
-
-/// The entry's state, shared by the parts of its decisions.
-struct EntryCore {
-  explicit EntryCore(const EntrySettings& entry_settings)
-      : settings(entry_settings) {}
-
-  void Emit(EntryEffect effect) { this->effects.push_back(std::move(effect)); }
-  void Log(std::string_view reason,
+  bool IsReady() const { return this->configuration && !this->is_stopping; }
+  std::size_t open_requests() const { return this->requests.size(); }
+  std::size_t WaitingRequests() const;
+
+ private:
+  using Requests = std::map<RequestId, OpenRequest>;
+  struct Line {
+    FairQueue<RequestId> queue;
+    std::optional<TimePoint> asked_at;  ///< For the model.
+  };
+
+  // Admission.
+  Result<OpenRequest> Admit(const RequestArrived& arrived);
+  Result<const Route*> FindRoute(const RequestArrived& arrived) const;
+  std::optional<Error> CheckCustomer(OpenRequest& request);
+  std::optional<Error> TakeQuota(const OpenRequest& request);
+  void GiveQuotaBack(const OpenRequest& request);
+  CustomerShare& ShareOf(const Customer& customer);
+  void SetShare(const Customer& customer, CustomerShare& share) const;
+
+  // Lines and dispatch.
+  void Enqueue(const OpenRequest& request);
+  void LeaveLine(const OpenRequest& request);
+  void Pump(const LineKey& key);
+  void PumpAll();
+  bool TryDispatch(OpenRequest& request);
+  std::vector<TargetView*> CandidatesFor(const LineKey& key);
+  bool MayTake(const TargetView& target, const OpenRequest& request) const;
+  void AskForModel(const LineKey& key, Line& line);
+  void LogWait(const OpenRequest& request);
+
+  // Ends.
+  void TakeFailure(OpenRequest& request, const AttemptEnded& ended);
+  void TrySendAgain(OpenRequest& request,
+                    const AttemptEnded& ended,
+                    bool needs_budget);
+  void Note(const OpenRequest& request, const AttemptEnded& ended);
+  bool MayRunAgain(const OpenRequest& request) const;
+  void RefuseOpen(const OpenRequest& request, const Error& error);
+  void EndExpired();
+  void Close(const OpenRequest& request);
+  std::optional<Duration> RetryAfter(const OpenRequest& request,
+                                     ErrorKind kind);
+
+  void Log(const char* reason,
            const RequestId& request,
-           std::string detail);
-  /// Sends to another host, or to the own steward if `to` is empty.
-  void Send(const HostId& to, LinkMessage message);
+           std::vector<LogField> fields);
 
   const EntrySettings settings;
   TimePoint now{};
-  std::optional<TimePoint> last_event;
-  bool is_link_up = false;
-  bool is_stopping = false;
-  TimePoint stop_asked{};
-  bool is_drained = false;
-  std::optional<TimePoint> state_asked_at;
-
-  Ledger ledger;
-  /// Moves with each change of configuration, members or placements.
-  std::uint64_t routing_version = 1;
-
-  KeyCache keys;
-  std::map<CustomerId, CustomerRate> rates;
-  std::set<CustomerId> short_customers;  ///< With requests short of tokens.
-  std::vector<HostId> lenders;           ///< Of tokens, the nearest first.
-  ShareUse share;
-
-  std::unordered_map<RequestId, OpenRequest, RequestIdHash> requests;
-  std::uint64_t next_number = 1;
-  std::size_t waiting = 0;  ///< Requests that do not run.
-  /// Requests that do not run, by deadline.
-  std::map<std::pair<TimePoint, std::uint64_t>, OpenRequest*> deadlines;
-
-  std::map<PathKey, Path> paths;
-  std::map<std::uint64_t, Path*> waiting_paths;  ///< By number.
-  std::map<TargetId, TargetView> targets;
-  std::map<BackEndId, std::vector<TargetView*>> targets_of;
-  std::map<BackEndId, std::set<DataCentreId>> data_centres_of;
-  std::unordered_map<const TargetView*, TargetWaiters> waiters;
-  std::map<TargetId, TargetPermits> permits;
-  LentPermits lent_permits;
-  /// Requests that run on a permit, by the time at which they must end.
-  std::set<std::pair<TimePoint, RequestId>> permit_ends;
-  PrefixCache prefixes;
-  SuspectList suspects;
+  std::vector<EntryEffect> effects;
 
-  /// Requests that wait for their claim, by the time of the next ask.
-  std::set<std::pair<TimePoint, RequestId>> claim_asks;
-  std::map<ClaimEndKey, ClaimEnd> claim_ends;
-  std::set<std::pair<TimePoint, ClaimEndKey>> claim_ends_due;
+  ActiveConfigurationPtr configuration;
+  TimePoint configured_at{};
+  std::set<DataCentreId> evacuated;
+  FleetPtr fleet;
+  std::map<TargetId, TargetView> targets;
+  std::map<ServiceId, std::vector<TargetId>> targets_of;
+  ModelWhereabouts whereabouts;
 
-  std::map<KeyId, std::set<RequestId>> requests_of_key;
-  std::map<std::uint64_t, Path*> demanding_paths;  ///< By number.
-  TimePoint demand_checked{};
+  SharesChanged shares;
+  std::map<CustomerId, CustomerShare> customer_shares;
+  std::map<ServiceId, RetryBudget> budgets;
+  SuspectList suspects;
 
-  std::vector<EntryEffect> effects;
+  Requests requests;
+  std::map<LineKey, Line> lines;
+  std::set<std::pair<TimePoint, RequestId>> expiries;
+  std::uint64_t last_number = 0;
+  bool is_stopping = false;
 };
 
 }  // namespace cicadaloft
--- a/entry/include/cicadaloft/entry/entry_node.h
+++ b/entry/include/cicadaloft/entry/entry_node.h
@@ -1,17 +1,19 @@
 #ifndef CICADALOFT_ENTRY_ENTRY_NODE_H_
 #define CICADALOFT_ENTRY_ENTRY_NODE_H_
 
+#include <cstddef>
 #include <memory>
 
 #include "cicadaloft/core/step.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
-#include "cicadaloft/ledger/ledger.h"
 
 namespace cicadaloft {
 
-/// All that one entry knows. It moves through Decide(); there is no copy.
+class EntryCore;
+
+/// The state of one host's entry. It moves through Decide().
 class EntryState {
  public:
   explicit EntryState(const EntrySettings& settings);
@@ -19,24 +21,22 @@
   EntryState(EntryState&& other) noexcept;
   EntryState& operator=(EntryState&& other) noexcept;
 
-  /// @return the agreed state as far as this entry has applied it.
-  const Ledger& ledger() const;
-  /// @return whether the balancer may send requests here.
+  /// @return whether callers should be sent here: there is a configuration and
+  /// no stop has been asked for.
   bool IsReady() const;
-  /// @return requests that wait or run.
   std::size_t OpenRequests() const;
+  std::size_t WaitingRequests() const;
 
+ private:
   friend Step<EntryState, EntryEffect> Decide(EntryState state,
                                               const EntryEvent& event,
                                               TimePoint now);
 
- private:
-  struct Parts;
-  std::unique_ptr<Parts> parts;
+  std::unique_ptr<EntryCore> core;
 };
 
-/// Decides what follows from one event. No clock, socket or random source is
-/// used: the same events at the same times yield the same effects.
+/// Takes one event.
+/// @param now from the clock that goes on while the host is suspended.
 Step<EntryState, EntryEffect> Decide(EntryState state,
                                      const EntryEvent& event,
                                      TimePoint now);
--- a/entry/include/cicadaloft/entry/entry_settings.h
+++ b/entry/include/cicadaloft/entry/entry_settings.h
@@ -1,24 +1,23 @@
 #ifndef CICADALOFT_ENTRY_ENTRY_SETTINGS_H_
 #define CICADALOFT_ENTRY_ENTRY_SETTINGS_H_
 
-#include <chrono>
 #include <compare>
-#include <cstddef>
 
 #include "cicadaloft/core/id.h"
-#include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
 
-/// What an entry's decisions need to know of its host.
+/// What an entry is told at its start.
 struct EntrySettings {
-  const HostId host;
-  const DataCentreId data_centre;
-  const std::size_t max_waiting = 1000;  ///< Requests in the queue.
-  /// A longer gap between two events means that the process was suspended.
-  const Duration suspension_limit = std::chrono::seconds(1);
-  /// A permit lent to another host is taken back after this time.
-  const Duration permit_term = std::chrono::minutes(2);
+  HostId host;
+  DataCentreId data_centre;
+  /// Repeated sends that each request allows, over all hosts.
+  double retry_ratio = 0.2;
+  /// Repeated sends in a window beyond the ratio, over all hosts.
+  double retry_slack = 10;
+  /// Whether customers' stocks may begin full: only when the whole system
+  /// starts, not when a process comes back.
+  bool is_first_start = false;
 
   friend auto operator<=>(const EntrySettings&, const EntrySettings&) = default;
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -3,51 +3,62 @@
 
 #include <compare>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
+#include "cicadaloft/configuration/active_configuration.h"
 #include "cicadaloft/core/decision_line.h"
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/time.h"
-#include "cicadaloft/peering/messages.h"
+#include "cicadaloft/fleet/target_record.h"
+#include "cicadaloft/routing/model_whereabouts.h"
+#include "cicadaloft/routing/target_load.h"
 
 namespace cicadaloft {
 
-enum class RequestClass { kInteractive, kBatch };
+/// The route is selected by the host and path that the caller named.
+struct ByPlace {
+  std::string host;
+  std::string path;  ///< Without the query.
 
-/// A call of a model or adapter.
-struct ModelCall {
-  const ModelId model;
-  const std::uint64_t prefix_hash = 0;  ///< Of the prompt's first part.
-  const double cost_tokens = 0;         ///< Expected prompt and answer tokens.
+  friend auto operator<=>(const ByPlace&, const ByPlace&) = default;
+  friend bool operator==(const ByPlace&, const ByPlace&) = default;
+};
 
-  friend auto operator<=>(const ModelCall&, const ModelCall&) = default;
-  friend bool operator==(const ModelCall&, const ModelCall&) = default;
+/// The route is the first one to a service that has the model.
+struct ByModel {
+  friend auto operator<=>(const ByModel&, const ByModel&) = default;
+  friend bool operator==(const ByModel&, const ByModel&) = default;
 };
 
-/// A call of a plain service.
-struct ServiceCall {
-  const RouteId route;
-  const std::string method;
+/// The caller names the route.
+struct ByRoute {
+  RouteId route;
 
-  friend auto operator<=>(const ServiceCall&, const ServiceCall&) = default;
-  friend bool operator==(const ServiceCall&, const ServiceCall&) = default;
+  friend auto operator<=>(const ByRoute&, const ByRoute&) = default;
+  friend bool operator==(const ByRoute&, const ByRoute&) = default;
 };
 
-using Call = std::variant<ModelCall, ServiceCall>;
+using Destination = std::variant<ByPlace, ByModel, ByRoute>;
 
-/// A caller's whole request has been read. Exactly one of Refuse, ReplayOutcome
-/// or an ended Dispatch answers it.
+/// A caller's whole request has been read. Exactly one of Refuse or an ended
+/// Dispatch answers it.
 struct RequestArrived {
-  const RequestId request;
-  const std::string credential;  ///< "<key id>.<secret>"; empty if none came.
-  const Call call;
-  const RequestClass request_class = RequestClass::kInteractive;
-  const Duration timeout{};  ///< For the whole answer's start, from now on.
-  const std::optional<std::string> idempotency_key;
-  const std::uint64_t fingerprint = 0;  ///< Of method, route and body.
+  RequestId request;    ///< This host's own, unique.
+  RequestId caller_id;  ///< As the caller names it, for logs.
+  std::string credential;  ///< Empty if none came.
+  Destination destination;
+  std::optional<ModelPath> model;  ///< None: a plain service.
+  std::optional<double> tokens;    ///< Prompt and most answer tokens.
+  std::uint64_t prompt_key = 0;  ///< Of the prompt's shared part; 0: none.
+  Duration deadline{};           ///< How long the caller waits, from now on.
+  std::uint64_t fingerprint = 0;  ///< Of customer key, path and body.
 
   friend auto operator<=>(const RequestArrived&,
                           const RequestArrived&) = default;
@@ -59,27 +70,35 @@
 enum class AttemptOutcome {
   kCompleted,      ///< A whole answer has gone to the caller.
   kNotSent,        ///< No byte of the request has left.
-  kRefused,        ///< The target says that it has not run it: overload.
+  kShed,           ///< The target says that it has not run it: overload.
   kNotLoaded,      ///< The target says that it does not have the model.
+  kOtherInstance,  ///< Another process than the expected one answered.
+  kFailedAnswer,   ///< A failure, held back since another may do better.
   kDiedUnstarted,  ///< The connection broke before the answer's first byte.
   kDiedStarted,    ///< It broke later; the caller has part of the answer.
   kTimedOut,       ///< The target did not answer in time.
+  kCancelled,      ///< Ended by CancelAttempt.
 };
 
+/// @return a stable token, for logs and metrics.
+std::string_view ToString(AttemptOutcome outcome);
+
 struct AttemptEnded {
-  const RequestId request;
-  const AttemptNumber attempt;
-  const AttemptOutcome outcome = AttemptOutcome::kCompleted;
-  const int http_status = 0;  ///< Of the target's answer; 0 if none.
+  RequestId request;
+  AttemptNumber attempt;
+  AttemptOutcome outcome = AttemptOutcome::kCompleted;
+  int http_status = 0;  ///< Of the target's answer; 0 if none.
+  std::optional<TargetLoad> load;
 
   friend auto operator<=>(const AttemptEnded&, const AttemptEnded&) = default;
   friend bool operator==(const AttemptEnded&, const AttemptEnded&) = default;
 };
 
-/// The answer's first byte has come; the deadline to start is met.
+/// The answer's first byte has come and goes to the caller.
 struct AttemptStarted {
-  const RequestId request;
-  const AttemptNumber attempt;
+  RequestId request;
+  AttemptNumber attempt;
+  std::optional<TargetLoad> load;
 
   friend auto operator<=>(const AttemptStarted&,
                           const AttemptStarted&) = default;
@@ -89,26 +108,55 @@
 
 /// The caller's connection is gone.
 struct CallerGone {
-  const RequestId request;
+  RequestId request;
 
   friend auto operator<=>(const CallerGone&, const CallerGone&) = default;
   friend bool operator==(const CallerGone&, const CallerGone&) = default;
 };
 
-/// A message has come from the steward, or over it from another host.
-struct LinkReceived {
-  const Envelope envelope;
+struct ConfigurationChanged {
+  ActiveConfigurationPtr configuration;
 
-  friend auto operator<=>(const LinkReceived&, const LinkReceived&) = default;
-  friend bool operator==(const LinkReceived&, const LinkReceived&) = default;
+  friend auto operator<=>(const ConfigurationChanged&,
+                          const ConfigurationChanged&) = default;
+  friend bool operator==(const ConfigurationChanged&,
+                         const ConfigurationChanged&) = default;
 };
 
-/// The link to the steward is up or down.
-struct LinkChanged {
-  const bool is_up = false;
+/// The data centres whose targets are to get nothing.
+struct EvacuationsChanged {
+  std::set<DataCentreId> data_centres;
 
-  friend auto operator<=>(const LinkChanged&, const LinkChanged&) = default;
-  friend bool operator==(const LinkChanged&, const LinkChanged&) = default;
+  friend auto operator<=>(const EvacuationsChanged&,
+                          const EvacuationsChanged&) = default;
+  friend bool operator==(const EvacuationsChanged&,
+                         const EvacuationsChanged&) = default;
+};
+
+struct FleetChanged {
+  FleetPtr fleet;
+
+  friend auto operator<=>(const FleetChanged&, const FleetChanged&) = default;
+  friend bool operator==(const FleetChanged&, const FleetChanged&) = default;
+};
+
+/// This host's part of a customer's limit.
+struct GrantedShare {
+  CustomerId customer;
+  double share = 0;  ///< From 0 to 1; adds up to at most 1 over all hosts.
+
+  friend auto operator<=>(const GrantedShare&, const GrantedShare&) = default;
+  friend bool operator==(const GrantedShare&, const GrantedShare&) = default;
+};
+
+/// What this host may use of what all hosts have in common.
+struct SharesChanged {
+  std::uint32_t hosts = 1;  ///< That take requests.
+  double usual_share = 0;   ///< For customers that are not listed.
+  std::vector<GrantedShare> customers;
+
+  friend auto operator<=>(const SharesChanged&, const SharesChanged&) = default;
+  friend bool operator==(const SharesChanged&, const SharesChanged&) = default;
 };
 
 /// Comes every kEntryTickInterval.
@@ -129,20 +177,24 @@
                                 AttemptStarted,
                                 AttemptEnded,
                                 CallerGone,
-                                LinkReceived,
-                                LinkChanged,
+                                ConfigurationChanged,
+                                EvacuationsChanged,
+                                FleetChanged,
+                                PlacementChange,
+                                SharesChanged,
                                 EntryTick,
                                 EntryStopRequested>;
 
 /// Send the request to a target. An AttemptEnded follows in any case.
 struct Dispatch {
-  const RequestId request;
-  const AttemptNumber attempt;
-  const TargetId target;
-  const std::string address;
-  const std::optional<ModelId> model;  ///< As the target is to be asked.
-  const Duration start_within{};       ///< Until the answer's first byte.
-  const bool idempotent = false;  ///< May go over a connection used before.
+  RequestId request;
+  AttemptNumber attempt;
+  TargetId target;  ///< Any other process there is to refuse.
+  std::string address;
+  CustomerId customer;   ///< Empty on public routes.
+  int rank = 5;          ///< 0 goes first.
+  Duration work_within{};  ///< What is left for the whole answer.
+  bool holds_failure = false;  ///< A failure may be made good elsewhere.
 
   friend auto operator<=>(const Dispatch&, const Dispatch&) = default;
   friend bool operator==(const Dispatch&, const Dispatch&) = default;
@@ -150,8 +202,8 @@
 
 /// End an attempt: close its connection. An AttemptEnded follows.
 struct CancelAttempt {
-  const RequestId request;
-  const AttemptNumber attempt;
+  RequestId request;
+  AttemptNumber attempt;
 
   friend auto operator<=>(const CancelAttempt&, const CancelAttempt&) = default;
   friend bool operator==(const CancelAttempt&, const CancelAttempt&) = default;
@@ -159,35 +211,28 @@
 
 /// Answer the caller with an error.
 struct Refuse {
-  const RequestId request;
-  const Error error;
-  const RunState run_state = RunState::kNotRun;
-  const std::optional<Duration> retry_after;
+  RequestId request;
+  Error error;
+  RunState run_state = RunState::kNotRun;
+  std::optional<Duration> retry_after;
 
   friend auto operator<=>(const Refuse&, const Refuse&) = default;
   friend bool operator==(const Refuse&, const Refuse&) = default;
 };
 
-/// Send to the steward, or over it to `envelope.to`.
-struct SendLink {
-  const Envelope envelope;
-
-  friend auto operator<=>(const SendLink&, const SendLink&) = default;
-  friend bool operator==(const SendLink&, const SendLink&) = default;
-};
+/// Requests wait for a model or adapter that no target holds.
+struct ModelWanted {
+  ServiceId service;
+  ModelPath path;
+  std::uint32_t waiting = 0;
+  Duration latency_aim{};  ///< Of the most urgent one.
 
-/// All running requests have ended after a stop was asked for.
-struct EntryDrained {
-  friend auto operator<=>(const EntryDrained&, const EntryDrained&) = default;
-  friend bool operator==(const EntryDrained&, const EntryDrained&) = default;
+  friend auto operator<=>(const ModelWanted&, const ModelWanted&) = default;
+  friend bool operator==(const ModelWanted&, const ModelWanted&) = default;
 };
 
-using EntryEffect = std::variant<Dispatch,
-                                 CancelAttempt,
-                                 Refuse,
-                                 SendLink,
-                                 DecisionLine,
-                                 EntryDrained>;
+using EntryEffect =
+    std::variant<Dispatch, CancelAttempt, Refuse, ModelWanted, DecisionLine>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
 
--- /dev/null
+++ b/fleet/fleet_register.cc
@@ -0,0 +1,123 @@
+#include "cicadaloft/fleet/fleet_register.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadaloft {
+
+bool FleetRegister::Apply(const FleetEvent& event, TimePoint now) {
+  return std::visit([&](const auto& item) { return this->Take(item, now); },
+                    event);
+}
+
+bool FleetRegister::Tick(TimePoint now) {
+  if (this->absent.empty() || this->IsInDoubt(now)) {
+    return false;
+  }
+  const std::set<TargetId> gone = std::exchange(this->absent, {});
+  return std::ranges::count_if(gone, [this](const TargetId& target) {
+           return this->Drop(target, "fleet.absent_after_outage");
+         }) > 0;
+}
+
+std::vector<DecisionLine> FleetRegister::TakeLines() {
+  return std::exchange(this->lines, {});
+}
+
+bool FleetRegister::Take(const TargetSeen& seen, TimePoint now) {
+  this->last_heard = now;
+  this->absent.erase(seen.record->id);
+  return this->Put(seen.record);
+}
+
+bool FleetRegister::Take(const TargetRemoved& removed, TimePoint now) {
+  this->last_heard = now;
+  if (!this->current->targets.contains(removed.target)) {
+    return false;
+  }
+  if (this->IsInDoubt(now)) {
+    this->absent.insert(removed.target);
+    return false;
+  }
+  return this->Drop(removed.target, "fleet.removed");
+}
+
+bool FleetRegister::Take(const RegistryRead& read, TimePoint now) {
+  bool has_changed = false;
+  std::set<TargetId> present;
+  for (const TargetRecordPtr& record : read.records) {
+    present.insert(record->id);
+    has_changed |= this->Take(TargetSeen{.record = record}, now);
+  }
+  const FleetPtr before = this->current;
+  for (const auto& [id, record] : before->targets) {
+    if (!present.contains(id)) {
+      has_changed |= this->Take(TargetRemoved{.target = id}, now);
+    }
+  }
+  return has_changed;
+}
+
+bool FleetRegister::Take(const RegistryReachable& change, TimePoint now) {
+  if (change.is_reachable && !this->reachable) {
+    this->returned_at = now;
+  }
+  this->reachable = change.is_reachable;
+  if (this->reachable) {
+    this->last_heard = now;
+  }
+  return false;
+}
+
+bool FleetRegister::Put(const TargetRecordPtr& record) {
+  const FleetPtr before = this->current;
+  const auto found = before->targets.find(record->id);
+  const bool is_known = found != before->targets.end();
+  if (is_known) {
+    const TargetRecord& known = *found->second;
+    // Of an earlier process, or of one that has said more since.
+    const bool is_old = record->instance < known.instance;
+    // Leaving is final; a reading that says otherwise is outdated.
+    const bool is_revived = record->instance == known.instance &&
+                            known.is_draining && !record->is_draining;
+    if (is_old || is_revived || *record == known) {
+      return false;
+    }
+  }
+  auto targets = before->targets;
+  targets[record->id] = record;
+  this->current =
+      std::make_shared<const Fleet>(Fleet{.targets = std::move(targets)});
+  const bool is_news = !is_known ||
+                       found->second->instance != record->instance ||
+                       found->second->is_draining != record->is_draining;
+  if (is_news) {
+    this->lines.push_back(DecisionLine{
+        .reason = record->is_draining ? "fleet.draining" : "fleet.seen",
+        .fields = {{"target", record->id.value()},
+                   {"address", record->address},
+                   {"instance", record->instance.value()},
+                   {"cold", record->cold_left}}});
+  }
+  return true;
+}
+
+bool FleetRegister::Drop(const TargetId& target, const char* reason) {
+  if (!this->current->targets.contains(target)) {
+    return false;
+  }
+  auto targets = this->current->targets;
+  targets.erase(target);
+  this->current =
+      std::make_shared<const Fleet>(Fleet{.targets = std::move(targets)});
+  this->lines.push_back(
+      DecisionLine{.reason = reason, .fields = {{"target", target.value()}}});
+  return true;
+}
+
+bool FleetRegister::IsInDoubt(TimePoint now) const {
+  return !this->reachable ||
+         (this->returned_at && now - *this->returned_at < kAbsenceGrace);
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/fleet/include/cicadaloft/fleet/fleet_register.h
@@ -0,0 +1,94 @@
+#ifndef CICADALOFT_FLEET_FLEET_REGISTER_H_
+#define CICADALOFT_FLEET_FLEET_REGISTER_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/core/decision_line.h"
+#include "cicadaloft/fleet/target_record.h"
+
+namespace cicadaloft {
+
+/// A target has said something new of itself.
+struct TargetSeen {
+  TargetRecordPtr record;
+
+  friend auto operator<=>(const TargetSeen&, const TargetSeen&) = default;
+  friend bool operator==(const TargetSeen&, const TargetSeen&) = default;
+};
+
+/// A target's entry has been removed from the registry.
+struct TargetRemoved {
+  TargetId target;
+
+  friend auto operator<=>(const TargetRemoved&, const TargetRemoved&) = default;
+  friend bool operator==(const TargetRemoved&, const TargetRemoved&) = default;
+};
+
+/// The whole registry has been read; who is missing has been removed.
+struct RegistryRead {
+  std::vector<TargetRecordPtr> records;
+
+  friend auto operator<=>(const RegistryRead&, const RegistryRead&) = default;
+  friend bool operator==(const RegistryRead&, const RegistryRead&) = default;
+};
+
+/// The registry can or cannot be read.
+struct RegistryReachable {
+  bool is_reachable = false;
+
+  friend auto operator<=>(const RegistryReachable&,
+                          const RegistryReachable&) = default;
+  friend bool operator==(const RegistryReachable&,
+                         const RegistryReachable&) = default;
+};
+
+using FleetEvent = std::
+    variant<TargetSeen, TargetRemoved, RegistryRead, RegistryReachable>;
+
+/// Keeps the fleet. Removals that may be the registry's own fault, because it
+/// was away and could not take the targets' beats, take effect only when they
+/// have not been withdrawn for kAbsenceGrace after the registry's return.
+class FleetRegister {
+ public:
+  /// Entries of living targets are back within two seconds of the registry's
+  /// return, by the platform's contract; the rest is for the reading.
+  static constexpr Duration kAbsenceGrace = std::chrono::milliseconds(2300);
+
+  /// @return whether the fleet has changed.
+  bool Apply(const FleetEvent& event, TimePoint now);
+  /// Carries out removals whose grace has passed.
+  /// @return whether the fleet has changed.
+  bool Tick(TimePoint now);
+
+  FleetPtr fleet() const { return this->current; }
+  bool is_reachable() const { return this->reachable; }
+  /// @return how long ago the registry was last heard of.
+  Duration Age(TimePoint now) const { return now - this->last_heard; }
+  /// What has been decided since the last call, for the log.
+  std::vector<DecisionLine> TakeLines();
+
+ private:
+  bool Take(const TargetSeen& seen, TimePoint now);
+  bool Take(const TargetRemoved& removed, TimePoint now);
+  bool Take(const RegistryRead& read, TimePoint now);
+  bool Take(const RegistryReachable& reachable, TimePoint now);
+  bool Put(const TargetRecordPtr& record);
+  bool Drop(const TargetId& target, const char* reason);
+  bool IsInDoubt(TimePoint now) const;
+
+  FleetPtr current = std::make_shared<const Fleet>();
+  bool reachable = false;
+  TimePoint last_heard{};
+  std::optional<TimePoint> returned_at;  ///< When the registry came back.
+  std::set<TargetId> absent;  ///< Removed in doubt; still in the fleet.
+  std::vector<DecisionLine> lines;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FLEET_FLEET_REGISTER_H_
--- /dev/null
+++ b/fleet/include/cicadaloft/fleet/target_record.h
@@ -0,0 +1,47 @@
+#ifndef CICADALOFT_FLEET_TARGET_RECORD_H_
+#define CICADALOFT_FLEET_TARGET_RECORD_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/model_path.h"
+#include "cicadaloft/core/time.h"
+
+namespace cicadaloft {
+
+/// What a target says of itself, at one moment.
+struct TargetRecord {
+  TargetId id;
+  ServiceId service;
+  std::string address;  ///< "IP:port".
+  DataCentreId data_centre;
+  std::uint32_t slots = 1;
+  bool is_draining = false;
+  Duration cold_left{};      ///< It tolerates little work for so long.
+  TargetInstance instance;   ///< One number for each start.
+  OrderSequence sequence;    ///< Orders accepted since it started.
+  std::vector<ModelPath> loaded;  ///< Sorted; models and adapters.
+  std::vector<ModelId> in_memory;  ///< Sorted; copies in host memory.
+  std::vector<ModelId> on_disk;    ///< Sorted; copies on the own disk.
+
+  friend auto operator<=>(const TargetRecord&, const TargetRecord&) = default;
+  friend bool operator==(const TargetRecord&, const TargetRecord&) = default;
+};
+
+using TargetRecordPtr = std::shared_ptr<const TargetRecord>;
+
+/// The targets that are known to live. Immutable.
+struct Fleet {
+  std::map<TargetId, TargetRecordPtr> targets;
+};
+
+using FleetPtr = std::shared_ptr<const Fleet>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FLEET_TARGET_RECORD_H_
--- a/forwarding/admin_format.cc
+++ b/forwarding/admin_format.cc
@@ -45,10 +45,13 @@
 std::string FormatExplanation(const ExplainReply& explanation) {
   Json decisions = Json::array();
   for (const TimedDecision& decision : explanation.decisions) {
-    decisions.push_back({{"time", FormatTime(decision.unix_ms)},
-                         {"reason", decision.line.reason},
-                         {"request", decision.line.request.value()},
-                         {"detail", decision.line.detail}});
+    Json item = {{"time", FormatTime(decision.unix_ms)},
+                 {"reason", decision.line.reason},
+                 {"request", decision.line.request.value()}};
+    for (const LogField& field : decision.line.fields) {
+      item[field.name] = field.value;
+    }
+    decisions.push_back(std::move(item));
   }
   return Dump({{"decisions", decisions}});
 }
--- a/forwarding/admin_listener.cc
+++ b/forwarding/admin_listener.cc
@@ -18,7 +18,7 @@
 
 #include "admin_format.h"
 #include "cicadaloft/core/result.h"
-#include "deadline.h"
+#include "cicadaloft/forwarding/deadline.h"
 
 namespace cicadaloft {
 namespace {
@@ -36,8 +36,9 @@
 constexpr std::size_t kBodyLimit = 1024;
 constexpr std::string_view kExplainPath = "/v1/explain/";
 
-std::optional<AdminAsk> AskFor(std::string_view path) {
-  if (path == "/ready" || path == "/v1/status") {
+std::optional<AdminAsk> AskFor(std::string_view path,
+                               std::string_view ready_path) {
+  if (path == ready_path || path == "/v1/status") {
     return StatusAsk{};
   }
   if (path == "/metrics") {
@@ -61,7 +62,7 @@
 
 Answer MakeAnswer(const AdminReply& reply,
                   std::string_view path,
-                  const std::string& host) {
+                  const AdminFacts& facts) {
   constexpr std::string_view kJson = "application/json";
   if (const auto* metrics = std::get_if<MetricsReply>(&reply)) {
     return MakeAnswer(http::status::ok, "text/plain; version=0.0.4",
@@ -71,17 +72,17 @@
     return MakeAnswer(http::status::ok, kJson, FormatExplanation(*explanation));
   }
   const auto& status = std::get<StatusReply>(reply);
-  const bool is_refused = path == "/ready" && !status.is_ready;
+  const bool is_refused = path == facts.ready_path && !status.is_ready;
   return MakeAnswer(
       is_refused ? http::status::service_unavailable : http::status::ok, kJson,
-      FormatStatus(status, host));
+      FormatStatus(status, facts.host));
 }
 
 asio::awaitable<Answer> AnswerTo(const Request& request,
-                                 const std::string& host,
+                                 const AdminFacts& facts,
                                  NodeMailbox& node) {
   const std::string path(request.target());
-  const auto ask = AskFor(path);
+  const auto ask = AskFor(path, facts.ready_path);
   if (!ask) {
     co_return MakeAnswer(http::status::not_found, "text/plain", "not found\n");
   }
@@ -98,11 +99,11 @@
                          "stopped\n");
   }
   const auto reply = co_await Receive(*reply_to);
-  co_return MakeAnswer(*reply, path, host);
+  co_return MakeAnswer(*reply, path, facts);
 }
 
 asio::awaitable<void> ServeAdmin(tcp::socket socket,
-                                 std::string host,
+                                 AdminFacts facts,
                                  std::shared_ptr<NodeMailbox> node) {
   boost::beast::flat_buffer buffer;
   bool goes_on = true;
@@ -115,7 +116,7 @@
       co_return;
     }
     const Request request = parser.release();
-    Answer answer = co_await AnswerTo(request, host, *node);
+    Answer answer = co_await AnswerTo(request, facts, *node);
     answer.keep_alive(request.keep_alive());
     answer.prepare_payload();
     const auto written = co_await Within(
@@ -127,7 +128,7 @@
 }  // namespace
 
 asio::awaitable<void> RunAdminListener(std::shared_ptr<tcp::acceptor> acceptor,
-                                       std::string host,
+                                       AdminFacts facts,
                                        std::shared_ptr<NodeMailbox> node) {
   const auto executor = co_await asio::this_coro::executor;
   while (acceptor->is_open()) {
@@ -137,7 +138,7 @@
       co_await pause.async_wait(asio::use_awaitable);
       continue;
     }
-    asio::co_spawn(executor, ServeAdmin(std::move(socket), host, node),
+    asio::co_spawn(executor, ServeAdmin(std::move(socket), facts, node),
                    asio::detached);
   }
 }
--- a/forwarding/answer_writer.cc
+++ b/forwarding/answer_writer.cc
@@ -8,7 +8,7 @@
 #include <cstdio>
 #include <tuple>
 
-#include "deadline.h"
+#include "cicadaloft/forwarding/deadline.h"
 
 namespace cicadaloft {
 namespace {
--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -1,9 +1,7 @@
-#include "caller_session.h"
+#include "cicadaloft/forwarding/caller_session.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <optional>
 #include <tuple>
@@ -11,11 +9,10 @@
 #include <variant>
 
 #include "answer_writer.h"
-#include "caller_connection.h"
+#include "cicadaloft/forwarding/caller_connection.h"
 #include "cicadaloft/core/result.h"
-#include "deadline.h"
+#include "cicadaloft/forwarding/deadline.h"
 #include "problem_answer.h"
-#include "request_reader.h"
 
 namespace cicadaloft {
 namespace {
@@ -237,7 +234,7 @@
   }
 
   bool KeepsAlive() const {
-    return this->framing->keep_alive &&
+    return this->framing->keep_alive && !this->head->is_last &&
            FramingFor(*this->head, *this->framing) != BodyFraming::kUntilClose;
   }
 
@@ -290,16 +287,10 @@
 
 }  // namespace
 
-asio::awaitable<void> RunCallerSession(tcp::socket socket,
-                                       std::string id_prefix,
-                                       std::shared_ptr<NodeMailbox> node,
-                                       CallerLimits limits) {
-  error_code ignored;
-  std::ignore = socket.set_option(tcp::no_delay(true), ignored);
-  const auto connection = std::make_shared<CallerConnection>(
-      std::move(socket), std::move(id_prefix));
-  asio::co_spawn(co_await asio::this_coro::executor,
-                 ReadRequests(connection, limits), asio::detached);
+asio::awaitable<void> RunCallerSession(
+    std::shared_ptr<CallerConnection> connection,
+    std::shared_ptr<NodeMailbox> node,
+    CallerLimits limits) {
   const auto session =
       std::make_unique<CallerSession>(connection, std::move(node), limits);
   co_await session->Run();
--- a/forwarding/header_rules.cc
+++ b/forwarding/header_rules.cc
@@ -1,4 +1,4 @@
-#include "header_rules.h"
+#include "cicadaloft/forwarding/header_rules.h"
 
 #include <algorithm>
 #include <array>
@@ -75,14 +75,14 @@
   return names;
 }
 
-std::vector<HeaderField> Keep(const std::vector<HeaderField>& fields,
+std::vector<HeaderField> KeepEndToEnd(const std::vector<HeaderField>& fields,
                               auto is_dropped) {
   const std::vector<std::string> named = NamesInConnection(fields);
   std::vector<HeaderField> kept;
   std::ranges::copy_if(
       fields, std::back_inserter(kept), [&](const HeaderField& field) {
         return !IsOneOf(field.name, kHopByHop) && !IsOneOf(field.name, named) &&
-               !HasPrefix(field.name, kOwnPrefix) && !is_dropped(field);
+               !is_dropped(field);
       });
   return kept;
 }
@@ -93,19 +93,25 @@
   return boost::beast::iequals(left, right);
 }
 
+std::vector<HeaderField> EndToEndFields(
+    const std::vector<HeaderField>& fields) {
+  return KeepEndToEnd(fields, [](const HeaderField&) { return false; });
+}
+
 std::vector<HeaderField> FieldsForTarget(const std::vector<HeaderField>& fields,
                                          std::string_view credential) {
-  return Keep(fields, [&](const HeaderField& field) {
+  return KeepEndToEnd(fields, [&](const HeaderField& field) {
     const bool holds_key = credential.size() >= kShortestCredential &&
                            field.value.find(credential) != std::string::npos;
-    return holds_key || IsOneOf(field.name, kNotForTarget) ||
+    return holds_key || HasPrefix(field.name, kOwnPrefix) ||
+           IsOneOf(field.name, kNotForTarget) ||
            HasPrefix(field.name, kForwardedPrefix);
   });
 }
 
 std::vector<HeaderField> FieldsForCaller(
     const std::vector<HeaderField>& fields) {
-  return Keep(fields, [](const HeaderField& field) {
+  return KeepEndToEnd(fields, [](const HeaderField& field) {
     return IsOneOf(field.name, kNotForCaller);
   });
 }
--- a/forwarding/include/cicadaloft/forwarding/admin_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/admin_listener.h
@@ -10,12 +10,17 @@
 
 namespace cicadaloft {
 
-/// Answers operators until the acceptor is closed: GET /ready, /metrics,
-/// /v1/status and /v1/explain/REQUEST_ID.
-/// @param host stands in the status.
+/// What an admin listener says of itself.
+struct AdminFacts {
+  std::string host;
+  std::string ready_path = "/ready";  ///< Where readiness is asked for.
+};
+
+/// Answers operators until the acceptor is closed: GET of the ready path,
+/// /metrics, /v1/status and /v1/explain/REQUEST_ID.
 boost::asio::awaitable<void> RunAdminListener(
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
-    std::string host,
+    AdminFacts facts,
     std::shared_ptr<NodeMailbox> node);
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -1,24 +1,81 @@
 #ifndef CICADALOFT_FORWARDING_CALLER_LISTENER_H_
 #define CICADALOFT_FORWARDING_CALLER_LISTENER_H_
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <exception>
 #include <memory>
 #include <string>
+#include <utility>
 
+#include "cicadaloft/forwarding/caller_connection.h"
+#include "cicadaloft/forwarding/caller_session.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/node_messages.h"
+#include "cicadaloft/forwarding/request_reader.h"
+#include "cicadaloft/forwarding/wires.h"
+#include "cicadaloft/settings/socket_probes.h"
 
 namespace cicadaloft {
 
+/// After an accept that failed, as when there are no descriptors left.
+inline constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+/// Connections over the limit that still get an answer.
+inline constexpr std::size_t kTurnedAway = 100;
+
 /// Accepts callers and serves each by a task of its own, until the acceptor is
 /// closed.
+/// @tparam Wire what the callers speak.
 /// @param id_prefix begins all ids of requests: host and incarnation.
+template <CallerWire Wire>
 boost::asio::awaitable<void> RunCallerListener(
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
     std::string id_prefix,
     std::shared_ptr<NodeMailbox> node,
-    CallerLimits limits);
+    CallerLimits limits) {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto open = std::make_shared<std::size_t>(0);
+  const auto count_end = [open](const std::exception_ptr&) { --*open; };
+  std::uint64_t connections = 0;
+  while (acceptor->is_open()) {
+    auto [error, socket] =
+        co_await acceptor->async_accept(boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (error) {
+      boost::asio::steady_timer pause(executor, kAcceptPause);
+      co_await pause.async_wait(boost::asio::use_awaitable);
+      continue;
+    }
+    ++connections;
+    const std::string prefix = id_prefix + "-" + std::to_string(connections);
+    if (*open >= limits.connections + kTurnedAway) {
+      continue;
+    }
+    const bool is_over = *open >= limits.connections;
+    ++*open;
+    if (is_over) {
+      boost::asio::co_spawn(executor,
+                     TurnAway(std::move(socket), prefix, node, limits),
+                     count_end);
+    } else {
+      SetProbes(socket);
+      const auto connection =
+          std::make_shared<CallerConnection>(std::move(socket), prefix);
+      boost::asio::co_spawn(executor, ReadRequests<Wire>(connection, limits),
+                            boost::asio::detached);
+      boost::asio::co_spawn(executor,
+                            RunCallerSession(connection, node, limits),
+                            count_end);
+    }
+  }
+}
 
 }  // namespace cicadaloft
 
--- a/forwarding/caller_session.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_session.h
@@ -6,16 +6,15 @@
 #include <memory>
 #include <string>
 
+#include "cicadaloft/forwarding/caller_connection.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/node_messages.h"
 
 namespace cicadaloft {
 
-/// Serves one caller's connection until it ends.
-/// @param id_prefix begins the ids of the connection's requests.
+/// Serves one caller's connection, whose reader runs beside, until it ends.
 boost::asio::awaitable<void> RunCallerSession(
-    boost::asio::ip::tcp::socket socket,
-    std::string id_prefix,
+    std::shared_ptr<CallerConnection> connection,
     std::shared_ptr<NodeMailbox> node,
     CallerLimits limits);
 
--- a/forwarding/include/cicadaloft/forwarding/effect_carrier.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_carrier.h
@@ -2,6 +2,8 @@
 #define CICADALOFT_FORWARDING_EFFECT_CARRIER_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -12,40 +14,102 @@
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/node_messages.h"
+#include "cicadaloft/forwarding/target_exchange.h"
+#include "cicadaloft/forwarding/target_pool.h"
+#include "cicadaloft/forwarding/wires.h"
 
 namespace cicadaloft {
 
 /// Carries the node's effects to the sessions and exchanges. Part of the node
 /// task, and used by it alone.
+template <TargetWire Wire>
 class EffectCarrier {
  public:
   EffectCarrier(boost::asio::any_io_executor executor,
                 std::shared_ptr<NodeMailbox> node,
-                const TargetLimits& limits);
-  ~EffectCarrier();
+                const TargetLimits& limits)
+      : executor(std::move(executor)),
+        node(std::move(node)),
+        limits(limits),
+        pool(limits) {}
   EffectCarrier(EffectCarrier&&) = delete;
 
-  void Admit(const CallerArrived& arrived, TimePoint now);
-  void Forget(const RequestId& request);
-  void KeepConnection(const ConnectionFreed& freed, TimePoint now);
+  void Admit(const CallerArrived& arrived, TimePoint now) {
+    this->callers.emplace(arrived.request->arrival.request,
+                          Caller{.arrived = arrived, .at = now});
+  }
+
+  void Forget(const RequestId& request) { this->callers.erase(request); }
+
+  void KeepConnection(const ConnectionFreed& freed, TimePoint now) {
+    this->pool.Keep(freed.address, freed.connection, freed.idle_time, now);
+  }
 
   /// Begins an exchange.
+  /// @param is_last whether the caller's connection ends with the answer.
   /// @return how the attempt ended, if it can't begin.
-  std::optional<AttemptEnded> Carry(const Dispatch& dispatch, TimePoint now);
-  void Carry(const CancelAttempt& cancel);
-  void Carry(const Refuse& refusal);
+  std::optional<AttemptEnded> Carry(const Dispatch& dispatch,
+                                    bool is_last,
+                                    TimePoint now) {
+    const auto caller = this->callers.find(dispatch.request);
+    if (caller == this->callers.end()) {
+      return AttemptEnded{.request = dispatch.request,
+                          .attempt = dispatch.attempt,
+                          .outcome = AttemptOutcome::kNotSent};
+    }
+    auto cancel = std::make_shared<CancelMailbox>(this->executor, 1);
+    this->attempts.emplace(
+        AttemptKey(dispatch.request, dispatch.attempt),
+        Attempt{.cancel = cancel, .arrived = caller->second.at});
+    const CallerArrived& arrived = caller->second.arrived;
+    auto order = std::make_shared<const ExchangeOrder>(
+        ExchangeOrder{.dispatch = dispatch,
+                      .request = arrived.request,
+                      .queue_time = now - caller->second.at,
+                      .is_last = is_last,
+                      .kept = this->pool.Take(dispatch.address, now),
+                      .node = this->node,
+                      .session = arrived.session,
+                      .cancel = std::move(cancel)});
+    boost::asio::co_spawn(this->executor,
+                          RunExchange<Wire>(std::move(order), this->limits),
+                          boost::asio::detached);
+    return std::nullopt;
+  }
+
+  void Carry(const CancelAttempt& cancel) {
+    const auto found =
+        this->attempts.find(AttemptKey(cancel.request, cancel.attempt));
+    if (found != this->attempts.end()) {
+      TrySend(*found->second.cancel, cancel);
+    }
+  }
+
+  void Carry(const Refuse& refusal) {
+    const auto found = this->callers.find(refusal.request);
+    if (found != this->callers.end()) {
+      Post(*found->second.arrived.session, refusal);
+    }
+  }
+
   /// Takes note that an exchange has ended.
-  void NoteEnd(const AttemptEnded& ended);
+  void NoteEnd(const AttemptEnded& ended) {
+    this->attempts.erase(AttemptKey(ended.request, ended.attempt));
+  }
 
   /// @return when the request of a running attempt arrived, or none if there is
   /// no such attempt.
   std::optional<TimePoint> ArrivalOf(const RequestId& request,
-                                     AttemptNumber attempt) const;
+                                     AttemptNumber attempt) const {
+    const auto found = this->attempts.find(AttemptKey(request, attempt));
+    return found == this->attempts.end()
+               ? std::nullopt
+               : std::optional(found->second.arrived);
+  }
   std::size_t open_requests() const { return this->callers.size(); }
   std::size_t running_attempts() const { return this->attempts.size(); }
 
  private:
-  struct Parts;
   struct Caller {
     CallerArrived arrived;
     TimePoint at;
@@ -59,7 +123,7 @@
   const boost::asio::any_io_executor executor;
   const std::shared_ptr<NodeMailbox> node;
   const TargetLimits limits;
-  const std::unique_ptr<Parts> parts;
+  TargetPool pool;
   std::map<RequestId, Caller> callers;
   std::map<AttemptKey, Attempt> attempts;
 };
--- a/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
+++ b/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
@@ -26,11 +26,12 @@
 
 /// How long targets are waited for, and how many connections are kept.
 struct TargetLimits {
-  const Duration connect_time = std::chrono::seconds(1);
-  /// Between two pieces of an answer.
-  const Duration answer_stall = std::chrono::seconds(60);
-  const Duration idle_time = std::chrono::seconds(10);
-  const std::size_t idle_connections = 8;  ///< Kept for each address.
+  /// A lost opening packet is repeated after a second, which is too late for
+  /// most requests; another target is nearer.
+  const Duration connect_time = std::chrono::milliseconds(300);
+  /// For targets that don't tell how long they keep a connection.
+  const Duration idle_time = std::chrono::seconds(2);
+  const std::size_t idle_connections = 32;  ///< Kept for each address.
 
   friend auto operator<=>(const TargetLimits&, const TargetLimits&) = default;
   friend bool operator==(const TargetLimits&, const TargetLimits&) = default;
--- a/forwarding/header_rules.h
+++ b/forwarding/include/cicadaloft/forwarding/header_rules.h
@@ -8,6 +8,9 @@
 
 namespace cicadaloft {
 
+/// @return the fields that concern more than one connection.
+std::vector<HeaderField> EndToEndFields(const std::vector<HeaderField>& fields);
+
 /// @return the fields of a caller's request that a target may see.
 /// @param credential the caller's key; a field that holds it is left out.
 std::vector<HeaderField> FieldsForTarget(const std::vector<HeaderField>& fields,
--- a/forwarding/include/cicadaloft/forwarding/messages.h
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -41,6 +41,8 @@
   const bool keep_alive = false;
   const bool is_http_1_0 = false;  ///< Knows no chunked answer.
   const bool is_head = false;      ///< The answer has no body.
+  /// Times in Retry-After may have fractions.
+  const bool has_fine_retry_after = false;
 
   friend auto operator<=>(const CallerFraming&, const CallerFraming&) = default;
   friend bool operator==(const CallerFraming&, const CallerFraming&) = default;
@@ -112,6 +114,7 @@
   const std::optional<std::uint64_t> length;  ///< Stated content length.
   const Duration queue_time{};
   const Duration target_time{};  ///< From dispatch to the head.
+  const bool is_last = false;    ///< The host stops; the connection ends.
 
   friend auto operator<=>(const AnswerHead&, const AnswerHead&) = default;
   friend bool operator==(const AnswerHead&, const AnswerHead&) = default;
--- a/forwarding/include/cicadaloft/forwarding/node_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/node_messages.h
@@ -38,6 +38,7 @@
 struct ConnectionFreed {
   const std::string address;
   const std::shared_ptr<TargetConnection> connection;
+  const Duration idle_time{};  ///< The target closes it after so long.
 };
 
 /// The admin endpoint wants to know something.
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -25,6 +25,7 @@
 #include "cicadaloft/forwarding/entry_metrics.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/node_messages.h"
+#include "cicadaloft/forwarding/wires.h"
 
 namespace cicadaloft {
 
@@ -44,13 +45,15 @@
 template <typename L>
 concept DecisionSink = std::invocable<const L&, const DecisionLine&>;
 
-using LinkMailbox = Mailbox<Envelope>;
+using WantsMailbox = Mailbox<ModelWanted>;
+/// All requests have been answered after a stop was asked for.
+struct EntryDrained {};
 using DrainedMailbox = Mailbox<EntryDrained>;
 
 /// The mailboxes at the node task's borders.
 struct NodeLinks {
   const std::shared_ptr<NodeMailbox> inbox;
-  const std::shared_ptr<LinkMailbox> link;        ///< To the steward.
+  const std::shared_ptr<WantsMailbox> wants;      ///< To the host's control.
   const std::shared_ptr<DrainedMailbox> drained;  ///< To the program.
 };
 
@@ -58,7 +61,10 @@
 inline constexpr std::size_t kNodeRoom = 1024;
 
 /// Owns the entry's state: feeds it events and carries its effects.
-template <EntryDecider State, EntryClock Clock, DecisionSink Sink>
+template <EntryDecider State,
+          TargetWire Wire,
+          EntryClock Clock,
+          DecisionSink Sink>
 class NodeTask {
  public:
   NodeTask(boost::asio::any_io_executor executor,
@@ -107,7 +113,7 @@
     this->metrics.CountRefusal(rejected.kind);
     this->Carry(DecisionLine{.reason = "caller.rejected",
                              .request = rejected.request,
-                             .detail = "kind=" + std::string(answer.token)});
+                             .fields = {{"kind", answer.token}}});
   }
 
   void Take(const ConnectionFreed& freed) {
@@ -147,11 +153,13 @@
       this->carrier.NoteEnd(*ended);
     } else if (std::holds_alternative<EntryStopRequested>(event)) {
       this->is_stopping = true;
+      this->TellDrained();
     }
   }
 
   void Carry(const Dispatch& dispatch) {
-    const auto ended = this->carrier.Carry(dispatch, this->clock.Now());
+    const auto ended =
+        this->carrier.Carry(dispatch, this->is_stopping, this->clock.Now());
     if (ended) {
       this->pending.emplace_back(*ended);
     }
@@ -164,9 +172,9 @@
     this->carrier.Carry(refusal);
   }
 
-  // A link too slow for its messages loses them, as a broken one does.
-  void Carry(const SendLink& send) {
-    if (!TrySend(*this->links.link, send.envelope)) {
+  // Control that is behind loses asks; they are repeated while requests wait.
+  void Carry(const ModelWanted& wanted) {
+    if (!TrySend(*this->links.wants, wanted)) {
       this->metrics.CountLostMessage();
     }
   }
@@ -177,14 +185,9 @@
     this->sink(line);
   }
 
-  void Carry(const EntryDrained&) {
-    this->is_drained = true;
-    this->TellDrained();
-  }
-
   // The program may end when the last answer has been written, too.
   void TellDrained() {
-    if (this->is_drained && this->carrier.open_requests() == 0) {
+    if (this->is_stopping && this->carrier.open_requests() == 0) {
       TrySend(*this->links.drained, EntryDrained{});
     }
   }
@@ -208,12 +211,11 @@
   const NodeLinks links;
   const Clock clock;
   const Sink sink;
-  EffectCarrier carrier;
+  EffectCarrier<Wire> carrier;
   EntryMetrics metrics;
   DecisionHistory history;
   std::deque<EntryEvent> pending;
   bool is_stopping = false;
-  bool is_drained = false;
 };
 
 /// Sends an EntryTick at each kEntryTickInterval until the inbox is closed.
--- a/forwarding/target_pool.h
+++ b/forwarding/include/cicadaloft/forwarding/target_pool.h
@@ -8,7 +8,7 @@
 
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
-#include "target_connection.h"
+#include "cicadaloft/forwarding/target_connection.h"
 
 namespace cicadaloft {
 
@@ -21,8 +21,11 @@
   std::shared_ptr<TargetConnection> Take(const std::string& address,
                                          TimePoint now);
   /// Keeps a connection; the oldest one gives way where there are too many.
+  /// @param idle_time after which the target closes it. It is given up well
+  /// before, since a request must not cross the closing.
   void Keep(const std::string& address,
             std::shared_ptr<TargetConnection> connection,
+            Duration idle_time,
             TimePoint now);
   /// Closes what has been idle for too long.
   void Prune(TimePoint now);
@@ -30,7 +33,7 @@
  private:
   struct Idle {
     std::shared_ptr<TargetConnection> connection;
-    TimePoint since;
+    TimePoint ends;
   };
 
   const TargetLimits limits;
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/wires.h
@@ -0,0 +1,68 @@
+#ifndef CICADALOFT_FORWARDING_WIRES_H_
+#define CICADALOFT_FORWARDING_WIRES_H_
+
+#include <compare>
+#include <concepts>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/entry/messages.h"
+#include "cicadaloft/forwarding/messages.h"
+#include "cicadaloft/routing/target_load.h"
+
+namespace cicadaloft {
+
+/// A request as it came, before anything is made of it.
+struct RawRequest {
+  std::string method;
+  std::string path;  ///< With the query.
+  std::vector<HeaderField> fields;
+  std::string body;
+
+  friend auto operator<=>(const RawRequest&, const RawRequest&) = default;
+  friend bool operator==(const RawRequest&, const RawRequest&) = default;
+};
+
+/// What callers speak: makes a request of an HTTP message. It returns
+/// kMalformedRequest, kUnknownRoute or kMethodNotAllowed for one that is none.
+template <typename W>
+concept CallerWire = requires(const RequestId& id, RawRequest raw) {
+  { W::ReadCall(id, raw) } -> std::same_as<Result<CallerRequest>>;
+  { W::kHasFineRetryAfter } -> std::convertible_to<bool>;
+};
+
+/// What the head of a target's answer says beside its HTTP form.
+struct AnswerFacts {
+  bool is_ours = true;      ///< False: the answer to an earlier request.
+  bool is_signed = false;   ///< The target vouches for it.
+  bool was_not_run = false;  ///< The target says that it has not run it.
+  bool is_misdirected = false;  ///< It needs another target.
+  bool is_other_instance = false;  ///< Another process than the expected one.
+  std::optional<TargetLoad> load;
+  std::optional<Duration> idle_time;  ///< The connection is closed after it.
+
+  friend auto operator<=>(const AnswerFacts&, const AnswerFacts&) = default;
+  friend bool operator==(const AnswerFacts&, const AnswerFacts&) = default;
+};
+
+/// What targets speak.
+template <typename W>
+concept TargetWire = requires(const CallerRequest& request,
+                              const Dispatch& dispatch,
+                              Duration left,
+                              int status,
+                              const std::vector<HeaderField>& fields) {
+  {
+    W::FormatHeader(request, dispatch, left)
+  } -> std::same_as<std::string>;
+  {
+    W::ReadFacts(request, dispatch, status, fields)
+  } -> std::same_as<AnswerFacts>;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_WIRES_H_
--- a/forwarding/problem_answer.cc
+++ b/forwarding/problem_answer.cc
@@ -1,7 +1,9 @@
 #include "problem_answer.h"
 
 #include <boost/beast/http/status.hpp>
+#include <array>
 #include <chrono>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -23,6 +25,19 @@
                    nlohmann::ordered_json::error_handler_t::replace);
 }
 
+// Whole seconds, rounded up, or with milliseconds.
+std::string FormatSeconds(Duration time, bool has_fractions) {
+  if (!has_fractions) {
+    return std::to_string(
+        std::chrono::ceil<std::chrono::seconds>(time).count());
+  }
+  std::array<char, 32> text{};
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.3f",
+                    std::chrono::duration<double>(time).count());
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
 }  // namespace
 
 Refuse RefusalOf(const RequestId& request, const Error& error) {
@@ -48,9 +63,9 @@
     text += "WWW-Authenticate: Bearer\r\n";
   }
   if (refusal.retry_after) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(*refusal.retry_after);
-    text += "Retry-After: " + std::to_string(seconds.count()) + "\r\n";
+    text += "Retry-After: " +
+            FormatSeconds(*refusal.retry_after, framing.has_fine_retry_after) +
+            "\r\n";
   }
   if (!keep_alive) {
     text += "Connection: close\r\n";
--- a/forwarding/target_pool.cc
+++ b/forwarding/target_pool.cc
@@ -1,4 +1,4 @@
-#include "target_pool.h"
+#include "cicadaloft/forwarding/target_pool.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -9,6 +9,11 @@
 namespace cicadaloft {
 namespace {
 
+/// Part of a target's idle time for which a connection is kept: 7 of 10. The
+/// rest covers timers that differ and the way.
+constexpr int kIdleParts = 7;
+constexpr int kIdleWhole = 10;
+
 // An end of file or an unasked byte makes the connection unfit: the byte would
 // be taken for the next request's answer.
 bool IsQuiet(TargetConnection& connection) {
@@ -48,9 +53,11 @@
 
 void TargetPool::Keep(const std::string& address,
                       std::shared_ptr<TargetConnection> connection,
+                      Duration idle_time,
                       TimePoint now) {
   std::deque<Idle>& line = this->idle[address];
-  line.push_back(Idle{.connection = std::move(connection), .since = now});
+  line.push_back(Idle{.connection = std::move(connection),
+                      .ends = now + idle_time * kIdleParts / kIdleWhole});
   if (line.size() > this->limits.idle_connections) {
     line.pop_front();
   }
@@ -59,7 +66,7 @@
 void TargetPool::Prune(TimePoint now) {
   for (auto& [address, line] : this->idle) {
     std::erase_if(line, [&](const Idle& item) {
-      return now - item.since >= this->limits.idle_time;
+      return now >= item.ends;
     });
   }
   std::erase_if(this->idle,
--- a/forwarding/tests/call_reader_test.cc
+++ b/forwarding/tests/call_reader_test.cc
@@ -5,7 +5,7 @@
 #include <chrono>
 
 #include "cicadaloft/core/rendezvous.h"
-#include "header_rules.h"
+#include "cicadaloft/forwarding/header_rules.h"
 
 namespace cicadaloft {
 namespace {
--- /dev/null
+++ b/host/host_runtime.cc
@@ -0,0 +1,265 @@
+#include "host_runtime.h"
+
+#include <unistd.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "cicadaloft/core/rendezvous.h"
+#include "cicadaloft/entry/entry_node.h"
+#include "cicadaloft/forwarding/admin_listener.h"
+#include "cicadaloft/forwarding/boot_clock.h"
+#include "cicadaloft/forwarding/caller_listener.h"
+#include "cicadaloft/forwarding/node_task.h"
+#include "cicadaloft/platform/configuration_codec.h"
+#include "cicadaloft/platform/registry_codec.h"
+#include "cicadaloft/platform/store_client.h"
+#include "cicadaloft/platform/wires.h"
+#include "cicadaloft/store/keyed_follower.h"
+#include "cicadaloft/telemetry/decision_log.h"
+#include "cicadaloft/telemetry/log.h"
+#include "control_task.h"
+#include "topic_feeds.h"
+
+namespace cicadaloft {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Acceptor = std::shared_ptr<tcp::acceptor>;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+/// Lines reach the log's reader within this time.
+constexpr Duration kLogFlush = std::chrono::milliseconds(100);
+
+/// Changes of targets that come within this time are read together. It is a
+/// small part of the time in which a draining target must be left alone.
+constexpr Duration kRegistryGap = std::chrono::milliseconds(250);
+
+/// How long a stopping host stays for callers that have not noticed yet: two
+/// missed readiness questions, one a second, and the way.
+constexpr Duration kLeaveAfter = std::chrono::milliseconds(3500);
+
+/// Kept free at the end of the stop time, for the last answers' way.
+constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+
+Result<Acceptor> Listen(asio::io_context& context, const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return Fail(ErrorKind::kSettingsInvalid,
+                "address " + address + ": expected IP:port");
+  }
+  try {
+    return std::make_shared<tcp::acceptor>(context, *endpoint);
+  } catch (const boost::system::system_error& error) {
+    return Fail(ErrorKind::kSettingsInvalid,
+                "address " + address + ": " + error.what());
+  }
+}
+
+/// Begins the ids of this process's requests.
+std::string IdPrefix(const HostId& host) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  return host.value() + "-" + std::to_string(ms);
+}
+
+using Node = NodeTask<EntryState,
+                      platform::RunnerWire,
+                      BootClock,
+                      std::function<void(const DecisionLine&)>>;
+
+}  // namespace
+
+class HostRuntime::Tasks : public std::enable_shared_from_this<Tasks> {
+ public:
+  Tasks(asio::io_context& context,
+        const HostSettings& settings,
+        std::shared_ptr<OutputBuffer> output)
+      : context(context),
+        settings(settings),
+        output(std::move(output)),
+        executor(context.get_executor()),
+        decisions(std::make_shared<DecisionLog>()),
+        node(std::make_shared<NodeMailbox>(this->executor, kNodeRoom)),
+        control(std::make_shared<ControlMailbox>(this->executor, kControlRoom)),
+        wants(std::make_shared<WantsMailbox>(this->executor, kControlRoom)),
+        drained(std::make_shared<DrainedMailbox>(this->executor, 1)),
+        node_task(
+            this->executor,
+            EntryState(EntrySettings{.host = settings.host,
+                                     .data_centre = settings.data_centre,
+                                     .retry_ratio = settings.retry_ratio,
+                                     .retry_slack = settings.retry_slack,
+                                     .is_first_start = settings.is_first_start}),
+            NodeLinks{.inbox = this->node,
+                      .wants = this->wants,
+                      .drained = this->drained},
+            TargetLimits{},
+            BootClock{},
+            [log = this->decisions](const DecisionLine& line) {
+              log->Write(line);
+            }),
+        control_task(this->control, this->node, this->decisions) {}
+
+  Result<Done> Open() {
+    for (const auto& [address, acceptor] :
+         {std::pair(&this->settings.listen, &this->callers),
+          std::pair(&this->settings.ready_listen, &this->readiness),
+          std::pair(&this->settings.admin_listen, &this->admin)}) {
+      Result<Acceptor> opened = Listen(this->context, *address);
+      if (!IsOk(opened)) {
+        return ErrorOf(opened);
+      }
+      *acceptor = TakeValue(std::move(opened));
+    }
+    return Done{};
+  }
+
+  void Start() {
+    this->Spawn(this->node_task.Run());
+    this->Spawn(RunTicks(this->node));
+    this->Spawn(this->control_task.Run());
+    this->Spawn(this->TickControl());
+    this->Spawn(this->PassWants());
+    this->Spawn(this->FlushLog());
+    this->SpawnFollowers();
+    this->Spawn(RunCallerListener<platform::ClientWire>(
+        this->callers, IdPrefix(this->settings.host), this->node,
+        CallerLimits{}));
+    this->Spawn(RunAdminListener(
+        this->readiness,
+        AdminFacts{.host = this->settings.host.value(),
+                   .ready_path = platform::kReadyPath},
+        this->node));
+    this->Spawn(RunAdminListener(
+        this->admin, AdminFacts{.host = this->settings.host.value()},
+        this->node));
+  }
+
+  void Stop() { this->Spawn(this->StopGracefully()); }
+
+ private:
+  void Spawn(asio::awaitable<void> task) {
+    asio::co_spawn(this->executor, std::move(task), asio::detached);
+  }
+
+  void SpawnFollowers() {
+    const std::uint64_t seed = StableHash(this->settings.host.value());
+    const auto run = [this](auto follower) -> asio::awaitable<void> {
+      co_await follower->Run();
+    };
+    auto operators = std::make_shared<
+        KeyedFollower<platform::StoreClient, decltype(&platform::DecodeKeyedRecord), OperatorFeed>>(
+        platform::StoreClient(this->executor, this->settings.store),
+        FollowerSettings{.topic = platform::kOperatorTopic,
+                         .jitter_seed = seed},
+        &platform::DecodeKeyedRecord, OperatorFeed(this->control));
+    auto registry = std::make_shared<
+        KeyedFollower<platform::StoreClient, decltype(&platform::DecodeKeyedRecord), RegistryFeed>>(
+        platform::StoreClient(this->executor, this->settings.store),
+        FollowerSettings{.topic = platform::kRegistryTopic,
+                         .least_gap = kRegistryGap,
+                         .jitter_seed = seed + 1},
+        &platform::DecodeKeyedRecord, RegistryFeed(this->control));
+    this->Spawn(run(operators));
+    this->Spawn(run(registry));
+  }
+
+  asio::awaitable<void> TickControl() {
+    while (true) {
+      co_await this->Sleep(kControlTickInterval);
+      const ControlEvent tick = ControlTick{};
+      co_await Send(*this->control, tick);
+    }
+  }
+
+  asio::awaitable<void> PassWants() {
+    while (true) {
+      const auto wanted = co_await Receive(*this->wants);
+      const ControlEvent event = *wanted;
+      co_await Send(*this->control, event);
+    }
+  }
+
+  asio::awaitable<void> FlushLog() {
+    const Log log("log");
+    while (true) {
+      co_await this->Sleep(kLogFlush);
+      const std::uint64_t dropped = this->output->TakeDropped();
+      if (dropped > 0) {
+        log.Warn("dropped lines: " + std::to_string(dropped));
+      }
+      this->output->Flush(STDOUT_FILENO);
+    }
+  }
+
+  asio::awaitable<void> StopGracefully() {
+    const EntryEvent stop = EntryStopRequested{};
+    const auto began = std::chrono::steady_clock::now();
+    co_await Send(*this->node, NodeMessage(stop));
+    const Duration most = this->settings.stop_time - kStopMargin;
+    co_await this->Sleep(std::min(kLeaveAfter, most));
+    const auto passed = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - began);
+    const Duration left = std::max(Duration::zero(), most - passed);
+    const auto drained = co_await Within(left, Receive(*this->drained));
+    Log("host").Info(drained ? "stopped: all requests answered"
+                             : "stopped: the time to stop is over");
+    this->output->Flush(STDOUT_FILENO);
+    this->context.stop();
+  }
+
+  asio::awaitable<void> Sleep(Duration time) {
+    asio::steady_timer timer(this->executor, time);
+    co_await timer.async_wait(kNoThrow);
+  }
+
+  asio::io_context& context;
+  const HostSettings settings;
+  const std::shared_ptr<OutputBuffer> output;
+  const asio::any_io_executor executor;
+  const std::shared_ptr<DecisionLog> decisions;
+  const std::shared_ptr<NodeMailbox> node;
+  const std::shared_ptr<ControlMailbox> control;
+  const std::shared_ptr<WantsMailbox> wants;
+  const std::shared_ptr<DrainedMailbox> drained;
+  Acceptor callers;
+  Acceptor readiness;
+  Acceptor admin;
+  Node node_task;
+  ControlTask control_task;
+};
+
+HostRuntime::HostRuntime(std::shared_ptr<Tasks> tasks)
+    : tasks(std::move(tasks)) {}
+HostRuntime::~HostRuntime() = default;
+
+Result<std::unique_ptr<HostRuntime>> HostRuntime::Start(
+    asio::io_context& context,
+    const HostSettings& settings,
+    std::shared_ptr<OutputBuffer> output) {
+  auto tasks = std::make_shared<Tasks>(context, settings, std::move(output));
+  const Result<Done> opened = tasks->Open();
+  if (!IsOk(opened)) {
+    return ErrorOf(opened);
+  }
+  tasks->Start();
+  return std::unique_ptr<HostRuntime>(new HostRuntime(std::move(tasks)));
+}
+
+void HostRuntime::Stop() {
+  this->tasks->Stop();
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/host/host_settings.cc
@@ -0,0 +1,42 @@
+#include "host_settings.h"
+
+#include "cicadaloft/telemetry/log.h"
+
+namespace cicadaloft {
+namespace {
+
+// The published bounds of the deployments known so far, for settings that
+// leave them out.
+constexpr Duration kUsualStopTime = std::chrono::seconds(8);
+constexpr Duration kUsualHolderGap = std::chrono::seconds(3);
+constexpr double kUsualRetryRatio = 0.2;
+constexpr double kUsualRetrySlack = 50;
+constexpr double kMostRetrySlack = 1'000'000;
+
+}  // namespace
+
+Result<HostSettings> ReadHostSettings(SettingsReader reader) {
+  HostSettings settings{
+      .host = HostId(reader.Text("host")),
+      .data_centre = DataCentreId(reader.Text("data_centre")),
+      .listen = reader.Address("listen"),
+      .ready_listen = reader.Address("ready_listen"),
+      .admin_listen = reader.Address("admin_listen"),
+      .peer_listen = reader.Address("peer_listen"),
+      .own_listen = reader.TextOr("own_listen", ""),
+      .store = reader.Address("store"),
+      .is_first_start = reader.FlagOr("first_start", false),
+      .stop_time = reader.TimeOr("stop_time", kUsualStopTime),
+      .retry_ratio = reader.NumberOr("retry_ratio", kUsualRetryRatio, 1),
+      .retry_slack =
+          reader.NumberOr("retry_slack", kUsualRetrySlack, kMostRetrySlack),
+      .holder_gap = reader.TimeOr("holder_gap", kUsualHolderGap),
+      .log_level = reader.Choice("log_level", kLogLevels)};
+  const Result<Done> done = reader.Finish();
+  if (!IsOk(done)) {
+    return ErrorOf(done);
+  }
+  return settings;
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/host/main.cc
@@ -0,0 +1,126 @@
+#include <docopt/docopt.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cicadaloft/platform/wires.h"
+#include "cicadaloft/telemetry/log.h"
+#include "host_runtime.h"
+#include "host_settings.h"
+
+namespace cicadaloft {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr char kVersion[] = "cicadaloft-host 0.2.0";
+constexpr char kUsage[] =
+    R"(Serves rarely used models and adapters: one program a host.
+
+Usage:
+  cicadaloft-host [--settings FILE] [--check]
+  cicadaloft-host (-h | --help)
+  cicadaloft-host --version
+
+Options:
+  --settings FILE  Settings, JSON with comments. Without it, the file that the
+                   environment variable CICADALOFT_BOOT names.
+  --check          Check the settings and exit.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit codes: 0 stopped as asked, 2 wrong settings or arguments.
+)";
+
+constexpr int kExitSettings = 2;
+
+std::string SettingsPath(const docopt::value& option) {
+  if (option.isString()) {
+    return option.asString();
+  }
+  const char* const path = std::getenv(platform::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+asio::awaitable<void> HandleSignals(asio::io_context& context,
+                                    HostRuntime& runtime,
+                                    std::string path) {
+  const Log log("host");
+  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  int number = SIGHUP;
+  while (number == SIGHUP) {
+    const auto [error, signal] = co_await signals.async_wait(
+        asio::as_tuple(asio::use_awaitable));
+    number = error ? SIGTERM : signal;
+    if (number == SIGHUP) {
+      const auto settings = ReadHostSettings(SettingsReader::FromFile(path));
+      log.Info(IsOk(settings)
+                   ? "settings read again; addresses stay as they are"
+                   : "settings not taken: " + ErrorOf(settings).message);
+    }
+  }
+  log.Info("stop requested");
+  runtime.Stop();
+}
+
+// Standard output must never make the process wait.
+void SetNonBlocking(int descriptor) {
+  const int flags = fcntl(descriptor, F_GETFL);
+  if (flags >= 0) {
+    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+int Run(const HostSettings& settings, const std::string& path) {
+  SetNonBlocking(STDOUT_FILENO);
+  const auto output = std::make_shared<OutputBuffer>();
+  const LogSession session(settings.log_level, output);
+  asio::io_context context(1);
+  const auto runtime = HostRuntime::Start(context, settings, output);
+  if (!IsOk(runtime)) {
+    std::cerr << ErrorOf(runtime).message << "\n";
+    return kExitSettings;
+  }
+  Log("host").Info("started " + settings.host.value() + " in " +
+                   settings.data_centre.value());
+  asio::co_spawn(context, HandleSignals(context, *ValueOf(runtime), path),
+                 asio::detached);
+  context.run();
+  output->Flush(STDOUT_FILENO);
+  return 0;
+}
+
+int Main(const std::vector<std::string>& arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  auto values = docopt::docopt(kUsage, arguments, true, kVersion);
+  const std::string path = SettingsPath(values["--settings"]);
+  const auto settings = ReadHostSettings(SettingsReader::FromFile(path));
+  if (!IsOk(settings)) {
+    std::cerr << ErrorOf(settings).message << "\n";
+    return kExitSettings;
+  }
+  if (values["--check"].asBool()) {
+    std::cout << path << ": ok\n";
+    return 0;
+  }
+  return Run(ValueOf(settings), path);
+}
+
+}  // namespace
+}  // namespace cicadaloft
+
+int main(int argc, char** argv) {
+  return cicadaloft::Main({argv + 1, argv + argc});
+}
--- /dev/null
+++ b/host/topic_feeds.cc
@@ -0,0 +1,123 @@
+#include "topic_feeds.h"
+
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/platform/configuration_codec.h"
+#include "cicadaloft/platform/registry_codec.h"
+#include "cicadaloft/platform/topic_codec.h"
+
+namespace cicadaloft {
+namespace {
+
+void Tell(ControlMailbox& control, ControlEvent event) {
+  Post(control, std::move(event));
+}
+
+void TellRefused(ControlMailbox& control,
+                 const char* topic,
+                 const std::string& reason) {
+  Tell(control, RecordRefused{.topic = topic, .reason = reason});
+}
+
+void TellOperatorRecord(ControlMailbox& control, const KeyedRecord& record) {
+  std::visit(
+      Overloaded{[&](Configuration configuration) {
+                   Tell(control,
+                        ConfigurationRead{
+                            .configuration =
+                                std::make_shared<const ActiveConfiguration>(
+                                    std::move(configuration))});
+                 },
+                 [&](const platform::Evacuation& evacuation) {
+                   Tell(control,
+                        EvacuationAsked{.data_centre = evacuation.data_centre,
+                                        .is_asked = evacuation.is_asked});
+                 },
+                 [&](const Error& error) {
+                   TellRefused(control, platform::kOperatorTopic,
+                               error.message);
+                 },
+                 [](const platform::Ignored&) {}},
+      platform::DecodeOperatorRecord(record));
+}
+
+void TellWholeOperatorTopic(ControlMailbox& control, const TopicRead& read) {
+  std::set<DataCentreId> evacuated;
+  for (const KeyedRecord& record : read.records) {
+    const auto data_centre = platform::EvacuatedDataCentre(record.key);
+    if (data_centre && record.value) {
+      evacuated.insert(*data_centre);
+    } else {
+      TellOperatorRecord(control, record);
+    }
+  }
+  Tell(control, EvacuationsRead{.data_centres = std::move(evacuated)});
+}
+
+void TellRegistryRecord(ControlMailbox& control, const KeyedRecord& record) {
+  std::visit(Overloaded{[&](const Error& error) {
+                          TellRefused(control, platform::kRegistryTopic,
+                                      error.message);
+                        },
+                        [&](const auto& event) {
+                          Tell(control, FleetEvent(event));
+                        }},
+             platform::DecodeRegistryRecord(record));
+}
+
+void TellWholeRegistry(ControlMailbox& control, const TopicRead& read) {
+  std::vector<TargetRecordPtr> records;
+  for (const KeyedRecord& record : read.records) {
+    const auto decoded = platform::DecodeRegistryRecord(record);
+    if (const auto* seen = std::get_if<TargetSeen>(&decoded)) {
+      records.push_back(seen->record);
+    } else if (const auto* error = std::get_if<Error>(&decoded)) {
+      TellRefused(control, platform::kRegistryTopic, error->message);
+    }
+  }
+  Tell(control, FleetEvent(RegistryRead{.records = std::move(records)}));
+}
+
+}  // namespace
+
+void OperatorFeed::operator()(const FollowerNews& news) const {
+  ControlMailbox& to = *this->control;
+  std::visit(
+      Overloaded{
+          [&](const TopicRead& read) { TellWholeOperatorTopic(to, read); },
+          [&](const KeyChanged& change) {
+            TellOperatorRecord(to, change.record);
+          },
+          [&](const StoreReachable& reachable) {
+            Tell(to, OperatorReachable{.is_reachable = reachable.is_reachable,
+                                       .reason = reachable.reason});
+          },
+          [&](const RecordSkipped& skipped) {
+            TellRefused(to, platform::kOperatorTopic, skipped.reason);
+          }},
+      news);
+}
+
+void RegistryFeed::operator()(const FollowerNews& news) const {
+  ControlMailbox& to = *this->control;
+  std::visit(
+      Overloaded{[&](const TopicRead& read) { TellWholeRegistry(to, read); },
+                 [&](const KeyChanged& change) {
+                   TellRegistryRecord(to, change.record);
+                 },
+                 [&](const StoreReachable& reachable) {
+                   Tell(to, FleetEvent(RegistryReachable{
+                                .is_reachable = reachable.is_reachable}));
+                 },
+                 [&](const RecordSkipped& skipped) {
+                   TellRefused(to, platform::kRegistryTopic, skipped.reason);
+                 }},
+      news);
+}
+
+}  // namespace cicadaloft
--- a/peering/link_client.cc
+++ b/peering/link_client.cc
@@ -10,7 +10,7 @@
 #include <optional>
 #include <utility>
 
-#include "cicadaloft/peering/backoff.h"
+#include "cicadaloft/core/backoff.h"
 #include "cicadaloft/settings/socket_address.h"
 #include "cicadaloft/telemetry/log.h"
 #include "link_session.h"
--- a/routing/include/cicadaloft/routing/retry_budget.h
+++ b/routing/include/cicadaloft/routing/retry_budget.h
@@ -1,25 +1,28 @@
 #ifndef CICADALOFT_ROUTING_RETRY_BUDGET_H_
 #define CICADALOFT_ROUTING_RETRY_BUDGET_H_
 
-#include "cicadaloft/core/time.h"
-
 namespace cicadaloft {
 
-/// Bounds one customer's retries to a part of its requests, so that retries
-/// don't multiply the load on targets that already fail.
+/// Bounds one service's repeated sends from this host to a part of its
+/// requests, so that repeats don't multiply the load on targets that already
+/// fail.
 class RetryBudget {
  public:
-  static constexpr double kRetriesPerRequest = 0.2;
-  static constexpr double kRetriesPerMinute = 10;
-  static constexpr double kMostSaved = 50;
+  /// Sets the bounds. What is saved up is clipped.
+  /// @param ratio repeats that each request allows.
+  /// @param most_saved repeats that may be saved up; this host's part of the
+  /// slack that all hosts share.
+  void Set(double ratio, double most_saved);
 
   void OnRequest();
   /// @return false if the budget is spent.
-  bool TryTake(TimePoint now);
+  bool TryTake();
 
  private:
-  double saved = kRetriesPerMinute;
-  TimePoint refilled{};
+  double ratio = 0;
+  double most_saved = 0;
+  double saved = 0;
+  bool is_new = true;
 };
 
 }  // namespace cicadaloft
--- a/routing/include/cicadaloft/routing/target_choice.h
+++ b/routing/include/cicadaloft/routing/target_choice.h
@@ -1,12 +1,7 @@
 #ifndef CICADALOFT_ROUTING_TARGET_CHOICE_H_
 #define CICADALOFT_ROUTING_TARGET_CHOICE_H_
 
-#include <algorithm>
 #include <cstdint>
-#include <functional>
-#include <limits>
-#include <ranges>
-#include <string>
 #include <vector>
 
 #include "cicadaloft/core/rendezvous.h"
@@ -14,58 +9,59 @@
 
 namespace cicadaloft {
 
-/// Expected completion is taken as this much lower on the target that ran the
-/// same prompt prefix last.
-inline constexpr double kPrefixHitFactor = 0.6;
+/// What a request would like its target to be.
+struct TargetWish {
+  DataCentreId near;            ///< The host's own.
+  std::uint64_t prompt_key = 0;  ///< Of the prompt's shared part; 0: none.
+  std::uint64_t draw = 0;       ///< Spreads what is equal.
+};
 
-/// Among more targets than this, only so many drawn ones are compared.
-inline constexpr std::size_t kMostCompared = 8;
+/// In parts of a target's slots: what a target of another data centre is taken
+/// to be fuller by. Bytes between data centres are priced, waiting costs more.
+inline constexpr double kFarPenalty = 0.04;
 
-/// Targets whose costs differ by less than this are taken as equal.
-inline constexpr double kEqualCostRatio = 1.05;
+/// The same for a target that has not got the prompt's shared part in memory.
+/// Reading it anew takes some ms of a step that others share.
+inline constexpr double kPromptPenalty = 0.06;
 
-/// Picks the target with the lowest expected completion. Where costs are equal
-/// the request's hash decides, so hosts don't all go to the same target.
-/// @param allowed which targets may be taken.
-/// @param prefix_target ran the same prefix last; null if unknown.
-/// @return null if none is allowed.
+/// @return the fullness by which targets are compared, with penalties.
+double CostOf(const TargetView& target,
+              const TargetWish& wish,
+              const TargetView* prompt_target,
+              TimePoint now);
+
+/// Picks the target with the lowest cost among the allowed ones.
+/// @return null if there is none.
 template <typename Allowed>
 TargetView* ChooseTarget(const std::vector<TargetView*>& targets,
-                         const std::string& request,
-                         const TargetView* prefix_target,
+                         const TargetWish& wish,
+                         TimePoint now,
                          Allowed allowed) {
-  const std::uint64_t seed = StableHash(request);
-  const auto cost_of = [&](const TargetView* target) {
-    return target->ExpectedCompletion() *
-           (target == prefix_target ? kPrefixHitFactor : 1.0);
-  };
+  TargetView* prompt_target = nullptr;
+  std::uint64_t prompt_weight = 0;
+  for (TargetView* target : targets) {
+    const std::uint64_t weight =
+        wish.prompt_key == 0
+            ? 0
+            : RendezvousWeight(std::to_string(wish.prompt_key),
+                               target->record().id.value());
+    if (weight > prompt_weight) {
+      prompt_weight = weight;
+      prompt_target = target;
+    }
+  }
   TargetView* best = nullptr;
-  double best_cost = std::numeric_limits<double>::infinity();
-  std::size_t compared = 0;
-  const std::size_t count = targets.size();
-  const auto consider = [&](TargetView* target) {
+  double best_cost = 0;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    TargetView* target = targets[(wish.draw + i) % targets.size()];
     if (!allowed(*target)) {
-      return;
+      continue;
     }
-    ++compared;
-    const double cost = cost_of(target);
-    // The rotated order settles what is equal: the first one stays.
-    if (best == nullptr || cost * kEqualCostRatio < best_cost) {
+    const double cost = CostOf(*target, wish, prompt_target, now);
+    if (best == nullptr || cost < best_cost) {
       best = target;
       best_cost = cost;
     }
-  };
-  for (std::size_t i = 0; i < count && compared < kMostCompared; ++i) {
-    consider(targets[(seed + i) % count]);
-  }
-  const bool is_prefix_left_out =
-      prefix_target != nullptr && compared >= kMostCompared;
-  if (is_prefix_left_out) {
-    std::ranges::for_each(targets, [&](TargetView* target) {
-      if (target == prefix_target) {
-        consider(target);
-      }
-    });
   }
   return best;
 }
--- a/routing/retry_budget.cc
+++ b/routing/retry_budget.cc
@@ -1,23 +1,21 @@
 #include "cicadaloft/routing/retry_budget.h"
 
 #include <algorithm>
-#include <chrono>
 
 namespace cicadaloft {
 
+void RetryBudget::Set(double new_ratio, double new_most) {
+  this->ratio = new_ratio;
+  this->most_saved = new_most;
+  this->saved = this->is_new ? new_most : std::min(this->saved, new_most);
+  this->is_new = false;
+}
+
 void RetryBudget::OnRequest() {
-  this->saved = std::min(kMostSaved, this->saved + kRetriesPerRequest);
+  this->saved = std::min(this->most_saved, this->saved + this->ratio);
 }
 
-bool RetryBudget::TryTake(TimePoint now) {
-  using Minutes = std::chrono::duration<double, std::ratio<60>>;
-  const double minutes = Minutes(now - this->refilled).count();
-  // Time alone fills it up to the least budget only.
-  if (this->saved < kRetriesPerMinute) {
-    this->saved =
-        std::min(kRetriesPerMinute, this->saved + minutes * kRetriesPerMinute);
-  }
-  this->refilled = now;
+bool RetryBudget::TryTake() {
   if (this->saved < 1) {
     return false;
   }
--- a/settings/include/cicadaloft/settings/settings_reader.h
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -46,6 +46,8 @@
   std::uint64_t WholeOr(std::string_view field,
                         std::uint64_t fallback,
                         const WholeRange& range);
+  /// @return a number from 0 to `most`.
+  double NumberOr(std::string_view field, double fallback, double most);
   bool FlagOr(std::string_view field, bool fallback);
   /// @return an "IPv4:port" that stands in no other field.
   std::string Address(std::string_view field);
--- /dev/null
+++ b/settings/include/cicadaloft/settings/socket_probes.h
@@ -0,0 +1,16 @@
+#ifndef CICADALOFT_SETTINGS_SOCKET_PROBES_H_
+#define CICADALOFT_SETTINGS_SOCKET_PROBES_H_
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace cicadaloft {
+
+/// Makes a connection whose other end has fallen silent break within a few
+/// seconds: by probes while it is idle, and by a limit for unacknowledged
+/// bytes. Also sends small pieces at once. Options that the system refuses are
+/// left out: deadlines of the callers still bound each wait.
+void SetProbes(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_SETTINGS_SOCKET_PROBES_H_
--- a/settings/settings_reader.cc
+++ b/settings/settings_reader.cc
@@ -242,6 +242,21 @@
   return number;
 }
 
+double SettingsReader::NumberOr(std::string_view field,
+                                double fallback,
+                                double most) {
+  const json* const value = this->document->Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const double number = value->is_number() ? value->get<double>() : -1;
+  if (number < 0 || number > most) {
+    this->Expect(field, "a number from 0 to " + std::to_string(most));
+    return fallback;
+  }
+  return number;
+}
+
 bool SettingsReader::FlagOr(std::string_view field, bool fallback) {
   const json* const value = this->document->Find(field);
   if (value == nullptr) {
--- /dev/null
+++ b/store/include/cicadaloft/store/messages.h
@@ -0,0 +1,73 @@
+#ifndef CICADALOFT_STORE_MESSAGES_H_
+#define CICADALOFT_STORE_MESSAGES_H_
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/core/id.h"
+
+namespace cicadaloft {
+
+/// The newest record of one key.
+struct KeyedRecord {
+  std::string key;
+  std::optional<std::string> value;  ///< None: the key has been dropped.
+
+  friend auto operator<=>(const KeyedRecord&, const KeyedRecord&) = default;
+  friend bool operator==(const KeyedRecord&, const KeyedRecord&) = default;
+};
+
+/// All keys of a topic that have a record.
+struct NewestRecords {
+  std::vector<KeyedRecord> records;
+  LogOffset end;  ///< Reading on from here misses nothing.
+
+  friend auto operator<=>(const NewestRecords&, const NewestRecords&) = default;
+  friend bool operator==(const NewestRecords&, const NewestRecords&) = default;
+};
+
+/// Records in the order in which they were written.
+struct LogRecords {
+  std::vector<std::string> records;
+  LogOffset next;  ///< After the last of them.
+  LogOffset end;   ///< Of the whole log when they were read.
+
+  friend auto operator<=>(const LogRecords&, const LogRecords&) = default;
+  friend bool operator==(const LogRecords&, const LogRecords&) = default;
+};
+
+/// The records that were asked for have been deleted.
+struct HistoryGone {
+  LogOffset first;  ///< The first one that is left.
+
+  friend auto operator<=>(const HistoryGone&, const HistoryGone&) = default;
+  friend bool operator==(const HistoryGone&, const HistoryGone&) = default;
+};
+
+using LogRead = std::variant<LogRecords, HistoryGone>;
+
+struct Appended {
+  LogOffset offset;
+
+  friend auto operator<=>(const Appended&, const Appended&) = default;
+  friend bool operator==(const Appended&, const Appended&) = default;
+};
+
+/// The log does not end where the condition says; nothing has been written.
+struct AppendConflict {
+  LogOffset end;
+
+  friend auto operator<=>(const AppendConflict&,
+                          const AppendConflict&) = default;
+  friend bool operator==(const AppendConflict&,
+                         const AppendConflict&) = default;
+};
+
+using AppendAnswer = std::variant<Appended, AppendConflict>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_STORE_MESSAGES_H_
--- /dev/null
+++ b/store/include/cicadaloft/store/store.h
@@ -0,0 +1,36 @@
+#ifndef CICADALOFT_STORE_STORE_H_
+#define CICADALOFT_STORE_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <concepts>
+#include <string>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/store/messages.h"
+
+namespace cicadaloft {
+
+/// A connection to where things last. Errors are kStoreUnavailable for a call
+/// that was refused and did nothing, and kStoreUnanswered for one that may take
+/// effect, also later.
+template <typename S>
+concept Store = requires(S& store,
+                         const std::string& topic,
+                         LogOffset offset,
+                         Duration wait,
+                         const std::string& record) {
+  {
+    store.ReadNewest(topic)
+  } -> std::same_as<boost::asio::awaitable<Result<NewestRecords>>>;
+  {
+    store.Read(topic, offset, wait)
+  } -> std::same_as<boost::asio::awaitable<Result<LogRead>>>;
+  {
+    store.AppendAt(topic, offset, record)
+  } -> std::same_as<boost::asio::awaitable<Result<AppendAnswer>>>;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_STORE_STORE_H_
--- a/telemetry/decision_log.cc
+++ b/telemetry/decision_log.cc
@@ -6,16 +6,20 @@
 namespace cicadaloft {
 
 std::string FormatDecision(const DecisionLine& line) {
-  const std::string request = line.request.empty() ? "-" : line.request.value();
-  const std::string head =
-      "decision reason=" + line.reason + " request=" + request;
-  return OneLine(line.detail.empty() ? head : head + " " + line.detail);
+  std::string text = "\"event\":" + JsonText(line.reason);
+  if (!line.request.empty()) {
+    text += ",\"request\":" + JsonText(line.request.value());
+  }
+  for (const LogField& field : line.fields) {
+    text += "," + JsonText(field.name) + ":" + JsonText(field.value);
+  }
+  return text;
 }
 
-DecisionLog::DecisionLog(std::size_t kept) : log("node"), kept(kept) {}
+DecisionLog::DecisionLog(std::size_t kept) : log("host"), kept(kept) {}
 
 void DecisionLog::Write(const DecisionLine& line) {
-  this->log.Info(FormatDecision(line));
+  this->log.Event(FormatDecision(line));
   this->lines.push_back(line);
   if (this->lines.size() > this->kept) {
     this->lines.pop_front();
--- a/telemetry/include/cicadaloft/telemetry/decision_log.h
+++ b/telemetry/include/cicadaloft/telemetry/decision_log.h
@@ -11,8 +11,7 @@
 
 namespace cicadaloft {
 
-/// @return "decision reason=... request=... detail"; "request=-" where no
-/// request is behind the decision.
+/// @return the line as members of a JSON object: event, request and fields.
 std::string FormatDecision(const DecisionLine& line);
 
 /// Writes decisions to the log and keeps the latest for explanations.
--- a/telemetry/include/cicadaloft/telemetry/log.h
+++ b/telemetry/include/cicadaloft/telemetry/log.h
@@ -2,21 +2,25 @@
 #define CICADALOFT_TELEMETRY_LOG_H_
 
 #include <array>
+#include <memory>
 #include <string>
 #include <string_view>
 
+#include "cicadaloft/telemetry/output_buffer.h"
+
 namespace cicadaloft {
 
 /// Names of the log levels in settings, the default first.
 inline constexpr std::array<std::string_view, 4> kLogLevels = {"info", "debug",
                                                                "warn", "error"};
 
-/// Sets the process's log up: one line a record to standard error, with time,
-/// level and component. It is written until the session ends.
+/// Sets the process's log up: one JSON object a line, with time, level and
+/// component. It is written until the session ends.
 class LogSession {
  public:
   /// @param level one of kLogLevels; records below it are left out.
-  explicit LogSession(std::string_view level);
+  /// @param output takes the lines; its owner empties it.
+  LogSession(std::string_view level, std::shared_ptr<OutputBuffer> output);
   ~LogSession();
   LogSession(const LogSession&) = delete;
   LogSession& operator=(const LogSession&) = delete;
@@ -31,11 +35,17 @@
   void Info(std::string_view text) const;
   void Warn(std::string_view text) const;
   void Error(std::string_view text) const;
+  /// Writes an event with its fields.
+  /// @param fields members of a JSON object, without its braces.
+  void Event(std::string_view fields) const;
 
  private:
   std::string component;
 };
 
+/// @return the text as a JSON string, with its quotes.
+std::string JsonText(std::string_view text);
+
 /// @return the text with every control character replaced, so that a record
 /// stays on one line whatever a peer has sent.
 std::string OneLine(std::string_view text);
