--- /dev/null
+++ b/admission/share_ledger.cc
@@ -0,0 +1,140 @@
+#include "cicadaloft/admission/share_ledger.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <ranges>
+
+namespace cicadaloft {
+namespace {
+
+/// Part of a customer's grantable share that is divided evenly whatever the
+/// demand is, so that a host's first requests find some.
+constexpr double kEvenPart = 0.25;
+
+/// Grants of an earlier holder have lapsed so long after its last one; the
+/// margin covers a message's way.
+constexpr Duration kMargin = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void ShareLedger::Begin(std::uint32_t hosts_before, TimePoint now) {
+  this->hosts.clear();
+  this->began = now;
+  this->expected_hosts = hosts_before;
+  // Numbers of two tenures must not be mixed up.
+  this->last_number =
+      static_cast<std::uint64_t>(now.time_since_epoch().count());
+}
+
+void ShareLedger::OnReport(const DemandReported& report, TimePoint now) {
+  Host& host = this->hosts[report.host];
+  const std::chrono::duration<double> age = now - host.heard_at;
+  const std::chrono::duration<double> half = kHalfLife;
+  const double fade = std::exp2(-age.count() / half.count());
+  for (auto& [customer, cost] : host.demand) {
+    cost *= fade;
+  }
+  for (const CustomerDemand& demand : report.demands) {
+    host.demand[demand.customer] += demand.cost;
+  }
+  host.heard_at = now;
+  const auto confirmed =
+      std::ranges::find(host.grants, report.grant, &Grant::number);
+  if (confirmed != host.grants.end()) {
+    host.grants.erase(host.grants.begin(), confirmed);
+    return;
+  }
+  if (host.grants.empty()) {
+    // Granted by an earlier holder, or nothing yet.
+    Grant grant{.number = report.grant, .sent_at = now};
+    for (const GrantedShare& share : report.held) {
+      grant.shares[share.customer] = share.share;
+    }
+    host.grants.push_back(std::move(grant));
+  }
+}
+
+std::map<HostId, SharesGranted> ShareLedger::Divide(
+    const std::vector<CustomerId>& customers,
+    TimePoint now) {
+  std::erase_if(this->hosts, [&](const auto& entry) {
+    return now - entry.second.heard_at > kMemberTerm;
+  });
+  // Hosts that have not told yet may use shares of an earlier holder.
+  const bool may_grow = this->hosts.size() >= this->expected_hosts ||
+                        now - this->began > kGrantTerm + kMargin;
+  std::map<HostId, SharesGranted> granted;
+  for (auto& [id, host] : this->hosts) {
+    if (now - host.heard_at > kHostTerm) {
+      continue;
+    }
+    const auto wanted = this->Wanted(id, customers, now);
+    Grant grant{.number = ++this->last_number, .sent_at = now};
+    for (const auto& [customer, want] : wanted) {
+      double others = 0;
+      for (const auto& [other_id, other] : this->hosts) {
+        others += other_id == id ? 0 : this->Outstanding(other, customer, now);
+      }
+      const double own = this->Outstanding(host, customer, now);
+      const double most = std::max(0.0, 1 - kReservedPart - others);
+      grant.shares[customer] = std::min(may_grow ? most : std::min(own, most),
+                                        want);
+    }
+    SharesGranted message{.grant = grant.number,
+                          .hosts = this->HostCount(now)};
+    for (const auto& [customer, share] : grant.shares) {
+      message.customers.push_back(
+          GrantedShare{.customer = customer, .share = share});
+    }
+    host.grants.push_back(std::move(grant));
+    granted.emplace(id, std::move(message));
+  }
+  return granted;
+}
+
+std::uint32_t ShareLedger::HostCount(TimePoint now) const {
+  const auto known = static_cast<std::uint32_t>(this->hosts.size());
+  const std::uint32_t expected =
+      now - this->began < kMemberTerm ? this->expected_hosts : 0;
+  return std::max({1U, known, expected});
+}
+
+double ShareLedger::Outstanding(const Host& host,
+                                const CustomerId& customer,
+                                TimePoint now) const {
+  double most = 0;
+  for (const Grant& grant : host.grants) {
+    const auto found = grant.shares.find(customer);
+    if (found != grant.shares.end() &&
+        now - grant.sent_at <= kGrantTerm + kMargin) {
+      most = std::max(most, found->second);
+    }
+  }
+  return most;
+}
+
+std::map<CustomerId, double> ShareLedger::Wanted(
+    const HostId& id,
+    const std::vector<CustomerId>& customers,
+    TimePoint now) const {
+  const double even = 1.0 / this->HostCount(now);
+  std::map<CustomerId, double> wanted;
+  for (const CustomerId& customer : customers) {
+    double total = 0;
+    double own = 0;
+    for (const auto& [other_id, host] : this->hosts) {
+      const auto found = host.demand.find(customer);
+      const double demand = found == host.demand.end() ? 0 : found->second;
+      total += now - host.heard_at > kHostTerm ? 0 : demand;
+      own = other_id == id ? demand : own;
+    }
+    const double by_demand = total > 0 ? own / total : even;
+    wanted[customer] =
+        (1 - kReservedPart) *
+        (kEvenPart * even + (1 - kEvenPart) * by_demand);
+  }
+  return wanted;
+}
+
+}  // namespace cicadaloft
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -1,10 +1,16 @@
 #include "cicadaloft/control/control_state.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
+#include "cicadaloft/core/result.h"
+
 namespace cicadaloft {
 
+ControlState::ControlState(const LeaseSettings& given)
+    : lease_settings(given), lease(given) {}
+
 Step<ControlState, ControlEffect> Decide(ControlState state,
                                          const ControlEvent& event,
                                          TimePoint now) {
@@ -22,7 +28,9 @@
   if (!is_older) {
     this->configuration = read.configuration;
   }
-  this->Tell(ConfigurationChanged{.configuration = read.configuration});
+  const ConfigurationChanged change{.configuration = read.configuration};
+  this->FeedPlacement(change);
+  this->Tell(change);
 }
 
 void ControlState::Take(const EvacuationAsked& evacuation) {
@@ -61,28 +69,86 @@
   }
 }
 
-void ControlState::Take(const ModelWanted&) {}
+void ControlState::Take(const ModelWanted& wanted) {
+  this->Report(wanted);
+}
+
+void ControlState::Take(const UsageMeasured& measured) {
+  const HostId& self = this->lease_settings.self;
+  if (!measured.uses.empty()) {
+    this->Report(UseReported{.host = self, .uses = measured.uses});
+  }
+  const bool has_grant =
+      this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm;
+  this->Report(DemandReported{
+      .host = self,
+      .grant = has_grant ? this->granted.grant : 0,
+      .demands = measured.demands,
+      .held = has_grant ? this->granted.customers
+                        : std::vector<GrantedShare>()});
+}
+
+void ControlState::Take(const OrderEnded& ended) {
+  this->FeedPlacement(ended);
+}
+
+void ControlState::Take(const ReportRead& read) {
+  this->FeedPlacement(read);
+}
+
+void ControlState::Take(const ReportFailed& failed) {
+  this->FeedPlacement(failed);
+}
+
+void ControlState::Take(const PeerChanged& change) {
+  this->effects.emplace_back(
+      DecisionLine{.reason = change.is_up ? "peer.up" : "peer.down",
+                   .fields = {{"host", change.host.value()}}});
+  if (this->holder == change.host) {
+    if (change.is_up) {
+      this->FeedLease(HolderHeard{.holder = change.host});
+    } else {
+      this->FeedLease(HolderLost{});
+    }
+  }
+}
+
+void ControlState::Take(const PeerReceived& received) {
+  if (this->holder == received.host) {
+    this->FeedLease(HolderHeard{.holder = received.host});
+  }
+  std::visit(
+      [&](const auto& message) { this->OnPeer(received.host, message); },
+      received.message);
+}
+
+void ControlState::Take(const ControlStop&) {
+  this->FeedLease(LeaseStop{});
+}
 
 void ControlState::Take(const ControlTick&) {
   if (this->fleet_register.Tick(this->now)) {
     this->TellFleet();
   }
-  if (!this->has_shares) {
-    this->has_shares = true;
-    constexpr std::uint32_t kHosts = 8;
-    this->Tell(SharesChanged{.hosts = kHosts, .usual_share = 1.0 / kHosts});
-  }
+  this->FeedLease(LeaseTick{});
+  this->FeedPlacement(PlacementTick{});
+  this->DivideShares();
+  this->TellShares();
 }
 
 void ControlState::TellFleet() {
-  this->Tell(FleetChanged{.fleet = this->fleet_register.fleet()});
+  const FleetChanged change{.fleet = this->fleet_register.fleet()};
+  this->FeedPlacement(change);
+  this->Tell(change);
   for (DecisionLine& line : this->fleet_register.TakeLines()) {
     this->effects.emplace_back(std::move(line));
   }
 }
 
 void ControlState::TellEvacuations() {
-  this->Tell(EvacuationsChanged{.data_centres = this->evacuated});
+  const EvacuationsChanged change{.data_centres = this->evacuated};
+  this->FeedPlacement(change);
+  this->Tell(change);
 }
 
 void ControlState::Tell(EntryEvent event) {
--- /dev/null
+++ b/control/holder_duties.cc
@@ -0,0 +1,161 @@
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "cicadaloft/control/control_state.h"
+#include "cicadaloft/core/result.h"
+
+namespace cicadaloft {
+namespace {
+
+/// Between two divisions of customers' limits: shares follow demand within a
+/// second or two.
+constexpr Duration kDivideInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+void ControlState::Take(const LeaseEvent& event) {
+  this->FeedLease(event);
+}
+
+void ControlState::FeedLease(const LeaseEvent& event) {
+  this->lease.SetHosts(this->ledger.HostCount(this->now));
+  auto step = Decide(std::move(this->lease), event, this->now);
+  this->lease = std::move(step.state);
+  for (const LeaseEffect& effect : step.effects) {
+    std::visit(
+        Overloaded{
+            [this](const HolderChanged& change) {
+              if (change.holder.holder != this->lease_settings.self) {
+                this->hosts_before = change.holder.hosts;
+              }
+              this->holder = change.holder.holder;
+              this->known_hosts =
+                  std::max(this->known_hosts, change.holder.hosts);
+              this->effects.emplace_back(
+                  LinkToHolder{.holder = change.holder});
+            },
+            [this](const RightExtended& right) {
+              this->right_until = right.until;
+              if (!this->is_acting) {
+                this->is_acting = true;
+                this->ledger.Begin(this->hosts_before, this->now);
+                this->FeedPlacement(PlacementBegins{.token = right.token});
+              }
+            },
+            [this](const RightLost&) {
+              this->is_acting = false;
+              this->FeedPlacement(PlacementEnds{});
+            },
+            [this](const auto& other) { this->effects.emplace_back(other); }},
+        effect);
+  }
+}
+
+void ControlState::FeedPlacement(const PlacementEvent& event) {
+  auto step = Decide(std::move(this->placement), event, this->now);
+  this->placement = std::move(step.state);
+  for (const PlacementEffect& effect : step.effects) {
+    std::visit(
+        Overloaded{[this](const PlacementChange& change) {
+                     this->effects.emplace_back(
+                         TellAllHosts{.message = change});
+                     this->Tell(change);
+                   },
+                   [this](const SendOrder& order) {
+                     SendOrder bounded = order;
+                     bounded.not_after = this->right_until;
+                     this->effects.emplace_back(std::move(bounded));
+                   },
+                   [this](const auto& other) {
+                     this->effects.emplace_back(other);
+                   }},
+        effect);
+  }
+}
+
+void ControlState::Report(PeerMessage message) {
+  if (this->IsHolder()) {
+    std::visit(
+        [this](const auto& item) {
+          this->OnPeer(this->lease_settings.self, item);
+        },
+        message);
+    return;
+  }
+  this->effects.emplace_back(TellHolder{.message = std::move(message)});
+}
+
+void ControlState::OnPeer(const HostId&, const UseReported& report) {
+  this->FeedPlacement(report);
+}
+
+void ControlState::OnPeer(const HostId&, const DemandReported& report) {
+  if (this->IsHolder()) {
+    this->ledger.OnReport(report, this->now);
+  }
+}
+
+void ControlState::OnPeer(const HostId&, const ModelWanted& wanted) {
+  if (this->IsHolder()) {
+    this->FeedPlacement(wanted);
+  }
+}
+
+void ControlState::OnPeer(const HostId& host, const PlacementChange& change) {
+  if (this->holder == host) {
+    this->Tell(change);
+  }
+}
+
+void ControlState::OnPeer(const HostId& host, const SharesGranted& message) {
+  if (this->holder != host) {
+    return;
+  }
+  this->granted = message;
+  this->granted_at = this->now;
+  this->known_hosts = message.hosts;
+  this->TellShares();
+}
+
+void ControlState::DivideShares() {
+  if (!this->IsHolder() || !this->configuration ||
+      this->now - this->divided_at < kDivideInterval) {
+    return;
+  }
+  this->divided_at = this->now;
+  std::vector<CustomerId> limited;
+  for (const Customer& customer : this->configuration->value().customers) {
+    if (customer.rate_per_second > 0) {
+      limited.push_back(customer.id);
+    }
+  }
+  for (auto& [host, message] : this->ledger.Divide(limited, this->now)) {
+    if (host == this->lease_settings.self) {
+      this->OnPeer(host, message);
+    } else {
+      this->effects.emplace_back(
+          TellHost{.host = host, .message = std::move(message)});
+    }
+  }
+}
+
+// What this host may use: its part of what is reserved, and what is granted.
+void ControlState::TellShares() {
+  const std::uint32_t hosts =
+      this->known_hosts == 0 ? kUnknownHosts : this->known_hosts;
+  const double reserved = kReservedPart / hosts;
+  SharesChanged shares{.hosts = hosts, .usual_share = reserved};
+  if (this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm) {
+    for (const GrantedShare& share : this->granted.customers) {
+      shares.customers.push_back(GrantedShare{
+          .customer = share.customer, .share = share.share + reserved});
+    }
+  }
+  if (this->told_shares != shares) {
+    this->told_shares = shares;
+    this->Tell(std::move(shares));
+  }
+}
+
+}  // namespace cicadaloft
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -1,44 +1,91 @@
 #ifndef CICADALOFT_CONTROL_CONTROL_STATE_H_
 #define CICADALOFT_CONTROL_CONTROL_STATE_H_
 
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
+#include "cicadaloft/admission/share_ledger.h"
 #include "cicadaloft/control/messages.h"
 #include "cicadaloft/core/step.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/fleet/fleet_register.h"
+#include "cicadaloft/lease/lease_state.h"
+#include "cicadaloft/placement/placement_state.h"
 
 namespace cicadaloft {
 
-/// What one host believes of the whole system. It moves through Decide().
+/// What one host believes of the whole system, and its part in the duties that
+/// one host does for all. It moves through Decide().
 class ControlState {
  public:
+  explicit ControlState(const LeaseSettings& lease_settings);
+
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
                                                   TimePoint now);
 
  private:
+  // What is read from the store.
   void Take(const ConfigurationRead& read);
   void Take(const EvacuationAsked& evacuation);
   void Take(const EvacuationsRead& read);
   void Take(const RecordRefused& refused);
   void Take(const OperatorReachable& reachable);
   void Take(const FleetEvent& event);
+  // What the entry tells.
   void Take(const ModelWanted& wanted);
+  void Take(const UsageMeasured& measured);
+  // The lease, and the duties that come with it.
+  void Take(const LeaseEvent& event);
+  void Take(const OrderEnded& ended);
+  void Take(const ReportRead& read);
+  void Take(const ReportFailed& failed);
+  // Other hosts.
+  void Take(const PeerChanged& change);
+  void Take(const PeerReceived& received);
+  void Take(const ControlStop& stop);
   void Take(const ControlTick& tick);
 
+  void FeedLease(const LeaseEvent& event);
+  void FeedPlacement(const PlacementEvent& event);
+  void OnPeer(const HostId& host, const UseReported& report);
+  void OnPeer(const HostId& host, const DemandReported& report);
+  void OnPeer(const HostId& host, const ModelWanted& wanted);
+  void OnPeer(const HostId& host, const PlacementChange& change);
+  void OnPeer(const HostId& host, const SharesGranted& granted);
+  /// To the holder, which may be this host.
+  void Report(PeerMessage message);
+  void DivideShares();
+  void TellShares();
   void TellFleet();
   void TellEvacuations();
   void Tell(EntryEvent event);
+  bool IsHolder() const { return this->lease.MayAct(this->now); }
 
+  LeaseSettings lease_settings;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
   std::set<DataCentreId> evacuated;
   FleetRegister fleet_register;
   bool is_operator_reachable = false;
-  bool has_shares = false;
+
+  LeaseState lease;
+  std::optional<HostId> holder;  ///< As the lease's log tells.
+  std::uint32_t hosts_before = 0;  ///< That the holder before this one knew.
+  TimePoint right_until{};         ///< When the right to act ends.
+  bool is_acting = false;          ///< Placement has been told to begin.
+  PlacementState placement;
+  ShareLedger ledger;
+  TimePoint divided_at{};
+
+  SharesGranted granted;       ///< The newest one for this host.
+  TimePoint granted_at{};
+  std::uint32_t known_hosts = 0;  ///< 0: not heard yet.
+  std::optional<SharesChanged> told_shares;
 };
 
 Step<ControlState, ControlEffect> Decide(ControlState state,
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -9,6 +9,9 @@
 #include "cicadaloft/core/decision_line.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/fleet/fleet_register.h"
+#include "cicadaloft/lease/messages.h"
+#include "cicadaloft/peering/messages.h"
+#include "cicadaloft/placement/messages.h"
 
 namespace cicadaloft {
 
@@ -40,6 +43,21 @@
   std::string reason;
 };
 
+/// A link to another host is up or down.
+struct PeerChanged {
+  HostId host;
+  bool is_up = false;
+};
+
+/// A message of another host, or of this one to itself.
+struct PeerReceived {
+  HostId host;
+  PeerMessage message;
+};
+
+/// This host stops.
+struct ControlStop {};
+
 /// Comes every kControlTickInterval.
 struct ControlTick {};
 
@@ -50,6 +68,14 @@
                                   OperatorReachable,
                                   FleetEvent,
                                   ModelWanted,
+                                  UsageMeasured,
+                                  LeaseEvent,
+                                  OrderEnded,
+                                  ReportRead,
+                                  ReportFailed,
+                                  PeerChanged,
+                                  PeerReceived,
+                                  ControlStop,
                                   ControlTick>;
 
 /// For the host's entry.
@@ -57,9 +83,39 @@
   EntryEvent event;
 };
 
-using ControlEffect = std::variant<TellEntry, DecisionLine>;
+/// Keep a link to this holder, and to no other.
+struct LinkToHolder {
+  LeaseRecord holder;
+};
+
+/// For the holder, over the link to it.
+struct TellHolder {
+  PeerMessage message;
+};
+
+/// From the holder, for one host that has a link to it.
+struct TellHost {
+  HostId host;
+  PeerMessage message;
+};
+
+/// From the holder, for all hosts that have a link to it.
+struct TellAllHosts {
+  PeerMessage message;
+};
+
+using ControlEffect = std::variant<TellEntry,
+                                   LinkToHolder,
+                                   TellHolder,
+                                   TellHost,
+                                   TellAllHosts,
+                                   ReadLeaseLog,
+                                   AppendLease,
+                                   SendOrder,
+                                   AskReport,
+                                   DecisionLine>;
 
-inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(50);
+inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
 
 }  // namespace cicadaloft
 
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -29,6 +29,7 @@
     budget.OnRequest();
     const LineKey line = request.line;
     const RequestId id = arrived.request;
+    this->CountUse(request);
     this->requests.emplace(id, std::move(request));
     this->Enqueue(this->requests.at(id));
     this->Pump(line);
@@ -138,6 +139,7 @@
   if (request.customer == nullptr || request.customer->rate_per_second <= 0) {
     return std::nullopt;
   }
+  this->demands[request.customer->id] += request.cost;
   CustomerShare& share = this->ShareOf(*request.customer);
   if (share.TryTake(request.cost, this->now)) {
     return std::nullopt;
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -1,6 +1,7 @@
 #include "entry_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <ranges>
 
@@ -159,6 +160,40 @@
 void EntryCore::Take(const EntryTick&) {
   this->EndExpired();
   this->PumpAll();
+  if (this->now - this->usage_reported >= kUsageInterval) {
+    this->usage_reported = this->now;
+    this->ReportUsage();
+  }
+}
+
+void EntryCore::CountUse(const OpenRequest& request) {
+  if (!request.line.model) {
+    return;
+  }
+  ModelUse& use = this->uses[*request.line.model];
+  use.path = *request.line.model;
+  ++use.arrivals;
+  use.urgent += request.IsBatch() ? 0 : 1;
+}
+
+void EntryCore::ReportUsage() {
+  for (const auto& [id, request] : this->requests) {
+    if (request.is_running && request.line.model) {
+      ModelUse& use = this->uses[*request.line.model];
+      use.path = *request.line.model;
+      ++use.running;
+    }
+  }
+  UsageMeasured measured;
+  std::ranges::copy(this->uses | std::views::values,
+                    std::back_inserter(measured.uses));
+  for (const auto& [customer, cost] : this->demands) {
+    measured.demands.push_back(
+        CustomerDemand{.customer = customer, .cost = cost});
+  }
+  this->uses.clear();
+  this->demands.clear();
+  this->effects.emplace_back(std::move(measured));
 }
 
 void EntryCore::Take(const EntryStopRequested&) {
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -77,6 +77,9 @@
   bool MayTake(const TargetView& target, const OpenRequest& request) const;
   void AskForModel(const LineKey& key, Line& line);
   void LogWait(const OpenRequest& request);
+  void CountUse(const OpenRequest& request);
+  void ReportUsage();
+  bool HasRoomFor(const LineKey& key);
 
   // Ends.
   void TakeFailure(OpenRequest& request, const AttemptEnded& ended);
@@ -112,6 +115,10 @@
   std::map<ServiceId, RetryBudget> budgets;
   SuspectList suspects;
 
+  std::map<ModelPath, ModelUse> uses;  ///< Since the last report.
+  std::map<CustomerId, double> demands;
+  TimePoint usage_reported{};
+
   Requests requests;
   std::map<LineKey, Line> lines;
   std::set<std::pair<TimePoint, RequestId>> expiries;
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -58,6 +58,10 @@
     return;
   }
   Line& line = found->second;
+  if (!this->HasRoomFor(key)) {
+    this->AskForModel(key, line);
+    return;
+  }
   std::vector<RequestId> kept;
   bool goes_on = true;
   while (goes_on && line.queue.size() > 0) {
@@ -137,6 +141,15 @@
   return true;
 }
 
+// Whether any target could take a request of the line that avoids none.
+bool EntryCore::HasRoomFor(const LineKey& key) {
+  const auto candidates = this->CandidatesFor(key);
+  const OpenRequest anyone{};
+  return std::ranges::any_of(candidates, [&](const TargetView* target) {
+    return this->MayTake(*target, anyone);
+  });
+}
+
 std::vector<TargetView*> EntryCore::CandidatesFor(const LineKey& key) {
   std::vector<TargetView*> candidates;
   const auto add = [&](const TargetId& id) {
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/admission/share_messages.h"
 #include "cicadaloft/configuration/active_configuration.h"
 #include "cicadaloft/core/decision_line.h"
 #include "cicadaloft/core/error_kind.h"
@@ -140,15 +141,6 @@
   friend bool operator==(const FleetChanged&, const FleetChanged&) = default;
 };
 
-/// This host's part of a customer's limit.
-struct GrantedShare {
-  CustomerId customer;
-  double share = 0;  ///< From 0 to 1; adds up to at most 1 over all hosts.
-
-  friend auto operator<=>(const GrantedShare&, const GrantedShare&) = default;
-  friend bool operator==(const GrantedShare&, const GrantedShare&) = default;
-};
-
 /// What this host may use of what all hosts have in common.
 struct SharesChanged {
   std::uint32_t hosts = 1;  ///< That take requests.
@@ -231,10 +223,36 @@
   friend bool operator==(const ModelWanted&, const ModelWanted&) = default;
 };
 
-using EntryEffect =
-    std::variant<Dispatch, CancelAttempt, Refuse, ModelWanted, DecisionLine>;
+/// How much one host uses a model or adapter.
+struct ModelUse {
+  ModelPath path;
+  std::uint32_t arrivals = 0;  ///< Since the last report.
+  std::uint32_t running = 0;   ///< Now.
+  std::uint32_t urgent = 0;    ///< Of the arrivals, those awaited at a screen.
+
+  friend auto operator<=>(const ModelUse&, const ModelUse&) = default;
+  friend bool operator==(const ModelUse&, const ModelUse&) = default;
+};
+
+/// What callers have asked for since the last report.
+struct UsageMeasured {
+  std::vector<ModelUse> uses;
+  std::vector<CustomerDemand> demands;
+
+  friend auto operator<=>(const UsageMeasured&, const UsageMeasured&) = default;
+  friend bool operator==(const UsageMeasured&, const UsageMeasured&) = default;
+};
+
+using EntryEffect = std::variant<Dispatch,
+                                 CancelAttempt,
+                                 Refuse,
+                                 ModelWanted,
+                                 UsageMeasured,
+                                 DecisionLine>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
+/// Between two measurements of usage: demand that moves is noticed in a second.
+inline constexpr Duration kUsageInterval = std::chrono::milliseconds(500);
 
 }  // namespace cicadaloft
 
--- a/fleet/include/cicadaloft/fleet/target_record.h
+++ b/fleet/include/cicadaloft/fleet/target_record.h
@@ -24,7 +24,6 @@
   bool is_draining = false;
   Duration cold_left{};      ///< It tolerates little work for so long.
   TargetInstance instance;   ///< One number for each start.
-  OrderSequence sequence;    ///< Orders accepted since it started.
   std::vector<ModelPath> loaded;  ///< Sorted; models and adapters.
   std::vector<ModelId> in_memory;  ///< Sorted; copies in host memory.
   std::vector<ModelId> on_disk;    ///< Sorted; copies on the own disk.
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -45,7 +45,9 @@
 template <typename L>
 concept DecisionSink = std::invocable<const L&, const DecisionLine&>;
 
-using WantsMailbox = Mailbox<ModelWanted>;
+/// What the entry tells the host's control.
+using EntryNews = std::variant<ModelWanted, UsageMeasured>;
+using EntryNewsMailbox = Mailbox<EntryNews>;
 /// All requests have been answered after a stop was asked for.
 struct EntryDrained {};
 using DrainedMailbox = Mailbox<EntryDrained>;
@@ -53,7 +55,7 @@
 /// The mailboxes at the node task's borders.
 struct NodeLinks {
   const std::shared_ptr<NodeMailbox> inbox;
-  const std::shared_ptr<WantsMailbox> wants;      ///< To the host's control.
+  const std::shared_ptr<EntryNewsMailbox> news;   ///< To the host's control.
   const std::shared_ptr<DrainedMailbox> drained;  ///< To the program.
 };
 
@@ -173,8 +175,11 @@
   }
 
   // Control that is behind loses asks; they are repeated while requests wait.
-  void Carry(const ModelWanted& wanted) {
-    if (!TrySend(*this->links.wants, wanted)) {
+  void Carry(const ModelWanted& wanted) { this->TellControl(wanted); }
+  void Carry(const UsageMeasured& measured) { this->TellControl(measured); }
+
+  void TellControl(EntryNews news) {
+    if (!TrySend(*this->links.news, std::move(news))) {
       this->metrics.CountLostMessage();
     }
   }
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -1,39 +1,55 @@
 #ifndef CICADALOFT_HOST_CONTROL_TASK_H_
 #define CICADALOFT_HOST_CONTROL_TASK_H_
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <memory>
 #include <utility>
 #include <variant>
 
 #include "cicadaloft/control/control_state.h"
 #include "cicadaloft/forwarding/boot_clock.h"
-#include "cicadaloft/forwarding/mailbox.h"
 #include "cicadaloft/forwarding/node_messages.h"
+#include "cicadaloft/lease/lease_calls.h"
+#include "cicadaloft/platform/runner_client.h"
+#include "cicadaloft/platform/store_client.h"
 #include "cicadaloft/telemetry/decision_log.h"
+#include "control_mailbox.h"
+#include "peer_links.h"
 
 namespace cicadaloft {
 
-using ControlMailbox = Mailbox<ControlEvent>;
-
-/// Messages that may wait for the control task.
-inline constexpr std::size_t kControlRoom = 4096;
+/// The mailboxes and connections at the control task's borders.
+struct ControlLinks {
+  std::shared_ptr<ControlMailbox> inbox;
+  std::shared_ptr<NodeMailbox> node;
+  std::shared_ptr<PeerLinks> peers;
+  std::shared_ptr<DecisionLog> log;
+};
 
 /// Owns what this host believes of the system: feeds the state events and
-/// carries its effects.
+/// carries its effects. Each call to the outside is a task of its own that
+/// sends its outcome back.
 class ControlTask {
  public:
-  ControlTask(std::shared_ptr<ControlMailbox> inbox,
-              std::shared_ptr<NodeMailbox> node,
-              std::shared_ptr<DecisionLog> log)
-      : inbox(std::move(inbox)), node(std::move(node)), log(std::move(log)) {}
+  ControlTask(boost::asio::any_io_executor executor,
+              const LeaseSettings& settings,
+              const std::string& store,
+              ControlLinks links)
+      : executor(std::move(executor)),
+        self(settings.self),
+        state(settings),
+        links(std::move(links)),
+        lease_calls(platform::StoreClient(this->executor, store)) {}
 
   /// Runs until the inbox is closed.
   boost::asio::awaitable<void> Run() {
-    auto message = co_await Receive(*this->inbox);
+    auto message = co_await Receive(*this->links.inbox);
     while (message != nullptr) {
       this->Take(*message);
-      message = co_await Receive(*this->inbox);
+      message = co_await Receive(*this->links.inbox);
     }
   }
 
@@ -46,13 +62,60 @@
     }
   }
 
-  void Carry(const TellEntry& tell) { Post(*this->node, tell.event); }
-  void Carry(const DecisionLine& line) { this->log->Write(line); }
+  void Carry(const TellEntry& tell) { Post(*this->links.node, tell.event); }
+  void Carry(const LinkToHolder& link) { this->links.peers->Carry(link); }
+  void Carry(const TellHolder& tell) { this->links.peers->Carry(tell); }
+  void Carry(const TellHost& tell) { this->links.peers->Carry(tell); }
+  void Carry(const TellAllHosts& tell) { this->links.peers->Carry(tell); }
+  void Carry(const DecisionLine& line) { this->links.log->Write(line); }
+
+  // The lease asks for one call at a time.
+  void Carry(const ReadLeaseLog& read) {
+    this->Spawn(this->CallLease(this->lease_calls.Do(read)));
+  }
+  void Carry(const AppendLease& append) {
+    this->Spawn(
+        this->CallLease(this->lease_calls.Do(append, this->clock.Now())));
+  }
+  void Carry(const SendOrder& order) { this->Spawn(this->Order(order)); }
+  void Carry(const AskReport& ask) { this->Spawn(this->Ask(ask)); }
+
+  boost::asio::awaitable<void> CallLease(
+      boost::asio::awaitable<LeaseEvent> call) {
+    const ControlEvent event = co_await std::move(call);
+    Post(*this->links.inbox, event);
+  }
+
+  boost::asio::awaitable<void> Order(SendOrder order) {
+    const OrderOutcome outcome =
+        co_await platform::GiveOrder(order, this->self);
+    Post(*this->links.inbox,
+         ControlEvent(OrderEnded{.target = order.target, .outcome = outcome}));
+  }
+
+  boost::asio::awaitable<void> Ask(AskReport ask) {
+    const TargetId target = ask.target;
+    Result<TargetReport> report = co_await platform::ReadReport(std::move(ask));
+    if (IsOk(report)) {
+      Post(*this->links.inbox,
+           ControlEvent(ReportRead{.target = target,
+                                   .report = TakeValue(std::move(report))}));
+    } else {
+      Post(*this->links.inbox, ControlEvent(ReportFailed{.target = target,
+                                     .reason = ErrorOf(report).message}));
+    }
+  }
+
+  void Spawn(boost::asio::awaitable<void> task) {
+    boost::asio::co_spawn(this->executor, std::move(task),
+                          boost::asio::detached);
+  }
 
+  const boost::asio::any_io_executor executor;
+  const HostId self;
   ControlState state;
-  const std::shared_ptr<ControlMailbox> inbox;
-  const std::shared_ptr<NodeMailbox> node;
-  const std::shared_ptr<DecisionLog> log;
+  const ControlLinks links;
+  LeaseCalls<platform::StoreClient> lease_calls;
   const BootClock clock{};
 };
 
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -9,7 +9,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
+#include <algorithm>
 #include <chrono>
+#include <functional>
+#include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -27,6 +31,7 @@
 #include "cicadaloft/telemetry/decision_log.h"
 #include "cicadaloft/telemetry/log.h"
 #include "control_task.h"
+#include "peer_links.h"
 #include "topic_feeds.h"
 
 namespace cicadaloft {
@@ -74,6 +79,17 @@
   return host.value() + "-" + std::to_string(ms);
 }
 
+/// @return a secret that nobody can guess, new for each process.
+std::string MakeSecret() {
+  constexpr int kWords = 4;
+  std::random_device device;
+  std::string secret;
+  for (int i = 0; i < kWords; ++i) {
+    secret += std::to_string(device()) + ".";
+  }
+  return secret;
+}
+
 using Node = NodeTask<EntryState,
                       platform::RunnerWire,
                       BootClock,
@@ -93,7 +109,7 @@
         decisions(std::make_shared<DecisionLog>()),
         node(std::make_shared<NodeMailbox>(this->executor, kNodeRoom)),
         control(std::make_shared<ControlMailbox>(this->executor, kControlRoom)),
-        wants(std::make_shared<WantsMailbox>(this->executor, kControlRoom)),
+        news(std::make_shared<EntryNewsMailbox>(this->executor, kControlRoom)),
         drained(std::make_shared<DrainedMailbox>(this->executor, 1)),
         node_task(
             this->executor,
@@ -103,14 +119,13 @@
                                      .retry_slack = settings.retry_slack,
                                      .is_first_start = settings.is_first_start}),
             NodeLinks{.inbox = this->node,
-                      .wants = this->wants,
+                      .news = this->news,
                       .drained = this->drained},
             TargetLimits{},
             BootClock{},
             [log = this->decisions](const DecisionLine& line) {
               log->Write(line);
-            }),
-        control_task(this->control, this->node, this->decisions) {}
+            }) {}
 
   Result<Done> Open() {
     for (const auto& [address, acceptor] :
@@ -123,15 +138,30 @@
       }
       *acceptor = TakeValue(std::move(opened));
     }
+    const LeaseSettings lease{.self = this->settings.host,
+                              .address = this->settings.peer_listen,
+                              .secret = MakeSecret(),
+                              .holder_gap = this->settings.holder_gap};
+    auto links = PeerLinks::Open(this->executor, lease, this->control);
+    if (!IsOk(links)) {
+      return ErrorOf(links);
+    }
+    this->peers = TakeValue(std::move(links));
+    this->control_task.emplace(this->executor, lease, this->settings.store,
+                               ControlLinks{.inbox = this->control,
+                                            .node = this->node,
+                                            .peers = this->peers,
+                                            .log = this->decisions});
     return Done{};
   }
 
   void Start() {
+    this->Spawn(this->peers->Run());
     this->Spawn(this->node_task.Run());
     this->Spawn(RunTicks(this->node));
-    this->Spawn(this->control_task.Run());
+    this->Spawn(this->control_task->Run());
     this->Spawn(this->TickControl());
-    this->Spawn(this->PassWants());
+    this->Spawn(this->PassNews());
     this->Spawn(this->FlushLog());
     this->SpawnFollowers();
     this->Spawn(RunCallerListener<platform::ClientWire>(
@@ -184,10 +214,11 @@
     }
   }
 
-  asio::awaitable<void> PassWants() {
+  asio::awaitable<void> PassNews() {
     while (true) {
-      const auto wanted = co_await Receive(*this->wants);
-      const ControlEvent event = *wanted;
+      const auto message = co_await Receive(*this->news);
+      const ControlEvent event = std::visit(
+          [](const auto& item) { return ControlEvent(item); }, *message);
       co_await Send(*this->control, event);
     }
   }
@@ -206,7 +237,9 @@
 
   asio::awaitable<void> StopGracefully() {
     const EntryEvent stop = EntryStopRequested{};
+    const ControlEvent control_stop = ControlStop{};
     const auto began = std::chrono::steady_clock::now();
+    co_await Send(*this->control, control_stop);
     co_await Send(*this->node, NodeMessage(stop));
     const Duration most = this->settings.stop_time - kStopMargin;
     co_await this->Sleep(std::min(kLeaveAfter, most));
@@ -232,13 +265,14 @@
   const std::shared_ptr<DecisionLog> decisions;
   const std::shared_ptr<NodeMailbox> node;
   const std::shared_ptr<ControlMailbox> control;
-  const std::shared_ptr<WantsMailbox> wants;
+  const std::shared_ptr<EntryNewsMailbox> news;
   const std::shared_ptr<DrainedMailbox> drained;
   Acceptor callers;
   Acceptor readiness;
   Acceptor admin;
   Node node_task;
-  ControlTask control_task;
+  std::shared_ptr<PeerLinks> peers;
+  std::optional<ControlTask> control_task;
 };
 
 HostRuntime::HostRuntime(std::shared_ptr<Tasks> tasks)
--- /dev/null
+++ b/host/peer_links.h
@@ -0,0 +1,57 @@
+#ifndef CICADALOFT_HOST_PEER_LINKS_H_
+#define CICADALOFT_HOST_PEER_LINKS_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "cicadaloft/control/messages.h"
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/lease/lease_state.h"
+#include "cicadaloft/peering/link_client.h"
+#include "cicadaloft/peering/link_server.h"
+#include "control_mailbox.h"
+
+namespace cicadaloft {
+
+/// This host's links: one to the holder of the lease, and, while this host
+/// holds it, one from each other host.
+class PeerLinks {
+ public:
+  /// @return the links, or kSettingsInvalid if the address can't be opened.
+  static Result<std::unique_ptr<PeerLinks>> Open(
+      const boost::asio::any_io_executor& executor,
+      const LeaseSettings& self,
+      std::shared_ptr<ControlMailbox> control);
+
+  void Carry(const LinkToHolder& link);
+  void Carry(const TellHolder& tell);
+  void Carry(const TellHost& tell);
+  void Carry(const TellAllHosts& tell);
+
+  /// Passes what the links bring on to control; runs as long as the process.
+  boost::asio::awaitable<void> Run();
+
+ private:
+  PeerLinks(const boost::asio::any_io_executor& executor,
+            const LeaseSettings& self,
+            std::shared_ptr<ControlMailbox> control,
+            LinkEventSink sink,
+            LinkServer server);
+  void Take(const LinkEvent& event);
+
+  const boost::asio::any_io_executor executor;
+  const LeaseSettings self;
+  const std::shared_ptr<ControlMailbox> control;
+  const LinkEventSink sink;
+  LinkServer server;
+  std::optional<LeaseRecord> holder;
+  std::optional<LinkClient> client;
+  std::set<LinkPeer> peers;  ///< Whose links are up.
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_HOST_PEER_LINKS_H_
--- a/host/topic_feeds.h
+++ b/host/topic_feeds.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "cicadaloft/store/keyed_follower.h"
-#include "control_task.h"
+#include "control_mailbox.h"
 
 namespace cicadaloft {
 
--- /dev/null
+++ b/lease/include/cicadaloft/lease/lease_calls.h
@@ -0,0 +1,73 @@
+#ifndef CICADALOFT_LEASE_LEASE_CALLS_H_
+#define CICADALOFT_LEASE_LEASE_CALLS_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <concepts>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/lease/lease_codec.h"
+#include "cicadaloft/lease/messages.h"
+#include "cicadaloft/store/store.h"
+
+namespace cicadaloft {
+
+/// Does the lease's calls to the store, one at a time.
+template <Store S>
+class LeaseCalls {
+ public:
+  /// The topic whose last record names the holder.
+  static constexpr char kTopic[] = "cicadaloft.lease";
+
+  explicit LeaseCalls(S store) : store(std::move(store)) {}
+
+  boost::asio::awaitable<LeaseEvent> Do(ReadLeaseLog read) {
+    const Result<LogRead> answer =
+        co_await this->store.Read(kTopic, read.from, Duration::zero());
+    if (!IsOk(answer)) {
+      co_return LeaseEvent(LeaseReadFailed{});
+    }
+    if (const auto* gone = std::get_if<HistoryGone>(&ValueOf(answer))) {
+      co_return LeaseEvent(LeaseLogRead{.end = gone->first});
+    }
+    const auto& records = std::get<LogRecords>(ValueOf(answer));
+    LeaseLogRead result{.end = records.next};
+    std::uint64_t offset = read.from.value();
+    for (const std::string& bytes : records.records) {
+      const Result<LeaseRecord> record = DecodeLeaseRecord(bytes);
+      if (IsOk(record)) {
+        result.records.push_back(PlacedLeaseRecord{
+            .offset = LogOffset(offset), .record = ValueOf(record)});
+      }
+      ++offset;
+    }
+    co_return LeaseEvent(std::move(result));
+  }
+
+  /// @param now the clock by which rights are reckoned.
+  boost::asio::awaitable<LeaseEvent> Do(AppendLease append, TimePoint now) {
+    const Result<AppendAnswer> answer = co_await this->store.AppendAt(
+        kTopic, append.at, EncodeLeaseRecord(append.record));
+    LeaseAppendEnded ended{.sent_at = now};
+    if (!IsOk(answer)) {
+      ended.outcome = ErrorOf(answer).kind == ErrorKind::kStoreUnavailable
+                          ? LeaseAppendOutcome::kRefused
+                          : LeaseAppendOutcome::kUnknown;
+    } else if (const auto* done = std::get_if<Appended>(&ValueOf(answer))) {
+      ended.outcome = LeaseAppendOutcome::kWritten;
+      ended.offset = done->offset;
+    } else {
+      ended.outcome = LeaseAppendOutcome::kConflict;
+    }
+    co_return LeaseEvent(ended);
+  }
+
+ private:
+  S store;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_LEASE_LEASE_CALLS_H_
--- /dev/null
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -0,0 +1,104 @@
+#ifndef CICADALOFT_LEASE_LEASE_STATE_H_
+#define CICADALOFT_LEASE_LEASE_STATE_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cicadaloft/core/step.h"
+#include "cicadaloft/lease/messages.h"
+
+namespace cicadaloft {
+
+/// Who this host is as a holder, and the lease's times.
+struct LeaseSettings {
+  HostId self;
+  std::string address;
+  std::string secret;  ///< That this host would give out.
+  /// A holder may act for so long from the sending of its last renewal on.
+  Duration term = std::chrono::milliseconds(1600);
+  /// Several renewals may fail before the right ends.
+  Duration renew_interval = std::chrono::milliseconds(600);
+  /// Between the last act of one holder and the first of another; the
+  /// platform's bound for orders.
+  Duration holder_gap = std::chrono::seconds(3);
+  /// Clocks of two hosts differ by less over a term, and a message that was
+  /// sent in time is on its way no longer.
+  Duration drift = std::chrono::milliseconds(300);
+
+  friend auto operator<=>(const LeaseSettings&, const LeaseSettings&) = default;
+  friend bool operator==(const LeaseSettings&, const LeaseSettings&) = default;
+};
+
+/// One host's part in the lease: at most one host may act as the holder at a
+/// time. The log decides: a record counts if it was written where the log
+/// ended for its writer, and the last one names the holder. A successor waits
+/// until the right of the last writer has ended for sure.
+class LeaseState {
+ public:
+  explicit LeaseState(LeaseSettings settings);
+
+  /// @return whether this host may act now.
+  bool MayAct(TimePoint now) const;
+  /// @return the token of the present tenure; 0 if this host is not the holder.
+  FencingToken token() const { return this->own_token; }
+  /// @return what the last record says; none if nothing has been read.
+  const std::optional<PlacedLeaseRecord>& last() const { return this->newest; }
+  /// Stands in the next renewal.
+  void SetHosts(std::uint32_t hosts) { this->hosts = hosts; }
+
+  friend Step<LeaseState, LeaseEffect> Decide(LeaseState state,
+                                              const LeaseEvent& event,
+                                              TimePoint now);
+
+ private:
+  void Take(const LeaseLogRead& read);
+  void Take(const LeaseAppendEnded& ended);
+  void Take(const LeaseReadFailed& failed);
+  void Take(const HolderHeard& heard);
+  void Take(const HolderLost& lost);
+  void Take(const LeaseStop& stop);
+  void Take(const LeaseTick& tick);
+
+  void TakeRecord(const PlacedLeaseRecord& placed);
+  void Extend(const PlacedLeaseRecord& placed, TimePoint sent_at);
+  void Act();
+  void Read();
+  void Append(bool is_release);
+  bool IsOwn(const LeaseRecord& record) const;
+  bool MayClaim() const;
+  bool IsReadDue() const;
+  bool IsRenewalDue() const;
+  void EndRightIfOver();
+  void LoseRight(const char* why);
+  void Log(const char* reason, std::vector<LogField> fields);
+
+  LeaseSettings settings;
+  TimePoint now{};
+  std::vector<LeaseEffect> effects;
+  LogOffset next;  ///< All records before it have been read.
+  bool has_read = false;
+  std::optional<PlacedLeaseRecord> newest;
+  TimePoint newest_at{};  ///< When `newest` was first seen, or the log empty.
+  TimePoint last_read{};
+  TimePoint last_try{};
+  TimePoint heard_at{};  ///< Of the holder, over its link.
+  bool is_holder_near = false;  ///< The link to the holder is up.
+  bool needs_check = false;  ///< Whether an append was written is not known.
+  bool is_calling = false;  ///< A call to the log is under way.
+  std::optional<AppendLease> unanswered;
+  TimePoint unanswered_sent{};
+  FencingToken own_token;
+  TimePoint right_until{};
+  std::uint32_t hosts = 1;
+  bool is_stopping = false;
+  bool has_released = false;
+};
+
+Step<LeaseState, LeaseEffect> Decide(LeaseState state,
+                                     const LeaseEvent& event,
+                                     TimePoint now);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_LEASE_LEASE_STATE_H_
--- /dev/null
+++ b/lease/lease_codec.cc
@@ -0,0 +1,43 @@
+#include "cicadaloft/lease/lease_codec.h"
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+#include "cicadaloft/codec/json_containers.h"
+
+namespace cicadaloft {
+
+template <>
+inline constexpr auto kJsonFields<LeaseRecord> =
+    std::tuple(Required("holder", &LeaseRecord::holder),
+               Required("address", &LeaseRecord::address),
+               Required("secret", &LeaseRecord::secret),
+               Required("token", &LeaseRecord::token),
+               Required("is_released", &LeaseRecord::is_released),
+               Required("hosts", &LeaseRecord::hosts));
+
+namespace {
+
+constexpr JsonLimits kLimits{
+    .max_bytes = 4096, .max_depth = 4, .max_values = 64};
+
+}  // namespace
+
+std::string EncodeLeaseRecord(const LeaseRecord& record) {
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(ToJson(record));
+  return {bytes.begin(), bytes.end()};
+}
+
+Result<LeaseRecord> DecodeLeaseRecord(const std::string& bytes) {
+  const std::vector<std::uint8_t> data(bytes.begin(), bytes.end());
+  const Result<Json> json = ParseCbor(data, kLimits);
+  if (!IsOk(json)) {
+    return ErrorOf(json);
+  }
+  JsonReader reader;
+  return reader.Finish(FromJson<LeaseRecord>(ValueOf(json), reader),
+                       ErrorKind::kRecordMalformed);
+}
+
+}  // namespace cicadaloft
--- a/peering/include/cicadaloft/peering/link_client.h
+++ b/peering/include/cicadaloft/peering/link_client.h
@@ -31,10 +31,10 @@
   LinkClient(LinkClient&& other) noexcept;
   LinkClient& operator=(LinkClient&& other) noexcept;
 
-  /// Queues an envelope on the link.
+  /// Queues a message on the link.
   /// @return false if the link is down, or has been closed because too many
   /// bytes were waiting.
-  bool Send(const Envelope& envelope);
+  bool Send(const PeerMessage& message);
 
  private:
   class Task;
--- a/peering/include/cicadaloft/peering/link_codec.h
+++ b/peering/include/cicadaloft/peering/link_codec.h
@@ -10,11 +10,11 @@
 
 namespace cicadaloft {
 
-/// @return the envelope as one CBOR item.
-std::vector<std::uint8_t> EncodeEnvelope(const Envelope& envelope);
+/// @return the message as one CBOR item.
+std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message);
 
-/// @return the envelope, or kMalformedRequest for bytes that are none.
-Result<Envelope> DecodeEnvelope(std::span<const std::uint8_t> bytes);
+/// @return the message, or kMalformedRequest for bytes that are none.
+Result<PeerMessage> DecodePeerMessage(std::span<const std::uint8_t> bytes);
 
 }  // namespace cicadaloft
 
--- a/peering/include/cicadaloft/peering/link_messages.h
+++ b/peering/include/cicadaloft/peering/link_messages.h
@@ -14,16 +14,9 @@
 
 namespace cicadaloft {
 
-/// Which of a host's processes stands at an end of a link.
-enum class LinkRole { kEntry, kSteward };
-
-/// @return "entry" or "steward".
-std::string_view ToString(LinkRole role);
-
 /// The process at the other end, proved by the shared secret.
 struct LinkPeer {
   const HostId host;
-  const LinkRole role = LinkRole::kSteward;
 
   friend auto operator<=>(const LinkPeer&, const LinkPeer&) = default;
   friend bool operator==(const LinkPeer&, const LinkPeer&) = default;
@@ -47,7 +40,7 @@
 
 struct LinkDelivery {
   const LinkPeer peer;
-  const Envelope envelope;
+  const PeerMessage message;
 
   friend auto operator<=>(const LinkDelivery&, const LinkDelivery&) = default;
   friend bool operator==(const LinkDelivery&, const LinkDelivery&) = default;
--- a/peering/include/cicadaloft/peering/link_server.h
+++ b/peering/include/cicadaloft/peering/link_server.h
@@ -27,10 +27,10 @@
   LinkServer(LinkServer&& other) noexcept;
   LinkServer& operator=(LinkServer&& other) noexcept;
 
-  /// Queues an envelope on the link from `peer`.
+  /// Queues a message on the link from `peer`.
   /// @return false if there is none, or if it has been closed because too many
   /// bytes were waiting.
-  bool Send(const LinkPeer& peer, const Envelope& envelope);
+  bool Send(const LinkPeer& peer, const PeerMessage& message);
   std::uint16_t port() const;
 
  private:
--- a/peering/link_auth.cc
+++ b/peering/link_auth.cc
@@ -16,7 +16,7 @@
 using nlohmann::json;
 
 constexpr char kProtocol[] = "cicadaloft-link-1";
-constexpr std::size_t kHelloFields = 4;
+constexpr std::size_t kHelloFields = 3;
 
 /// Appends a text with its length, so that no two lists of texts look alike.
 void AppendText(std::string& to, std::string_view text) {
@@ -27,26 +27,11 @@
 
 void AppendHello(std::string& to, const LinkHello& hello) {
   AppendText(to, hello.self.host.value());
-  AppendText(to, ToString(hello.self.role));
   AppendText(to, hello.nonce);
 }
 
-std::optional<LinkRole> RoleFromText(const std::string& text) {
-  if (text == ToString(LinkRole::kEntry)) {
-    return LinkRole::kEntry;
-  }
-  if (text == ToString(LinkRole::kSteward)) {
-    return LinkRole::kSteward;
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
-std::string_view ToString(LinkRole role) {
-  return role == LinkRole::kEntry ? "entry" : "steward";
-}
-
 LinkHello MakeHello(const LinkPeer& self) {
   std::string nonce(kNonceBytes, '\0');
   if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
@@ -59,7 +44,6 @@
 std::vector<std::uint8_t> EncodeHello(const LinkHello& hello) {
   const std::vector<std::uint8_t> nonce(hello.nonce.begin(), hello.nonce.end());
   return json::to_cbor(json::array({kProtocol, hello.self.host.value(),
-                                    std::string(ToString(hello.self.role)),
                                     json::binary(nonce)}));
 }
 
@@ -67,17 +51,15 @@
   const json fields = json::from_cbor(bytes, true, false);
   if (!fields.is_array() || fields.size() != kHelloFields ||
       fields[0] != kProtocol || !fields[1].is_string() ||
-      !fields[2].is_string() || !fields[3].is_binary()) {
+      !fields[2].is_binary()) {
     return std::nullopt;
   }
-  const auto role = RoleFromText(fields[2].get<std::string>());
-  const auto& nonce = fields[3].get_binary();
-  if (!role || nonce.size() != kNonceBytes) {
+  const auto& nonce = fields[2].get_binary();
+  if (nonce.size() != kNonceBytes) {
     return std::nullopt;
   }
   return LinkHello{
-      .self =
-          LinkPeer{.host = HostId(fields[1].get<std::string>()), .role = *role},
+      .self = LinkPeer{.host = HostId(fields[1].get<std::string>())},
       .nonce = std::string(nonce.begin(), nonce.end())};
 }
 
--- a/peering/link_client.cc
+++ b/peering/link_client.cc
@@ -55,8 +55,8 @@
     }
   }
 
-  bool Send(const Envelope& envelope) {
-    return this->is_up && this->session->Send(envelope);
+  bool Send(const PeerMessage& message) {
+    return this->is_up && this->session->Send(message);
   }
 
  private:
@@ -156,8 +156,8 @@
   return *this;
 }
 
-bool LinkClient::Send(const Envelope& envelope) {
-  return this->task->Send(envelope);
+bool LinkClient::Send(const PeerMessage& message) {
+  return this->task->Send(message);
 }
 
 }  // namespace cicadaloft
--- a/peering/link_codec.cc
+++ b/peering/link_codec.cc
@@ -12,17 +12,17 @@
 
 }  // namespace
 
-std::vector<std::uint8_t> EncodeEnvelope(const Envelope& envelope) {
-  return Json::to_cbor(ToJson(envelope));
+std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message) {
+  return Json::to_cbor(ToJson(message));
 }
 
-Result<Envelope> DecodeEnvelope(std::span<const std::uint8_t> bytes) {
+Result<PeerMessage> DecodePeerMessage(std::span<const std::uint8_t> bytes) {
   const Result<Json> json = ParseCbor(bytes, kLinkLimits);
   if (!IsOk(json)) {
     return ErrorOf(json);
   }
   JsonReader reader;
-  return reader.Finish(FromJson<Envelope>(ValueOf(json), reader),
+  return reader.Finish(FromJson<PeerMessage>(ValueOf(json), reader),
                        ErrorKind::kMalformedRequest);
 }
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -5,120 +5,78 @@
 #include <string_view>
 #include <tuple>
 
-#include "cicadaloft/ledger/record_json.h"
+#include "cicadaloft/codec/json_containers.h"
 #include "cicadaloft/peering/messages.h"
 
 namespace cicadaloft {
 
 template <>
-inline constexpr auto kJsonFields<RelayRecords> =
-    std::tuple(Required("records", &RelayRecords::records),
-               Required("next", &RelayRecords::next));
+inline constexpr auto kJsonFields<ModelPath> =
+    std::tuple(Required("model", &ModelPath::model),
+               Required("adapter", &ModelPath::adapter));
 
 template <>
-inline constexpr auto kJsonFields<LogPosition> =
-    std::tuple(Required("next", &LogPosition::next),
-               Required("log_reachable", &LogPosition::log_reachable),
-               Required("applied_by_entry", &LogPosition::applied_by_entry));
-
-template <>
-inline constexpr auto kJsonFields<StateRequest> =
-    std::tuple(Required("from", &StateRequest::from));
-
-template <>
-inline constexpr auto kJsonFields<StateTransfer> =
-    std::tuple(Required("checkpoint", &StateTransfer::checkpoint));
-
+inline constexpr auto kJsonFields<ModelUse> =
+    std::tuple(Required("path", &ModelUse::path),
+               Required("arrivals", &ModelUse::arrivals),
+               Required("running", &ModelUse::running),
+               Required("urgent", &ModelUse::urgent));
 template <>
-inline constexpr auto kJsonFields<AppendForMe> =
-    std::tuple(Required("record", &AppendForMe::record));
+inline constexpr bool kIsJsonRow<ModelUse> = true;
 
 template <>
-inline constexpr auto kJsonFields<MirrorRecord> =
-    std::tuple(Required("record", &MirrorRecord::record));
+inline constexpr auto kJsonFields<UseReported> =
+    std::tuple(Required("host", &UseReported::host),
+               Required("uses", &UseReported::uses));
 
 template <>
-inline constexpr auto kJsonFields<MirrorAck> =
-    std::tuple(Required("sequence", &MirrorAck::sequence));
-
-template <>
-inline constexpr auto kJsonFields<MirrorRequest> =
-    std::tuple(Required("duty", &MirrorRequest::duty));
-
-template <>
-inline constexpr auto kJsonFields<MirrorReply> =
-    std::tuple(Required("duty", &MirrorReply::duty),
-               Required("records", &MirrorReply::records));
-
+inline constexpr auto kJsonFields<CustomerDemand> =
+    std::tuple(Required("customer", &CustomerDemand::customer),
+               Required("cost", &CustomerDemand::cost));
 template <>
-inline constexpr auto kJsonFields<DemandReport> =
-    std::tuple(Required("host", &DemandReport::host),
-               Required("demands", &DemandReport::demands));
+inline constexpr bool kIsJsonRow<CustomerDemand> = true;
 
 template <>
-inline constexpr auto kJsonFields<TargetNews> =
-    std::tuple(Required("report", &TargetNews::report));
-
-template <>
-inline constexpr auto kJsonFields<NoCapacityNotice> =
-    std::tuple(Required("model", &NoCapacityNotice::model),
-               Required("retry_after_us", &NoCapacityNotice::retry_after));
-
-template <>
-inline constexpr auto kJsonFields<BorrowTokens> =
-    std::tuple(Required("borrower", &BorrowTokens::borrower),
-               Required("customer", &BorrowTokens::customer),
-               Required("wanted_requests", &BorrowTokens::wanted_requests));
-
-template <>
-inline constexpr auto kJsonFields<LendTokens> =
-    std::tuple(Required("lender", &LendTokens::lender),
-               Required("customer", &LendTokens::customer),
-               Required("requests", &LendTokens::requests));
-
-template <>
-inline constexpr auto kJsonFields<BorrowPermit> =
-    std::tuple(Required("borrower", &BorrowPermit::borrower),
-               Required("target", &BorrowPermit::target));
-
+inline constexpr auto kJsonFields<GrantedShare> =
+    std::tuple(Required("customer", &GrantedShare::customer),
+               Required("share", &GrantedShare::share));
 template <>
-inline constexpr auto kJsonFields<LendPermit> =
-    std::tuple(Required("lender", &LendPermit::lender),
-               Required("target", &LendPermit::target),
-               Required("permit", &LendPermit::permit),
-               Required("duration_us", &LendPermit::duration));
+inline constexpr bool kIsJsonRow<GrantedShare> = true;
 
 template <>
-inline constexpr auto kJsonFields<ReturnPermit> =
-    std::tuple(Required("borrower", &ReturnPermit::borrower),
-               Required("target", &ReturnPermit::target),
-               Required("permit", &ReturnPermit::permit));
+inline constexpr auto kJsonFields<DemandReported> =
+    std::tuple(Required("host", &DemandReported::host),
+               Required("grant", &DemandReported::grant),
+               Required("demands", &DemandReported::demands),
+               Required("held", &DemandReported::held));
 
 template <>
-inline constexpr auto kJsonFields<SuspectNotice> =
-    std::tuple(Required("fingerprint", &SuspectNotice::fingerprint),
-               Required("target", &SuspectNotice::target));
+inline constexpr auto kJsonFields<ModelWanted> =
+    std::tuple(Required("service", &ModelWanted::service),
+               Required("path", &ModelWanted::path),
+               Required("waiting", &ModelWanted::waiting),
+               Required("latency_aim", &ModelWanted::latency_aim));
 
 template <>
-inline constexpr auto kJsonFields<ShareLease> =
-    std::tuple(Required("usable", &ShareLease::usable),
-               Required("confirmed_at", &ShareLease::confirmed_at));
+inline constexpr auto kJsonFields<PlacementChange> =
+    std::tuple(Required("target", &PlacementChange::target),
+               Required("instance", &PlacementChange::instance),
+               Required("path", &PlacementChange::path),
+               Required("is_load", &PlacementChange::is_load),
+               Required("ready_in", &PlacementChange::ready_in));
 
 template <>
-inline constexpr auto kJsonTokens<LinkMessage> =
-    std::to_array<std::string_view>(
-        {"relay_records", "log_position",   "state_request", "state_transfer",
-         "append_for_me", "mirror_record",  "mirror_ack",    "mirror_request",
-         "mirror_reply",  "demand_report",  "target_news",   "no_capacity",
-         "borrow_tokens", "lend_tokens",    "borrow_permit", "lend_permit",
-         "return_permit", "suspect_notice", "share_lease",   "claim_ask",
-         "claim_reply",   "claim_finished"});
+inline constexpr auto kJsonFields<SharesGranted> =
+    std::tuple(Required("grant", &SharesGranted::grant),
+               Required("hosts", &SharesGranted::hosts),
+               Required("customers", &SharesGranted::customers));
 
+/// In the order of the variant's alternatives.
 template <>
-inline constexpr auto kJsonFields<Envelope> =
-    std::tuple(Required("from", &Envelope::from),
-               Required("to", &Envelope::to),
-               Required("message", &Envelope::message));
+inline constexpr auto kJsonTokens<PeerMessage> =
+    std::to_array<std::string_view>({"use_reported", "demand_reported",
+                                     "model_wanted", "placement_change",
+                                     "shares_granted"});
 
 }  // namespace cicadaloft
 
--- a/peering/link_server.cc
+++ b/peering/link_server.cc
@@ -54,9 +54,9 @@
     }
   }
 
-  bool Send(const LinkPeer& peer, const Envelope& envelope) {
+  bool Send(const LinkPeer& peer, const PeerMessage& message) {
     const auto found = this->links.find(peer);
-    return found != this->links.end() && found->second->Send(envelope);
+    return found != this->links.end() && found->second->Send(message);
   }
 
   std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
@@ -171,8 +171,8 @@
   return *this;
 }
 
-bool LinkServer::Send(const LinkPeer& peer, const Envelope& envelope) {
-  return this->task->Send(peer, envelope);
+bool LinkServer::Send(const LinkPeer& peer, const PeerMessage& message) {
+  return this->task->Send(peer, message);
 }
 
 std::uint16_t LinkServer::port() const {
--- a/peering/link_session.cc
+++ b/peering/link_session.cc
@@ -18,7 +18,7 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-Error Refuse(std::string message) {
+Error RefuseLink(std::string message) {
   return Fail(ErrorKind::kLinkRefused, std::move(message));
 }
 
@@ -49,7 +49,7 @@
       co_await (this->ExchangeProofs(std::move(expected)) || this->Expire());
   if (outcome.index() != 0) {
     this->Close("handshake timeout");
-    co_return Refuse("the handshake took too long");
+    co_return RefuseLink("the handshake took too long");
   }
   Result<LinkPeer> peer = std::get<0>(std::move(outcome));
   if (!IsOk(peer)) {
@@ -66,7 +66,7 @@
     const bool has_flushed = co_await this->Flush();
     const bool has_filled = has_flushed && co_await this->Fill();
     if (!has_filled) {
-      co_return Refuse("the connection broke in the handshake");
+      co_return RefuseLink("the connection broke in the handshake");
     }
   }
   co_await this->Flush();
@@ -83,10 +83,10 @@
   const std::optional<Bytes> answer = co_await this->ReceiveMessage();
   const auto server = answer ? DecodeHello(*answer) : std::nullopt;
   if (!server) {
-    co_return Refuse("the server sent no hello");
+    co_return RefuseLink("the server sent no hello");
   }
   if (expected && server->self != *expected) {
-    co_return Refuse("the server is " + server->self.host.value() + ", not " +
+    co_return RefuseLink("the server is " + server->self.host.value() + ", not " +
                      expected->host.value());
   }
   const std::string& secret = this->settings.secret;
@@ -94,11 +94,11 @@
       ProveSecret(secret, LinkSide::kClient, client, *server));
   const std::optional<Bytes> proof = co_await this->ReceiveMessage();
   if (!proof) {
-    co_return Refuse("the server refused this host");
+    co_return RefuseLink("the server refused this host");
   }
   if (!IsSameProof(*proof,
                    ProveSecret(secret, LinkSide::kServer, client, *server))) {
-    co_return Refuse("the server does not have the shared secret");
+    co_return RefuseLink("the server does not have the shared secret");
   }
   co_return server->self;
 }
@@ -107,7 +107,7 @@
   const std::optional<Bytes> first = co_await this->ReceiveMessage();
   const auto client = first ? DecodeHello(*first) : std::nullopt;
   if (!client) {
-    co_return Refuse("the client sent no hello");
+    co_return RefuseLink("the client sent no hello");
   }
   const LinkHello server = MakeHello(this->settings.self);
   co_await this->SendNow(EncodeHello(server));
@@ -117,13 +117,9 @@
   // secrets on.
   if (!proof || !IsSameProof(*proof, ProveSecret(secret, LinkSide::kClient,
                                                  *client, server))) {
-    co_return Refuse("host " + client->self.host.value() +
+    co_return RefuseLink("host " + client->self.host.value() +
                      " does not have the shared secret");
   }
-  const bool is_own_host = client->self.host == this->settings.self.host;
-  if (is_own_host != (client->self.role == LinkRole::kEntry)) {
-    co_return Refuse("expected the own host's entry or another host's steward");
-  }
   co_await this->SendNow(
       ProveSecret(secret, LinkSide::kServer, *client, server));
   co_return client->self;
@@ -192,13 +188,13 @@
   while (std::optional<Bytes> message = co_await this->ReceiveMessage()) {
     // A pong or a close frame has to be answered.
     this->output.try_send(boost::system::error_code());
-    Result<Envelope> envelope = DecodeEnvelope(*message);
-    if (!IsOk(envelope)) {
-      this->Close(ErrorOf(envelope).message);
+    Result<PeerMessage> decoded = DecodePeerMessage(*message);
+    if (!IsOk(decoded)) {
+      this->Close(ErrorOf(decoded).message);
       co_return;
     }
     LinkEvent event(
-        LinkDelivery{.peer = peer, .envelope = TakeValue(std::move(envelope))});
+        LinkDelivery{.peer = peer, .message = TakeValue(std::move(decoded))});
     const auto [error] = co_await sink->async_send(boost::system::error_code(),
                                                    std::move(event), kNoThrow);
     if (error || this->is_closed) {
@@ -238,12 +234,12 @@
   co_await this->timer.async_wait(kNoThrow);
 }
 
-bool LinkSession::Send(const Envelope& envelope) {
+bool LinkSession::Send(const PeerMessage& message) {
   if (this->is_closed ||
       this->engine.state() != WebSocketEngine::State::kOpen) {
     return false;
   }
-  this->engine.Send(EncodeEnvelope(envelope));
+  this->engine.Send(EncodePeerMessage(message));
   if (this->engine.OutputBytes() + this->bytes_in_flight >
       this->settings.max_queued_bytes) {
     this->Close("too many bytes wait to be sent");
--- a/peering/link_session.h
+++ b/peering/link_session.h
@@ -22,7 +22,7 @@
 namespace cicadaloft {
 
 /// One connection of a link, at either end: authenticates the other end, then
-/// carries envelopes until it breaks. Its owner keeps it alive while a member
+/// carries messages until it breaks. Its owner keeps it alive while a member
 /// function runs.
 class LinkSession {
  public:
@@ -36,12 +36,12 @@
   boost::asio::awaitable<Result<LinkPeer>> Authenticate(
       std::optional<LinkPeer> expected);
 
-  /// Carries envelopes until the link breaks or Close() is called.
+  /// Carries messages until the link breaks or Close() is called.
   /// @return why it has ended.
   boost::asio::awaitable<std::string> Run(LinkPeer peer, LinkEventSink sink);
 
   /// @return false if the session has ended or too many bytes wait.
-  bool Send(const Envelope& envelope);
+  bool Send(const PeerMessage& message);
   void Close(const std::string& reason);
 
  private:
--- /dev/null
+++ b/placement/include/cicadaloft/placement/messages.h
@@ -0,0 +1,147 @@
+#ifndef CICADALOFT_PLACEMENT_MESSAGES_H_
+#define CICADALOFT_PLACEMENT_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/configuration/active_configuration.h"
+#include "cicadaloft/core/decision_line.h"
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/model_path.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/entry/messages.h"
+#include "cicadaloft/fleet/target_record.h"
+#include "cicadaloft/routing/model_whereabouts.h"
+
+namespace cicadaloft {
+
+/// What an order asks a target to do.
+enum class OrderKind { kLoad, kUnload };
+
+/// How an order's call ended.
+enum class OrderOutcome {
+  kAccepted,     ///< It is being carried out.
+  kAlready,      ///< It holds already.
+  kConflict,     ///< Another order is under way, or has come in between.
+  kRejected,     ///< It makes no sense to the target.
+  kOtherInstance,  ///< Another process than the expected one answered.
+  kNotSent,      ///< No byte of it has left.
+  kNoAnswer,     ///< It may have been accepted, or may be yet.
+};
+
+/// @return a stable token, for logs.
+std::string_view ToString(OrderOutcome outcome);
+
+/// What a target says when it is asked itself, a few hundred ms old.
+struct TargetReport {
+  OrderSequence sequence;
+  TargetInstance instance;  ///< 0 where the report does not tell it.
+  bool is_busy = false;     ///< An order is being carried out.
+  std::vector<ModelPath> loaded;   ///< Sorted.
+  std::vector<ModelPath> coming;   ///< Sorted; adapters under way.
+  std::vector<ModelId> in_memory;  ///< Sorted.
+  std::vector<ModelId> on_disk;    ///< Sorted.
+
+  friend auto operator<=>(const TargetReport&, const TargetReport&) = default;
+  friend bool operator==(const TargetReport&, const TargetReport&) = default;
+};
+
+/// Call a target. An OrderEnded follows in any case.
+struct SendOrder {
+  TargetId target;
+  std::string address;
+  OrderKind kind = OrderKind::kLoad;
+  ModelPath path;
+  OrderSequence expect;  ///< The target's; another one makes it refuse.
+  FencingToken token;
+  TimePoint not_after{};  ///< The right to give it ends; set by control.
+
+  friend auto operator<=>(const SendOrder&, const SendOrder&) = default;
+  friend bool operator==(const SendOrder&, const SendOrder&) = default;
+};
+
+struct OrderEnded {
+  TargetId target;
+  OrderOutcome outcome = OrderOutcome::kNoAnswer;
+
+  friend auto operator<=>(const OrderEnded&, const OrderEnded&) = default;
+  friend bool operator==(const OrderEnded&, const OrderEnded&) = default;
+};
+
+/// Ask a target for its report. A ReportRead or ReportFailed follows.
+struct AskReport {
+  TargetId target;
+  std::string address;
+
+  friend auto operator<=>(const AskReport&, const AskReport&) = default;
+  friend bool operator==(const AskReport&, const AskReport&) = default;
+};
+
+struct ReportRead {
+  TargetId target;
+  TargetReport report;
+
+  friend auto operator<=>(const ReportRead&, const ReportRead&) = default;
+  friend bool operator==(const ReportRead&, const ReportRead&) = default;
+};
+
+struct ReportFailed {
+  TargetId target;
+  std::string reason;
+
+  friend auto operator<=>(const ReportFailed&, const ReportFailed&) = default;
+  friend bool operator==(const ReportFailed&, const ReportFailed&) = default;
+};
+
+/// One host's use of models since its last report.
+struct UseReported {
+  HostId host;
+  std::vector<ModelUse> uses;
+
+  friend auto operator<=>(const UseReported&, const UseReported&) = default;
+  friend bool operator==(const UseReported&, const UseReported&) = default;
+};
+
+/// This host may give orders from now on, under this token.
+struct PlacementBegins {
+  FencingToken token;
+
+  friend auto operator<=>(const PlacementBegins&,
+                          const PlacementBegins&) = default;
+  friend bool operator==(const PlacementBegins&,
+                         const PlacementBegins&) = default;
+};
+
+/// This host must give no more orders.
+struct PlacementEnds {
+  friend auto operator<=>(const PlacementEnds&, const PlacementEnds&) = default;
+  friend bool operator==(const PlacementEnds&, const PlacementEnds&) = default;
+};
+
+struct PlacementTick {
+  friend auto operator<=>(const PlacementTick&, const PlacementTick&) = default;
+  friend bool operator==(const PlacementTick&, const PlacementTick&) = default;
+};
+
+using PlacementEvent = std::variant<PlacementBegins,
+                                    PlacementEnds,
+                                    ConfigurationChanged,
+                                    EvacuationsChanged,
+                                    FleetChanged,
+                                    ModelWanted,
+                                    UseReported,
+                                    OrderEnded,
+                                    ReportRead,
+                                    ReportFailed,
+                                    PlacementTick>;
+
+using PlacementEffect =
+    std::variant<SendOrder, AskReport, PlacementChange, DecisionLine>;
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PLACEMENT_MESSAGES_H_
--- /dev/null
+++ b/placement/placement_core.cc
@@ -0,0 +1,285 @@
+#include "placement_core.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace cicadaloft {
+namespace {
+
+/// An adapter is there after this time: 5 to 10 ms from the store by the
+/// sheets, and the way.
+constexpr Duration kAdapterTime = std::chrono::milliseconds(14);
+
+}  // namespace
+
+std::string_view ToString(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kAlready:
+      return "already";
+    case OrderOutcome::kConflict:
+      return "conflict";
+    case OrderOutcome::kRejected:
+      return "rejected";
+    case OrderOutcome::kOtherInstance:
+      return "other_instance";
+    case OrderOutcome::kNotSent:
+      return "not_sent";
+    case OrderOutcome::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+void PlacementCore::Take(const PlacementBegins& begins) {
+  this->token = begins.token;
+  this->budget.Begin(this->now);
+  this->wants.clear();
+  for (auto& [id, book] : this->books) {
+    book.OnUnclear(this->now);
+    book.Doubt(this->now);
+  }
+  this->Plan();
+}
+
+void PlacementCore::Take(const PlacementEnds&) {
+  this->token = FencingToken();
+  this->wants.clear();
+}
+
+void PlacementCore::Take(const ConfigurationChanged& change) {
+  const bool is_older = this->configuration != nullptr &&
+                        change.configuration->version() <
+                            this->configuration->version();
+  if (!is_older) {
+    this->configuration = change.configuration;
+  }
+}
+
+void PlacementCore::Take(const EvacuationsChanged& change) {
+  this->evacuated = change.data_centres;
+}
+
+void PlacementCore::Take(const FleetChanged& change) {
+  this->fleet = change.fleet;
+  for (const auto& [id, record] : this->fleet->targets) {
+    const auto [place, is_new] = this->books.try_emplace(id, *record);
+    place->second.OnRecord(*record, this->now);
+  }
+  std::erase_if(this->books, [this](const auto& entry) {
+    return !this->fleet->targets.contains(entry.first);
+  });
+  this->Plan();
+}
+
+void PlacementCore::Take(const ModelWanted& wanted) {
+  this->history.Touch(wanted.path, this->now);
+  if (this->token == FencingToken()) {
+    return;
+  }
+  Want& want = this->wants[wanted.path];
+  const bool is_new = want.asked_at == TimePoint{};
+  want.service = wanted.service;
+  want.latency_aim = is_new ? wanted.latency_aim
+                            : std::min(want.latency_aim, wanted.latency_aim);
+  want.asked_at = this->now;
+  this->Plan();
+}
+
+void PlacementCore::Take(const UseReported& report) {
+  this->history.Add(report, this->now);
+}
+
+void PlacementCore::Take(const OrderEnded& ended) {
+  const auto found = this->books.find(ended.target);
+  if (found == this->books.end() || !found->second.pending()) {
+    return;
+  }
+  TargetBook& book = found->second;
+  const SendOrder order = *book.pending();
+  this->Log("place.order_ended",
+            {{"target", ended.target.value()},
+             {"path", order.path.ToString()},
+             {"kind", order.kind == OrderKind::kLoad ? "load" : "unload"},
+             {"expect", order.expect.value()},
+             {"outcome", ToString(ended.outcome)}});
+  const bool is_load = order.kind == OrderKind::kLoad;
+  const Model* model =
+      this->FindModel(book.record().service, order.path.model);
+  const WeightSource source = book.SourceOf(order.path.model);
+  const Duration ready_in =
+      !is_load || model == nullptr ? Duration::zero()
+      : order.path.IsAdapter()     ? kAdapterTime
+                                   : LoadTime(*model, source);
+  switch (ended.outcome) {
+    case OrderOutcome::kAccepted:
+      book.OnAccepted(source, ready_in, this->now);
+      this->Broadcast(book, order.path, is_load, ready_in);
+      break;
+    case OrderOutcome::kAlready:
+      book.OnAlready();
+      this->Broadcast(book, order.path, is_load, Duration::zero());
+      break;
+    case OrderOutcome::kNotSent:
+      book.OnNotDone();
+      break;
+    case OrderOutcome::kRejected:
+    case OrderOutcome::kOtherInstance:
+    case OrderOutcome::kNoAnswer:
+      book.OnUnclear(this->now);
+      break;
+    case OrderOutcome::kConflict:
+      book.OnConflict(this->now);
+      break;
+  }
+  const bool is_kept = !is_load && ended.outcome != OrderOutcome::kAccepted &&
+                       ended.outcome != OrderOutcome::kAlready &&
+                       ended.outcome != OrderOutcome::kNoAnswer;
+  if (is_kept) {
+    // Hosts have been told that it goes.
+    this->Broadcast(book, order.path, true, Duration::zero());
+  }
+  this->Plan();
+}
+
+void PlacementCore::Take(const ReportRead& read) {
+  const auto found = this->books.find(read.target);
+  if (found == this->books.end()) {
+    return;
+  }
+  TargetBook& book = found->second;
+  this->Log("place.report",
+            {{"target", read.target.value()},
+             {"sequence", read.report.sequence.value()},
+             {"known_sequence", book.sequence().value()},
+             {"instance", read.report.instance.value()},
+             {"known_instance", book.record().instance.value()},
+             {"is_busy", read.report.is_busy ? "yes" : "no"},
+             {"loaded", read.report.loaded.size()}});
+  book.OnReport(read.report, this->now);
+  this->Plan();
+}
+
+void PlacementCore::Take(const ReportFailed& failed) {
+  this->Log("place.report_failed",
+            {{"target", failed.target.value()}, {"why", failed.reason}});
+}
+
+void PlacementCore::Take(const PlacementTick&) {
+  for (auto& [id, book] : this->books) {
+    book.Tick(this->now);
+  }
+  this->Plan();
+}
+
+const Engine* PlacementCore::FindEngine(const ServiceId& service) const {
+  const Service* found =
+      this->configuration ? this->configuration->FindService(service) : nullptr;
+  return found != nullptr && found->engine ? &*found->engine : nullptr;
+}
+
+const Model* PlacementCore::FindModel(const ServiceId& service,
+                                      const ModelId& model) const {
+  return this->configuration ? this->configuration->FindModel(service, model)
+                             : nullptr;
+}
+
+bool PlacementCore::IsUsable(const TargetBook& book) const {
+  const TargetRecord& record = book.record();
+  return !record.is_draining && !this->evacuated.contains(record.data_centre);
+}
+
+std::uint32_t PlacementCore::HoldersOf(const ServiceId& service,
+                                       const ModelPath& path) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(this->books, [&](const auto& entry) {
+        const TargetBook& book = entry.second;
+        return book.record().service == service && this->IsUsable(book) &&
+               (book.Holds(path) || book.IsComing(path));
+      }));
+}
+
+double PlacementCore::UsedMb(const TargetBook& book) const {
+  double used = 0;
+  for (const ModelPath& path : book.held()) {
+    const Model* model = this->FindModel(book.record().service, path.model);
+    if (model != nullptr) {
+      used += path.IsAdapter() ? model->adapter_mb : model->weights_mb;
+    }
+  }
+  return used;
+}
+
+std::uint32_t PlacementCore::AdaptersOn(const TargetBook& book) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(book.held(), &ModelPath::IsAdapter));
+}
+
+Duration PlacementCore::LoadTime(const Model& model, WeightSource source) {
+  /// For the order's way and the end of the load.
+  constexpr Duration kMargin = std::chrono::milliseconds(15);
+  switch (source) {
+    case WeightSource::kMemory:
+      return model.memory_load + kMargin;
+    case WeightSource::kDisk:
+      return model.disk_load + kMargin;
+    case WeightSource::kStore:
+      return model.store_load + kMargin;
+  }
+  return model.store_load + kMargin;
+}
+
+std::uint32_t PlacementCore::StoreLoads() const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(this->books, [](const auto& entry) {
+        const auto& loading = entry.second.loading();
+        return loading && loading->source == WeightSource::kStore;
+      }));
+}
+
+void PlacementCore::Order(TargetBook& book,
+                          OrderKind kind,
+                          const ModelPath& path,
+                          const char* reason) {
+  const SendOrder order{.target = book.record().id,
+                        .address = book.record().address,
+                        .kind = kind,
+                        .path = path,
+                        .expect = book.sequence(),
+                        .token = this->token};
+  this->Log(reason, {{"target", order.target.value()},
+                     {"path", path.ToString()},
+                     {"expect", order.expect.value()},
+                     {"token", order.token.value()},
+                     {"used_mb", static_cast<std::int64_t>(this->UsedMb(book))},
+                     {"holders", this->HoldersOf(book.record().service, path)}});
+  book.OnOrderSent(order);
+  this->effects.emplace_back(order);
+  if (kind == OrderKind::kUnload) {
+    // Nobody should send there while the runs before the unload finish.
+    this->effects.emplace_back(
+        PlacementChange{.target = order.target,
+                        .instance = book.record().instance,
+                        .path = path,
+                        .is_load = false});
+  }
+}
+
+void PlacementCore::Broadcast(const TargetBook& book,
+                              const ModelPath& path,
+                              bool is_load,
+                              Duration ready_in) {
+  this->effects.emplace_back(PlacementChange{.target = book.record().id,
+                                             .instance = book.record().instance,
+                                             .path = path,
+                                             .is_load = is_load,
+                                             .ready_in = ready_in});
+}
+
+void PlacementCore::Log(const char* reason, std::vector<LogField> fields) {
+  this->effects.emplace_back(
+      DecisionLine{.reason = reason, .fields = std::move(fields)});
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/placement/placement_core.h
@@ -0,0 +1,99 @@
+#ifndef CICADALOFT_PLACEMENT_PLACEMENT_CORE_H_
+#define CICADALOFT_PLACEMENT_PLACEMENT_CORE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "cicadaloft/placement/load_budget.h"
+#include "cicadaloft/placement/messages.h"
+#include "cicadaloft/placement/use_history.h"
+#include "target_book.h"
+
+namespace cicadaloft {
+
+/// The decisions of the order-giver, an event at a time.
+class PlacementCore {
+ public:
+  void Take(const PlacementBegins& begins);
+  void Take(const PlacementEnds& ends);
+  void Take(const ConfigurationChanged& change);
+  void Take(const EvacuationsChanged& change);
+  void Take(const FleetChanged& change);
+  void Take(const ModelWanted& wanted);
+  void Take(const UseReported& report);
+  void Take(const OrderEnded& ended);
+  void Take(const ReportRead& read);
+  void Take(const ReportFailed& failed);
+  void Take(const PlacementTick& tick);
+
+  void SetNow(TimePoint time) { this->now = time; }
+  std::vector<PlacementEffect> TakeEffects() {
+    return std::exchange(this->effects, {});
+  }
+
+ private:
+  struct Want {
+    ServiceId service;
+    Duration latency_aim{};
+    TimePoint asked_at{};
+    std::optional<TargetId> chosen;  ///< Where room is being made for it.
+  };
+  /// A target on which a model could be loaded.
+  struct Site {
+    TargetBook* book = nullptr;
+    WeightSource source = WeightSource::kStore;
+    std::vector<ModelPath> victims;  ///< To be unloaded first.
+    double cost = 0;  ///< In seconds of waiting, of this and of the victims.
+  };
+
+  // Knowledge.
+  const Model* FindModel(const ServiceId& service, const ModelId& model) const;
+  const Engine* FindEngine(const ServiceId& service) const;
+  bool IsUsable(const TargetBook& book) const;
+  std::uint32_t HoldersOf(const ServiceId& service,
+                          const ModelPath& path) const;
+  double UsedMb(const TargetBook& book) const;
+  std::uint32_t AdaptersOn(const TargetBook& book) const;
+  static Duration LoadTime(const Model& model, WeightSource source);
+  std::uint32_t StoreLoads() const;
+
+  // Decisions.
+  void Plan();
+  void AskReports();
+  bool Serve(const ModelPath& path, Want& want);
+  bool ServeHeld(const ModelPath& path, const Want& want);
+  bool ServeModel(const ModelPath& path, Want& want);
+  bool IsClaimed(const TargetId& target, const Want& by) const;
+  bool ServeAdapter(const ModelPath& path, Want& want);
+  std::optional<Site> FindSite(const ModelPath& path, const Want& want);
+  std::optional<Site> SiteOn(TargetBook& book,
+                             const Model& model,
+                             const Engine& engine);
+  double ValueOf(const ModelPath& path, const TargetBook& book) const;
+  void FillFreeRoom();
+  void FillOne(TargetBook& book, const Engine& engine);
+  void Order(TargetBook& book, OrderKind kind, const ModelPath& path,
+             const char* reason);
+  void Broadcast(const TargetBook& book, const ModelPath& path, bool is_load,
+                 Duration ready_in);
+  void Log(const char* reason, std::vector<LogField> fields);
+
+  TimePoint now{};
+  std::vector<PlacementEffect> effects;
+  FencingToken token;  ///< 0: this host gives no orders.
+  ActiveConfigurationPtr configuration;
+  std::set<DataCentreId> evacuated;
+  FleetPtr fleet;
+  std::map<TargetId, TargetBook> books;
+  std::map<ModelPath, Want> wants;
+  UseHistory history;
+  LoadBudget budget;
+  TimePoint filled_at{};
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PLACEMENT_PLACEMENT_CORE_H_
--- /dev/null
+++ b/placement/placement_plan.cc
@@ -0,0 +1,311 @@
+#include <algorithm>
+#include <ranges>
+#include <string>
+
+#include "placement_core.h"
+
+namespace cicadaloft {
+namespace {
+
+/// A want that is not repeated is over: hosts repeat theirs each 400 ms while
+/// requests wait.
+constexpr Duration kWantTerm = std::chrono::milliseconds(1300);
+
+/// Loads from the weight store at once. More take longer in proportion; the
+/// sheets say four, and no message tells.
+constexpr std::uint32_t kStoreLoadsAtOnce = 4;
+
+/// Requests that a target runs at once before another holder is worth a place,
+/// as a part of its slots.
+constexpr double kBusyPart = 0.6;
+
+/// Costs of unloading, in seconds of waiting. A model that is asked for again
+/// keeps its requests waiting for about this long.
+constexpr double kWakeSeconds = 0.6;
+/// The running requests delay the unload by about a run's length.
+constexpr double kRunSeconds = 1.5;
+/// One that was used just now is likely to be used again at once.
+constexpr Duration kFresh = std::chrono::seconds(2);
+constexpr double kFreshCost = 0.4;
+/// A request that is awaited loses more of its worth by a wake than batch work.
+constexpr double kBatchWeight = 0.15;
+/// Of several holders each is worth this part of a sole one.
+constexpr double kSpareWeight = 0.05;
+
+/// Free room is filled this often, one model a target at a time.
+constexpr Duration kFillInterval = std::chrono::milliseconds(200);
+/// A model with fewer requests a second and holder gets no further holder.
+constexpr double kSpareRate = 0.5;
+
+/// Memory kept for adapters on each target, as a number of them.
+constexpr double kAdapterReserve = 4;
+
+}  // namespace
+
+void PlacementCore::Plan() {
+  if (this->token == FencingToken() || !this->configuration) {
+    return;
+  }
+  this->AskReports();
+  std::erase_if(this->wants, [this](const auto& entry) {
+    return this->now - entry.second.asked_at > kWantTerm;
+  });
+  std::vector<std::pair<Duration, ModelPath>> order;
+  for (const auto& [path, want] : this->wants) {
+    order.emplace_back(want.latency_aim, path);
+  }
+  std::ranges::sort(order);
+  for (const auto& [aim, path] : order) {
+    if (this->Serve(path, this->wants.at(path))) {
+      this->wants.erase(path);
+    }
+  }
+  this->FillFreeRoom();
+}
+
+void PlacementCore::AskReports() {
+  for (auto& [id, book] : this->books) {
+    const bool is_engine = this->FindEngine(book.record().service) != nullptr;
+    if (is_engine && book.NeedsReport(this->now)) {
+      book.OnReportAsked(this->now);
+      this->effects.emplace_back(
+          AskReport{.target = id, .address = book.record().address});
+    }
+  }
+}
+
+// @return whether nothing is left to do for it.
+bool PlacementCore::Serve(const ModelPath& path, Want& want) {
+  if (this->FindModel(want.service, path.model) == nullptr) {
+    return true;
+  }
+  if (this->ServeHeld(path, want)) {
+    return true;
+  }
+  return path.IsAdapter() ? this->ServeAdapter(path, want)
+                          : this->ServeModel(path, want);
+}
+
+// Tells again where the path is, or will be: the host that asks has missed it.
+bool PlacementCore::ServeHeld(const ModelPath& path, const Want& want) {
+  bool is_held = false;
+  for (auto& [id, book] : this->books) {
+    if (book.record().service != want.service || !this->IsUsable(book)) {
+      continue;
+    }
+    if (book.IsComing(path)) {
+      const Duration left =
+          book.loading() ? std::max(Duration::zero(),
+                                    book.loading()->ready_at - this->now)
+                         : Duration::zero();
+      if (book.loading()) {
+        this->Broadcast(book, path, true, left);
+      }
+      is_held = true;
+    } else if (book.Holds(path)) {
+      this->Broadcast(book, path, true, Duration::zero());
+      is_held = true;
+    }
+  }
+  return is_held;
+}
+
+bool PlacementCore::ServeModel(const ModelPath& path, Want& want) {
+  if (want.chosen) {
+    const auto chosen = this->books.find(*want.chosen);
+    if (chosen == this->books.end() || !this->IsUsable(chosen->second)) {
+      want.chosen.reset();
+    }
+  }
+  const auto site = this->FindSite(path, want);
+  if (!site) {
+    return false;
+  }
+  want.chosen = site->book->record().id;
+  if (!site->victims.empty()) {
+    this->Order(*site->book, OrderKind::kUnload, site->victims.front(),
+                "place.make_room");
+    return false;
+  }
+  if (site->source == WeightSource::kStore) {
+    this->budget.Take();
+  }
+  this->Order(*site->book, OrderKind::kLoad, path, "place.load");
+  return true;
+}
+
+// Whether another want makes room there.
+bool PlacementCore::IsClaimed(const TargetId& target, const Want& by) const {
+  return std::ranges::any_of(this->wants, [&](const auto& entry) {
+    return &entry.second != &by && entry.second.chosen == target;
+  });
+}
+
+std::optional<PlacementCore::Site> PlacementCore::FindSite(
+    const ModelPath& path,
+    const Want& want) {
+  const Model* model = this->FindModel(want.service, path.model);
+  const Engine* engine = this->FindEngine(want.service);
+  std::optional<Site> best;
+  for (auto& [id, book] : this->books) {
+    const bool is_other = want.chosen && *want.chosen != id;
+    if (book.record().service != want.service || is_other ||
+        !this->IsUsable(book) || !book.IsFree(this->now) ||
+        this->IsClaimed(id, want)) {
+      continue;
+    }
+    auto site = this->SiteOn(book, *model, *engine);
+    if (site && (!best || site->cost < best->cost)) {
+      best = std::move(site);
+    }
+  }
+  return best;
+}
+
+std::optional<PlacementCore::Site> PlacementCore::SiteOn(TargetBook& book,
+                                                         const Model& model,
+                                                         const Engine& engine) {
+  Site site{.book = &book, .source = book.SourceOf(model.id)};
+  const bool needs_store = site.source == WeightSource::kStore;
+  if (needs_store && (this->StoreLoads() >= kStoreLoadsAtOnce ||
+                      !this->budget.Has(engine.store_loads_per_second,
+                                        this->now))) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> load = LoadTime(model, site.source);
+  site.cost = load.count();
+  std::vector<std::pair<double, ModelPath>> bases;
+  for (const ModelPath& held : book.held()) {
+    if (!held.IsAdapter()) {
+      bases.emplace_back(this->ValueOf(held, book), held);
+    }
+  }
+  std::ranges::sort(bases);
+  double used = this->UsedMb(book);
+  for (const auto& [value, victim] : bases) {
+    if (used + model.weights_mb <= engine.weights_mb) {
+      break;
+    }
+    const Model* known = this->FindModel(book.record().service, victim.model);
+    used -= known == nullptr ? 0 : known->weights_mb;
+    site.cost += value;
+    site.victims.push_back(victim);
+  }
+  if (used + model.weights_mb > engine.weights_mb) {
+    return std::nullopt;
+  }
+  return site;
+}
+
+// What unloading the model from this target is expected to cost, in seconds.
+double PlacementCore::ValueOf(const ModelPath& path,
+                              const TargetBook& book) const {
+  const ServiceId& service = book.record().service;
+  const std::uint32_t holders = this->HoldersOf(service, path);
+  const double rate = this->history.Rate(path, this->now);
+  const double running = this->history.Running(path, this->now);
+  const double urgency = kBatchWeight + this->history.UrgentPart(path);
+  const double wait = running > 0 ? kRunSeconds : 0;
+  if (holders > 1) {
+    const bool is_busy =
+        running / (holders - 1) > book.record().slots * kBusyPart;
+    return wait / holders + rate * kSpareWeight +
+           (is_busy ? rate * kWakeSeconds : 0);
+  }
+  const bool is_fresh = this->now - this->history.LastUse(path) < kFresh;
+  return wait + rate * kWakeSeconds * urgency +
+         (is_fresh ? kFreshCost * urgency : 0);
+}
+
+bool PlacementCore::ServeAdapter(const ModelPath& path, Want& want) {
+  const Engine* engine = this->FindEngine(want.service);
+  const Model* model = this->FindModel(want.service, path.model);
+  TargetBook* best = nullptr;
+  bool is_base_held = false;
+  for (auto& [id, book] : this->books) {
+    if (book.record().service != want.service || !this->IsUsable(book) ||
+        !(book.Holds(path.Base()) || book.IsComing(path.Base()))) {
+      continue;
+    }
+    is_base_held = true;
+    if (!book.IsFree(this->now)) {
+      continue;
+    }
+    if (best == nullptr || this->AdaptersOn(book) < this->AdaptersOn(*best)) {
+      best = &book;
+    }
+  }
+  if (!is_base_held) {
+    this->ServeModel(path.Base(), want);
+    return false;
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  const bool has_slot = this->AdaptersOn(*best) < engine->adapter_slots;
+  const bool has_room =
+      this->UsedMb(*best) + model->adapter_mb <= engine->weights_mb;
+  if (has_slot && has_room) {
+    this->Order(*best, OrderKind::kLoad, path, "place.load");
+    return true;
+  }
+  std::optional<ModelPath> oldest;
+  for (const ModelPath& held : best->held()) {
+    const bool is_older =
+        held.IsAdapter() && (!oldest || this->history.LastUse(held) <
+                                            this->history.LastUse(*oldest));
+    if (is_older) {
+      oldest = held;
+    }
+  }
+  if (oldest) {
+    this->Order(*best, OrderKind::kUnload, *oldest, "place.make_room");
+  }
+  return false;
+}
+
+void PlacementCore::FillFreeRoom() {
+  if (!this->wants.empty() || this->now - this->filled_at < kFillInterval) {
+    return;
+  }
+  this->filled_at = this->now;
+  for (auto& [id, book] : this->books) {
+    const Engine* engine = this->FindEngine(book.record().service);
+    if (engine != nullptr && this->IsUsable(book) && book.IsFree(this->now)) {
+      this->FillOne(book, *engine);
+    }
+  }
+}
+
+// Loads what no target holds, or else a further copy of what is used most.
+void PlacementCore::FillOne(TargetBook& book, const Engine& engine) {
+  const ServiceId& service = book.record().service;
+  const double used = this->UsedMb(book);
+  const Model* best = nullptr;
+  double best_score = 0;
+  for (const Model& model : engine.models) {
+    const ModelPath path{.model = model.id};
+    const bool fits =
+        used + model.weights_mb + model.adapter_mb * kAdapterReserve <=
+        engine.weights_mb;
+    if (!fits || book.Holds(path) ||
+        book.SourceOf(model.id) == WeightSource::kStore) {
+      continue;
+    }
+    const std::uint32_t holders = this->HoldersOf(service, path);
+    const double rate = this->history.Rate(path, this->now);
+    const double score =
+        holders == 0 ? 1 + rate
+                     : (rate / holders > kSpareRate ? rate / holders / 100 : 0);
+    if (score > best_score) {
+      best = &model;
+      best_score = score;
+    }
+  }
+  if (best != nullptr) {
+    this->Order(book, OrderKind::kLoad, ModelPath{.model = best->id},
+                "place.fill");
+  }
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/placement/target_book.h
@@ -0,0 +1,78 @@
+#ifndef CICADALOFT_PLACEMENT_TARGET_BOOK_H_
+#define CICADALOFT_PLACEMENT_TARGET_BOOK_H_
+
+#include <optional>
+#include <set>
+
+#include "cicadaloft/placement/messages.h"
+
+namespace cicadaloft {
+
+/// Where a model's weights come from when a target loads it.
+enum class WeightSource { kMemory, kDisk, kStore };
+
+/// What the order-giver knows of one target. Memory is reckoned from what the
+/// target holds at a known sequence; each order names that sequence, so at most
+/// one of several orders that were given on the same knowledge is carried out.
+class TargetBook {
+ public:
+  explicit TargetBook(const TargetRecord& record)
+      : known(record), paths(record.loaded.begin(), record.loaded.end()) {}
+
+  struct Loading {
+    ModelPath path;
+    TimePoint ready_at{};
+    WeightSource source = WeightSource::kDisk;
+  };
+
+  const TargetRecord& record() const { return this->known; }
+  OrderSequence sequence() const { return this->orders; }
+  const std::set<ModelPath>& held() const { return this->paths; }
+  const std::optional<Loading>& loading() const { return this->under_way; }
+  const std::optional<SendOrder>& pending() const { return this->unanswered; }
+
+  /// @return whether orders may be given: what it holds is known, and none is
+  /// under way.
+  bool IsFree(TimePoint now) const;
+  /// @return whether its report has to be asked for.
+  bool NeedsReport(TimePoint now) const;
+  bool Holds(const ModelPath& path) const { return this->paths.contains(path); }
+  /// @return whether a load of the path is under way, or its order unanswered.
+  bool IsComing(const ModelPath& path) const;
+  WeightSource SourceOf(const ModelId& model) const;
+
+  /// Takes the registry's newest record over.
+  void OnRecord(const TargetRecord& record, TimePoint now);
+  void OnReportAsked(TimePoint now);
+  void OnReport(const TargetReport& report, TimePoint now);
+  /// Nothing is taken as known until the next report.
+  void Doubt(TimePoint next_report);
+
+  void OnOrderSent(const SendOrder& order) { this->unanswered = order; }
+  /// @param ready_in until a load is expected to be done.
+  void OnAccepted(WeightSource source, Duration ready_in, TimePoint now);
+  void OnAlready();
+  void OnNotDone() { this->unanswered.reset(); }
+  /// The target refuses since an order is under way, or has come in between.
+  void OnConflict(TimePoint now);
+  void OnUnclear(TimePoint now);
+  /// Loads that should be done by now are taken as done.
+  void Tick(TimePoint now);
+
+ private:
+  void Drop(const ModelPath& path);
+
+  TargetRecord known;
+  OrderSequence orders;
+  std::set<ModelPath> paths;
+  std::optional<Loading> under_way;
+  std::optional<SendOrder> unanswered;
+  bool is_known = false;
+  TimePoint report_due{};
+  TimePoint rests_until{};  ///< No orders before.
+  TimePoint unload_settles{};  ///< An unload may be waiting for its runs.
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_PLACEMENT_TARGET_BOOK_H_
--- a/routing/include/cicadaloft/routing/model_whereabouts.h
+++ b/routing/include/cicadaloft/routing/model_whereabouts.h
@@ -16,7 +16,6 @@
 struct PlacementChange {
   TargetId target;
   TargetInstance instance;
-  OrderSequence sequence;  ///< Of the target after the order.
   ModelPath path;
   bool is_load = false;  ///< Else an unload.
   Duration ready_in{};   ///< Until a load is expected to be done.
@@ -34,9 +33,9 @@
   /// How long a target is believed that it has not got a model although its
   /// record says so.
   static constexpr Duration kDenialTerm = std::chrono::milliseconds(700);
-  /// A load that shows in no record so long after it should have been done is
-  /// given up: a beat comes each 1.2 s, and a second for the way.
-  static constexpr Duration kUnseenTerm = std::chrono::milliseconds(2500);
+  /// An order whose effect shows in no record after this time has had none: a
+  /// beat comes each 1.2 s, and a second or two for the way.
+  static constexpr Duration kUnseenTerm = std::chrono::milliseconds(3500);
 
   /// Takes a record over.
   void Update(const TargetRecord& record, TimePoint now);
@@ -53,13 +52,11 @@
 
  private:
   struct Change {
-    OrderSequence sequence;
     bool is_load = false;
     TimePoint ready_at{};
   };
   struct Target {
     TargetInstance instance;
-    OrderSequence sequence;
     std::set<ModelPath> loaded;
     std::map<ModelPath, Change> changes;
     std::map<ModelPath, TimePoint> denied_until;
--- a/routing/model_whereabouts.cc
+++ b/routing/model_whereabouts.cc
@@ -18,7 +18,6 @@
     }
   }
   target.instance = record.instance;
-  target.sequence = record.sequence;
   target.loaded =
       std::set<ModelPath>(record.loaded.begin(), record.loaded.end());
   for (const ModelPath& path : target.loaded) {
@@ -43,8 +42,7 @@
     return;
   }
   Target& target = found->second;
-  target.changes[change.path] = Change{.sequence = change.sequence,
-                                       .is_load = change.is_load,
+  target.changes[change.path] = Change{.is_load = change.is_load,
                                        .ready_at = now + change.ready_in};
   target.denied_until.erase(change.path);
   if (!change.is_load && !change.path.IsAdapter()) {
@@ -114,32 +112,24 @@
     return false;
   }
   const auto change = target.changes.find(path);
-  if (change != target.changes.end() &&
-      change->second.sequence > target.sequence) {
-    return change->second.is_load && change->second.ready_at <= now &&
-           now < change->second.ready_at + kUnseenTerm;
+  const bool is_told = target.loaded.contains(path);
+  if (change == target.changes.end() ||
+      now >= change->second.ready_at + kUnseenTerm) {
+    return is_told;
   }
-  if (target.loaded.contains(path)) {
-    return true;
-  }
-  // The record tells of the order, and may be older than the load's end.
-  return change != target.changes.end() && change->second.is_load &&
-         change->second.ready_at <= now &&
-         now < change->second.ready_at + kUnseenTerm;
+  return change->second.is_load && change->second.ready_at <= now;
 }
 
 void ModelWhereabouts::Index(const TargetId& id, const ModelPath& path) {
   this->candidates[path].insert(id);
 }
 
-// Drops what the record tells by itself.
+// Drops what the record tells by itself, and what should show by now.
 void ModelWhereabouts::DropSettled(Target& target, TimePoint now) {
   std::erase_if(target.changes, [&](const auto& entry) {
-    const Change& change = entry.second;
-    const bool is_told = change.sequence <= target.sequence;
     const bool is_seen = target.loaded.contains(entry.first);
-    const bool is_over = now > change.ready_at + kUnseenTerm;
-    return is_told && (!change.is_load || is_seen || is_over);
+    const bool is_over = now >= entry.second.ready_at + kUnseenTerm;
+    return entry.second.is_load == is_seen || is_over;
   });
   std::erase_if(target.denied_until,
                 [&](const auto& entry) { return entry.second < now; });
