Keep wants until the load is accepted; spend part of the tolerance as credit

Cause of refusals under the limit: a customer's stock lies on seven hosts, each holding less than a request or two costs. Half of what the operator tolerates is now credit, a host's part each. Cause of lost wakes: a want was dropped when its order was sent, and a conflict (runs still end on an unload) lost it.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -7,20 +7,24 @@
 
 void CustomerShare::Set(const CustomerLimit& limit,
                         double share,
+                        double new_credit,
                         TimePoint now) {
   this->Refill(now);
+  this->part = share;
+  this->credit = new_credit;
   this->rate = limit.rate_per_second * share;
-  this->capacity = limit.burst * share;
-  if (this->is_new && this->capacity > 0) {
-    this->stock = this->capacity;
+  this->most = limit.burst * share;
+  if (this->is_new && this->most > 0) {
+    this->stock = this->most;
     this->is_new = false;
   }
-  this->stock = std::min(this->stock, this->capacity);
+  this->stock = std::min(this->stock, this->most);
 }
 
 bool CustomerShare::TryTake(double cost, TimePoint now) {
   this->Refill(now);
-  if (this->capacity <= 0 || this->stock < std::min(cost, this->capacity)) {
+  const double needed = std::min(cost, this->most) - this->credit;
+  if (this->most <= 0 || this->stock < needed) {
     return false;
   }
   this->stock -= cost;
@@ -29,12 +33,13 @@
 
 void CustomerShare::GiveBack(double cost, TimePoint now) {
   this->Refill(now);
-  this->stock = std::min(this->capacity, this->stock + cost);
+  this->stock = std::min(this->most, this->stock + cost);
 }
 
 Duration CustomerShare::TimeUntil(double cost, TimePoint now) {
   this->Refill(now);
-  const double missing = std::min(cost, this->capacity) - this->stock;
+  const double missing =
+      std::min(cost, this->most) - this->credit - this->stock;
   if (missing <= 0) {
     return Duration::zero();
   }
@@ -50,7 +55,7 @@
   const std::chrono::duration<double> passed = now - this->refilled;
   this->refilled = std::max(now, this->refilled);
   if (passed.count() > 0) {
-    this->stock = std::min(this->capacity,
+    this->stock = std::min(this->most,
                            this->stock + this->rate * passed.count());
   }
 }
--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -29,10 +29,15 @@
   /// Sets the limit and this host's share of it. A larger share gives nothing
   /// at once; a smaller one clips.
   /// @param share from 0 to 1.
-  void Set(const CustomerLimit& limit, double share, TimePoint now);
+  /// @param credit what may be spent ahead of the refill.
+  void Set(const CustomerLimit& limit,
+           double share,
+           double credit,
+           TimePoint now);
 
-  /// Spends `cost` if there is as much. A cost above the whole bucket needs a
-  /// full one and leaves a debt, so that large requests are not shut out.
+  /// Spends `cost` if there is as much, with the credit. A cost above the whole
+  /// bucket needs a full one and leaves a debt, so that large requests are not
+  /// shut out.
   bool TryTake(double cost, TimePoint now);
   /// Gives back what was taken for a request that has not run.
   void GiveBack(double cost, TimePoint now);
@@ -42,6 +47,8 @@
   Duration TimeUntil(double cost, TimePoint now);
 
   double level() const { return this->stock; }
+  double capacity() const { return this->most; }
+  double share() const { return this->part; }
   static constexpr Duration kLongestWait = std::chrono::seconds(60);
 
  private:
@@ -49,7 +56,9 @@
 
   bool is_new;
   double rate = 0;
-  double capacity = 0;
+  double most = 0;
+  double part = 0;
+  double credit = 0;
   double stock = 0;
   TimePoint refilled;
 };
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -144,8 +144,16 @@
   if (share.TryTake(request.cost, this->now)) {
     return std::nullopt;
   }
+  const auto whole = [](double number) {
+    return std::to_string(static_cast<std::int64_t>(number));
+  };
   return Fail(ErrorKind::kRateLimited,
-              "over the limit of customer " + request.customer->id.value());
+              "over the limit of customer " + request.customer->id.value() +
+                  ": cost " + whole(request.cost) + ", in stock " +
+                  whole(share.level()) + " of " + whole(share.capacity()) +
+                  ", limit " + whole(request.customer->rate_per_second) +
+                  " a second, share " + whole(share.share() * 1000) +
+                  " of 1000");
 }
 
 void EntryCore::GiveQuotaBack(const OpenRequest& request) {
@@ -174,9 +182,22 @@
   const double part = granted == this->shares.customers.end()
                           ? this->shares.usual_share
                           : granted->share;
+  // What all hosts together may be over for a moment, each its part, so that a
+  // request is not refused for where its customer's stock lies. Half is left
+  // for hosts that come and go.
+  constexpr double kCreditPart = 0.5;
+  const std::chrono::duration<double> window = this->settings.limit_window;
+  const double allowed =
+      customer.rate_per_second * window.count() + customer.burst;
+  const double tolerated = allowed * this->settings.limit_overshoot +
+                           (customer.counts_tokens
+                                ? this->settings.limit_slack
+                                : 0);
   share.Set(CustomerLimit{.rate_per_second = customer.rate_per_second,
                           .burst = customer.burst},
-            part, this->now);
+            part,
+            tolerated * kCreditPart / std::max(1U, this->shares.hosts),
+            this->now);
 }
 
 std::optional<Duration> EntryCore::RetryAfter(const OpenRequest& request,
--- a/entry/include/cicadaloft/entry/entry_settings.h
+++ b/entry/include/cicadaloft/entry/entry_settings.h
@@ -4,6 +4,7 @@
 #include <compare>
 
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
 
@@ -15,6 +16,11 @@
   double retry_ratio = 0.2;
   /// Repeated sends in a window beyond the ratio, over all hosts.
   double retry_slack = 10;
+  /// The operator tolerates so much over a customer's limit in a window, as a
+  /// part of what the limit allows then and as a fixed amount.
+  double limit_overshoot = 0;
+  double limit_slack = 0;
+  Duration limit_window{};
   /// Whether customers' stocks may begin full: only when the whole system
   /// starts, not when a process comes back.
   bool is_first_start = false;
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -46,9 +46,11 @@
 /// Lines reach the log's reader within this time.
 constexpr Duration kLogFlush = std::chrono::milliseconds(100);
 
-/// Changes of targets that come within this time are read together. It is a
-/// small part of the time in which a draining target must be left alone.
-constexpr Duration kRegistryGap = std::chrono::milliseconds(250);
+/// Changes of targets that come within this part of the time that a leaving
+/// target serves on are read together: 7 of 20. The rest is for slow hosts and
+/// the requests that are on their way.
+constexpr int kRegistryGapParts = 7;
+constexpr int kRegistryGapWhole = 20;
 
 /// How long a stopping host stays for callers that have not noticed yet: two
 /// missed readiness questions, one a second, and the way.
@@ -117,6 +119,9 @@
                                      .data_centre = settings.data_centre,
                                      .retry_ratio = settings.retry_ratio,
                                      .retry_slack = settings.retry_slack,
+                                     .limit_overshoot = settings.limit_overshoot,
+                                     .limit_slack = settings.limit_slack,
+                                     .limit_window = settings.limit_window,
                                      .is_first_start = settings.is_first_start}),
             NodeLinks{.inbox = this->node,
                       .news = this->news,
@@ -199,7 +204,8 @@
         KeyedFollower<platform::StoreClient, decltype(&platform::DecodeKeyedRecord), RegistryFeed>>(
         platform::StoreClient(this->executor, this->settings.store),
         FollowerSettings{.topic = platform::kRegistryTopic,
-                         .least_gap = kRegistryGap,
+                         .least_gap = this->settings.drain_time *
+                                      kRegistryGapParts / kRegistryGapWhole,
                          .jitter_seed = seed + 1},
         &platform::DecodeKeyedRecord, RegistryFeed(this->control));
     this->Spawn(run(operators));
--- a/host/host_settings.cc
+++ b/host/host_settings.cc
@@ -12,6 +12,10 @@
 constexpr double kUsualRetryRatio = 0.2;
 constexpr double kUsualRetrySlack = 50;
 constexpr double kMostRetrySlack = 1'000'000;
+constexpr double kUsualLimitOvershoot = 0.1;
+constexpr double kMostLimitSlack = 1'000'000'000;
+constexpr Duration kUsualLimitWindow = std::chrono::seconds(8);
+constexpr Duration kUsualDrainTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -30,6 +34,11 @@
       .retry_ratio = reader.NumberOr("retry_ratio", kUsualRetryRatio, 1),
       .retry_slack =
           reader.NumberOr("retry_slack", kUsualRetrySlack, kMostRetrySlack),
+      .limit_overshoot =
+          reader.NumberOr("limit_overshoot", kUsualLimitOvershoot, 1),
+      .limit_slack = reader.NumberOr("limit_slack", 0, kMostLimitSlack),
+      .limit_window = reader.TimeOr("limit_window", kUsualLimitWindow),
+      .drain_time = reader.TimeOr("drain_time", kUsualDrainTime),
       .holder_gap = reader.TimeOr("holder_gap", kUsualHolderGap),
       .log_level = reader.Choice("log_level", kLogLevels)};
   const Result<Done> done = reader.Finish();
--- a/host/host_settings.h
+++ b/host/host_settings.h
@@ -25,6 +25,10 @@
   Duration stop_time{};         ///< Between a planned stop and the kill.
   double retry_ratio = 0;
   double retry_slack = 0;
+  double limit_overshoot = 0;  ///< Tolerated over a customer's limit.
+  double limit_slack = 0;      ///< The same, as a fixed amount.
+  Duration limit_window{};     ///< In which limits are judged.
+  Duration drain_time{};  ///< A target that leaves serves on for so long.
   Duration holder_gap{};  ///< Between the orders of two holders.
   std::string log_level;
 
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -118,7 +118,13 @@
       this->Broadcast(book, order.path, is_load, ready_in);
       break;
     case OrderOutcome::kAlready:
-      book.OnAlready();
+      // An adapter that nobody uses is unloaded at once, which counts as an
+      // order; what held before does not.
+      if (!is_load && order.path.IsAdapter()) {
+        book.OnAccepted(source, ready_in, this->now);
+      } else {
+        book.OnAlready(this->now);
+      }
       this->Broadcast(book, order.path, is_load, Duration::zero());
       break;
     case OrderOutcome::kNotSent:
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -64,6 +64,7 @@
   void Plan();
   void AskReports();
   bool Serve(const ModelPath& path, Want& want);
+  bool IsOrdered(const ModelPath& path) const;
   bool ServeHeld(const ModelPath& path, const Want& want);
   bool ServeModel(const ModelPath& path, Want& want);
   bool IsClaimed(const TargetId& target, const Want& by) const;
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -79,6 +79,9 @@
   if (this->FindModel(want.service, path.model) == nullptr) {
     return true;
   }
+  if (this->IsOrdered(path)) {
+    return false;
+  }
   if (this->ServeHeld(path, want)) {
     return true;
   }
@@ -86,6 +89,15 @@
                           : this->ServeModel(path, want);
 }
 
+// Whether a load of it waits for the target's answer.
+bool PlacementCore::IsOrdered(const ModelPath& path) const {
+  return std::ranges::any_of(this->books, [&](const auto& entry) {
+    const auto& pending = entry.second.pending();
+    return pending && pending->kind == OrderKind::kLoad &&
+           pending->path == path;
+  });
+}
+
 // Tells again where the path is, or will be: the host that asks has missed it.
 bool PlacementCore::ServeHeld(const ModelPath& path, const Want& want) {
   bool is_held = false;
@@ -94,13 +106,9 @@
       continue;
     }
     if (book.IsComing(path)) {
-      const Duration left =
-          book.loading() ? std::max(Duration::zero(),
-                                    book.loading()->ready_at - this->now)
-                         : Duration::zero();
-      if (book.loading()) {
-        this->Broadcast(book, path, true, left);
-      }
+      this->Broadcast(book, path, true,
+                      std::max(Duration::zero(),
+                               book.loading()->ready_at - this->now));
       is_held = true;
     } else if (book.Holds(path)) {
       this->Broadcast(book, path, true, Duration::zero());
@@ -131,7 +139,7 @@
     this->budget.Take();
   }
   this->Order(*site->book, OrderKind::kLoad, path, "place.load");
-  return true;
+  return false;
 }
 
 // Whether another want makes room there.
@@ -247,7 +255,7 @@
       this->UsedMb(*best) + model->adapter_mb <= engine->weights_mb;
   if (has_slot && has_room) {
     this->Order(*best, OrderKind::kLoad, path, "place.load");
-    return true;
+    return false;
   }
   std::optional<ModelPath> oldest;
   for (const ModelPath& held : best->held()) {
--- a/placement/target_book.cc
+++ b/placement/target_book.cc
@@ -100,8 +100,10 @@
   this->orders = order.expect.Next();
   if (order.kind == OrderKind::kUnload) {
     this->Drop(order.path);
-    this->rests_until = now + kUnloadRest;
-    this->unload_settles = now + kUnloadTerm;
+    if (!order.path.IsAdapter()) {
+      this->rests_until = now + kUnloadRest;
+      this->unload_settles = now + kUnloadTerm;
+    }
     return;
   }
   this->paths.insert(order.path);
@@ -111,7 +113,7 @@
   }
 }
 
-void TargetBook::OnAlready() {
+void TargetBook::OnAlready(TimePoint now) {
   const SendOrder order = *this->unanswered;
   this->unanswered.reset();
   if (order.kind == OrderKind::kUnload) {
@@ -120,7 +122,7 @@
     this->paths.insert(order.path);
   }
   // Whether the order counted in the sequence shows in the next report.
-  this->Doubt(this->report_due);
+  this->Doubt(now + kReportDelay);
 }
 
 void TargetBook::OnConflict(TimePoint now) {
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -51,7 +51,7 @@
   void OnOrderSent(const SendOrder& order) { this->unanswered = order; }
   /// @param ready_in until a load is expected to be done.
   void OnAccepted(WeightSource source, Duration ready_in, TimePoint now);
-  void OnAlready();
+  void OnAlready(TimePoint now);
   void OnNotDone() { this->unanswered.reset(); }
   /// The target refuses since an order is under way, or has come in between.
   void OnConflict(TimePoint now);
