Stop in time, begin again without credit, catch up by the links

Causes: LOST, requests came on kept connections until the last second of the grace time; idle ones are now closed 2.4 s after the stop and late ones refused. QUOTA, each restart gave a process its credit again. CONFIG, a host's wait for the store was cut silently for seconds; hosts now tell versions over the links and one that is behind reads again.

--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -24,7 +24,7 @@
   /// @param fills_at_once whether the bucket begins full; one that begins
   /// again after a process's death must not.
   CustomerShare(bool fills_at_once, TimePoint now)
-      : is_new(fills_at_once), refilled(now) {}
+      : fills_at_once(fills_at_once), refilled(now) {}
 
   /// Sets the limit and this host's share of it. A larger share gives nothing
   /// at once; a smaller one clips.
@@ -54,7 +54,8 @@
  private:
   void Refill(TimePoint now);
 
-  bool is_new;
+  bool fills_at_once;
+  bool is_new = true;
   double rate = 0;
   double most = 0;
   double part = 0;
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -36,6 +36,7 @@
   std::uint64_t grant = 0;  ///< Number of the newest grant it has; 0: none.
   std::vector<CustomerDemand> demands;
   std::vector<GrantedShare> held;  ///< The shares that it uses now.
+  ConfigurationVersion configuration;  ///< The newest one that it knows.
 
   friend auto operator<=>(const DemandReported&,
                           const DemandReported&) = default;
@@ -49,6 +50,7 @@
   std::uint64_t grant = 0;   ///< Higher for each further one.
   std::uint32_t hosts = 1;   ///< That take requests.
   std::vector<GrantedShare> customers;
+  ConfigurationVersion configuration;  ///< The newest one the holder knows.
 
   friend auto operator<=>(const SharesGranted&, const SharesGranted&) = default;
   friend bool operator==(const SharesGranted&, const SharesGranted&) = default;
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -7,6 +7,12 @@
 #include "cicadaloft/core/result.h"
 
 namespace cicadaloft {
+namespace {
+
+/// Hosts that read the same change do so within a few ms of each other.
+constexpr Duration kBehindTerm = std::chrono::milliseconds(300);
+
+}  // namespace
 
 ControlState::ControlState(const LeaseSettings& given)
     : lease_settings(given), lease(given) {}
@@ -85,7 +91,8 @@
       .grant = has_grant ? this->granted.grant : 0,
       .demands = measured.demands,
       .held = has_grant ? this->granted.customers
-                        : std::vector<GrantedShare>()});
+                        : std::vector<GrantedShare>(),
+      .configuration = this->Version()});
 }
 
 void ControlState::Take(const OrderEnded& ended) {
@@ -130,12 +137,41 @@
   if (this->fleet_register.Tick(this->now)) {
     this->TellFleet();
   }
+  this->CatchUp();
   this->FeedLease(LeaseTick{});
   this->FeedPlacement(PlacementTick{});
   this->DivideShares();
   this->TellShares();
 }
 
+ConfigurationVersion ControlState::Version() const {
+  return this->configuration == nullptr ? ConfigurationVersion()
+                                        : this->configuration->version();
+}
+
+void ControlState::NoteVersion(ConfigurationVersion version) {
+  if (version > this->Version() && version > this->told_version) {
+    this->told_version = version;
+    this->told_version_at = this->now;
+  }
+}
+
+// Another host knows a newer configuration: the connection on which this one
+// waits for it may be dead.
+void ControlState::CatchUp() {
+  const bool is_behind = this->told_version > this->Version() &&
+                         this->now - this->told_version_at > kBehindTerm;
+  if (!is_behind) {
+    return;
+  }
+  this->told_version_at = this->now;
+  this->effects.emplace_back(DecisionLine{
+      .reason = "configuration.behind",
+      .fields = {{"known", this->Version().value()},
+                 {"told", this->told_version.value()}}});
+  this->effects.emplace_back(ReadOperatorAgain{});
+}
+
 void ControlState::TellFleet() {
   const FleetChanged change{.fleet = this->fleet_register.fleet()};
   this->FeedPlacement(change);
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -91,6 +91,7 @@
 }
 
 void ControlState::OnPeer(const HostId&, const DemandReported& report) {
+  this->NoteVersion(report.configuration);
   if (this->IsHolder()) {
     this->ledger.OnReport(report, this->now);
   }
@@ -112,6 +113,7 @@
   if (this->holder != host) {
     return;
   }
+  this->NoteVersion(message.configuration);
   this->granted = message;
   this->granted_at = this->now;
   this->known_hosts = message.hosts;
@@ -131,6 +133,7 @@
     }
   }
   for (auto& [host, message] : this->ledger.Divide(limited, this->now)) {
+    message.configuration = this->Version();
     if (host == this->lease_settings.self) {
       this->OnPeer(host, message);
     } else {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -63,6 +63,9 @@
   void TellFleet();
   void TellEvacuations();
   void Tell(EntryEvent event);
+  ConfigurationVersion Version() const;
+  void NoteVersion(ConfigurationVersion version);
+  void CatchUp();
   bool IsHolder() const { return this->lease.MayAct(this->now); }
 
   LeaseSettings lease_settings;
@@ -72,6 +75,8 @@
   std::set<DataCentreId> evacuated;
   FleetRegister fleet_register;
   bool is_operator_reachable = false;
+  ConfigurationVersion told_version;  ///< The newest one any host has told of.
+  TimePoint told_version_at{};
 
   LeaseState lease;
   std::optional<HostId> holder;  ///< As the lease's log tells.
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -83,6 +83,9 @@
   EntryEvent event;
 };
 
+/// Read the operator's topic as a whole now.
+struct ReadOperatorAgain {};
+
 /// Keep a link to this holder, and to no other.
 struct LinkToHolder {
   LeaseRecord holder;
@@ -105,6 +108,7 @@
 };
 
 using ControlEffect = std::variant<TellEntry,
+                                   ReadOperatorAgain,
                                    LinkToHolder,
                                    TellHolder,
                                    TellHost,
--- a/forwarding/include/cicadaloft/forwarding/mailbox.h
+++ b/core/include/cicadaloft/core/mailbox.h
@@ -1,5 +1,5 @@
-#ifndef CICADALOFT_FORWARDING_MAILBOX_H_
-#define CICADALOFT_FORWARDING_MAILBOX_H_
+#ifndef CICADALOFT_CORE_MAILBOX_H_
+#define CICADALOFT_CORE_MAILBOX_H_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
@@ -77,4 +77,4 @@
 
 }  // namespace cicadaloft
 
-#endif  // CICADALOFT_FORWARDING_MAILBOX_H_
+#endif  // CICADALOFT_CORE_MAILBOX_H_
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -12,6 +12,9 @@
 /// left is for the run; a wait beyond it seldom ends with an answer in time.
 constexpr double kWaitPart = 0.5;
 
+/// What arrives later after a stop was asked for may not end in time.
+constexpr Duration kTakesAfterStop = std::chrono::milliseconds(2800);
+
 /// A caller that is told to come back is told at least this, so that it does
 /// not come back before anything can have changed.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(200);
@@ -58,6 +61,9 @@
 }
 
 Result<OpenRequest> EntryCore::Admit(const RequestArrived& arrived) {
+  if (this->is_stopping && this->now - this->stopped_at > kTakesAfterStop) {
+    return Fail(ErrorKind::kStopping, "this host stops");
+  }
   if (!this->configuration) {
     return Fail(ErrorKind::kNotConfigured, "no configuration is known yet");
   }
@@ -183,9 +189,9 @@
                           ? this->shares.usual_share
                           : granted->share;
   // What all hosts together may be over for a moment, each its part, so that a
-  // request is not refused for where its customer's stock lies. Half is left
-  // for hosts that come and go.
-  constexpr double kCreditPart = 0.5;
+  // request is not refused for where its customer's stock lies. The rest is
+  // left for hosts that come and go.
+  constexpr double kCreditPart = 0.4;
   const std::chrono::duration<double> window = this->settings.limit_window;
   const double allowed =
       customer.rate_per_second * window.count() + customer.burst;
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -198,6 +198,7 @@
 
 void EntryCore::Take(const EntryStopRequested&) {
   this->is_stopping = true;
+  this->stopped_at = this->now;
 }
 
 void EntryCore::Log(const char* reason,
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -124,6 +124,7 @@
   std::set<std::pair<TimePoint, RequestId>> expiries;
   std::uint64_t last_number = 0;
   bool is_stopping = false;
+  TimePoint stopped_at{};
 };
 
 }  // namespace cicadaloft
--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -64,6 +64,9 @@
  private:
   // @return a RequestRead or RequestRejected, or null if the connection ends.
   asio::awaitable<std::shared_ptr<const SessionMessage>> NextRequest() {
+    if (this->host_stops && !this->request_begun && this->ahead == nullptr) {
+      co_return nullptr;
+    }
     while (this->ahead == nullptr) {
       if (this->continue_awaited) {
         this->continue_awaited = false;
@@ -74,6 +77,10 @@
         co_return nullptr;
       }
       this->NoteInput(message);
+      // A request that is on its way is still read and answered.
+      if (this->host_stops && !this->request_begun && this->ahead == nullptr) {
+        co_return nullptr;
+      }
     }
     co_return std::exchange(this->ahead, nullptr);
   }
@@ -91,6 +98,8 @@
   void NoteInput(const std::shared_ptr<const SessionMessage>& message) {
     if (std::holds_alternative<RequestBegun>(*message)) {
       this->request_begun = true;
+    } else if (std::holds_alternative<HostStops>(*message)) {
+      this->host_stops = true;
     } else if (std::holds_alternative<ContinueAwaited>(*message)) {
       this->continue_awaited = true;
     } else if (std::holds_alternative<RequestRead>(*message) ||
@@ -235,6 +244,7 @@
 
   bool KeepsAlive() const {
     return this->framing->keep_alive && !this->head->is_last &&
+           !this->host_stops &&
            FramingFor(*this->head, *this->framing) != BodyFraming::kUntilClose;
   }
 
@@ -282,6 +292,7 @@
   std::optional<AnswerHead> head;  // Of the answer that goes to the caller.
   std::shared_ptr<const SessionMessage> ahead;  // Read before its turn.
   bool request_begun = false;
+  bool host_stops = false;
   bool continue_awaited = false;
 };
 
--- a/forwarding/include/cicadaloft/forwarding/caller_connection.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_connection.h
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "cicadaloft/core/id.h"
-#include "cicadaloft/forwarding/mailbox.h"
+#include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/forwarding/messages.h"
 #include "cicadaloft/forwarding/node_messages.h"
 
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "cicadaloft/forwarding/caller_connection.h"
+#include "cicadaloft/forwarding/caller_directory.h"
 #include "cicadaloft/forwarding/caller_session.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/node_messages.h"
@@ -35,11 +36,13 @@
 /// closed.
 /// @tparam Wire what the callers speak.
 /// @param id_prefix begins all ids of requests: host and incarnation.
+/// @param directory learns of each connection.
 template <CallerWire Wire>
 boost::asio::awaitable<void> RunCallerListener(
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
     std::string id_prefix,
     std::shared_ptr<NodeMailbox> node,
+    std::shared_ptr<CallerDirectory> directory,
     CallerLimits limits) {
   const auto executor = co_await boost::asio::this_coro::executor;
   const auto open = std::make_shared<std::size_t>(0);
@@ -68,6 +71,7 @@
       SetProbes(socket);
       const auto connection =
           std::make_shared<CallerConnection>(std::move(socket), prefix);
+      directory->Add(connection);
       boost::asio::co_spawn(executor, ReadRequests<Wire>(connection, limits),
                             boost::asio::detached);
       boost::asio::co_spawn(executor,
--- a/forwarding/include/cicadaloft/forwarding/messages.h
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -89,6 +89,13 @@
                          const ContinueAwaited&) = default;
 };
 
+/// From the host, which stops: an idle connection ends, another one after its
+/// answer.
+struct HostStops {
+  friend auto operator<=>(const HostStops&, const HostStops&) = default;
+  friend bool operator==(const HostStops&, const HostStops&) = default;
+};
+
 /// From the connection's reader: the caller sends no more.
 struct CallerLeft {
   friend auto operator<=>(const CallerLeft&, const CallerLeft&) = default;
@@ -154,6 +161,7 @@
                                     RequestBegun,
                                     ContinueAwaited,
                                     CallerLeft,
+                                    HostStops,
                                     Refuse,
                                     AnswerHead,
                                     AnswerBody,
--- a/forwarding/include/cicadaloft/forwarding/node_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/node_messages.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "cicadaloft/forwarding/admin_messages.h"
-#include "cicadaloft/forwarding/mailbox.h"
+#include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/forwarding/messages.h"
 
 namespace cicadaloft {
--- a/forwarding/tests/scripted_target.h
+++ b/forwarding/tests/scripted_target.h
@@ -18,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-#include "cicadaloft/forwarding/mailbox.h"
+#include "cicadaloft/core/mailbox.h"
 
 namespace cicadaloft {
 
--- a/host/control_mailbox.h
+++ b/host/control_mailbox.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 
 #include "cicadaloft/control/messages.h"
-#include "cicadaloft/forwarding/mailbox.h"
+#include "cicadaloft/core/mailbox.h"
 
 namespace cicadaloft {
 
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -15,6 +15,7 @@
 #include "cicadaloft/lease/lease_calls.h"
 #include "cicadaloft/platform/runner_client.h"
 #include "cicadaloft/platform/store_client.h"
+#include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
 #include "control_mailbox.h"
 #include "peer_links.h"
@@ -27,6 +28,7 @@
   std::shared_ptr<NodeMailbox> node;
   std::shared_ptr<PeerLinks> peers;
   std::shared_ptr<DecisionLog> log;
+  std::shared_ptr<Mailbox<ReadAgain>> read_operator;
 };
 
 /// Owns what this host believes of the system: feeds the state events and
@@ -63,6 +65,9 @@
   }
 
   void Carry(const TellEntry& tell) { Post(*this->links.node, tell.event); }
+  void Carry(const ReadOperatorAgain&) {
+    TrySend(*this->links.read_operator, ReadAgain{});
+  }
   void Carry(const LinkToHolder& link) { this->links.peers->Carry(link); }
   void Carry(const TellHolder& tell) { this->links.peers->Carry(tell); }
   void Carry(const TellHost& tell) { this->links.peers->Carry(tell); }
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -52,8 +52,11 @@
 constexpr int kRegistryGapParts = 7;
 constexpr int kRegistryGapWhole = 20;
 
-/// How long a stopping host stays for callers that have not noticed yet: two
-/// missed readiness questions, one a second, and the way.
+/// A stopping host takes new connections until callers have been led elsewhere:
+/// two missed readiness questions, one a second, and the way. Then it closes
+/// connections that are idle, and the others after their answers.
+constexpr Duration kCloseAfter = std::chrono::milliseconds(2400);
+/// It stays a little longer for what crosses the closing.
 constexpr Duration kLeaveAfter = std::chrono::milliseconds(3500);
 
 /// Kept free at the end of the stop time, for the last answers' way.
@@ -156,7 +159,9 @@
                                ControlLinks{.inbox = this->control,
                                             .node = this->node,
                                             .peers = this->peers,
-                                            .log = this->decisions});
+                                            .log = this->decisions,
+                                            .read_operator =
+                                                this->read_operator});
     return Done{};
   }
 
@@ -171,7 +176,7 @@
     this->SpawnFollowers();
     this->Spawn(RunCallerListener<platform::ClientWire>(
         this->callers, IdPrefix(this->settings.host), this->node,
-        CallerLimits{}));
+        this->directory, CallerLimits{}));
     this->Spawn(RunAdminListener(
         this->readiness,
         AdminFacts{.host = this->settings.host.value(),
@@ -199,7 +204,7 @@
         platform::StoreClient(this->executor, this->settings.store),
         FollowerSettings{.topic = platform::kOperatorTopic,
                          .jitter_seed = seed},
-        &platform::DecodeKeyedRecord, OperatorFeed(this->control));
+        this->read_operator, &platform::DecodeKeyedRecord, OperatorFeed(this->control));
     auto registry = std::make_shared<
         KeyedFollower<platform::StoreClient, decltype(&platform::DecodeKeyedRecord), RegistryFeed>>(
         platform::StoreClient(this->executor, this->settings.store),
@@ -207,7 +212,7 @@
                          .least_gap = this->settings.drain_time *
                                       kRegistryGapParts / kRegistryGapWhole,
                          .jitter_seed = seed + 1},
-        &platform::DecodeKeyedRecord, RegistryFeed(this->control));
+        std::make_shared<Mailbox<ReadAgain>>(this->executor, 1), &platform::DecodeKeyedRecord, RegistryFeed(this->control));
     this->Spawn(run(operators));
     this->Spawn(run(registry));
   }
@@ -248,7 +253,10 @@
     co_await Send(*this->control, control_stop);
     co_await Send(*this->node, NodeMessage(stop));
     const Duration most = this->settings.stop_time - kStopMargin;
-    co_await this->Sleep(std::min(kLeaveAfter, most));
+    co_await this->Sleep(std::min(kCloseAfter, most));
+    this->directory->TellStop();
+    co_await this->Sleep(std::min(kLeaveAfter, most) -
+                         std::min(kCloseAfter, most));
     const auto passed = std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - began);
     const Duration left = std::max(Duration::zero(), most - passed);
@@ -273,6 +281,10 @@
   const std::shared_ptr<ControlMailbox> control;
   const std::shared_ptr<EntryNewsMailbox> news;
   const std::shared_ptr<DrainedMailbox> drained;
+  const std::shared_ptr<Mailbox<ReadAgain>> read_operator =
+      std::make_shared<Mailbox<ReadAgain>>(this->executor, 1);
+  const std::shared_ptr<CallerDirectory> directory =
+      std::make_shared<CallerDirectory>();
   Acceptor callers;
   Acceptor readiness;
   Acceptor admin;
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -48,7 +48,8 @@
     std::tuple(Required("host", &DemandReported::host),
                Required("grant", &DemandReported::grant),
                Required("demands", &DemandReported::demands),
-               Required("held", &DemandReported::held));
+               Required("held", &DemandReported::held),
+               Required("configuration", &DemandReported::configuration));
 
 template <>
 inline constexpr auto kJsonFields<ModelWanted> =
@@ -69,7 +70,8 @@
 inline constexpr auto kJsonFields<SharesGranted> =
     std::tuple(Required("grant", &SharesGranted::grant),
                Required("hosts", &SharesGranted::hosts),
-               Required("customers", &SharesGranted::customers));
+               Required("customers", &SharesGranted::customers),
+               Required("configuration", &SharesGranted::configuration));
 
 /// In the order of the variant's alternatives.
 template <>
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -3,16 +3,19 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <concepts>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "cicadaloft/core/backoff.h"
+#include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/store/messages.h"
 #include "cicadaloft/store/store.h"
@@ -40,6 +43,9 @@
   std::string reason;
 };
 
+/// Asks a follower to read the topic as a whole now: others know more.
+struct ReadAgain {};
+
 using FollowerNews =
     std::variant<TopicRead, KeyChanged, StoreReachable, RecordSkipped>;
 
@@ -48,7 +54,7 @@
   std::string topic;
   /// How long a read waits for a record. A silent connection shows sooner, by
   /// its probes.
-  Duration long_poll = std::chrono::seconds(5);
+  Duration long_poll = std::chrono::milliseconds(3500);
   /// Least time between two reads: calls are priced and bounded in number, and
   /// changes that come together are read together.
   Duration least_gap{};
@@ -67,9 +73,15 @@
 template <Store S, KeyedDecoder Decode, std::invocable<FollowerNews> Sink>
 class KeyedFollower {
  public:
-  KeyedFollower(S store, FollowerSettings settings, Decode decode, Sink sink)
+  /// @param asks what comes there ends the present wait.
+  KeyedFollower(S store,
+                FollowerSettings settings,
+                std::shared_ptr<Mailbox<ReadAgain>> asks,
+                Decode decode,
+                Sink sink)
       : store(std::move(store)),
         settings(std::move(settings)),
+        asks(std::move(asks)),
         decode(std::move(decode)),
         sink(std::move(sink)),
         backoff(kLeastBackoff, kMostBackoff, this->settings.jitter_seed) {}
@@ -105,10 +117,17 @@
 
   // Returns when the topic has to be read as a whole again.
   boost::asio::awaitable<void> ReadOn() {
+    using boost::asio::experimental::awaitable_operators::operator||;
     bool goes_on = true;
     while (goes_on) {
-      const Result<LogRead> read = co_await this->store.Read(
-          this->settings.topic, this->next, this->settings.long_poll);
+      auto answer = co_await (
+          this->store.Read(this->settings.topic, this->next,
+                           this->settings.long_poll) ||
+          Receive(*this->asks));
+      if (answer.index() != 0) {
+        co_return;
+      }
+      const Result<LogRead> read = std::get<0>(std::move(answer));
       if (!IsOk(read)) {
         co_await this->NoteFailure(ErrorOf(read));
         goes_on = false;
@@ -159,6 +178,7 @@
 
   S store;
   const FollowerSettings settings;
+  const std::shared_ptr<Mailbox<ReadAgain>> asks;
   const Decode decode;
   const Sink sink;
   Backoff backoff;
