--- a/configuration/include/cicadaloft/configuration/configuration.h
+++ b/configuration/include/cicadaloft/configuration/configuration.h
@@ -40,6 +40,7 @@
   int rank = 5;                  ///< 0 goes first.
   Duration timeout{};            ///< For the whole answer.
   Duration latency_aim{};        ///< To the answer, or a stream's first event.
+  Duration patience{};     ///< Callers leave when nothing comes for so long.
   std::vector<RouteShare> shares;  ///< Never empty.
 
   friend auto operator<=>(const Route&, const Route&) = default;
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -10,7 +10,7 @@
 
 /// Part of the time that a request has which it may wait unserved. What is
 /// left is for the run; a wait beyond it seldom ends with an answer in time.
-constexpr double kWaitPart = 0.5;
+constexpr double kWaitPart = 0.6;
 
 /// What arrives later after a stop was asked for may not end in time.
 constexpr Duration kTakesAfterStop = std::chrono::milliseconds(2800);
@@ -25,8 +25,10 @@
   Result<OpenRequest> admitted = this->Admit(arrived);
   if (IsOk(admitted)) {
     OpenRequest request = TakeValue(std::move(admitted));
-    this->budgets.try_emplace(request.line.service);
-    RetryBudget& budget = this->budgets[request.line.service];
+    RetryBudget& budget =
+        this->budgets
+            .try_emplace(request.line.service, this->settings.is_first_start)
+            .first->second;
     const double hosts = std::max(1U, this->shares.hosts);
     budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
     budget.OnRequest();
@@ -82,8 +84,9 @@
       .model = arrived.model};
   const Duration time = std::min(request.route->timeout, arrived.deadline);
   request.ends_at = this->now + time;
+  const Duration patience = std::min(time, request.route->patience);
   request.gives_up_at =
-      this->now + std::chrono::duration_cast<Duration>(time * kWaitPart);
+      this->now + std::chrono::duration_cast<Duration>(patience * kWaitPart);
   if (auto error = this->CheckCustomer(request)) {
     return *error;
   }
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -6,6 +6,10 @@
 namespace cicadaloft {
 namespace {
 
+/// A request comes back to a target that could not take it after this time:
+/// sooner it would only spend the budget of repeats.
+constexpr Duration kPassingAvoidance = std::chrono::milliseconds(150);
+
 bool MayHaveRun(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kNotSent:
@@ -108,12 +112,12 @@
       this->suspects.OnGoodAnswer(request.arrival.fingerprint);
       break;
     case AttemptOutcome::kShed:
-      target.OnOverload(this->now);
+      this->NoteShed(request, ended, target);
       break;
     case AttemptOutcome::kNotLoaded:
       if (request.line.model) {
         this->whereabouts.OnDenial(request.target, *request.line.model,
-                                   this->now);
+                                   ModelWhereabouts::kDenialTerm, this->now);
       }
       break;
     case AttemptOutcome::kNotSent:
@@ -128,10 +132,31 @@
   }
 }
 
+// A target with free slots refuses the model, not the work: an order concerns
+// it.
+void EntryCore::NoteShed(const OpenRequest& request,
+                         const AttemptEnded& ended,
+                         TargetView& target) {
+  const bool has_slots =
+      ended.load && ended.load->running + ended.load->waiting <
+                        target.record().slots;
+  if (request.line.model && (has_slots || !this->IsFull(target))) {
+    this->whereabouts.OnDenial(request.target, *request.line.model,
+                               ModelWhereabouts::kShortDenialTerm, this->now);
+  } else {
+    target.OnOverload(this->now);
+  }
+}
+
 void EntryCore::TakeFailure(OpenRequest& request, const AttemptEnded& ended) {
   const bool may_have_run = MayHaveRun(ended.outcome);
   request.runs += may_have_run ? 1 : 0;
-  request.avoided.insert(request.target);
+  // A target that is merely full, or lacks the model for now, may serve it
+  // later on.
+  const bool is_passing = ended.outcome == AttemptOutcome::kShed ||
+                          ended.outcome == AttemptOutcome::kNotLoaded;
+  request.avoided[request.target] =
+      is_passing ? this->now + kPassingAvoidance : TimePoint::max();
   if (may_have_run && !this->MayRunAgain(request)) {
     this->RefuseOpen(request, ErrorAfter(ended.outcome, request.target));
     this->Close(request);
@@ -157,12 +182,6 @@
     this->Close(request);
     return;
   }
-  // A target that is merely full, or lacks the model for now, may serve it
-  // later on.
-  if (ended.outcome == AttemptOutcome::kShed ||
-      ended.outcome == AttemptOutcome::kNotLoaded) {
-    request.avoided.erase(request.target);
-  }
   this->Enqueue(request);
 }
 
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -75,6 +75,8 @@
   bool TryDispatch(OpenRequest& request);
   std::vector<TargetView*> CandidatesFor(const LineKey& key);
   bool MayTake(const TargetView& target, const OpenRequest& request) const;
+  std::vector<TargetId> UselessHolders(const LineKey& key);
+  bool IsFull(const TargetView& target) const;
   void AskForModel(const LineKey& key, Line& line);
   void LogWait(const OpenRequest& request);
   void CountUse(const OpenRequest& request);
@@ -87,6 +89,9 @@
                     const AttemptEnded& ended,
                     bool needs_budget);
   void Note(const OpenRequest& request, const AttemptEnded& ended);
+  void NoteShed(const OpenRequest& request,
+                const AttemptEnded& ended,
+                TargetView& target);
   bool MayRunAgain(const OpenRequest& request) const;
   void RefuseOpen(const OpenRequest& request, const Error& error);
   void EndExpired();
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -173,11 +173,16 @@
                         const OpenRequest& request) const {
   const TargetRecord& record = target.record();
   if (record.is_draining || this->evacuated.contains(record.data_centre) ||
-      request.avoided.contains(record.id) ||
+      request.Avoids(record.id, this->now) ||
       target.ejection().IsEjected(this->now)) {
     return false;
   }
-  return target.EstimatedLoad(this->now) < record.slots * kQueueFactor;
+  return !this->IsFull(target);
+}
+
+bool EntryCore::IsFull(const TargetView& target) const {
+  return target.EstimatedLoad(this->now) >=
+         target.record().slots * kQueueFactor;
 }
 
 void EntryCore::AskForModel(const LineKey& key, Line& line) {
@@ -208,16 +213,45 @@
       ModelWanted{.service = key.service,
                   .path = *key.model,
                   .waiting = static_cast<std::uint32_t>(line.queue.size()),
-                  .latency_aim = request.route->latency_aim});
+                  .latency_aim = request.route->latency_aim,
+                  .denied_by = this->UselessHolders(key)});
+}
+
+// Holders that deny the model, or have failed.
+std::vector<TargetId> EntryCore::UselessHolders(const LineKey& key) {
+  std::vector<TargetId> useless =
+      this->whereabouts.DeniersOf(*key.model, this->now);
+  for (const TargetView* holder : this->CandidatesFor(key)) {
+    if (holder->ejection().IsEjected(this->now)) {
+      useless.push_back(holder->record().id);
+    }
+  }
+  return useless;
 }
 
 void EntryCore::LogWait(const OpenRequest& request) {
   const LineKey& key = request.line;
+  const auto holders = this->CandidatesFor(key);
+  const auto count = [&](auto is_so) {
+    return std::ranges::count_if(holders, is_so);
+  };
   this->Log(
       reasons::kWait, request.arrival.caller_id,
       {{"model", key.model ? key.model->ToString() : "-"},
        {"service", key.service.value()},
-       {"holders", this->CandidatesFor(key).size()},
+       {"holders", holders.size()},
+       {"leaving", count([](const TargetView* holder) {
+          return holder->record().is_draining;
+        })},
+       {"evacuated", count([this](const TargetView* holder) {
+          return this->evacuated.contains(holder->record().data_centre);
+        })},
+       {"ejected", count([this](const TargetView* holder) {
+          return holder->ejection().IsEjected(this->now);
+        })},
+       {"full", count([this](const TargetView* holder) {
+          return this->IsFull(*holder);
+        })},
        {"line", this->lines.contains(key) ? this->lines[key].queue.size() : 0},
        {"at_most_ms", request.gives_up_at - this->now}});
 }
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -218,6 +218,8 @@
   ModelPath path;
   std::uint32_t waiting = 0;
   Duration latency_aim{};  ///< Of the most urgent one.
+  /// Targets that have denied to have it, though they were told to.
+  std::vector<TargetId> denied_by;
 
   friend auto operator<=>(const ModelWanted&, const ModelWanted&) = default;
   friend bool operator==(const ModelWanted&, const ModelWanted&) = default;
@@ -251,8 +253,9 @@
                                  DecisionLine>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
-/// Between two measurements of usage: demand that moves is noticed in a second.
-inline constexpr Duration kUsageInterval = std::chrono::milliseconds(500);
+/// Between two measurements of usage. Which models are idle is known about as
+/// well as this is short against a run's length.
+inline constexpr Duration kUsageInterval = std::chrono::milliseconds(200);
 
 }  // namespace cicadaloft
 
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -4,7 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
-#include <set>
+#include <map>
 
 #include "cicadaloft/entry/messages.h"
 
@@ -39,8 +39,13 @@
   std::uint32_t arrivals = 0;  ///< Attempts that may have reached a target.
   TargetId target;           ///< Of the running attempt.
   TargetInstance instance;
-  std::set<TargetId> avoided;  ///< Targets that have failed it.
+  /// Targets that have failed it, and until when they get it no more.
+  std::map<TargetId, TimePoint> avoided;
 
+  bool Avoids(const TargetId& target, TimePoint now) const {
+    const auto found = this->avoided.find(target);
+    return found != this->avoided.end() && now < found->second;
+  }
   bool IsBatch() const;
   /// @return the rank that goes to targets.
   int Rank() const;
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -41,10 +41,10 @@
               const std::string& store,
               ControlLinks links)
       : executor(std::move(executor)),
-        self(settings.self),
         state(settings),
         links(std::move(links)),
-        lease_calls(platform::StoreClient(this->executor, store)) {}
+        lease_calls(platform::StoreClient(this->executor, store)),
+        runners(this->executor, settings.self) {}
 
   /// Runs until the inbox is closed.
   boost::asio::awaitable<void> Run() {
@@ -93,14 +93,14 @@
 
   boost::asio::awaitable<void> Order(SendOrder order) {
     const OrderOutcome outcome =
-        co_await platform::GiveOrder(order, this->self);
+        co_await this->runners.GiveOrder(order);
     Post(*this->links.inbox,
          ControlEvent(OrderEnded{.target = order.target, .outcome = outcome}));
   }
 
   boost::asio::awaitable<void> Ask(AskReport ask) {
     const TargetId target = ask.target;
-    Result<TargetReport> report = co_await platform::ReadReport(std::move(ask));
+    Result<TargetReport> report = co_await this->runners.ReadReport(std::move(ask));
     if (IsOk(report)) {
       Post(*this->links.inbox,
            ControlEvent(ReportRead{.target = target,
@@ -117,10 +117,10 @@
   }
 
   const boost::asio::any_io_executor executor;
-  const HostId self;
   ControlState state;
   const ControlLinks links;
   LeaseCalls<platform::StoreClient> lease_calls;
+  platform::RunnerClient runners;
   const BootClock clock{};
 };
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -56,7 +56,8 @@
     std::tuple(Required("service", &ModelWanted::service),
                Required("path", &ModelWanted::path),
                Required("waiting", &ModelWanted::waiting),
-               Required("latency_aim", &ModelWanted::latency_aim));
+               Required("latency_aim", &ModelWanted::latency_aim),
+               Required("denied_by", &ModelWanted::denied_by));
 
 template <>
 inline constexpr auto kJsonFields<PlacementChange> =
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -84,6 +84,21 @@
   want.latency_aim = is_new ? wanted.latency_aim
                             : std::min(want.latency_aim, wanted.latency_aim);
   want.asked_at = this->now;
+  want.first_asked = is_new ? this->now : want.first_asked;
+  for (const TargetId& target : wanted.denied_by) {
+    const auto found = this->books.find(target);
+    const bool is_believed = found != this->books.end() &&
+                             found->second.Holds(wanted.path) &&
+                             !found->second.loading();
+    if (is_believed) {
+      want.denied_by.insert(target);
+    }
+    if (is_believed && found->second.IsFree(this->now)) {
+      // The books are wrong, or it has died: nothing is ordered there before
+      // its report.
+      found->second.Doubt(this->now);
+    }
+  }
   this->Plan();
 }
 
@@ -130,9 +145,11 @@
     case OrderOutcome::kNotSent:
       book.OnNotDone();
       break;
+    case OrderOutcome::kNoAnswer:
+      book.OnNoAnswer(this->now);
+      break;
     case OrderOutcome::kRejected:
     case OrderOutcome::kOtherInstance:
-    case OrderOutcome::kNoAnswer:
       book.OnUnclear(this->now);
       break;
     case OrderOutcome::kConflict:
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -39,6 +39,8 @@
     ServiceId service;
     Duration latency_aim{};
     TimePoint asked_at{};
+    TimePoint first_asked{};
+    std::set<TargetId> denied_by;  ///< Targets that hold it by the books only.
     std::optional<TargetId> chosen;  ///< Where room is being made for it.
   };
   /// A target on which a model could be loaded.
@@ -74,6 +76,8 @@
                              const Model& model,
                              const Engine& engine);
   double ValueOf(const ModelPath& path, const TargetBook& book) const;
+  std::uint32_t Swaps() const;
+  bool IsFarCopy(const ModelPath& path, const TargetBook& book) const;
   void FillFreeRoom();
   void FillOne(TargetBook& book, const Engine& engine);
   void Order(TargetBook& book, OrderKind kind, const ModelPath& path,
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -24,9 +24,10 @@
 constexpr double kWakeSeconds = 0.6;
 /// The running requests delay the unload by about a run's length.
 constexpr double kRunSeconds = 1.5;
-/// One that was used just now is likely to be used again at once.
-constexpr Duration kFresh = std::chrono::seconds(2);
-constexpr double kFreshCost = 0.4;
+/// What a model that has just fallen silent is worth beyond its rate, and the
+/// time after which that is half.
+constexpr std::chrono::duration<double> kFresh(4);
+constexpr double kFreshCost = 0.5;
 /// A request that is awaited loses more of its worth by a wake than batch work.
 constexpr double kBatchWeight = 0.15;
 /// Of several holders each is worth this part of a sole one.
@@ -37,6 +38,19 @@
 /// A model with fewer requests a second and holder gets no further holder.
 constexpr double kSpareRate = 0.5;
 
+/// Batch work may wait for a place: while room is made, a place serves nobody,
+/// and too many at once leave too few.
+constexpr Duration kPatientAim = std::chrono::seconds(1);
+constexpr std::uint32_t kMostPatientSwaps = 4;
+
+/// A model that has just been loaded serves those that waited for it first.
+constexpr Duration kServesFirst = std::chrono::milliseconds(1200);
+constexpr double kServesFirstCost = 3;
+
+/// What the only copy in a data centre is worth beyond another one, as a part
+/// of its rate: data centres can be cut off from each other.
+constexpr double kNearWeight = 0.08;
+
 /// Memory kept for adapters on each target, as a number of them.
 constexpr double kAdapterReserve = 4;
 
@@ -50,12 +64,13 @@
   std::erase_if(this->wants, [this](const auto& entry) {
     return this->now - entry.second.asked_at > kWantTerm;
   });
-  std::vector<std::pair<Duration, ModelPath>> order;
+  // What is due first goes first.
+  std::vector<std::pair<TimePoint, ModelPath>> order;
   for (const auto& [path, want] : this->wants) {
-    order.emplace_back(want.latency_aim, path);
+    order.emplace_back(want.first_asked + want.latency_aim, path);
   }
   std::ranges::sort(order);
-  for (const auto& [aim, path] : order) {
+  for (const auto& [due, path] : order) {
     if (this->Serve(path, this->wants.at(path))) {
       this->wants.erase(path);
     }
@@ -110,7 +125,7 @@
                       std::max(Duration::zero(),
                                book.loading()->ready_at - this->now));
       is_held = true;
-    } else if (book.Holds(path)) {
+    } else if (book.Holds(path) && !want.denied_by.contains(id)) {
       this->Broadcast(book, path, true, Duration::zero());
       is_held = true;
     }
@@ -129,6 +144,11 @@
   if (!site) {
     return false;
   }
+  const bool begins = !want.chosen && !site->victims.empty();
+  if (begins && want.latency_aim >= kPatientAim &&
+      this->Swaps() >= kMostPatientSwaps) {
+    return false;
+  }
   want.chosen = site->book->record().id;
   if (!site->victims.empty()) {
     this->Order(*site->book, OrderKind::kUnload, site->victims.front(),
@@ -142,6 +162,14 @@
   return false;
 }
 
+// Wants for which room is being made.
+std::uint32_t PlacementCore::Swaps() const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(this->wants, [](const auto& entry) {
+        return entry.second.chosen.has_value();
+      }));
+}
+
 // Whether another want makes room there.
 bool PlacementCore::IsClaimed(const TargetId& target, const Want& by) const {
   return std::ranges::any_of(this->wants, [&](const auto& entry) {
@@ -159,7 +187,7 @@
     const bool is_other = want.chosen && *want.chosen != id;
     if (book.record().service != want.service || is_other ||
         !this->IsUsable(book) || !book.IsFree(this->now) ||
-        this->IsClaimed(id, want)) {
+        want.denied_by.contains(id) || this->IsClaimed(id, want)) {
       continue;
     }
     auto site = this->SiteOn(book, *model, *engine);
@@ -213,16 +241,32 @@
   const double rate = this->history.Rate(path, this->now);
   const double running = this->history.Running(path, this->now);
   const double urgency = kBatchWeight + this->history.UrgentPart(path);
-  const double wait = running > 0 ? kRunSeconds : 0;
+  const bool is_new = this->now < book.LoadedAt(path) + kServesFirst;
+  const double wait = (running > 0 ? kRunSeconds : 0) +
+                      (is_new ? kServesFirstCost : 0);
   if (holders > 1) {
     const bool is_busy =
         running / (holders - 1) > book.record().slots * kBusyPart;
-    return wait / holders + rate * kSpareWeight +
+    const double near =
+        this->IsFarCopy(path, book) ? rate * kNearWeight * urgency : 0;
+    return wait / holders + rate * kSpareWeight + near +
            (is_busy ? rate * kWakeSeconds : 0);
   }
-  const bool is_fresh = this->now - this->history.LastUse(path) < kFresh;
-  return wait + rate * kWakeSeconds * urgency +
-         (is_fresh ? kFreshCost * urgency : 0);
+  // Demand that falls silent may come back; the longer ago, the less likely.
+  const std::chrono::duration<double> age =
+      this->now - this->history.LastUse(path);
+  const double again = kFreshCost / (1 + age.count() / kFresh.count());
+  return wait + (rate * kWakeSeconds + again) * urgency;
+}
+
+// Whether no other target of the data centre holds it.
+bool PlacementCore::IsFarCopy(const ModelPath& path,
+                              const TargetBook& book) const {
+  return std::ranges::none_of(this->books, [&](const auto& entry) {
+    const TargetBook& other = entry.second;
+    return &other != &book && other.Holds(path) && this->IsUsable(other) &&
+           other.record().data_centre == book.record().data_centre;
+  });
 }
 
 bool PlacementCore::ServeAdapter(const ModelPath& path, Want& want) {
--- a/placement/target_book.cc
+++ b/placement/target_book.cc
@@ -14,6 +14,8 @@
 /// While a target says that it is busy.
 constexpr Duration kBusyReport = std::chrono::milliseconds(400);
 
+/// Orders in a row without an answer after which a report is asked for.
+constexpr int kMostSilentOrders = 3;
 /// After an unload, which takes effect when the runs have ended.
 constexpr Duration kUnloadRest = std::chrono::milliseconds(10);
 constexpr Duration kConflictRest = std::chrono::milliseconds(100);
@@ -38,6 +40,11 @@
   return is_ordered || (this->under_way && this->under_way->path == path);
 }
 
+TimePoint TargetBook::LoadedAt(const ModelPath& path) const {
+  const auto found = this->loaded_at.find(path);
+  return found == this->loaded_at.end() ? TimePoint{} : found->second;
+}
+
 WeightSource TargetBook::SourceOf(const ModelId& model) const {
   if (std::ranges::binary_search(this->known.in_memory, model)) {
     return WeightSource::kMemory;
@@ -97,6 +104,7 @@
                             TimePoint now) {
   const SendOrder order = *this->unanswered;
   this->unanswered.reset();
+  this->silent_orders = 0;
   this->orders = order.expect.Next();
   if (order.kind == OrderKind::kUnload) {
     this->Drop(order.path);
@@ -107,6 +115,7 @@
     return;
   }
   this->paths.insert(order.path);
+  this->loaded_at[order.path] = now + ready_in;
   if (!order.path.IsAdapter()) {
     this->under_way = Loading{
         .path = order.path, .ready_at = now + ready_in, .source = source};
@@ -134,6 +143,17 @@
   this->rests_until = now + kConflictRest;
 }
 
+void TargetBook::OnNoAnswer(TimePoint now) {
+  this->unanswered.reset();
+  this->unload_settles = TimePoint{};
+  ++this->silent_orders;
+  // A target that goes on saying nothing may be dead.
+  if (this->silent_orders >= kMostSilentOrders) {
+    this->silent_orders = 0;
+    this->Doubt(now + kReportDelay);
+  }
+}
+
 void TargetBook::OnUnclear(TimePoint now) {
   this->unanswered.reset();
   this->Doubt(now + kReportDelay);
@@ -146,6 +166,10 @@
 }
 
 void TargetBook::Drop(const ModelPath& path) {
+  std::erase_if(this->loaded_at, [&](const auto& entry) {
+    return path.IsAdapter() ? entry.first == path
+                            : entry.first.model == path.model;
+  });
   std::erase_if(this->paths, [&](const ModelPath& held) {
     return path.IsAdapter() ? held == path : held.model == path.model;
   });
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_PLACEMENT_TARGET_BOOK_H_
 #define CICADALOFT_PLACEMENT_TARGET_BOOK_H_
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -29,6 +30,9 @@
   OrderSequence sequence() const { return this->orders; }
   const std::set<ModelPath>& held() const { return this->paths; }
   const std::optional<Loading>& loading() const { return this->under_way; }
+  /// @return when its load was, or will be, done; the beginning of time for what
+  /// was there before.
+  TimePoint LoadedAt(const ModelPath& path) const;
   const std::optional<SendOrder>& pending() const { return this->unanswered; }
 
   /// @return whether orders may be given: what it holds is known, and none is
@@ -55,6 +59,10 @@
   void OnNotDone() { this->unanswered.reset(); }
   /// The target refuses since an order is under way, or has come in between.
   void OnConflict(TimePoint now);
+  /// The order may have been accepted, or may be yet. What the target holds at
+  /// the known sequence stays known: another order that names it is refused if
+  /// the first one has counted, and keeps it from counting if not.
+  void OnNoAnswer(TimePoint now);
   void OnUnclear(TimePoint now);
   /// Loads that should be done by now are taken as done.
   void Tick(TimePoint now);
@@ -65,9 +73,11 @@
   TargetRecord known;
   OrderSequence orders;
   std::set<ModelPath> paths;
+  std::map<ModelPath, TimePoint> loaded_at;
   std::optional<Loading> under_way;
   std::optional<SendOrder> unanswered;
   bool is_known = false;
+  int silent_orders = 0;  ///< In a row.
   TimePoint report_due{};
   TimePoint rests_until{};  ///< No orders before.
   TimePoint unload_settles{};  ///< An unload may be waiting for its runs.
--- a/routing/include/cicadaloft/routing/retry_budget.h
+++ b/routing/include/cicadaloft/routing/retry_budget.h
@@ -8,6 +8,10 @@
 /// fail.
 class RetryBudget {
  public:
+  /// @param is_full whether it begins with all that may be saved up; one that
+  /// begins again after a process's death must not.
+  explicit RetryBudget(bool is_full = false) : is_full(is_full) {}
+
   /// Sets the bounds. What is saved up is clipped.
   /// @param ratio repeats that each request allows.
   /// @param most_saved repeats that may be saved up; this host's part of the
@@ -22,6 +26,7 @@
   double ratio = 0;
   double most_saved = 0;
   double saved = 0;
+  bool is_full;
   bool is_new = true;
 };
 
--- a/routing/model_whereabouts.cc
+++ b/routing/model_whereabouts.cc
@@ -58,10 +58,11 @@
 
 void ModelWhereabouts::OnDenial(const TargetId& target,
                                 const ModelPath& path,
+                                Duration term,
                                 TimePoint now) {
   const auto found = this->targets.find(target);
   if (found != this->targets.end()) {
-    found->second.denied_until[path] = now + kDenialTerm;
+    found->second.denied_until[path] = now + term;
   }
 }
 
@@ -81,6 +82,18 @@
   return holders;
 }
 
+std::vector<TargetId> ModelWhereabouts::DeniersOf(const ModelPath& path,
+                                                  TimePoint now) const {
+  std::vector<TargetId> deniers;
+  for (const auto& [id, target] : this->targets) {
+    const auto denied = target.denied_until.find(path);
+    if (denied != target.denied_until.end() && now < denied->second) {
+      deniers.push_back(id);
+    }
+  }
+  return deniers;
+}
+
 std::optional<TimePoint> ModelWhereabouts::ExpectedAt(const ModelPath& path,
                                                       TimePoint now) const {
   std::optional<TimePoint> earliest;
