--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -16,6 +16,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/entry/entry_node.h"
@@ -23,6 +24,7 @@
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/caller_listener.h"
 #include "cicadaloft/forwarding/node_task.h"
+#include "cicadaloft/own_interface/own_wire.h"
 #include "cicadaloft/platform/configuration_codec.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/store_client.h"
@@ -136,11 +138,15 @@
                   }) {}
 
   Result<Done> Open() {
-    for (const auto& [address, acceptor] :
-         {std::pair(&this->settings.listen, &this->callers),
-          std::pair(&this->settings.ready_listen, &this->readiness),
-          std::pair(&this->settings.admin_listen, &this->admin)}) {
-      Result<Acceptor> opened = Listen(this->context, *address);
+    std::vector<std::pair<std::string, Acceptor*>> addresses = {
+        {this->settings.listen, &this->callers},
+        {this->settings.ready_listen, &this->readiness},
+        {this->settings.admin_listen, &this->admin}};
+    if (!this->settings.own_listen.empty()) {
+      addresses.emplace_back(this->settings.own_listen, &this->own_callers);
+    }
+    for (const auto& [address, acceptor] : addresses) {
+      Result<Acceptor> opened = Listen(this->context, address);
       if (!IsOk(opened)) {
         return ErrorOf(opened);
       }
@@ -177,6 +183,11 @@
     this->Spawn(RunCallerListener<platform::ClientWire>(
         this->callers, IdPrefix(this->settings.host), this->node,
         this->directory, CallerLimits{}));
+    if (this->own_callers != nullptr) {
+      this->Spawn(RunCallerListener<OwnWire>(
+          this->own_callers, IdPrefix(this->settings.host) + "-own", this->node,
+          this->directory, CallerLimits{}));
+    }
     this->Spawn(RunAdminListener(this->readiness,
                                  AdminFacts{.host = this->settings.host.value(),
                                             .ready_path = platform::kReadyPath},
@@ -289,6 +300,7 @@
   const std::shared_ptr<CallerDirectory> directory =
       std::make_shared<CallerDirectory>();
   Acceptor callers;
+  Acceptor own_callers;  ///< Null where the own interface is not served.
   Acceptor readiness;
   Acceptor admin;
   Node node_task;
--- /dev/null
+++ b/operator_cli/tests/operator_cli_test.cc
@@ -0,0 +1,36 @@
+#define BOOST_TEST_MODULE operator_cli
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+
+#include "cicadaloft/operator_cli/log_search.h"
+
+namespace cicadaloft {
+namespace {
+
+BOOST_AUTO_TEST_CASE(ARequestsLinesComeInOrderWithItsModelsOrders) {
+  std::stringstream logs(
+      R"(host-b {"unix_ms":30,"event":"route.refuse","request":"r","kind":"k"}
+{"unix_ms":10,"event":"route.wait","request":"r","model":"m/a1"}
+{"unix_ms":20,"event":"place.load","path":"m","target":"t"}
+{"unix_ms":40,"event":"place.load","path":"m","target":"u"}
+{"unix_ms":20,"event":"place.load","path":"other","target":"t"}
+{"unix_ms":15,"event":"route.wait","request":"s","model":"m"}
+not a record
+)");
+  const Explanation found = Explain(logs, "r");
+  BOOST_REQUIRE(found.lines.size() == 2);
+  BOOST_TEST(found.lines[0].event == "route.wait");
+  BOOST_TEST(found.lines[1].fields == "kind=k");
+  BOOST_REQUIRE(found.context.size() == 1);
+  BOOST_TEST(found.context[0].unix_ms == 20);
+  BOOST_TEST(found.unreadable == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownRequestHasNoLines) {
+  std::stringstream logs(
+      R"({"unix_ms":30,"event":"route.wait","request":"r"})");
+  BOOST_TEST(Explain(logs, "x").lines.empty());
+}
+
+}  // namespace
+}  // namespace cicadaloft
--- /dev/null
+++ b/tests/stand_ins/fake_runner.cc
@@ -0,0 +1,285 @@
+// A runner of the platform: model orders, reports, streams and plain answers.
+// It registers itself with the store's stand-in.
+
+#include <docopt/docopt.h>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http_server.h"
+
+namespace cicadaloft::stand_ins {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr char kUsage[] = R"(A runner's stand-in.
+
+Usage:
+  fake_runner --listen ADDRESS --id ID --service NAME --zone NAME --store ADDRESS
+              [--models NAMES] [--disk NAMES] [--load-ms N] [--event-ms N]
+
+Options:
+  --listen ADDRESS  Where it takes calls, "IP:port".
+  --id ID         Its name in the registry.
+  --service NAME  The service that it belongs to.
+  --zone NAME     Where it stands.
+  --store ADDRESS The store's stand-in.
+  --models NAMES  Models held at the start, parted by commas [default: ].
+  --disk NAMES    Copies on the disk [default: ].
+  --load-ms N     How long a load takes [default: 400].
+  --event-ms N    Between two events of a stream [default: 20].
+
+  GET /seen           the ids of all requests that have run
+  POST /admin/crash   ends the process at once
+)";
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  if (!text.empty()) {
+    boost::split(parts, text, boost::is_any_of(","));
+  }
+  return parts;
+}
+
+struct Settings {
+  std::string address;
+  std::string id;
+  std::string service;
+  std::string zone;
+  std::string store;
+  milliseconds load_time{};
+  milliseconds event_time{};
+};
+
+class FakeRunner {
+ public:
+  FakeRunner(Settings settings,
+             std::vector<std::string> models,
+             std::vector<std::string> disk)
+      : settings(std::move(settings)),
+        held(models.begin(), models.end()),
+        disk(disk.begin(), disk.end()),
+        born(std::chrono::duration_cast<milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count()) {}
+
+  /// Writes the entry to the registry.
+  void Register() const {
+    asio::io_context context;
+    Socket socket(context);
+    const std::size_t colon = this->settings.store.rfind(':');
+    asio::ip::tcp::resolver resolver(context);
+    asio::connect(socket,
+                  resolver.resolve(this->settings.store.substr(0, colon),
+                                   this->settings.store.substr(colon + 1)));
+    Request request(http::verb::post,
+                    "/admin/put?topic=keyed.servers&key=" + this->settings.id,
+                    11);
+    request.set(http::field::host, this->settings.store);
+    request.body() = this->Entry().dump();
+    request.prepare_payload();
+    http::write(socket, request);
+    boost::beast::flat_buffer buffer;
+    Response response;
+    http::read(socket, buffer, response);
+  }
+
+  asio::awaitable<bool> Handle(const Request& request, Socket& socket) {
+    const std::string path = PathOf(std::string(request.target()));
+    if (path == "/report") {
+      json report = this->Entry();
+      report["sequence"] = this->orders;
+      report["busy"] = this->IsBusy();
+      co_return co_await Write(socket, MakeResponse(200, report.dump()));
+    }
+    if (path == "/seen") {
+      co_return co_await Write(socket,
+                               MakeResponse(200, json(this->runs).dump()));
+    }
+    if (path == "/admin/crash") {
+      std::_Exit(1);
+    }
+    if (request["Expect-Instance"] != this->settings.id &&
+        request.count("Expect-Instance") > 0) {
+      co_return co_await this->Refuse(socket, 421);
+    }
+    if (path == "/order") {
+      co_return co_await Write(socket, this->Order(request.body()));
+    }
+    co_return co_await this->Run(request, socket);
+  }
+
+ private:
+  json Entry() const {
+    std::map<std::string, json> models;
+    for (const std::string& path : this->held) {
+      const std::size_t slash = path.find('/');
+      json& model = models[path.substr(0, slash)];
+      model["name"] = path.substr(0, slash);
+      model["version"] = 1;
+      if (!model.contains("adapters")) {
+        model["adapters"] = json::array();
+      }
+      if (slash != std::string::npos) {
+        model["adapters"].push_back(path.substr(slash + 1));
+      }
+    }
+    json list = json::array();
+    for (const auto& [name, model] : models) {
+      list.push_back(model);
+    }
+    return {
+        {"service", this->settings.service},
+        {"address", this->settings.address},
+        {"zone", this->settings.zone},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold_remaining_ms", 0},
+        {"born", this->born},
+        {"sequence", 1},
+        {"models", list},
+        {"at_hand", {{"in_memory", json::array()}, {"on_disk", this->disk}}}};
+  }
+
+  bool IsBusy() const { return Clock::now() < this->busy_until; }
+
+  Response Order(const std::string& body) {
+    const json order = json::parse(body, nullptr, false);
+    if (!order.is_object() || !order.contains("holder") ||
+        !order.contains("fencing_token")) {
+      return MakeResponse(400);
+    }
+    const bool has_conflict =
+        this->IsBusy() || order.value("expect", this->orders) != this->orders;
+    if (has_conflict) {
+      return MakeResponse(409);
+    }
+    const std::string model = order["model"];
+    const std::string adapter = order.value("adapter", "");
+    const std::string path = adapter.empty() ? model : model + "/" + adapter;
+    const bool is_load = order["operation"] == "load";
+    if (is_load == this->held.contains(path)) {
+      return MakeResponse(200);
+    }
+    ++this->orders;
+    if (!is_load) {
+      std::erase_if(this->held, [&](const std::string& item) {
+        return item == path ||
+               (adapter.empty() && item.starts_with(model + "/"));
+      });
+      return MakeResponse(adapter.empty() ? 202 : 200);
+    }
+    this->held.insert(path);
+    if (adapter.empty()) {
+      this->busy_until = Clock::now() + this->settings.load_time;
+      this->loading = path;
+    }
+    return MakeResponse(202);
+  }
+
+  asio::awaitable<bool> Refuse(Socket& socket, unsigned status) {
+    Response response = MakeResponse(status);
+    response.set("Not-Executed", "1");
+    response.set("Instance-Id", this->settings.id);
+    co_return co_await Write(socket, std::move(response));
+  }
+
+  asio::awaitable<bool> Run(const Request& request, Socket& socket) {
+    const std::string model(request["Model"]);
+    if (!model.empty() && !this->held.contains(model)) {
+      co_return co_await this->Refuse(socket, 421);
+    }
+    if (this->IsBusy() && model == this->loading) {
+      co_return co_await this->Refuse(socket, 503);
+    }
+    const std::string id(request["Request-Id"]);
+    this->runs.push_back(id);
+    if (model.empty()) {
+      Response response = MakeResponse(
+          200,
+          json{{"ran", id}, {"tenant", std::string(request["Tenant"])}}.dump());
+      this->Sign(response, id);
+      co_return co_await Write(socket, std::move(response));
+    }
+    co_return co_await this->Stream(id, socket);
+  }
+
+  void Sign(Response& response, const std::string& id) const {
+    response.set("Request-Id", id);
+    response.set("Server-Stamp", "stand-in." + this->settings.id);
+    response.set("Keep-Alive", "timeout=5");
+    response.set("Instance-Load", "1,0,8");
+  }
+
+  asio::awaitable<bool> Stream(std::string id, Socket& socket) {
+    constexpr int kEvents = 8;
+    std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\nRequest-Id: " +
+        id + "\r\nServer-Stamp: stand-in." + this->settings.id + "\r\n\r\n";
+    const auto write = [&](std::string text) -> asio::awaitable<bool> {
+      const auto [error, size] = co_await asio::async_write(
+          socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
+      co_return !error;
+    };
+    bool goes_on = co_await write(head);
+    for (int i = 1; goes_on && i <= kEvents; ++i) {
+      const std::string event =
+          "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) +
+          (i == kEvents ? "\n\ndata: [DONE]" : "") + "\n\n";
+      std::ostringstream chunk;
+      chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+      goes_on = co_await write(chunk.str());
+      asio::steady_timer timer(socket.get_executor(),
+                               this->settings.event_time);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return goes_on&& co_await write("0\r\n\r\n");
+  }
+
+  const Settings settings;
+  std::set<std::string> held;  ///< "MODEL" and "MODEL/ADAPTER".
+  const std::set<std::string> disk;
+  const std::int64_t born;
+  std::uint64_t orders = 0;
+  Clock::time_point busy_until{};
+  std::string loading;
+  std::vector<std::string> runs;
+};
+
+}  // namespace
+}  // namespace cicadaloft::stand_ins
+
+int main(int argc, char** argv) {
+  using namespace cicadaloft::stand_ins;
+  auto options = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+  const Settings settings{
+      .address = options["--listen"].asString(),
+      .id = options["--id"].asString(),
+      .service = options["--service"].asString(),
+      .zone = options["--zone"].asString(),
+      .store = options["--store"].asString(),
+      .load_time = milliseconds(options["--load-ms"].asLong()),
+      .event_time = milliseconds(options["--event-ms"].asLong())};
+  FakeRunner runner(settings, Split(options["--models"].asString()),
+                    Split(options["--disk"].asString()));
+  runner.Register();
+  boost::asio::io_context context(1);
+  Serve(context, settings.address,
+        [&runner](const Request& request, Socket& socket) {
+          return runner.Handle(request, socket);
+        });
+}
--- /dev/null
+++ b/tests/stand_ins/http_server.h
@@ -0,0 +1,112 @@
+#ifndef CICADALOFT_TESTS_STAND_INS_HTTP_SERVER_H_
+#define CICADALOFT_TESTS_STAND_INS_HTTP_SERVER_H_
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <csignal>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace cicadaloft::stand_ins {
+
+namespace http = boost::beast::http;
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+using Socket = boost::asio::ip::tcp::socket;
+
+/// @return the parameters of a target's query.
+inline std::map<std::string, std::string> QueryOf(const std::string& target) {
+  std::map<std::string, std::string> query;
+  std::size_t at = target.find('?');
+  while (at != std::string::npos) {
+    const std::size_t end = target.find('&', at + 1);
+    const std::string pair = target.substr(at + 1, end - at - 1);
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string::npos) {
+      query[pair.substr(0, equals)] = pair.substr(equals + 1);
+    }
+    at = end;
+  }
+  return query;
+}
+
+inline std::string PathOf(const std::string& target) {
+  return target.substr(0, target.find('?'));
+}
+
+inline Response MakeResponse(unsigned status, std::string body = "{}") {
+  Response response(http::int_to_status(status), 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = std::move(body);
+  return response;
+}
+
+/// Serves one connection. The handler answers on the socket itself.
+/// @tparam Handler takes a request and the socket; its awaited result tells
+/// whether the connection goes on.
+template <typename Handler>
+boost::asio::awaitable<void> ServeConnection(Socket socket, Handler handler) {
+  boost::beast::flat_buffer buffer;
+  bool goes_on = true;
+  while (goes_on) {
+    http::request_parser<http::string_body> parser;
+    const auto [error, size] = co_await http::async_read(
+        socket, buffer, parser,
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (error) {
+      co_return;
+    }
+    const Request request = parser.release();
+    goes_on = co_await handler(request, socket);
+  }
+}
+
+/// Writes a whole response.
+/// @return whether it could be written.
+inline boost::asio::awaitable<bool> Write(Socket& socket, Response response) {
+  response.prepare_payload();
+  const auto [error, size] = co_await http::async_write(
+      socket, response, boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_return !error;
+}
+
+/// Accepts connections on "IP:port" until the process is asked to stop.
+template <typename Handler>
+void Serve(boost::asio::io_context& context,
+           const std::string& address,
+           Handler handler) {
+  const std::size_t colon = address.rfind(':');
+  const boost::asio::ip::tcp::endpoint endpoint(
+      boost::asio::ip::make_address(address.substr(0, colon)),
+      static_cast<unsigned short>(std::stoi(address.substr(colon + 1))));
+  boost::asio::ip::tcp::acceptor acceptor(context, endpoint);
+  const auto accept = [&]() -> boost::asio::awaitable<void> {
+    while (true) {
+      Socket socket =
+          co_await acceptor.async_accept(boost::asio::use_awaitable);
+      boost::asio::co_spawn(context,
+                            ServeConnection(std::move(socket), handler),
+                            boost::asio::detached);
+    }
+  };
+  boost::asio::co_spawn(context, accept(), boost::asio::detached);
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](auto, auto) { context.stop(); });
+  context.run();
+}
+
+}  // namespace cicadaloft::stand_ins
+
+#endif  // CICADALOFT_TESTS_STAND_INS_HTTP_SERVER_H_
