--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -206,7 +206,7 @@
 
   void SpawnFollowers() {
     const std::uint64_t seed = StableHash(this->settings.host.value());
-    const auto run = [this](auto follower) -> asio::awaitable<void> {
+    const auto run = [](auto follower) -> asio::awaitable<void> {
       co_await follower->Run();
     };
     auto operators = std::make_shared<
--- a/lease/tests/lease_test.cc
+++ b/lease/tests/lease_test.cc
@@ -220,6 +220,7 @@
     };
     FakeLog log;
     std::vector<Host> hosts;
+    hosts.reserve(3);
     for (int i = 0; i < 3; ++i) {
       hosts.emplace_back("h" + std::to_string(i), log);
     }
--- a/operator_cli/main.cc
+++ b/operator_cli/main.cc
@@ -18,15 +18,15 @@
     R"(Checks configurations and explains requests.
 
 Usage:
-  cicadaloft check FILE
-  cicadaloft explain REQUEST_ID [LOG]...
+  cicadaloft check <file>
+  cicadaloft explain <request> [<log>...]
   cicadaloft (-h | --help)
   cicadaloft --version
 
 Commands:
   check    Reads a configuration as a host would, and tells what is wrong.
   explain  Shows what the logs of hosts say of a request, oldest line first, and
-           the orders for its model meanwhile. Without LOG, standard input.
+           the orders for its model meanwhile. Without logs, standard input.
 
 Exit codes: 0 done, 1 nothing found or not valid, 2 wrong usage or no file.
 )";
@@ -94,10 +94,10 @@
 int Main(const std::vector<std::string>& arguments) {
   auto values = docopt::docopt(kUsage, arguments, true, kVersion);
   if (values["check"].asBool()) {
-    return Check(values["FILE"].asString());
+    return Check(values["<file>"].asString());
   }
-  return ExplainRequest(values["REQUEST_ID"].asString(),
-                        values["LOG"].asStringList());
+  return ExplainRequest(values["<request>"].asString(),
+                        values["<log>"].asStringList());
 }
 
 }  // namespace
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -66,6 +66,7 @@
   });
   // What is due first goes first.
   std::vector<std::pair<TimePoint, ModelPath>> order;
+  order.reserve(this->wants.size());
   for (const auto& [path, want] : this->wants) {
     order.emplace_back(want.first_asked + want.latency_aim, path);
   }
--- a/tests/stand_ins/fake_store.cc
+++ b/tests/stand_ins/fake_store.cc
@@ -134,8 +134,8 @@
                                         ? std::stoi(query.at("wait_ms"))
                                         : 0);
     while (from >= topic.records.size() && Clock::now() < deadline) {
-      const auto timer = std::make_shared<asio::steady_timer>(
-          socket.get_executor(), deadline);
+      const auto timer =
+          std::make_shared<asio::steady_timer>(socket.get_executor(), deadline);
       // Whichever comes first: a change, or the end of the wait.
       this->changed.async_wait([timer](auto) { timer->cancel(); });
       co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
