--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -29,7 +29,8 @@
   /// lapses; hosts tell of it in their reports, and until all have, no share
   /// grows.
   /// @param hosts_before hosts that the earlier holder knew; 0: there was none.
-  void Begin(std::uint32_t hosts_before, TimePoint now);
+  /// @param silent_for how long that holder can't have granted anything.
+  void Begin(std::uint32_t hosts_before, Duration silent_for, TimePoint now);
   void OnReport(const DemandReported& report, TimePoint now);
 
   /// Divides the customers' limits anew.
@@ -65,6 +66,7 @@
   std::uint64_t last_number = 0;
   std::uint32_t expected_hosts = 0;
   TimePoint began{};
+  TimePoint lapsed_at{};  ///< When what an earlier holder granted has lapsed.
 };
 
 }  // namespace cicadaloft
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -18,10 +18,13 @@
 
 }  // namespace
 
-void ShareLedger::Begin(std::uint32_t hosts_before, TimePoint now) {
+void ShareLedger::Begin(std::uint32_t hosts_before,
+                        Duration silent_for,
+                        TimePoint now) {
   this->hosts.clear();
   this->began = now;
   this->expected_hosts = hosts_before;
+  this->lapsed_at = now + kGrantTerm + kMargin - silent_for;
   // Numbers of two tenures must not be mixed up.
   this->last_number =
       static_cast<std::uint64_t>(now.time_since_epoch().count());
@@ -62,8 +65,8 @@
     return now - entry.second.heard_at > kMemberTerm;
   });
   // Hosts that have not told yet may use shares of an earlier holder.
-  const bool may_grow = this->hosts.size() >= this->expected_hosts ||
-                        now - this->began > kGrantTerm + kMargin;
+  const bool may_grow =
+      this->hosts.size() >= this->expected_hosts || now > this->lapsed_at;
   std::map<HostId, SharesGranted> granted;
   for (auto& [id, host] : this->hosts) {
     if (now - host.heard_at > kHostTerm) {
--- a/admission/tests/admission_test.cc
+++ b/admission/tests/admission_test.cc
@@ -138,7 +138,7 @@
 
 BOOST_AUTO_TEST_CASE(SharesFollowDemandAndAddUpToWhatIsNotReserved) {
   ShareLedger ledger;
-  ledger.Begin(0, kNow);
+  ledger.Begin(0, Duration::zero(), kNow);
   ledger.OnReport(Report("a", 90), kNow);
   ledger.OnReport(Report("b", 10), kNow);
   const auto granted = ledger.Divide({kCustomer}, kNow);
@@ -150,7 +150,7 @@
 
 BOOST_AUTO_TEST_CASE(AShareGrowsOnlyByWhatAnotherHostHasConfirmedToGiveUp) {
   ShareLedger ledger;
-  ledger.Begin(0, kNow);
+  ledger.Begin(0, Duration::zero(), kNow);
   ledger.OnReport(Report("a", 100), kNow);
   ledger.OnReport(Report("b", 0), kNow);
   const auto first = ledger.Divide({kCustomer}, kNow);
@@ -169,7 +169,7 @@
 
 BOOST_AUTO_TEST_CASE(ANewHolderLetsNothingGrowBeforeAllHostsHaveTold) {
   ShareLedger ledger;
-  ledger.Begin(2, kNow);
+  ledger.Begin(2, Duration::zero(), kNow);
   ledger.OnReport(Report("a", 100, 7, 0.2), kNow);
   const auto first = ledger.Divide({kCustomer}, kNow);
   BOOST_TEST(ShareIn(first.at(HostId("a"))) <= 0.2);
@@ -189,7 +189,7 @@
       return std::uniform_real_distribution<double>()(random) < p;
     };
     ShareLedger ledger;
-    ledger.Begin(0, kNow);
+    ledger.Begin(0, Duration::zero(), kNow);
     struct Host {
       std::uint64_t grant = 0;
       double share = 0;
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -94,6 +94,10 @@
       .configuration = this->Version()});
 }
 
+void ControlState::Take(const DeathNoticed& notice) {
+  this->Report(notice);
+}
+
 void ControlState::Take(const OrderEnded& ended) {
   this->FeedPlacement(ended);
 }
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -19,15 +19,20 @@
 }
 
 void ControlState::FeedLease(const LeaseEvent& event) {
-  this->lease.SetHosts(this->ledger.HostCount(this->now));
+  // A new holder has heard of nobody yet, and must not make the others believe
+  // that they are few.
+  this->lease.SetHosts(std::max({this->ledger.HostCount(this->now),
+                                 this->hosts_before, this->known_hosts}));
   auto step = Decide(std::move(this->lease), event, this->now);
   this->lease = std::move(step.state);
   for (const LeaseEffect& effect : step.effects) {
     std::visit(
         Overloaded{
             [this](const HolderChanged& change) {
-              if (change.holder.holder != this->lease_settings.self) {
+              if (change.holder.secret != this->lease_settings.secret) {
                 this->hosts_before = change.holder.hosts;
+                this->is_own_machine_before =
+                    change.holder.holder == this->lease_settings.self;
               }
               this->holder = change.holder.holder;
               this->known_hosts =
@@ -38,7 +43,11 @@
               this->right_until = right.until;
               if (!this->is_acting) {
                 this->is_acting = true;
-                this->ledger.Begin(this->hosts_before, this->now);
+                this->ledger.Begin(this->hosts_before,
+                                   this->is_own_machine_before
+                                       ? Duration::zero()
+                                       : this->lease_settings.holder_gap,
+                                   this->now);
                 this->FeedPlacement(PlacementBegins{.token = right.token});
               }
             },
@@ -117,6 +126,16 @@
   this->TellShares();
 }
 
+// The holder passes it on to all; others take it from the holder.
+void ControlState::OnPeer(const HostId& host, const DeathNoticed& notice) {
+  if (this->IsHolder()) {
+    this->effects.emplace_back(TellAllHosts{.message = notice});
+  }
+  if (host != this->lease_settings.self) {
+    this->Tell(notice);
+  }
+}
+
 void ControlState::DivideShares() {
   if (!this->IsHolder() || !this->configuration ||
       this->now - this->divided_at < kDivideInterval) {
@@ -142,8 +161,10 @@
 
 // What this host may use: its part of what is reserved, and what is granted.
 void ControlState::TellShares() {
-  const std::uint32_t hosts =
-      this->known_hosts == 0 ? kUnknownHosts : this->known_hosts;
+  // A holder that says that it is alone has only just begun.
+  const std::uint32_t hosts = this->known_hosts > 1 || this->granted.grant != 0
+                                  ? std::max(1U, this->known_hosts)
+                                  : kUnknownHosts;
   const double reserved = kReservedPart / hosts;
   SharesChanged shares{.hosts = hosts, .usual_share = reserved};
   if (this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm) {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -38,6 +38,7 @@
   // What the entry tells.
   void Take(const ModelWanted& wanted);
   void Take(const UsageMeasured& measured);
+  void Take(const DeathNoticed& notice);
   // The lease, and the duties that come with it.
   void Take(const LeaseEvent& event);
   void Take(const OrderEnded& ended);
@@ -56,6 +57,7 @@
   void OnPeer(const HostId& host, const ModelWanted& wanted);
   void OnPeer(const HostId& host, const PlacementChange& change);
   void OnPeer(const HostId& host, const SharesGranted& granted);
+  void OnPeer(const HostId& host, const DeathNoticed& notice);
   /// To the holder, which may be this host.
   void Report(PeerMessage message);
   void DivideShares();
@@ -81,6 +83,7 @@
   LeaseState lease;
   std::optional<HostId> holder;    ///< As the lease's log tells.
   std::uint32_t hosts_before = 0;  ///< That the holder before this one knew.
+  bool is_own_machine_before = false;  ///< An earlier process of this host.
   TimePoint right_until{};         ///< When the right to act ends.
   bool is_acting = false;          ///< Placement has been told to begin.
   PlacementState placement;
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -100,12 +100,12 @@
   const bool has_broken = ended.outcome == AttemptOutcome::kDiedUnstarted ||
                           ended.outcome == AttemptOutcome::kDiedStarted;
   if (has_broken) {
-    this->suspects.OnBrokenRun(
+    this->TellDeaths(this->suspects.OnBrokenRun(
         BrokenRun{.fingerprint = request.arrival.fingerprint,
                   .target = request.target,
                   .instance = request.instance,
                   .had_started = request.has_started},
-        this->now);
+        this->now));
   }
   switch (ended.outcome) {
     case AttemptOutcome::kCompleted:
@@ -122,7 +122,8 @@
       }
       break;
     case AttemptOutcome::kNotSent:
-      this->suspects.OnTargetDied(request.target, std::nullopt, this->now);
+      this->TellDeaths(
+          this->suspects.OnTargetDied(request.target, std::nullopt, this->now));
       target.OnFailure(this->now);
       break;
     case AttemptOutcome::kCancelled:
@@ -133,6 +134,22 @@
   }
 }
 
+void EntryCore::TellDeaths(const std::vector<TargetDeath>& deaths) {
+  for (const TargetDeath& death : deaths) {
+    this->Log(
+        reasons::kDeath, RequestId(),
+        {{"target", death.target.value()}, {"fingerprint", death.fingerprint}});
+    this->effects.emplace_back(
+        DeathNoticed{.fingerprint = death.fingerprint, .target = death.target});
+  }
+}
+
+void EntryCore::Take(const DeathNoticed& notice) {
+  this->suspects.OnNotice(
+      TargetDeath{.fingerprint = notice.fingerprint, .target = notice.target},
+      this->now);
+}
+
 // A target with free slots refuses the model, not the work: an order concerns
 // it.
 void EntryCore::NoteShed(const OpenRequest& request,
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -110,7 +110,8 @@
       continue;
     }
     if (is_known && found->second.record().instance != record->instance) {
-      this->suspects.OnTargetDied(id, record->instance, this->now);
+      this->TellDeaths(
+          this->suspects.OnTargetDied(id, record->instance, this->now));
     }
     TargetView& view =
         is_known ? found->second
@@ -122,7 +123,8 @@
     const bool is_gone = !this->fleet->targets.contains(entry.first);
     if (is_gone) {
       this->whereabouts.Remove(entry.first);
-      this->suspects.OnTargetDied(entry.first, std::nullopt, this->now);
+      this->TellDeaths(
+          this->suspects.OnTargetDied(entry.first, std::nullopt, this->now));
     }
     return is_gone;
   });
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -39,6 +39,7 @@
   void Take(const FleetChanged& change);
   void Take(const PlacementChange& change);
   void Take(const SharesChanged& change);
+  void Take(const DeathNoticed& notice);
   void Take(const EntryTick& tick);
   void Take(const EntryStopRequested& stop);
 
@@ -89,6 +90,7 @@
                     const AttemptEnded& ended,
                     bool needs_budget);
   void Note(const OpenRequest& request, const AttemptEnded& ended);
+  void TellDeaths(const std::vector<TargetDeath>& deaths);
   void NoteShed(const OpenRequest& request,
                 const AttemptEnded& ended,
                 TargetView& target);
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -152,6 +152,16 @@
   friend bool operator==(const SharesChanged&, const SharesChanged&) = default;
 };
 
+/// A target has died while it ran a request of this content. Hosts tell each
+/// other, since the same request may come again at any of them.
+struct DeathNoticed {
+  std::uint64_t fingerprint = 0;
+  TargetId target;
+
+  friend auto operator<=>(const DeathNoticed&, const DeathNoticed&) = default;
+  friend bool operator==(const DeathNoticed&, const DeathNoticed&) = default;
+};
+
 /// Comes every kEntryTickInterval.
 struct EntryTick {
   friend auto operator<=>(const EntryTick&, const EntryTick&) = default;
@@ -175,6 +185,7 @@
                                 FleetChanged,
                                 PlacementChange,
                                 SharesChanged,
+                                DeathNoticed,
                                 EntryTick,
                                 EntryStopRequested>;
 
@@ -251,6 +262,7 @@
                                  Refuse,
                                  ModelWanted,
                                  UsageMeasured,
+                                 DeathNoticed,
                                  DecisionLine>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/entry/include/cicadaloft/entry/reasons.h
+++ b/entry/include/cicadaloft/entry/reasons.h
@@ -8,6 +8,7 @@
 inline constexpr char kWait[] = "route.wait";
 inline constexpr char kRefuse[] = "route.refuse";
 inline constexpr char kAttemptEnded[] = "route.attempt_ended";
+inline constexpr char kDeath[] = "route.target_death";
 inline constexpr char kCallerGone[] = "route.caller_gone";
 inline constexpr char kModelWanted[] = "route.model_wanted";
 inline constexpr char kConfiguration[] = "configuration.adopted";
--- a/entry/tests/entry_test.cc
+++ b/entry/tests/entry_test.cc
@@ -377,6 +377,29 @@
   BOOST_TEST((entry.Refusal() == ErrorKind::kStopping));
 }
 
+BOOST_AUTO_TEST_CASE(ContentUnderWhichTargetsDieIsBarredOnAllHosts) {
+  Entry entry;
+  entry.Begin();
+  entry.Feed(DeathNoticed{.fingerprint = 7, .target = TargetId("x")});
+  entry.Ask("any");
+  BOOST_TEST(entry.All<Dispatch>().size() == 1);
+  entry.Feed(DeathNoticed{.fingerprint = 7, .target = TargetId("y")});
+  entry.Ask("any");
+  BOOST_TEST((entry.Refusal() == ErrorKind::kPoisonRequest));
+}
+
+BOOST_AUTO_TEST_CASE(TwoBrokenRunsOfOneContentAreTold) {
+  Entry entry;
+  entry.Begin();
+  entry.Ask("once");
+  entry.End(entry.All<Dispatch>().back(), AttemptOutcome::kDiedUnstarted);
+  entry.targets[0].is_draining = true;
+  entry.TellFleet();
+  entry.Ask("once");
+  entry.End(entry.All<Dispatch>().back(), AttemptOutcome::kDiedUnstarted);
+  BOOST_TEST(entry.All<DeathNoticed>().size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(UsageTellsArrivalsRunsAndDemand) {
   Entry entry;
   entry.targets[2].loaded = {kModel};
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -17,7 +17,8 @@
                                  DemandReported,
                                  ModelWanted,
                                  PlacementChange,
-                                 SharesGranted>;
+                                 SharesGranted,
+                                 DeathNoticed>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -74,12 +74,17 @@
                Required("customers", &SharesGranted::customers),
                Required("configuration", &SharesGranted::configuration));
 
+template <>
+inline constexpr auto kJsonFields<DeathNoticed> =
+    std::tuple(Required("fingerprint", &DeathNoticed::fingerprint),
+               Required("target", &DeathNoticed::target));
+
 /// In the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
     std::to_array<std::string_view>({"use_reported", "demand_reported",
                                      "model_wanted", "placement_change",
-                                     "shares_granted"});
+                                     "shares_granted", "death_noticed"});
 
 }  // namespace cicadaloft
 
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -29,33 +29,35 @@
 }
 
 std::vector<PeerMessage> DrawMessages() {
-  return {UseReported{.host = HostId(DrawName()),
-                      .uses = {{.path = DrawPath(),
-                                .arrivals = DrawCount(),
-                                .running = DrawCount(),
-                                .urgent = DrawCount()}}},
-          DemandReported{
-              .host = HostId(DrawName()),
-              .grant = DrawCount(),
-              .demands = {{.customer = CustomerId(DrawName()),
-                           .cost = 0.5 * DrawCount()}},
-              .held = {{.customer = CustomerId(DrawName()), .share = 0.25}},
-              .configuration = ConfigurationVersion(DrawCount())},
-          ModelWanted{.service = ServiceId(DrawName()),
+  return {
+      UseReported{.host = HostId(DrawName()),
+                  .uses = {{.path = DrawPath(),
+                            .arrivals = DrawCount(),
+                            .running = DrawCount(),
+                            .urgent = DrawCount()}}},
+      DemandReported{
+          .host = HostId(DrawName()),
+          .grant = DrawCount(),
+          .demands = {{.customer = CustomerId(DrawName()),
+                       .cost = 0.5 * DrawCount()}},
+          .held = {{.customer = CustomerId(DrawName()), .share = 0.25}},
+          .configuration = ConfigurationVersion(DrawCount())},
+      ModelWanted{.service = ServiceId(DrawName()),
+                  .path = DrawPath(),
+                  .waiting = DrawCount(),
+                  .latency_aim = Duration(DrawCount()),
+                  .denied_by = {TargetId(DrawName())}},
+      PlacementChange{.target = TargetId(DrawName()),
+                      .instance = TargetInstance(DrawCount()),
                       .path = DrawPath(),
-                      .waiting = DrawCount(),
-                      .latency_aim = Duration(DrawCount()),
-                      .denied_by = {TargetId(DrawName())}},
-          PlacementChange{.target = TargetId(DrawName()),
-                          .instance = TargetInstance(DrawCount()),
-                          .path = DrawPath(),
-                          .is_load = true,
-                          .ready_in = Duration(DrawCount())},
-          SharesGranted{.grant = DrawCount(),
-                        .hosts = DrawCount(),
-                        .customers = {{.customer = CustomerId(DrawName()),
-                                       .share = 0.125}},
-                        .configuration = ConfigurationVersion(DrawCount())}};
+                      .is_load = true,
+                      .ready_in = Duration(DrawCount())},
+      SharesGranted{
+          .grant = DrawCount(),
+          .hosts = DrawCount(),
+          .customers = {{.customer = CustomerId(DrawName()), .share = 0.125}},
+          .configuration = ConfigurationVersion(DrawCount())},
+      DeathNoticed{.fingerprint = DrawCount(), .target = TargetId(DrawName())}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
