Reset connections that are given up; hosts that have not told keep their even part

Calls and attempts that are given up are now reset. Cause of refusals after a change of holder: growth of shares waited for hosts that are gone; each is now taken to use its even part until its grant lapses.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -15,8 +15,8 @@
   this->rate = limit.rate_per_second * share;
   this->most = limit.burst * share;
   if (this->is_new && this->most > 0) {
-    // The process before may have spent its credit just now.
-    this->stock = this->fills_at_once ? this->most : -new_credit;
+    // The process before may have spent its stock just now.
+    this->stock = this->fills_at_once ? this->most : 0;
     this->is_new = false;
   }
   this->stock = std::min(this->stock, this->most);
--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -26,8 +26,8 @@
   static constexpr Duration kMemberTerm = std::chrono::seconds(60);
 
   /// Begins a tenure. What an earlier holder has granted may be in use until it
-  /// lapses; hosts tell of it in their reports, and until all have, no share
-  /// grows.
+  /// lapses; hosts tell of it in their reports, and a host that has not is
+  /// taken to use its even part.
   /// @param hosts_before hosts that the earlier holder knew; 0: there was none.
   /// @param silent_for how long that holder can't have granted anything.
   void Begin(std::uint32_t hosts_before, Duration silent_for, TimePoint now);
@@ -55,6 +55,7 @@
     std::deque<Grant> grants;
   };
 
+  double ToldPart(TimePoint now) const;
   double Outstanding(const Host& host,
                      const CustomerId& customer,
                      TimePoint now) const;
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -64,9 +64,7 @@
   std::erase_if(this->hosts, [&](const auto& entry) {
     return now - entry.second.heard_at > kMemberTerm;
   });
-  // Hosts that have not told yet may use shares of an earlier holder.
-  const bool may_grow =
-      this->hosts.size() >= this->expected_hosts || now > this->lapsed_at;
+  const double grantable = (1 - kReservedPart) * this->ToldPart(now);
   std::map<HostId, SharesGranted> granted;
   for (auto& [id, host] : this->hosts) {
     if (now - host.heard_at > kHostTerm) {
@@ -80,9 +78,10 @@
         others += other_id == id ? 0 : this->Outstanding(other, customer, now);
       }
       const double own = this->Outstanding(host, customer, now);
-      const double most = std::max(0.0, 1 - kReservedPart - others);
-      grant.shares[customer] =
-          std::min(may_grow ? most : std::min(own, most), want);
+      // What the host uses anyway may stay with it.
+      const double most = std::max(std::min(own, 1 - kReservedPart - others),
+                                   grantable - others);
+      grant.shares[customer] = std::clamp(want, 0.0, std::max(0.0, most));
     }
     SharesGranted message{.grant = grant.number, .hosts = this->HostCount(now)};
     for (const auto& [customer, share] : grant.shares) {
@@ -102,6 +101,14 @@
   return std::max({1U, known, expected});
 }
 
+// Hosts that an earlier holder knew and that have not told yet may use shares
+// of it until these lapse; each is taken to have its even part.
+double ShareLedger::ToldPart(TimePoint now) const {
+  const auto told = static_cast<double>(this->hosts.size());
+  const double expected = this->expected_hosts;
+  return now > this->lapsed_at || told >= expected ? 1 : told / expected;
+}
+
 double ShareLedger::Outstanding(const Host& host,
                                 const CustomerId& customer,
                                 TimePoint now) const {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -84,8 +84,8 @@
   std::optional<HostId> holder;    ///< As the lease's log tells.
   std::uint32_t hosts_before = 0;  ///< That the holder before this one knew.
   bool is_own_machine_before = false;  ///< An earlier process of this host.
-  TimePoint right_until{};         ///< When the right to act ends.
-  bool is_acting = false;          ///< Placement has been told to begin.
+  TimePoint right_until{};             ///< When the right to act ends.
+  bool is_acting = false;              ///< Placement has been told to begin.
   PlacementState placement;
   ShareLedger ledger;
   TimePoint divided_at{};
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -194,7 +194,7 @@
   // What all hosts together may be over for a moment, each its part, so that a
   // request is not refused for where its customer's stock lies. The rest is
   // left for hosts that come and go.
-  constexpr double kCreditPart = 0.4;
+  constexpr double kCreditPart = 0.3;
   const std::chrono::duration<double> window = this->settings.limit_window;
   const double allowed =
       customer.rate_per_second * window.count() + customer.burst;
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -371,8 +371,7 @@
           .idle_time = this->facts.idle_time.value_or(this->limits.idle_time)};
       co_await Send(*this->order->node, message);
     } else if (this->connection != nullptr) {
-      ErrorCode ignored;
-      std::ignore = this->connection->socket.close(ignored);
+      Abort(this->connection->socket);
     }
     const auto message =
         EntryEvent(AttemptEnded{.request = dispatch.request,
--- a/settings/include/cicadaloft/settings/socket_probes.h
+++ b/settings/include/cicadaloft/settings/socket_probes.h
@@ -11,6 +11,13 @@
 /// left out: deadlines of the callers still bound each wait.
 void SetProbes(boost::asio::ip::tcp::socket& socket);
 
+/// Makes each close of the connection a reset.
+void ResetOnClose(boost::asio::ip::tcp::socket& socket);
+
+/// Closes a connection so that bytes which have not arrived yet never do: a
+/// plain close would go on delivering them, also long after a cut has healed.
+void Abort(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_SETTINGS_SOCKET_PROBES_H_
--- a/settings/socket_probes.cc
+++ b/settings/socket_probes.cc
@@ -36,4 +36,16 @@
       TcpOption<TCP_USER_TIMEOUT>(kUnacknowledgedMs), ignored);
 }
 
+void ResetOnClose(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  std::ignore =
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
+void Abort(tcp::socket& socket) {
+  ResetOnClose(socket);
+  boost::system::error_code ignored;
+  std::ignore = socket.close(ignored);
+}
+
 }  // namespace cicadaloft
