--- a/core/include/cicadaloft/core/id.h
+++ b/core/include/cicadaloft/core/id.h
@@ -16,7 +16,7 @@
   Id() = default;
   explicit Id(std::string text) : text(std::move(text)) {}
 
-  /// @return the name as written in tickets and settings.
+  /// @return the name as written in configurations and settings.
   const std::string& value() const { return this->text; }
   bool empty() const { return this->text.empty(); }
 
--- a/peering/include/cicadaloft/peering/link_server.h
+++ b/peering/include/cicadaloft/peering/link_server.h
@@ -12,8 +12,8 @@
 
 namespace cicadaloft {
 
-/// Handle of a task that takes links from stewards and from the own host's
-/// entry. The executor must run on one thread. The handle's end closes all.
+/// Handle of a task that takes links from other hosts.
+/// The executor must run on one thread. The handle's end closes all.
 class LinkServer {
  public:
   /// @param address "IP:port" to listen on; port 0 lets the kernel choose.
