--- /dev/null
+++ b/entry/tests/entry_fixture.h
@@ -0,0 +1,154 @@
+#ifndef CICADALOFT_ENTRY_TESTS_ENTRY_FIXTURE_H_
+#define CICADALOFT_ENTRY_TESTS_ENTRY_FIXTURE_H_
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cicadaloft/entry/entry_node.h"
+
+namespace cicadaloft {
+
+inline const TimePoint kStart(std::chrono::seconds(1000));
+inline const ModelPath kModel{.model = ModelId("m")};
+
+inline Route MakeRoute(const std::string& name,
+                       const std::string& service,
+                       Repetition repetition) {
+  return Route{.id = RouteId(name),
+               .host = "h",
+               .path_prefix = "/" + name + "/",
+               .repetition = repetition,
+               .most_runs = repetition == Repetition::kOnce ? 1U : 2U,
+               .timeout = std::chrono::seconds(4),
+               .latency_aim = std::chrono::milliseconds(250),
+               .patience = std::chrono::seconds(2),
+               .shares = {{.service = ServiceId(service)}}};
+}
+
+inline ActiveConfigurationPtr MakeConfiguration(
+    std::uint64_t version,
+    std::vector<std::string> keys = {"key"}) {
+  Engine engine;
+  engine.models.push_back(Model{.id = ModelId("m")});
+  return std::make_shared<const ActiveConfiguration>(
+      Configuration{.version = ConfigurationVersion(version),
+                    .routes = {MakeRoute("once", "plain", Repetition::kOnce),
+                               MakeRoute("any", "plain", Repetition::kAny),
+                               MakeRoute("chat", "engine", Repetition::kOnce)},
+                    .services = {{.id = ServiceId("plain")},
+                                 {.id = ServiceId("engine"), .engine = engine}},
+                    .customers = {{.id = CustomerId("c"),
+                                   .keys = std::move(keys),
+                                   .counts_tokens = true,
+                                   .plain_tokens = 10,
+                                   .rate_per_second = 1000,
+                                   .burst = 1000}}});
+}
+
+inline TargetRecord MakeTarget(const std::string& id,
+                               const std::string& service) {
+  return TargetRecord{.id = TargetId(id),
+                      .service = ServiceId(service),
+                      .address = "10.0.0.1:1",
+                      .data_centre = DataCentreId("dc-" + id),
+                      .slots = 2,
+                      .instance = TargetInstance(1)};
+}
+
+/// One entry with two plain targets and one engine.
+class Entry {
+ public:
+  Entry()
+      : state(EntrySettings{.host = HostId("a"),
+                            .data_centre = DataCentreId("dc-p1"),
+                            .retry_ratio = 0.2,
+                            .retry_slack = 10,
+                            .is_first_start = true}),
+        targets({MakeTarget("p1", "plain"), MakeTarget("p2", "plain"),
+                 MakeTarget("e1", "engine")}) {}
+
+  void Begin() {
+    this->Feed(ConfigurationChanged{.configuration = MakeConfiguration(1)});
+    this->TellFleet();
+    this->Feed(SharesChanged{.hosts = 1, .usual_share = 1});
+  }
+
+  void TellFleet() {
+    Fleet fleet;
+    for (const TargetRecord& target : this->targets) {
+      fleet.targets[target.id] = std::make_shared<const TargetRecord>(target);
+    }
+    this->Feed(FleetChanged{.fleet = std::make_shared<const Fleet>(fleet)});
+  }
+
+  void Feed(const EntryEvent& event) {
+    auto step = Decide(std::move(this->state), event, this->now);
+    this->state = std::move(step.state);
+    std::ranges::move(step.effects, std::back_inserter(this->effects));
+  }
+
+  RequestId Ask(const std::string& route,
+                std::optional<ModelPath> model = std::nullopt,
+                const std::string& key = "key") {
+    const RequestId id("r" + std::to_string(++this->asked));
+    this->Feed(RequestArrived{
+        .request = id,
+        .caller_id = id,
+        .credential = key,
+        .destination = ByPlace{.host = "h", .path = "/" + route + "/x"},
+        .model = std::move(model),
+        .deadline = std::chrono::seconds(4),
+        .fingerprint = 7});
+    return id;
+  }
+
+  void End(const Dispatch& dispatch, AttemptOutcome outcome, int status = 0) {
+    this->Feed(AttemptEnded{.request = dispatch.request,
+                            .attempt = dispatch.attempt,
+                            .outcome = outcome,
+                            .http_status = status});
+  }
+
+  void RunFor(Duration time) {
+    const TimePoint end = this->now + time;
+    while (this->now < end) {
+      this->now += std::chrono::milliseconds(10);
+      this->Feed(EntryTick{});
+    }
+  }
+
+  template <typename E>
+  std::vector<E> All() const {
+    std::vector<E> found;
+    for (const EntryEffect& effect : this->effects) {
+      if (const auto* match = std::get_if<E>(&effect)) {
+        found.push_back(*match);
+      }
+    }
+    return found;
+  }
+
+  /// @return the error kind of the only refusal.
+  ErrorKind Refusal() const {
+    const auto refusals = this->All<Refuse>();
+    BOOST_REQUIRE(refusals.size() == 1);
+    return refusals[0].error.kind;
+  }
+
+  TimePoint now = kStart;
+  EntryState state;
+  std::vector<TargetRecord> targets;
+  std::vector<EntryEffect> effects;
+  int asked = 0;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_ENTRY_TESTS_ENTRY_FIXTURE_H_
--- a/forwarding/target_exchange.cc
+++ b/forwarding/exchange_order.cc
@@ -1,4 +1,4 @@
-#include "cicadaloft/forwarding/target_exchange.h"
+#include "cicadaloft/forwarding/exchange_order.h"
 
 #include <boost/asio/ip/address.hpp>
 
--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/exchange_order.h
@@ -0,0 +1,34 @@
+#ifndef CICADALOFT_FORWARDING_EXCHANGE_ORDER_H_
+#define CICADALOFT_FORWARDING_EXCHANGE_ORDER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "cicadaloft/forwarding/node_messages.h"
+#include "cicadaloft/forwarding/target_connection.h"
+
+namespace cicadaloft {
+
+using CancelMailbox = Mailbox<CancelAttempt>;
+
+/// One attempt: what to send where, and who hears of it.
+struct ExchangeOrder {
+  const Dispatch dispatch;
+  const std::shared_ptr<const CallerRequest> request;
+  const Duration queue_time{};
+  const bool is_last = false;  ///< The caller's connection ends with it.
+  const std::shared_ptr<TargetConnection> kept;  ///< Null: connect anew.
+  const std::shared_ptr<NodeMailbox> node;
+  const std::shared_ptr<SessionMailbox> session;
+  const std::shared_ptr<CancelMailbox> cancel;
+};
+
+/// @return the endpoint of "IP:port", or none.
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    std::string_view address);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_EXCHANGE_ORDER_H_
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cicadaloft/forwarding/deadline.h"
+#include "cicadaloft/forwarding/exchange_order.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/header_rules.h"
 #include "cicadaloft/forwarding/node_messages.h"
@@ -33,24 +34,6 @@
 
 namespace cicadaloft {
 
-using CancelMailbox = Mailbox<CancelAttempt>;
-
-/// One attempt: what to send where, and who hears of it.
-struct ExchangeOrder {
-  const Dispatch dispatch;
-  const std::shared_ptr<const CallerRequest> request;
-  const Duration queue_time{};
-  const bool is_last = false;  ///< The caller's connection ends with it.
-  const std::shared_ptr<TargetConnection> kept;  ///< Null: connect anew.
-  const std::shared_ptr<NodeMailbox> node;
-  const std::shared_ptr<SessionMailbox> session;
-  const std::shared_ptr<CancelMailbox> cancel;
-};
-
-/// @return the endpoint of "IP:port", or none.
-std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
-    std::string_view address);
-
 /// Task of one attempt: sends the request, passes the answer on as it comes,
 /// and tells the node exactly once how the attempt ended.
 template <TargetWire Wire>
