--- a/operator_cli/log_search.cc
+++ b/operator_cli/log_search.cc
@@ -39,8 +39,11 @@
   return line;
 }
 
-bool IsEarlier(const LogLine& left, const LogLine& right) {
-  return left.unix_ms < right.unix_ms;
+// Keeps the order of time, and of reading among lines of one moment.
+void Insert(std::vector<LogLine>& lines, LogLine line) {
+  const auto place =
+      std::ranges::upper_bound(lines, line.unix_ms, {}, &LogLine::unix_ms);
+  lines.insert(place, std::move(line));
 }
 
 }  // namespace
@@ -57,14 +60,13 @@
       continue;
     }
     if (record->value("request", std::string()) == request) {
-      found.lines.push_back(MakeLine(*record));
+      Insert(found.lines, MakeLine(*record));
       model = record->value("model", model);
     } else if (record->value("event", std::string()).starts_with("place.")) {
       orders.emplace_back(record->value("path", std::string()),
                           MakeLine(*record));
     }
   }
-  std::ranges::stable_sort(found.lines, IsEarlier);
   if (found.lines.empty()) {
     return found;
   }
@@ -74,10 +76,9 @@
     const bool concerns_model =
         !path.empty() && (path == model || model.starts_with(path + "/"));
     if (is_near && concerns_model) {
-      found.context.push_back(std::move(line));
+      Insert(found.context, std::move(line));
     }
   }
-  std::ranges::stable_sort(found.context, IsEarlier);
   return found;
 }
 
