--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <ranges>
 
+#include "cicadaloft/core/half_life.h"
+
 namespace cicadaloft {
 namespace {
 
@@ -32,9 +33,7 @@
 
 void ShareLedger::OnReport(const DemandReported& report, TimePoint now) {
   Host& host = this->hosts[report.host];
-  const std::chrono::duration<double> age = now - host.heard_at;
-  const std::chrono::duration<double> half = kHalfLife;
-  const double fade = std::exp2(-age.count() / half.count());
+  const double fade = FadeFactor(now - host.heard_at, kHalfLife);
   for (auto& [customer, cost] : host.demand) {
     cost *= fade;
   }
--- a/core/include/cicadaloft/core/id.h
+++ b/core/include/cicadaloft/core/id.h
@@ -31,9 +31,7 @@
 using CustomerId = Id<struct CustomerTag>;
 using DataCentreId = Id<struct DataCentreTag>;
 using HostId = Id<struct HostTag>;
-using KeyId = Id<struct KeyTag>;
 using ModelId = Id<struct ModelTag>;  ///< A base model.
-using RegionId = Id<struct RegionTag>;
 using RequestId = Id<struct RequestTag>;
 using RouteId = Id<struct RouteTag>;
 /// A group of targets that serve the same routes.
--- a/core/include/cicadaloft/core/model_path.h
+++ b/core/include/cicadaloft/core/model_path.h
@@ -2,7 +2,9 @@
 #define CICADALOFT_CORE_MODEL_PATH_H_
 
 #include <compare>
+#include <cstddef>
 #include <string>
+#include <string_view>
 
 #include "cicadaloft/core/id.h"
 
@@ -26,6 +28,17 @@
   friend bool operator==(const ModelPath&, const ModelPath&) = default;
 };
 
+/// @param text as ToString() writes it; all after the first slash is the
+/// adapter's name.
+inline ModelPath ParseModelPath(std::string_view text) {
+  const std::size_t slash = text.find('/');
+  if (slash == std::string_view::npos) {
+    return ModelPath{.model = ModelId(std::string(text))};
+  }
+  return ModelPath{.model = ModelId(std::string(text.substr(0, slash))),
+                   .adapter = AdapterId(std::string(text.substr(slash + 1)))};
+}
+
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_CORE_MODEL_PATH_H_
--- a/core/include/cicadaloft/core/time.h
+++ b/core/include/cicadaloft/core/time.h
@@ -8,7 +8,7 @@
 using Duration = std::chrono::microseconds;
 
 /// The clock of decisions. It has no now(): the time comes in with each event,
-/// from the boot-time clock in daemons and from the virtual clock in scenarios.
+/// from BootClock in a host and from the test itself in tests.
 struct NodeClock {};
 
 using TimePoint = std::chrono::time_point<NodeClock, Duration>;
--- a/core/tests/core_test.cc
+++ b/core/tests/core_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE core
+#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <set>
@@ -6,8 +7,8 @@
 
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/rendezvous.h"
-#include "cicadaloft/core/sha256.h"
 
 namespace cicadaloft {
 namespace {
@@ -29,13 +30,18 @@
 
 BOOST_AUTO_TEST_CASE(RendezvousMovesOnlyTheLostMembersKeys) {
   const std::array<std::string, 4> all = {"a", "b", "c", "d"};
-  const std::array<std::string, 3> fewer = {"a", "b", "c"};
-  const auto name = [](const std::string& member) { return member; };
+  const auto pick = [&](const std::string& key, std::size_t members) {
+    return *std::ranges::max_element(
+        all.begin(), all.begin() + static_cast<std::ptrdiff_t>(members), {},
+        [&](const std::string& member) {
+          return RendezvousWeight(key, member);
+        });
+  };
   int moved = 0;
   for (int i = 0; i < 1000; ++i) {
     const std::string key = std::to_string(i);
-    const std::string before = *PickByRendezvous(key, all, name);
-    const std::string after = *PickByRendezvous(key, fewer, name);
+    const std::string before = pick(key, all.size());
+    const std::string after = pick(key, all.size() - 1);
     moved += before != after ? 1 : 0;
     BOOST_TEST((before == "d" || before == after));
   }
@@ -43,13 +49,11 @@
   BOOST_TEST(moved < 350);
 }
 
-BOOST_AUTO_TEST_CASE(Sha256OfTheEmptyText) {
-  BOOST_TEST(
-      Sha256Hex("") ==
-      "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
-  BOOST_TEST(EqualInConstantTime("abc", "abc"));
-  BOOST_TEST(!EqualInConstantTime("abc", "abd"));
-  BOOST_TEST(!EqualInConstantTime("abc", "abcd"));
+BOOST_AUTO_TEST_CASE(AModelPathIsReadAsItWasWritten) {
+  const ModelPath adapter{.model = ModelId("m"), .adapter = AdapterId("a")};
+  BOOST_TEST((ParseModelPath(adapter.ToString()) == adapter));
+  BOOST_TEST((ParseModelPath(adapter.Base().ToString()) == adapter.Base()));
+  BOOST_TEST(ParseModelPath("m/a/b").adapter.value() == "a/b");
 }
 
 }  // namespace
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -22,56 +22,55 @@
 }  // namespace
 
 void EntryCore::Take(const RequestArrived& arrived) {
-  Result<OpenRequest> admitted = this->Admit(arrived);
-  if (IsOk(admitted)) {
-    OpenRequest request = TakeValue(std::move(admitted));
-    RetryBudget& budget =
-        this->budgets
-            .try_emplace(request.line.service, this->settings.is_first_start)
-            .first->second;
-    const double hosts = std::max(1U, this->shares.hosts);
-    budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
-    budget.OnRequest();
-    const LineKey line = request.line;
-    const RequestId id = arrived.request;
-    this->CountUse(request);
-    this->requests.emplace(id, std::move(request));
-    this->Enqueue(this->requests.at(id));
-    this->Pump(line);
-    const auto found = this->requests.find(id);
-    if (found != this->requests.end() && !found->second.is_running) {
-      this->LogWait(found->second);
-    }
+  Admission admission = this->Admit(arrived);
+  if (const auto* refusal = std::get_if<Refusal>(&admission)) {
+    this->RefuseArrival(arrived, *refusal);
     return;
   }
-  const Error& error = ErrorOf(admitted);
+  OpenRequest& admitted = std::get<OpenRequest>(admission);
+  this->BudgetOf(admitted.line.service).OnRequest();
+  this->CountUse(admitted);
+  const LineKey line = admitted.line;
+  const RequestId id = arrived.request;
+  this->requests.emplace(id, std::move(admitted));
+  this->Enqueue(this->requests.at(id));
+  this->Pump(line);
+  const auto found = this->requests.find(id);
+  if (found != this->requests.end() && !found->second.is_running) {
+    this->LogWait(found->second);
+  }
+}
+
+void EntryCore::RefuseArrival(const RequestArrived& arrived,
+                              const Refusal& refusal) {
+  const ErrorAnswer& answer = AnswerFor(refusal.error.kind);
   std::optional<Duration> retry_after;
-  if (AnswerFor(error.kind).may_retry) {
-    retry_after = kLeastRetryAfter;
+  if (answer.may_retry) {
+    retry_after = std::max(kLeastRetryAfter, refusal.come_back_in);
   }
   this->Log(
       reasons::kRefuse, arrived.caller_id,
-      {{"kind", AnswerFor(error.kind).token},
-       {"message", error.message},
+      {{"kind", answer.token},
+       {"message", refusal.error.message},
        {"configuration",
         this->configuration ? this->configuration->version().value() : 0}});
-  this->effects.emplace_back(
-      Refuse{.request = arrived.request,
-             .error = error,
-             .run_state = AnswerFor(error.kind).run_state,
-             .retry_after = retry_after});
+  this->effects.emplace_back(Refuse{.request = arrived.request,
+                                    .error = refusal.error,
+                                    .run_state = answer.run_state,
+                                    .retry_after = retry_after});
 }
 
-Result<OpenRequest> EntryCore::Admit(const RequestArrived& arrived) {
+EntryCore::Admission EntryCore::Admit(const RequestArrived& arrived) {
   if (this->is_stopping && this->now - this->stopped_at > kTakesAfterStop) {
-    return Fail(ErrorKind::kStopping, "this host stops");
+    return Refusal{Fail(ErrorKind::kStopping, "this host stops")};
   }
   if (!this->configuration) {
-    return Fail(ErrorKind::kNotConfigured, "no configuration is known yet");
+    return Refusal{
+        Fail(ErrorKind::kNotConfigured, "no configuration is known yet")};
   }
   const Result<const Route*> route = this->FindRoute(arrived);
   if (!IsOk(route)) {
-    return ErrorOf(route);
+    return Refusal{ErrorOf(route)};
   }
   OpenRequest request{.arrival = arrived,
                       .arrived = this->now,
@@ -88,14 +87,14 @@
   request.gives_up_at =
       this->now + std::chrono::duration_cast<Duration>(patience * kWaitPart);
   if (auto error = this->CheckCustomer(request)) {
-    return *error;
+    return Refusal{*error};
   }
   if (this->suspects.IsBarred(arrived.fingerprint, this->now)) {
-    return Fail(ErrorKind::kPoisonRequest,
-                "several targets have died running this request");
+    return Refusal{Fail(ErrorKind::kPoisonRequest,
+                        "several targets have died running this request")};
   }
-  if (auto error = this->TakeQuota(request)) {
-    return *error;
+  if (auto refusal = this->TakeQuota(request)) {
+    return *refusal;
   }
   return request;
 }
@@ -144,7 +143,8 @@
   return std::nullopt;
 }
 
-std::optional<Error> EntryCore::TakeQuota(const OpenRequest& request) {
+std::optional<EntryCore::Refusal> EntryCore::TakeQuota(
+    const OpenRequest& request) {
   if (request.customer == nullptr || request.customer->rate_per_second <= 0) {
     return std::nullopt;
   }
@@ -156,13 +156,15 @@
   const auto whole = [](double number) {
     return std::to_string(static_cast<std::int64_t>(number));
   };
-  return Fail(ErrorKind::kRateLimited,
-              "over the limit of customer " + request.customer->id.value() +
-                  ": cost " + whole(request.cost) + ", in stock " +
-                  whole(share.level()) + " of " + whole(share.capacity()) +
-                  ", limit " + whole(request.customer->rate_per_second) +
-                  " a second, share " + whole(share.share() * 1000) +
-                  " of 1000");
+  return Refusal{
+      .error = Fail(
+          ErrorKind::kRateLimited,
+          "over the limit of customer " + request.customer->id.value() +
+              ": cost " + whole(request.cost) + ", in stock " +
+              whole(share.level()) + " of " + whole(share.capacity()) +
+              ", limit " + whole(request.customer->rate_per_second) +
+              " a second, share " + whole(share.share() * 1000) + " of 1000"),
+      .come_back_in = share.TimeUntil(request.cost, this->now)};
 }
 
 void EntryCore::GiveQuotaBack(const OpenRequest& request) {
@@ -171,6 +173,21 @@
   }
 }
 
+RetryBudget& EntryCore::BudgetOf(const ServiceId& service) {
+  const auto [place, is_new] =
+      this->budgets.try_emplace(service, this->settings.is_first_start);
+  if (is_new) {
+    this->SetBudget(place->second);
+  }
+  return place->second;
+}
+
+// This host's part of the repeats that all hosts may send.
+void EntryCore::SetBudget(RetryBudget& budget) const {
+  const double hosts = std::max(1U, this->shares.hosts);
+  budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
+}
+
 CustomerShare& EntryCore::ShareOf(const Customer& customer) {
   const auto found = this->customer_shares.find(customer.id);
   if (found != this->customer_shares.end()) {
@@ -185,6 +202,14 @@
   return share;
 }
 
+void EntryCore::SetAllShares() {
+  for (auto& [id, share] : this->customer_shares) {
+    if (const Customer* customer = this->configuration->FindCustomer(id)) {
+      this->SetShare(*customer, share);
+    }
+  }
+}
+
 void EntryCore::SetShare(const Customer& customer, CustomerShare& share) const {
   const auto granted = std::ranges::find(this->shares.customers, customer.id,
                                          &GrantedShare::customer);
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -191,7 +191,7 @@
   const bool is_barred =
       this->suspects.IsBarred(request.arrival.fingerprint, this->now);
   const bool has_budget =
-      !needs_budget || this->budgets[request.line.service].TryTake();
+      !needs_budget || this->BudgetOf(request.line.service).TryTake();
   if (is_barred || !has_budget || this->now >= request.gives_up_at) {
     this->RefuseOpen(request,
                      is_barred ? Fail(ErrorKind::kPoisonRequest,
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -72,11 +72,7 @@
   }
   this->configuration = change.configuration;
   this->configured_at = this->now;
-  for (auto& [id, share] : this->customer_shares) {
-    if (const Customer* customer = this->configuration->FindCustomer(id)) {
-      this->SetShare(*customer, share);
-    }
-  }
+  this->SetAllShares();
   const Configuration& value = this->configuration->value();
   this->Log(reasons::kConfiguration, RequestId(),
             {{"version", version.value()},
@@ -143,15 +139,10 @@
   const bool has_new_hosts = change.hosts != this->shares.hosts;
   this->shares = change;
   if (this->configuration) {
-    for (auto& [id, share] : this->customer_shares) {
-      if (const Customer* customer = this->configuration->FindCustomer(id)) {
-        this->SetShare(*customer, share);
-      }
-    }
+    this->SetAllShares();
   }
-  const double hosts = std::max(1U, this->shares.hosts);
   for (auto& [service, budget] : this->budgets) {
-    budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
+    this->SetBudget(budget);
   }
   if (has_new_hosts) {
     this->Log(reasons::kShares, RequestId(), {{"hosts", this->shares.hosts}});
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "cicadaloft/admission/customer_share.h"
@@ -54,35 +55,53 @@
 
  private:
   using Requests = std::map<RequestId, OpenRequest>;
+  /// Targets that could serve a line, by what they hold.
+  using Candidates = std::vector<TargetView*>;
   struct Line {
     FairQueue<RequestId> queue;
     std::optional<TimePoint> asked_at;  ///< For the model.
   };
 
+  /// Why a request is not admitted.
+  struct Refusal {
+    Error error;
+    Duration come_back_in{};  ///< When it could be; 0: not known.
+  };
+  using Admission = std::variant<OpenRequest, Refusal>;
+
   // Admission.
-  Result<OpenRequest> Admit(const RequestArrived& arrived);
+  Admission Admit(const RequestArrived& arrived);
+  void RefuseArrival(const RequestArrived& arrived, const Refusal& refusal);
   Result<const Route*> FindRoute(const RequestArrived& arrived) const;
   std::optional<Error> CheckCustomer(OpenRequest& request);
-  std::optional<Error> TakeQuota(const OpenRequest& request);
+  std::optional<Refusal> TakeQuota(const OpenRequest& request);
   void GiveQuotaBack(const OpenRequest& request);
   CustomerShare& ShareOf(const Customer& customer);
   void SetShare(const Customer& customer, CustomerShare& share) const;
+  void SetAllShares();
+  RetryBudget& BudgetOf(const ServiceId& service);
+  void SetBudget(RetryBudget& budget) const;
 
   // Lines and dispatch.
   void Enqueue(const OpenRequest& request);
   void LeaveLine(const OpenRequest& request);
   void Pump(const LineKey& key);
   void PumpAll();
-  bool TryDispatch(OpenRequest& request);
-  std::vector<TargetView*> CandidatesFor(const LineKey& key);
+  bool HasRoom(const Candidates& candidates) const;
+  bool TryDispatch(OpenRequest& request, const Candidates& candidates);
+  Candidates CandidatesFor(const LineKey& key);
+  double ColdRate(const ServiceId& id) const;
   bool MayTake(const TargetView& target, const OpenRequest& request) const;
-  std::vector<TargetId> UselessHolders(const LineKey& key);
+  std::vector<TargetId> UselessHolders(const LineKey& key,
+                                       const Candidates& candidates) const;
+  bool IsUsable(const TargetView& target) const;
   bool IsFull(const TargetView& target) const;
-  void AskForModel(const LineKey& key, Line& line);
+  void AskForModel(const LineKey& key,
+                   Line& line,
+                   const Candidates& candidates);
   void LogWait(const OpenRequest& request);
   void CountUse(const OpenRequest& request);
   void ReportUsage();
-  bool HasRoomFor(const LineKey& key);
 
   // Ends.
   void TakeFailure(OpenRequest& request, const AttemptEnded& ended);
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -24,23 +24,21 @@
 }  // namespace
 
 void EntryCore::Enqueue(const OpenRequest& request) {
-  const CustomerId customer =
-      request.customer == nullptr ? CustomerId() : request.customer->id;
   this->lines[request.line].queue.Push(
       request.IsBatch(),
-      WaitingShare{.customer = customer, .cost = std::max(1.0, request.cost)},
+      WaitingShare{.customer = request.CustomerName(),
+                   .cost = std::max(1.0, request.cost)},
       request.number, request.arrival.request);
   this->expiries.emplace(request.gives_up_at, request.arrival.request);
 }
 
 void EntryCore::LeaveLine(const OpenRequest& request) {
-  const CustomerId customer =
-      request.customer == nullptr ? CustomerId() : request.customer->id;
   const auto line = this->lines.find(request.line);
   if (line == this->lines.end()) {
     return;
   }
-  line->second.queue.Remove(request.IsBatch(), customer, request.number);
+  line->second.queue.Remove(request.IsBatch(), request.CustomerName(),
+                            request.number);
   if (line->second.queue.size() == 0) {
     this->lines.erase(line);
   }
@@ -58,16 +56,13 @@
     return;
   }
   Line& line = found->second;
-  if (!this->HasRoomFor(key)) {
-    this->AskForModel(key, line);
-    return;
-  }
+  const Candidates candidates = this->CandidatesFor(key);
   std::vector<RequestId> kept;
-  bool goes_on = true;
+  bool goes_on = this->HasRoom(candidates);
   while (goes_on && line.queue.size() > 0) {
     const RequestId id = *line.queue.Pop();
     OpenRequest& request = this->requests.at(id);
-    if (!this->TryDispatch(request)) {
+    if (!this->TryDispatch(request, candidates)) {
       kept.push_back(id);
       // One that avoids targets says nothing of those behind it.
       goes_on = !request.avoided.empty();
@@ -80,29 +75,28 @@
     this->lines.erase(key);
     return;
   }
-  this->AskForModel(key, line);
+  this->AskForModel(key, line, candidates);
+}
+
+// Whether any target could take a request that avoids none.
+bool EntryCore::HasRoom(const Candidates& candidates) const {
+  const OpenRequest anyone{};
+  return std::ranges::any_of(candidates, [&](const TargetView* target) {
+    return this->MayTake(*target, anyone);
+  });
 }
 
-bool EntryCore::TryDispatch(OpenRequest& request) {
+bool EntryCore::TryDispatch(OpenRequest& request,
+                            const Candidates& candidates) {
   const TargetWish wish{.near = this->settings.data_centre,
                         .prompt_key = request.arrival.prompt_key,
                         .draw = StableHash(request.arrival.caller_id.value())};
-  const auto candidates = this->CandidatesFor(request.line);
   TargetView* target = ChooseTarget(
       candidates, wish, this->now,
       [&](const TargetView& view) { return this->MayTake(view, request); });
-  const Service* service =
-      request.configuration->FindService(request.line.service);
-  if (target == nullptr || service == nullptr) {
+  if (target == nullptr) {
     return false;
   }
-  if (target->IsCold(this->now) && service->cold_requests_per_second > 0) {
-    const double hosts = std::max(1U, this->shares.hosts);
-    if (!target->TryTakeCold(service->cold_requests_per_second / hosts,
-                             this->now)) {
-      return false;
-    }
-  }
   const Duration left = request.ends_at - this->now;
   if (left < kLeastWork) {
     return false;
@@ -113,25 +107,22 @@
   request.is_running = true;
   request.target = target->record().id;
   request.instance = target->record().instance;
-  target->OnDispatch();
-  this->Log(
-      reasons::kDispatch, request.arrival.caller_id,
-      {{"target", request.target.value()},
-       {"attempt", request.attempt.value()},
-       {"model", request.line.model ? request.line.model->ToString() : "-"},
-       {"customer",
-        request.customer == nullptr ? "-" : request.customer->id.value()},
-       {"waited_ms", this->now - request.arrived},
-       {"candidates", candidates.size()},
-       {"own_load", target->in_flight()},
-       {"configuration", request.configuration->version().value()}});
+  target->OnDispatch(this->ColdRate(target->record().service), this->now);
+  this->Log(reasons::kDispatch, request.arrival.caller_id,
+            {{"target", request.target.value()},
+             {"attempt", request.attempt.value()},
+             {"model", request.ModelText()},
+             {"customer", request.CustomerName().value()},
+             {"waited_ms", this->now - request.arrived},
+             {"candidates", candidates.size()},
+             {"own_load", target->in_flight()},
+             {"configuration", request.configuration->version().value()}});
   this->effects.emplace_back(
       Dispatch{.request = request.arrival.request,
                .attempt = request.attempt,
                .target = request.target,
                .address = target->record().address,
-               .customer = request.customer == nullptr ? CustomerId()
-                                                       : request.customer->id,
+               .customer = request.CustomerName(),
                .rank = request.Rank(),
                .work_within = left,
                .holds_failure = request.route->repetition == Repetition::kAny &&
@@ -139,17 +130,8 @@
   return true;
 }
 
-// Whether any target could take a request of the line that avoids none.
-bool EntryCore::HasRoomFor(const LineKey& key) {
-  const auto candidates = this->CandidatesFor(key);
-  const OpenRequest anyone{};
-  return std::ranges::any_of(candidates, [&](const TargetView* target) {
-    return this->MayTake(*target, anyone);
-  });
-}
-
-std::vector<TargetView*> EntryCore::CandidatesFor(const LineKey& key) {
-  std::vector<TargetView*> candidates;
+EntryCore::Candidates EntryCore::CandidatesFor(const LineKey& key) {
+  Candidates candidates;
   const auto add = [&](const TargetId& id) {
     const auto found = this->targets.find(id);
     if (found != this->targets.end() &&
@@ -167,15 +149,27 @@
   return candidates;
 }
 
+bool EntryCore::IsUsable(const TargetView& target) const {
+  const TargetRecord& record = target.record();
+  return !record.is_draining && !this->evacuated.contains(record.data_centre) &&
+         !target.ejection().IsEjected(this->now);
+}
+
 bool EntryCore::MayTake(const TargetView& target,
                         const OpenRequest& request) const {
   const TargetRecord& record = target.record();
-  if (record.is_draining || this->evacuated.contains(record.data_centre) ||
-      request.Avoids(record.id, this->now) ||
-      target.ejection().IsEjected(this->now)) {
-    return false;
-  }
-  return !this->IsFull(target);
+  return this->IsUsable(target) && !request.Avoids(record.id, this->now) &&
+         !this->IsFull(target) &&
+         target.HasColdRoom(this->ColdRate(record.service), this->now);
+}
+
+// This host's part of what a cold target of the service tolerates, in requests
+// a second; 0: no limit.
+double EntryCore::ColdRate(const ServiceId& id) const {
+  const Service* service =
+      this->configuration ? this->configuration->FindService(id) : nullptr;
+  const double hosts = std::max(1U, this->shares.hosts);
+  return service == nullptr ? 0 : service->cold_requests_per_second / hosts;
 }
 
 bool EntryCore::IsFull(const TargetView& target) const {
@@ -183,7 +177,9 @@
          target.record().slots * kQueueFactor;
 }
 
-void EntryCore::AskForModel(const LineKey& key, Line& line) {
+void EntryCore::AskForModel(const LineKey& key,
+                            Line& line,
+                            const Candidates& candidates) {
   if (!key.model || !this->configuration) {
     return;
   }
@@ -191,13 +187,9 @@
       line.asked_at && this->now - *line.asked_at < kAskAgain;
   const bool is_coming =
       this->whereabouts.ExpectedAt(*key.model, this->now).has_value();
-  const auto holders = this->CandidatesFor(key);
-  const bool is_held = std::ranges::any_of(holders, [&](TargetView* holder) {
-    const TargetRecord& record = holder->record();
-    return !record.is_draining &&
-           !this->evacuated.contains(record.data_centre) &&
-           !holder->ejection().IsEjected(this->now);
-  });
+  const bool is_held = std::ranges::any_of(
+      candidates,
+      [this](const TargetView* holder) { return this->IsUsable(*holder); });
   if (has_asked || is_coming || is_held) {
     return;
   }
@@ -211,14 +203,16 @@
                   .path = *key.model,
                   .waiting = static_cast<std::uint32_t>(line.queue.size()),
                   .latency_aim = request.route->latency_aim,
-                  .denied_by = this->UselessHolders(key)});
+                  .denied_by = this->UselessHolders(key, candidates)});
 }
 
 // Holders that deny the model, or have failed.
-std::vector<TargetId> EntryCore::UselessHolders(const LineKey& key) {
+std::vector<TargetId> EntryCore::UselessHolders(
+    const LineKey& key,
+    const Candidates& candidates) const {
   std::vector<TargetId> useless =
       this->whereabouts.DeniersOf(*key.model, this->now);
-  for (const TargetView* holder : this->CandidatesFor(key)) {
+  for (const TargetView* holder : candidates) {
     if (holder->ejection().IsEjected(this->now)) {
       useless.push_back(holder->record().id);
     }
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 #include "cicadaloft/entry/messages.h"
 
@@ -46,6 +47,14 @@
     const auto found = this->avoided.find(target);
     return found != this->avoided.end() && now < found->second;
   }
+  /// @return the customer's name; empty on public routes.
+  CustomerId CustomerName() const {
+    return this->customer == nullptr ? CustomerId() : this->customer->id;
+  }
+  /// @return what it needs to be loaded, for logs.
+  std::string ModelText() const {
+    return this->line.model ? this->line.model->ToString() : "-";
+  }
   bool IsBatch() const;
   /// @return the rank that goes to targets.
   int Rank() const;
--- a/fleet/fleet_register.cc
+++ b/fleet/fleet_register.cc
@@ -24,14 +24,12 @@
   return std::exchange(this->lines, {});
 }
 
-bool FleetRegister::Take(const TargetSeen& seen, TimePoint now) {
-  this->last_heard = now;
+bool FleetRegister::Take(const TargetSeen& seen, TimePoint) {
   this->absent.erase(seen.record->id);
   return this->Put(seen.record);
 }
 
 bool FleetRegister::Take(const TargetRemoved& removed, TimePoint now) {
-  this->last_heard = now;
   if (!this->current->targets.contains(removed.target)) {
     return false;
   }
@@ -64,7 +62,6 @@
   }
   this->reachable = change.is_reachable;
   if (this->reachable) {
-    this->last_heard = now;
   }
   return false;
 }
--- a/fleet/include/cicadaloft/fleet/fleet_register.h
+++ b/fleet/include/cicadaloft/fleet/fleet_register.h
@@ -66,9 +66,6 @@
   bool Tick(TimePoint now);
 
   FleetPtr fleet() const { return this->current; }
-  bool is_reachable() const { return this->reachable; }
-  /// @return how long ago the registry was last heard of.
-  Duration Age(TimePoint now) const { return now - this->last_heard; }
   /// What has been decided since the last call, for the log.
   std::vector<DecisionLine> TakeLines();
 
@@ -83,7 +80,6 @@
 
   FleetPtr current = std::make_shared<const Fleet>();
   bool reachable = false;
-  TimePoint last_heard{};
   std::optional<TimePoint> returned_at;  ///< When the registry came back.
   std::set<TargetId> absent;  ///< Removed in doubt; still in the fleet.
   std::vector<DecisionLine> lines;
--- a/forwarding/header_rules.cc
+++ b/forwarding/header_rules.cc
@@ -116,4 +116,24 @@
   });
 }
 
+const std::string* FindField(const std::vector<HeaderField>& fields,
+                             std::string_view name) {
+  const auto found = std::ranges::find_if(
+      fields,
+      [&](const HeaderField& field) { return IsSameName(field.name, name); });
+  return found == fields.end() ? nullptr : &found->value;
+}
+
+std::string BearerCredential(const std::string* authorization) {
+  constexpr std::string_view kBearer = "Bearer ";
+  if (authorization == nullptr ||
+      !IsSameName(std::string_view(*authorization).substr(0, kBearer.size()),
+                  kBearer)) {
+    return {};
+  }
+  const std::size_t start =
+      authorization->find_first_not_of(' ', kBearer.size());
+  return start == std::string::npos ? "" : authorization->substr(start);
+}
+
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/caller_directory.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_directory.h
@@ -12,8 +12,8 @@
 
 namespace cicadaloft {
 
-/// The open connections of callers, so that all sessions can be told something.
-/// It belongs to the host's thread.
+/// The open connections of a listener, so that it can tell all sessions
+/// something. Part of the listener's task.
 class CallerDirectory {
  public:
   void Add(const std::shared_ptr<CallerConnection>& connection) {
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -32,19 +32,30 @@
 /// Connections over the limit that still get an answer.
 inline constexpr std::size_t kTurnedAway = 100;
 
+using StopMailbox = Mailbox<HostStops>;
+
+/// Passes a stop on to the sessions of all open connections.
+boost::asio::awaitable<void> PassStopOn(
+    std::shared_ptr<StopMailbox> stop,
+    std::shared_ptr<CallerDirectory> directory);
+
 /// Accepts callers and serves each by a task of its own, until the acceptor is
 /// closed.
 /// @tparam Wire what the callers speak.
 /// @param id_prefix begins all ids of requests: host and incarnation.
-/// @param directory learns of each connection.
+/// @param stop a message there ends idle connections, and the others after
+/// their answers.
 template <CallerWire Wire>
 boost::asio::awaitable<void> RunCallerListener(
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
     std::string id_prefix,
     std::shared_ptr<NodeMailbox> node,
-    std::shared_ptr<CallerDirectory> directory,
+    std::shared_ptr<StopMailbox> stop,
     CallerLimits limits) {
   const auto executor = co_await boost::asio::this_coro::executor;
+  const auto directory = std::make_shared<CallerDirectory>();
+  boost::asio::co_spawn(executor, PassStopOn(std::move(stop), directory),
+                        boost::asio::detached);
   const auto open = std::make_shared<std::size_t>(0);
   const auto count_end = [open](const std::exception_ptr&) { --*open; };
   std::uint64_t connections = 0;
--- a/forwarding/include/cicadaloft/forwarding/header_rules.h
+++ b/forwarding/include/cicadaloft/forwarding/header_rules.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_FORWARDING_HEADER_RULES_H_
 #define CICADALOFT_FORWARDING_HEADER_RULES_H_
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -21,6 +22,14 @@
 std::vector<HeaderField> FieldsForCaller(
     const std::vector<HeaderField>& fields);
 
+/// @return the value of the first field of this name, or null.
+const std::string* FindField(const std::vector<HeaderField>& fields,
+                             std::string_view name);
+
+/// @param authorization value of an Authorization field, or null.
+/// @return the credential after "Bearer"; empty if there is none.
+std::string BearerCredential(const std::string* authorization);
+
 /// @return whether the names are the same but for the case of letters.
 bool IsSameName(std::string_view left, std::string_view right);
 
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -7,27 +7,22 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/system/system_error.hpp>
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
 #include <variant>
-#include <vector>
 
 #include "cicadaloft/forwarding/deadline.h"
 #include "cicadaloft/forwarding/exchange_order.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
 #include "cicadaloft/forwarding/header_rules.h"
 #include "cicadaloft/forwarding/node_messages.h"
+#include "cicadaloft/forwarding/target_answer.h"
 #include "cicadaloft/forwarding/target_connection.h"
 #include "cicadaloft/forwarding/wires.h"
 #include "cicadaloft/settings/socket_probes.h"
@@ -58,17 +53,10 @@
 
  private:
   using Tcp = boost::asio::ip::tcp;
-  using ErrorCode = boost::system::error_code;
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   using SteadyClock = std::chrono::steady_clock;
-  template <typename T>
-  using Failure = std::variant<T, AttemptOutcome>;
 
   static constexpr auto kAsTuple =
       boost::asio::as_tuple(boost::asio::use_awaitable);
-  static constexpr std::uint32_t kHeaderLimit = 64 * 1024;
-  static constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
   /// Late answers that are skipped before the one that counts.
   static constexpr int kMostStaleAnswers = 3;
 
@@ -94,15 +82,16 @@
       co_return *failure;
     }
     if (const auto refusal = this->Refusal()) {
-      co_return co_await this->SkipBody(*refusal);
+      co_return co_await this->EndUnheard(*refusal);
     }
-    constexpr unsigned kServerError = 500;
-    if (this->order->dispatch.holds_failure && this->status >= kServerError) {
-      co_return co_await this->SkipBody(AttemptOutcome::kFailedAnswer);
+    constexpr int kServerError = 500;
+    const int status = this->answer->status();
+    if (this->order->dispatch.holds_failure && status >= kServerError) {
+      co_return co_await this->EndUnheard(AttemptOutcome::kFailedAnswer);
     }
     // A success that the target does not vouch for is none.
-    constexpr unsigned kRedirection = 300;
-    if (this->status < kRedirection && !this->facts.is_signed) {
+    constexpr int kRedirection = 300;
+    if (status < kRedirection && !this->facts.is_signed) {
       co_return AttemptOutcome::kDiedUnstarted;
     }
     co_return co_await this->PassAnswer();
@@ -167,55 +156,23 @@
 
   // Skips answers to earlier requests on this connection.
   boost::asio::awaitable<std::optional<AttemptOutcome>> ReadOwnHead() {
+    const CallerRequest& request = *this->order->request;
+    this->answer.emplace(this->connection, request.method == "HEAD");
     for (int stale = 0; stale <= kMostStaleAnswers; ++stale) {
-      if (const auto failure = co_await this->ReadHead()) {
+      if (const auto failure = co_await this->answer->ReadHead(this->Left())) {
         co_return failure;
       }
+      this->facts =
+          Wire::ReadFacts(request, this->order->dispatch,
+                          this->answer->status(), this->answer->fields());
       if (this->facts.is_ours) {
         co_return std::nullopt;
       }
-      while (!this->parser->is_done()) {
-        const auto piece = co_await this->ReadPiece(this->Left());
-        if (std::holds_alternative<AttemptOutcome>(piece)) {
-          co_return AttemptOutcome::kDiedUnstarted;
-        }
-      }
-    }
-    co_return AttemptOutcome::kDiedUnstarted;
-  }
-
-  // Answers of status 1xx come before the one that counts.
-  boost::asio::awaitable<std::optional<AttemptOutcome>> ReadHead() {
-    namespace http = boost::beast::http;
-    do {
-      this->parser.emplace();
-      this->parser->header_limit(kHeaderLimit);
-      this->parser->body_limit(boost::none);
-      this->parser->skip(this->order->request->method == "HEAD");
-      const auto result = co_await Within(
-          this->Left(), http::async_read_header(this->connection->socket,
-                                                this->connection->buffer,
-                                                *this->parser, kAsTuple));
-      if (!result) {
-        co_return AttemptOutcome::kTimedOut;
-      }
-      const bool switches =
-          this->parser->get().result() == http::status::switching_protocols;
-      if (std::get<0>(*result) || switches) {
+      if (!co_await this->answer->SkipBody(this->Left())) {
         co_return AttemptOutcome::kDiedUnstarted;
       }
-    } while (http::to_status_class(this->parser->get().result()) ==
-             http::status_class::informational);
-    this->status = this->parser->get().result_int();
-    this->fields.clear();
-    for (const auto& field : this->parser->get()) {
-      this->fields.push_back(
-          HeaderField{.name = std::string(field.name_string()),
-                      .value = std::string(field.value())});
     }
-    this->facts = Wire::ReadFacts(*this->order->request, this->order->dispatch,
-                                  static_cast<int>(this->status), this->fields);
-    co_return std::nullopt;
+    co_return AttemptOutcome::kDiedUnstarted;
   }
 
   std::optional<AttemptOutcome> Refusal() const {
@@ -231,14 +188,10 @@
     return std::nullopt;
   }
 
-  // Reads a body that nobody gets, so that the connection can be kept.
-  boost::asio::awaitable<AttemptOutcome> SkipBody(AttemptOutcome ended) {
-    while (!this->parser->is_done()) {
-      const auto piece = co_await this->ReadPiece(this->Left());
-      if (std::holds_alternative<AttemptOutcome>(piece)) {
-        co_return ended;
-      }
-    }
+  // The rest of a body that nobody gets is read so that the connection can be
+  // kept.
+  boost::asio::awaitable<AttemptOutcome> EndUnheard(AttemptOutcome ended) {
+    co_await this->answer->SkipBody(this->Left());
     co_return ended;
   }
 
@@ -250,8 +203,8 @@
     co_await Send(*this->order->node, message);
     this->started = true;
     bool taken = co_await Send(*this->order->session, this->Head());
-    while (!this->parser->is_done()) {
-      auto piece = co_await this->ReadPiece(this->Left());
+    while (!this->answer->IsDone()) {
+      auto piece = co_await this->answer->ReadPiece(this->Left());
       if (const auto* failure = std::get_if<AttemptOutcome>(&piece)) {
         co_return *failure;
       }
@@ -276,36 +229,15 @@
     co_return co_await Send(*this->order->session, message);
   }
 
-  // Yields what one read brought: nothing where it brought framing alone.
-  boost::asio::awaitable<Failure<std::string>> ReadPiece(Duration limit) {
-    namespace http = boost::beast::http;
-    auto& body = this->parser->get().body();
-    body.data = this->piece.data();
-    body.size = this->piece.size();
-    body.more = true;
-    const auto result =
-        co_await Within(limit, http::async_read_some(this->connection->socket,
-                                                     this->connection->buffer,
-                                                     *this->parser, kAsTuple));
-    if (!result) {
-      co_return AttemptOutcome::kTimedOut;
-    }
-    const ErrorCode error = std::get<0>(*result);
-    if (error && error != http::error::need_buffer) {
-      co_return AttemptOutcome::kDiedStarted;
-    }
-    co_return std::string(this->piece.data(), this->piece.size() - body.size);
-  }
-
   AnswerHead Head() const {
     return AnswerHead{
         .request = this->order->dispatch.request,
         .attempt = this->order->dispatch.attempt,
-        .status = static_cast<int>(this->status),
-        .reason = std::string(this->parser->get().reason()),
-        .fields = FieldsForCaller(this->fields),
-        .framing = this->Framing(),
-        .length = this->StatedLength(),
+        .status = this->answer->status(),
+        .reason = this->answer->Reason(),
+        .fields = FieldsForCaller(this->answer->fields()),
+        .framing = this->answer->Framing(),
+        .length = this->answer->StatedLength(),
         .queue_time = this->order->queue_time,
         .target_time = std::chrono::duration_cast<Duration>(SteadyClock::now() -
                                                             this->begun),
@@ -313,31 +245,12 @@
     };
   }
 
-  BodyFraming Framing() const {
-    if (this->parser->is_done()) {
-      return BodyFraming::kNone;
-    }
-    if (this->parser->chunked()) {
-      return BodyFraming::kChunked;
-    }
-    return this->parser->content_length() ? BodyFraming::kLength
-                                          : BodyFraming::kUntilClose;
-  }
-
-  std::optional<std::uint64_t> StatedLength() const {
-    const auto length = this->parser->content_length();
-    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
-  }
-
-  // A connection serves again only if nothing on it can be mistaken for the
-  // next request's answer.
   bool IsReusable(AttemptOutcome ended) const {
     const bool is_whole = ended == AttemptOutcome::kCompleted ||
                           ended == AttemptOutcome::kShed ||
                           ended == AttemptOutcome::kNotLoaded ||
                           ended == AttemptOutcome::kFailedAnswer;
-    return is_whole && this->parser->is_done() && this->parser->keep_alive() &&
-           this->connection->buffer.size() == 0;
+    return is_whole && this->answer->LeavesConnectionFit();
   }
 
   boost::asio::awaitable<void> Report(AttemptOutcome ended) {
@@ -356,12 +269,12 @@
     } else if (this->connection != nullptr) {
       Abort(this->connection->socket);
     }
-    const auto message =
-        EntryEvent(AttemptEnded{.request = dispatch.request,
-                                .attempt = dispatch.attempt,
-                                .outcome = ended,
-                                .http_status = static_cast<int>(this->status),
-                                .load = this->facts.load});
+    const auto message = EntryEvent(
+        AttemptEnded{.request = dispatch.request,
+                     .attempt = dispatch.attempt,
+                     .outcome = ended,
+                     .http_status = this->answer ? this->answer->status() : 0,
+                     .load = this->facts.load});
     co_await Send(*this->order->node, message);
   }
 
@@ -376,12 +289,9 @@
   const TargetLimits limits;
   const SteadyClock::time_point begun = SteadyClock::now();
   std::shared_ptr<TargetConnection> connection;
-  std::optional<Parser> parser;
-  std::vector<HeaderField> fields;
+  std::optional<TargetAnswer> answer;
   AnswerFacts facts;
-  std::array<char, kPieceBytes> piece{};
   std::size_t sent = 0;
-  unsigned status = 0;
   bool started = false;
   std::optional<AttemptOutcome> outcome;
 };
--- /dev/null
+++ b/forwarding/target_answer.cc
@@ -0,0 +1,115 @@
+#include "cicadaloft/forwarding/target_answer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <tuple>
+#include <utility>
+
+#include "cicadaloft/forwarding/deadline.h"
+
+namespace cicadaloft {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+}  // namespace
+
+TargetAnswer::TargetAnswer(std::shared_ptr<TargetConnection> connection,
+                           bool is_head)
+    : connection(std::move(connection)), is_head(is_head) {}
+
+asio::awaitable<std::optional<AttemptOutcome>> TargetAnswer::ReadHead(
+    Duration limit) {
+  do {
+    this->parser.emplace();
+    this->parser->header_limit(kHeaderLimit);
+    this->parser->body_limit(boost::none);
+    this->parser->skip(this->is_head);
+    const auto result = co_await Within(
+        limit, http::async_read_header(this->connection->socket,
+                                       this->connection->buffer, *this->parser,
+                                       kAsTuple));
+    if (!result) {
+      co_return AttemptOutcome::kTimedOut;
+    }
+    const bool switches =
+        this->parser->get().result() == http::status::switching_protocols;
+    if (std::get<0>(*result) || switches) {
+      co_return AttemptOutcome::kDiedUnstarted;
+    }
+  } while (http::to_status_class(this->parser->get().result()) ==
+           http::status_class::informational);
+  this->head_status = static_cast<int>(this->parser->get().result_int());
+  this->head_fields.clear();
+  for (const auto& field : this->parser->get()) {
+    this->head_fields.push_back(
+        HeaderField{.name = std::string(field.name_string()),
+                    .value = std::string(field.value())});
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<TargetAnswer::Piece> TargetAnswer::ReadPiece(Duration limit) {
+  auto& body = this->parser->get().body();
+  body.data = this->piece.data();
+  body.size = this->piece.size();
+  body.more = true;
+  const auto result =
+      co_await Within(limit, http::async_read_some(this->connection->socket,
+                                                   this->connection->buffer,
+                                                   *this->parser, kAsTuple));
+  if (!result) {
+    co_return AttemptOutcome::kTimedOut;
+  }
+  const boost::system::error_code error = std::get<0>(*result);
+  if (error && error != http::error::need_buffer) {
+    co_return AttemptOutcome::kDiedStarted;
+  }
+  co_return std::string(this->piece.data(), this->piece.size() - body.size);
+}
+
+asio::awaitable<bool> TargetAnswer::SkipBody(Duration limit) {
+  const auto skip = [this, limit]() -> asio::awaitable<bool> {
+    while (!this->IsDone()) {
+      const Piece dropped = co_await this->ReadPiece(limit);
+      if (std::holds_alternative<AttemptOutcome>(dropped)) {
+        co_return false;
+      }
+    }
+    co_return true;
+  };
+  const auto is_whole = co_await Within(limit, skip());
+  co_return is_whole.value_or(false);
+}
+
+bool TargetAnswer::LeavesConnectionFit() const {
+  return this->parser && this->parser->is_done() &&
+         this->parser->keep_alive() && this->connection->buffer.size() == 0;
+}
+
+std::string TargetAnswer::Reason() const {
+  return std::string(this->parser->get().reason());
+}
+
+BodyFraming TargetAnswer::Framing() const {
+  if (this->parser->is_done()) {
+    return BodyFraming::kNone;
+  }
+  if (this->parser->chunked()) {
+    return BodyFraming::kChunked;
+  }
+  return this->parser->content_length() ? BodyFraming::kLength
+                                        : BodyFraming::kUntilClose;
+}
+
+std::optional<std::uint64_t> TargetAnswer::StatedLength() const {
+  const auto length = this->parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+}  // namespace cicadaloft
--- a/forwarding/tests/entry_fixture.h
+++ b/forwarding/tests/entry_fixture.h
@@ -115,7 +115,7 @@
     boost::asio::co_spawn(
         this->context,
         RunCallerListener<OwnWire>(this->acceptor, "h1-1", this->inbox,
-                                   this->directory, caller_limits),
+                                   this->stop, caller_limits),
         boost::asio::detached);
   }
 
@@ -174,8 +174,8 @@
   boost::asio::io_context context;
   std::shared_ptr<NodeMailbox> inbox;
   std::shared_ptr<DrainedMailbox> drained;
-  std::shared_ptr<CallerDirectory> directory =
-      std::make_shared<CallerDirectory>();
+  std::shared_ptr<StopMailbox> stop =
+      std::make_shared<StopMailbox>(this->context.get_executor(), 1);
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   ScriptedTarget target;
   std::shared_ptr<DirectPlan> plan;
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -342,7 +342,7 @@
     auto running = co_await entry.Caller();
     co_await running.Write(ServiceGet("/"));
     co_await entry.Until([&] { return !entry.target.seen.empty(); });
-    entry.directory->TellStop();
+    Post(*entry.stop, HostStops{});
     co_await idle.Read();
     BOOST_TEST(idle.error.failed());
     entry.target.Allow();
--- a/forwarding/tests/plain_target_wire.h
+++ b/forwarding/tests/plain_target_wire.h
@@ -1,7 +1,6 @@
 #ifndef CICADALOFT_FORWARDING_TESTS_PLAIN_TARGET_WIRE_H_
 #define CICADALOFT_FORWARDING_TESTS_PLAIN_TARGET_WIRE_H_
 
-#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -33,9 +32,7 @@
                                int,
                                const std::vector<HeaderField>& fields) {
     const auto has = [&](std::string_view name) {
-      return std::ranges::any_of(fields, [&](const HeaderField& field) {
-        return IsSameName(field.name, name);
-      });
+      return FindField(fields, name) != nullptr;
     };
     return AnswerFacts{.is_ours = !has("X-Stale"),
                        .is_signed = !has("X-Unsigned"),
--- a/forwarding/tests/scripted_target.h
+++ b/forwarding/tests/scripted_target.h
@@ -58,7 +58,7 @@
 
  private:
   boost::asio::awaitable<void> Accept() {
-    for (;;) {
+    while (this->acceptor.is_open()) {
       auto socket =
           co_await this->acceptor.async_accept(boost::asio::use_awaitable);
       ++this->connections;
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -27,7 +27,6 @@
   std::shared_ptr<ControlMailbox> inbox;
   std::shared_ptr<NodeMailbox> node;
   std::shared_ptr<PeerLinks> peers;
-  std::shared_ptr<DecisionLog> log;
   std::shared_ptr<Mailbox<ReadAgain>> read_operator;
 };
 
@@ -72,7 +71,7 @@
   void Carry(const TellHolder& tell) { this->links.peers->Carry(tell); }
   void Carry(const TellHost& tell) { this->links.peers->Carry(tell); }
   void Carry(const TellAllHosts& tell) { this->links.peers->Carry(tell); }
-  void Carry(const DecisionLine& line) { this->links.log->Write(line); }
+  void Carry(const DecisionLine& line) { this->log(line); }
 
   // The lease asks for one call at a time.
   void Carry(const ReadLeaseLog& read) {
@@ -122,6 +121,7 @@
   const ControlLinks links;
   LeaseCalls<platform::StoreClient> lease_calls;
   platform::RunnerClient runners;
+  const DecisionLog log;
   const BootClock clock{};
 };
 
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -11,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 #include <chrono>
-#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -97,10 +96,7 @@
   return secret;
 }
 
-using Node = NodeTask<EntryState,
-                      platform::RunnerWire,
-                      BootClock,
-                      std::function<void(const DecisionLine&)>>;
+using Node = NodeTask<EntryState, platform::RunnerWire, BootClock, DecisionLog>;
 
 }  // namespace
 
@@ -113,7 +109,6 @@
         settings(settings),
         output(std::move(output)),
         executor(context.get_executor()),
-        decisions(std::make_shared<DecisionLog>()),
         node(std::make_shared<NodeMailbox>(this->executor, kNodeRoom)),
         control(std::make_shared<ControlMailbox>(this->executor, kControlRoom)),
         news(std::make_shared<EntryNewsMailbox>(this->executor, kControlRoom)),
@@ -133,9 +128,7 @@
                             .drained = this->drained},
                   TargetLimits{},
                   BootClock{},
-                  [log = this->decisions](const DecisionLine& line) {
-                    log->Write(line);
-                  }) {}
+                  DecisionLog()) {}
 
   Result<Done> Open() {
     std::vector<std::pair<std::string, Acceptor*>> addresses = {
@@ -166,7 +159,6 @@
         ControlLinks{.inbox = this->control,
                      .node = this->node,
                      .peers = this->peers,
-                     .log = this->decisions,
                      .read_operator = this->read_operator});
     return Done{};
   }
@@ -182,11 +174,11 @@
     this->SpawnFollowers();
     this->Spawn(RunCallerListener<platform::ClientWire>(
         this->callers, IdPrefix(this->settings.host), this->node,
-        this->directory, CallerLimits{}));
+        this->callers_stop, CallerLimits{}));
     if (this->own_callers != nullptr) {
       this->Spawn(RunCallerListener<OwnWire>(
           this->own_callers, IdPrefix(this->settings.host) + "-own", this->node,
-          this->directory, CallerLimits{}));
+          this->own_callers_stop, CallerLimits{}));
     }
     this->Spawn(RunAdminListener(this->readiness,
                                  AdminFacts{.host = this->settings.host.value(),
@@ -268,7 +260,8 @@
     co_await Send(*this->node, NodeMessage(stop));
     const Duration most = this->settings.stop_time - kStopMargin;
     co_await this->Sleep(std::min(kCloseAfter, most));
-    this->directory->TellStop();
+    Post(*this->callers_stop, HostStops{});
+    Post(*this->own_callers_stop, HostStops{});
     co_await this->Sleep(std::min(kLeaveAfter, most) -
                          std::min(kCloseAfter, most));
     const auto passed = std::chrono::duration_cast<Duration>(
@@ -290,15 +283,16 @@
   const HostSettings settings;
   const std::shared_ptr<OutputBuffer> output;
   const asio::any_io_executor executor;
-  const std::shared_ptr<DecisionLog> decisions;
   const std::shared_ptr<NodeMailbox> node;
   const std::shared_ptr<ControlMailbox> control;
   const std::shared_ptr<EntryNewsMailbox> news;
   const std::shared_ptr<DrainedMailbox> drained;
   const std::shared_ptr<Mailbox<ReadAgain>> read_operator =
       std::make_shared<Mailbox<ReadAgain>>(this->executor, 1);
-  const std::shared_ptr<CallerDirectory> directory =
-      std::make_shared<CallerDirectory>();
+  const std::shared_ptr<StopMailbox> callers_stop =
+      std::make_shared<StopMailbox>(this->executor, 1);
+  const std::shared_ptr<StopMailbox> own_callers_stop =
+      std::make_shared<StopMailbox>(this->executor, 1);
   Acceptor callers;
   Acceptor own_callers;  ///< Null where the own interface is not served.
   Acceptor readiness;
--- a/lease/lease_codec.cc
+++ b/lease/lease_codec.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cicadaloft/codec/cbor.h"
 #include "cicadaloft/codec/json_containers.h"
 
 namespace cicadaloft {
@@ -26,19 +27,13 @@
 }  // namespace
 
 std::string EncodeLeaseRecord(const LeaseRecord& record) {
-  const std::vector<std::uint8_t> bytes = Json::to_cbor(ToJson(record));
+  const std::vector<std::uint8_t> bytes = EncodeCbor(record);
   return {bytes.begin(), bytes.end()};
 }
 
 Result<LeaseRecord> DecodeLeaseRecord(const std::string& bytes) {
   const std::vector<std::uint8_t> data(bytes.begin(), bytes.end());
-  const Result<Json> json = ParseCbor(data, kLimits);
-  if (!IsOk(json)) {
-    return ErrorOf(json);
-  }
-  JsonReader reader;
-  return reader.Finish(FromJson<LeaseRecord>(ValueOf(json), reader),
-                       ErrorKind::kRecordMalformed);
+  return DecodeCbor<LeaseRecord>(data, kLimits, ErrorKind::kRecordMalformed);
 }
 
 }  // namespace cicadaloft
--- a/own_interface/chat_call.cc
+++ b/own_interface/chat_call.cc
@@ -86,16 +86,6 @@
   return std::nullopt;
 }
 
-// "MODEL" or "MODEL/ADAPTER".
-ModelPath ModelPathOf(const std::string& name) {
-  const std::size_t slash = name.find('/');
-  if (slash == std::string::npos) {
-    return ModelPath{.model = ModelId(name)};
-  }
-  return ModelPath{.model = ModelId(name.substr(0, slash)),
-                   .adapter = AdapterId(name.substr(slash + 1))};
-}
-
 }  // namespace
 
 Result<ChatCall> ReadChatCall(std::string_view body) {
@@ -109,7 +99,7 @@
   }
   const std::string prompt = PromptOf(root["messages"]);
   const std::size_t prompt_tokens = prompt.size() / kCharsPerToken;
-  return ChatCall{.model = ModelPathOf(root["model"].get<std::string>()),
+  return ChatCall{.model = ParseModelPath(root["model"].get<std::string>()),
                   .tokens = static_cast<double>(prompt_tokens) +
                             static_cast<double>(ValueOf(max_tokens)),
                   .prompt_key = StableHash(
--- a/own_interface/own_wire.cc
+++ b/own_interface/own_wire.cc
@@ -18,7 +18,6 @@
 
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kServicePrefix = "/services/";
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::size_t kMaxIdempotencyKey = 200;
 constexpr std::chrono::milliseconds kShortestTimeout{100};
 constexpr std::chrono::milliseconds kLongestTimeout{600'000};
@@ -51,16 +50,6 @@
   return first->value;
 }
 
-std::string CredentialIn(const std::optional<std::string>& authorization) {
-  if (!authorization ||
-      !IsSameName(authorization->substr(0, kBearer.size()), kBearer)) {
-    return {};
-  }
-  const std::size_t start =
-      authorization->find_first_not_of(' ', kBearer.size());
-  return start == std::string::npos ? "" : authorization->substr(start);
-}
-
 Result<Duration> TimeoutIn(const std::optional<std::string>& text) {
   if (!text) {
     return Duration(kDefaultTimeout);
@@ -163,9 +152,10 @@
   if (!IsOk(is_batch)) {
     return ErrorOf(is_batch);
   }
-  return CallFields{.credential = CredentialIn(ValueOf(authorization)),
-                    .timeout = ValueOf(timeout),
-                    .is_batch = ValueOf(is_batch)};
+  return CallFields{
+      .credential = BearerCredential(FindField(raw.fields, "Authorization")),
+      .timeout = ValueOf(timeout),
+      .is_batch = ValueOf(is_batch)};
 }
 
 }  // namespace
--- a/peering/link_auth.cc
+++ b/peering/link_auth.cc
@@ -1,5 +1,6 @@
 #include "link_auth.h"
 
+#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
@@ -8,8 +9,6 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
-#include "cicadaloft/core/sha256.h"
-
 namespace cicadaloft {
 namespace {
 
@@ -85,8 +84,8 @@
 
 bool IsSameProof(const std::vector<std::uint8_t>& left,
                  const std::vector<std::uint8_t>& right) {
-  return EqualInConstantTime(std::string(left.begin(), left.end()),
-                             std::string(right.begin(), right.end()));
+  return left.size() == right.size() &&
+         CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
 }  // namespace cicadaloft
--- a/peering/link_codec.cc
+++ b/peering/link_codec.cc
@@ -1,5 +1,6 @@
 #include "cicadaloft/peering/link_codec.h"
 
+#include "cicadaloft/codec/cbor.h"
 #include "link_json.h"
 
 namespace cicadaloft {
@@ -13,17 +14,12 @@
 }  // namespace
 
 std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message) {
-  return Json::to_cbor(ToJson(message));
+  return EncodeCbor(message);
 }
 
 Result<PeerMessage> DecodePeerMessage(std::span<const std::uint8_t> bytes) {
-  const Result<Json> json = ParseCbor(bytes, kLinkLimits);
-  if (!IsOk(json)) {
-    return ErrorOf(json);
-  }
-  JsonReader reader;
-  return reader.Finish(FromJson<PeerMessage>(ValueOf(json), reader),
-                       ErrorKind::kMalformedRequest);
+  return DecodeCbor<PeerMessage>(bytes, kLinkLimits,
+                                 ErrorKind::kMalformedRequest);
 }
 
 }  // namespace cicadaloft
--- a/peering/tests/links_test.cc
+++ b/peering/tests/links_test.cc
@@ -49,7 +49,7 @@
         context, [this]() { return this->Collect(); }, asio::detached);
   }
   asio::awaitable<void> Collect() {
-    for (;;) {
+    while (this->channel->is_open()) {
       auto [error, event] = co_await this->channel->async_receive(
           asio::as_tuple(asio::use_awaitable));
       if (error) {
@@ -191,7 +191,7 @@
   const auto pump = [&](tcp::socket& from, tcp::socket& to) {
     return [&from, &to, &is_passing]() -> asio::awaitable<void> {
       std::array<char, 4096> bytes{};
-      for (;;) {
+      while (from.is_open()) {
         const std::size_t count = co_await from.async_read_some(
             asio::buffer(bytes), asio::use_awaitable);
         if (is_passing) {
--- a/placement/tests/placement_test.cc
+++ b/placement/tests/placement_test.cc
@@ -45,8 +45,8 @@
                     .services = {{.id = kService, .engine = engine}}});
 }
 
-/// A runner that keeps the platform's word: one order at a time, the expected
-/// sequence checked when the order takes effect.
+/// A runner that refuses orders while it is busy, and checks the expected
+/// sequence when an order takes effect.
 struct Runner {
   TargetRecord record;
   std::uint64_t sequence = 0;
@@ -64,7 +64,7 @@
   }
 };
 
-/// The decisions with runners, on a virtual clock.
+/// The decisions with runners. Time passes by RunFor() alone.
 class World {
  public:
   explicit World(int runners, int models, double room = 300)
--- a/placement/use_history.cc
+++ b/placement/use_history.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <numbers>
 
+#include "cicadaloft/core/half_life.h"
+
 namespace cicadaloft {
 namespace {
 
@@ -12,9 +13,7 @@
 constexpr Duration kRunningTerm = std::chrono::seconds(3);
 
 double Fade(TimePoint from, TimePoint now) {
-  const std::chrono::duration<double> age = now - from;
-  const std::chrono::duration<double> half = UseHistory::kHalfLife;
-  return std::exp2(-age.count() / half.count());
+  return FadeFactor(now - from, UseHistory::kHalfLife);
 }
 
 }  // namespace
--- a/routing/ejection.cc
+++ b/routing/ejection.cc
@@ -14,7 +14,6 @@
 
 void Ejection::OnFailure(TimePoint now) {
   ++this->failures_in_a_row;
-  this->last_failure = now;
   // Requests that fail together don't double the time.
   if (this->failures_in_a_row < kFailuresToEject || this->IsEjected(now)) {
     return;
@@ -27,7 +26,6 @@
 
 void Ejection::OnOverload(TimePoint now) {
   this->ejected_until = std::max(this->ejected_until, now + kOverloadPause);
-  this->last_failure = now;
 }
 
 void Ejection::OnGoodAnswer() {
@@ -35,12 +33,4 @@
   this->ejections_in_a_row = 0;
 }
 
-void Ejection::Forget() {
-  *this = Ejection();
-}
-
-bool Ejection::IsLastResort(TimePoint now) const {
-  return now - this->last_failure >= kLastResortPause;
-}
-
 }  // namespace cicadaloft
--- a/routing/include/cicadaloft/routing/ejection.h
+++ b/routing/include/cicadaloft/routing/ejection.h
@@ -16,25 +16,17 @@
   static constexpr Duration kLongestBackOff = std::chrono::seconds(30);
   /// A target that refuses for overload rests this long.
   static constexpr Duration kOverloadPause = std::chrono::milliseconds(50);
-  /// Where all targets of a path are ejected, one that failed this long ago is
-  /// tried all the same.
-  static constexpr Duration kLastResortPause = std::chrono::milliseconds(250);
 
   void OnFailure(TimePoint now);
   void OnOverload(TimePoint now);
   void OnGoodAnswer();
-  /// Another process runs there: its predecessor's faults don't count.
-  void Forget();
 
   bool IsEjected(TimePoint now) const { return now < this->ejected_until; }
-  /// @return whether it may be tried although it is ejected.
-  bool IsLastResort(TimePoint now) const;
   TimePoint until() const { return this->ejected_until; }
 
  private:
   std::uint32_t failures_in_a_row = 0;
   std::uint32_t ejections_in_a_row = 0;
-  TimePoint last_failure{};
   TimePoint ejected_until{};
 };
 
--- a/routing/include/cicadaloft/routing/suspect_list.h
+++ b/routing/include/cicadaloft/routing/suspect_list.h
@@ -59,15 +59,6 @@
   bool IsSuspect(std::uint64_t fingerprint, TimePoint now) const;
   bool IsBarred(std::uint64_t fingerprint, TimePoint now) const;
 
-  /// Suspects run one at a time.
-  bool IsRunning(std::uint64_t fingerprint) const {
-    return this->running.contains(fingerprint);
-  }
-  void OnRun(std::uint64_t fingerprint) { this->running.insert(fingerprint); }
-  void OnRunEnded(std::uint64_t fingerprint) {
-    this->running.erase(fingerprint);
-  }
-
  private:
   struct Death {
     TargetId target;
@@ -97,7 +88,6 @@
 
   std::map<std::uint64_t, Record> records;
   std::map<TargetId, std::set<std::uint64_t>> broken_on;
-  std::set<std::uint64_t> running;
   TimePoint cleaned{};
 };
 
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -21,7 +21,8 @@
   /// Takes a newer record over.
   void Update(TargetRecordPtr record, TimePoint now);
 
-  void OnDispatch();
+  /// @param cold_rate as for HasColdRoom().
+  void OnDispatch(double cold_rate, TimePoint now);
   /// A request has ended, however.
   void OnEnd();
   void OnLoad(const TargetLoad& load, TimePoint now);
@@ -36,13 +37,15 @@
   double EstimatedLoad(TimePoint now) const;
   std::uint32_t in_flight() const { return this->own; }
 
-  /// Keeps this host's part of what a cold target tolerates.
-  /// @param rate requests a second that this host may send.
-  /// @return whether one may go now; it is counted if so.
-  bool TryTakeCold(double rate, TimePoint now);
+  /// @param cold_rate requests a second that this host may send while the
+  /// target is cold; 0: no limit.
+  /// @return whether one may go now.
+  bool HasColdRoom(double cold_rate, TimePoint now) const;
   bool IsCold(TimePoint now) const { return now < this->cold_until; }
 
  private:
+  double ColdStock(double cold_rate, TimePoint now) const;
+
   TargetRecordPtr known;
   Ejection ejected;
   std::uint32_t own = 0;
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
+
+#include "cicadaloft/core/half_life.h"
 
 namespace cicadaloft {
 namespace {
 
 /// What a target has told of others' work is half as sure after this time:
 /// about the length of a short answer.
-constexpr double kLoadHalfLifeSeconds = 0.5;
+constexpr Duration kLoadHalfLife = std::chrono::milliseconds(500);
 
 /// Records of coldness are as old as a beat may be late.
 constexpr Duration kColdMargin = std::chrono::milliseconds(500);
@@ -32,8 +33,10 @@
   this->known = std::move(record);
 }
 
-void TargetView::OnDispatch() {
+void TargetView::OnDispatch(double cold_rate, TimePoint now) {
   ++this->own;
+  this->cold_stock = this->ColdStock(cold_rate, now) - 1;
+  this->cold_refilled = now;
 }
 
 void TargetView::OnEnd() {
@@ -47,21 +50,19 @@
 }
 
 double TargetView::EstimatedLoad(TimePoint now) const {
-  const std::chrono::duration<double> age = now - this->told_at;
   return this->own +
-         this->others * std::exp2(-age.count() / kLoadHalfLifeSeconds);
+         this->others * FadeFactor(now - this->told_at, kLoadHalfLife);
+}
+
+bool TargetView::HasColdRoom(double cold_rate, TimePoint now) const {
+  return cold_rate <= 0 || !this->IsCold(now) ||
+         this->ColdStock(cold_rate, now) >= 1;
 }
 
-bool TargetView::TryTakeCold(double rate, TimePoint now) {
+double TargetView::ColdStock(double cold_rate, TimePoint now) const {
   const std::chrono::duration<double> passed = now - this->cold_refilled;
-  this->cold_refilled = now;
-  this->cold_stock =
-      std::min(kColdBurst, this->cold_stock + rate * passed.count());
-  if (this->cold_stock < 1) {
-    return false;
-  }
-  this->cold_stock -= 1;
-  return true;
+  return std::clamp(this->cold_stock + cold_rate * passed.count(), 0.0,
+                    kColdBurst);
 }
 
 }  // namespace cicadaloft
--- a/routing/tests/routing_test.cc
+++ b/routing/tests/routing_test.cc
@@ -190,9 +190,9 @@
 
 BOOST_AUTO_TEST_CASE(AReportIsCorrectedByOwnSendsAndFades) {
   TargetView view = MakeView("t");
-  view.OnDispatch();
+  view.OnDispatch(0, kNow);
   view.OnLoad(TargetLoad{.running = 4, .waiting = 1, .slots = 10}, kNow);
-  view.OnDispatch();
+  view.OnDispatch(0, kNow);
   BOOST_TEST(view.EstimatedLoad(kNow) == 6);
   BOOST_TEST(view.EstimatedLoad(kNow + seconds(10)) < 2.1);
 }
@@ -206,9 +206,15 @@
   BOOST_TEST(!view.IsCold(kNow + seconds(4)));
   int taken = 0;
   for (int i = 0; i < 1000; ++i) {
-    taken += view.TryTakeCold(4, kNow + i * milliseconds(1)) ? 1 : 0;
+    const TimePoint at = kNow + i * milliseconds(1);
+    if (view.HasColdRoom(4, at)) {
+      view.OnDispatch(4, at);
+      ++taken;
+    }
   }
-  BOOST_TEST(taken <= 5);
+  // One at once, and one each quarter of a second.
+  BOOST_TEST(taken == 4);
+  BOOST_TEST(view.HasColdRoom(0, kNow + seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(TheEmptiestTargetIsChosenUnlessItIsFarOrLacksThePrompt) {
@@ -218,7 +224,7 @@
   const TargetWish wish{.near = DataCentreId("dc-near")};
   const auto any = [](const TargetView&) { return true; };
   BOOST_TEST(ChooseTarget(targets, wish, kNow, any) == &near);
-  near.OnDispatch();
+  near.OnDispatch(0, kNow);
   BOOST_TEST(ChooseTarget(targets, wish, kNow, any) == &far);
   const auto none = [](const TargetView&) { return false; };
   BOOST_TEST((ChooseTarget(targets, wish, kNow, none) == nullptr));
--- a/telemetry/decision_log.cc
+++ b/telemetry/decision_log.cc
@@ -15,7 +15,7 @@
 
 DecisionLog::DecisionLog() : log("host") {}
 
-void DecisionLog::Write(const DecisionLine& line) const {
+void DecisionLog::operator()(const DecisionLine& line) const {
   this->log.Event(FormatDecision(line));
 }
 
--- a/telemetry/include/cicadaloft/telemetry/decision_log.h
+++ b/telemetry/include/cicadaloft/telemetry/decision_log.h
@@ -11,12 +11,12 @@
 /// @return the line as members of a JSON object: event, request and fields.
 std::string FormatDecision(const DecisionLine& line);
 
-/// Writes decisions to the log.
+/// Writes decisions to the log; where tasks send their decision lines.
 class DecisionLog {
  public:
   DecisionLog();
 
-  void Write(const DecisionLine& line) const;
+  void operator()(const DecisionLine& line) const;
 
  private:
   Log log;
--- a/telemetry/include/cicadaloft/telemetry/log.h
+++ b/telemetry/include/cicadaloft/telemetry/log.h
@@ -46,10 +46,6 @@
 /// @return the text as a JSON string, with its quotes.
 std::string JsonText(std::string_view text);
 
-/// @return the text with every control character replaced, so that a record
-/// stays on one line whatever a peer has sent.
-std::string OneLine(std::string_view text);
-
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_TELEMETRY_LOG_H_
--- a/telemetry/log.cc
+++ b/telemetry/log.cc
@@ -137,14 +137,4 @@
   return quoted + '"';
 }
 
-std::string OneLine(std::string_view text) {
-  constexpr unsigned char kFirstPrintable = 0x20;
-  constexpr unsigned char kDelete = 0x7f;
-  std::string line(text);
-  std::ranges::replace_if(
-      line, [](unsigned char c) { return c < kFirstPrintable || c == kDelete; },
-      ' ');
-  return line;
-}
-
 }  // namespace cicadaloft
--- a/telemetry/tests/telemetry_test.cc
+++ b/telemetry/tests/telemetry_test.cc
@@ -58,9 +58,9 @@
   Capture capture;
   const LogSession session("info", capture.output);
   const DecisionLog log;
-  log.Write(DecisionLine{.reason = "route.dispatch",
-                         .request = RequestId("r1"),
-                         .fields = {{"target", "t1"}, {"waited_ms", 7}}});
+  log(DecisionLine{.reason = "route.dispatch",
+                   .request = RequestId("r1"),
+                   .fields = {{"target", "t1"}, {"waited_ms", 7}}});
   const auto line = nlohmann::json::parse(capture.Text());
   BOOST_TEST(line["event"] == "route.dispatch");
   BOOST_TEST(line["request"] == "r1");
