--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -47,9 +47,7 @@
   if (this->rate <= 0) {
     return kLongestWait;
   }
-  const std::chrono::duration<double> wait(missing / this->rate);
-  return std::min<Duration>(kLongestWait,
-                            std::chrono::duration_cast<Duration>(wait));
+  return std::min<Duration>(kLongestWait, FromSeconds(missing / this->rate));
 }
 
 void CustomerShare::Refill(TimePoint now) {
--- a/admission/include/cicadaloft/admission/fair_queue.h
+++ b/admission/include/cicadaloft/admission/fair_queue.h
@@ -92,13 +92,6 @@
   }
 
   std::size_t size() const { return this->count; }
-  /// @return customers that have items waiting.
-  std::size_t CustomerCount() const { return this->flows.size(); }
-  /// @return items of one customer.
-  std::size_t SizeOf(const CustomerId& customer) const {
-    const auto found = this->index.find(customer);
-    return found == this->index.end() ? 0 : found->second->waiting.size();
-  }
 
  private:
   struct Entry {
--- a/core/include/cicadaloft/core/time.h
+++ b/core/include/cicadaloft/core/time.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_CORE_TIME_H_
 #define CICADALOFT_CORE_TIME_H_
 
+#include <algorithm>
 #include <chrono>
 
 namespace cicadaloft {
@@ -13,6 +14,27 @@
 
 using TimePoint = std::chrono::time_point<NodeClock, Duration>;
 
+/// Times from outside beyond this mean nothing; within it sums cannot overflow.
+inline constexpr std::chrono::duration<double> kLongestTime =
+    std::chrono::hours(24 * 365);
+
+/// @param time finite; of whatever size.
+/// @return the time, but at most kLongestTime either way.
+inline Duration ToDuration(std::chrono::duration<double> time) {
+  return std::chrono::duration_cast<Duration>(
+      std::clamp(time, -kLongestTime, kLongestTime));
+}
+
+/// @param count seconds; finite.
+inline Duration FromSeconds(double count) {
+  return ToDuration(std::chrono::duration<double>(count));
+}
+
+/// @param count milliseconds; finite.
+inline Duration FromMilliseconds(double count) {
+  return ToDuration(std::chrono::duration<double, std::milli>(count));
+}
+
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_CORE_TIME_H_
--- a/forwarding/tests/entry_fixture.h
+++ b/forwarding/tests/entry_fixture.h
@@ -139,6 +139,17 @@
     BOOST_REQUIRE(ended);
   }
 
+  /// @return the answer to one request on a connection of its own.
+  TestCaller::Answer AnswerTo(const std::string& request) {
+    TestCaller::Answer answer;
+    this->Run([&]() -> boost::asio::awaitable<void> {
+      auto caller = co_await this->Caller();
+      co_await caller.Write(request);
+      answer = co_await caller.Read();
+    });
+    return answer;
+  }
+
   /// Waits until `is_met`, looking again after each short while.
   template <typename P>
   boost::asio::awaitable<void> Until(P is_met) {
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -42,19 +42,15 @@
 BOOST_AUTO_TEST_CASE(RefusalIsAProblemAnswer) {
   EntryFixture entry;
   entry.plan->refuses = true;
-  entry.Run([&]() -> awaitable<void> {
-    auto caller = co_await entry.Caller();
-    co_await caller.Write(ServiceGet("/"));
-    const auto answer = co_await caller.Read();
-    BOOST_TEST(answer.result_int() == 429);
-    BOOST_TEST(answer["Retry-After"] == "2");
-    BOOST_TEST(answer["Content-Type"] == "application/problem+json");
-    const auto body = nlohmann::json::parse(answer.body());
-    BOOST_TEST(body["kind"] == "rate_limited");
-    BOOST_TEST(body["run_state"] == "not run");
-    BOOST_TEST(body["request_id"] == std::string(answer["X-Request-Id"]));
-    BOOST_TEST(!body["advice"].empty());
-  });
+  const auto answer = entry.AnswerTo(ServiceGet("/"));
+  BOOST_TEST(answer.result_int() == 429);
+  BOOST_TEST(answer["Retry-After"] == "2");
+  BOOST_TEST(answer["Content-Type"] == "application/problem+json");
+  const auto body = nlohmann::json::parse(answer.body());
+  BOOST_TEST(body["kind"] == "rate_limited");
+  BOOST_TEST(body["run_state"] == "not run");
+  BOOST_TEST(body["request_id"] == std::string(answer["X-Request-Id"]));
+  BOOST_TEST(!body["advice"].empty());
 }
 
 BOOST_AUTO_TEST_CASE(ChunksArePassedOnAsTheyCome) {
@@ -129,25 +125,17 @@
 BOOST_AUTO_TEST_CASE(ConnectionRefusedIsNotSent) {
   EntryFixture entry;
   entry.plan->address = UnusedAddress(entry.context);
-  entry.Run([&]() -> awaitable<void> {
-    auto caller = co_await entry.Caller();
-    co_await caller.Write(ServiceGet("/"));
-    const auto answer = co_await caller.Read();
-    BOOST_TEST(answer.result_int() == 503);
-  });
+  const auto answer = entry.AnswerTo(ServiceGet("/"));
+  BOOST_TEST(answer.result_int() == 503);
   BOOST_TEST((entry.Outcomes() == Outcomes{kNotSent}));
 }
 
 BOOST_AUTO_TEST_CASE(CloseBeforeTheAnswerIsDiedUnstarted) {
   EntryFixture entry;
   entry.target.scripts.push_back({.after = After::kClose});
-  entry.Run([&]() -> awaitable<void> {
-    auto caller = co_await entry.Caller();
-    co_await caller.Write(ServiceGet("/"));
-    const auto answer = co_await caller.Read();
-    BOOST_TEST(answer.result_int() == 502);
-    BOOST_TEST(nlohmann::json::parse(answer.body())["run_state"] == "unknown");
-  });
+  const auto answer = entry.AnswerTo(ServiceGet("/"));
+  BOOST_TEST(answer.result_int() == 502);
+  BOOST_TEST(nlohmann::json::parse(answer.body())["run_state"] == "unknown");
   BOOST_TEST((entry.Outcomes() == Outcomes{kDiedUnstarted}));
 }
 
@@ -161,12 +149,8 @@
       {.pieces = {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
                   "Content-Length: 4\r\n\r\n",
                   "full"}});
-  entry.Run([&]() -> awaitable<void> {
-    auto caller = co_await entry.Caller();
-    co_await caller.Write(ChatPost());
-    const auto answer = co_await caller.Read();
-    BOOST_TEST(answer.result_int() == 502);
-  });
+  const auto answer = entry.AnswerTo(ChatPost());
+  BOOST_TEST(answer.result_int() == 502);
   BOOST_TEST((entry.Outcomes() == Outcomes{kNotLoaded, kShed}));
   BOOST_TEST(entry.plan->All<AttemptStarted>().empty());
   BOOST_TEST(entry.target.connections == 1);
@@ -176,13 +160,9 @@
   EntryFixture entry;
   entry.target.scripts.push_back(
       {.pieces = {"HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nother"}});
-  entry.Run([&]() -> awaitable<void> {
-    auto caller = co_await entry.Caller();
-    co_await caller.Write(ChatPost());
-    const auto answer = co_await caller.Read();
-    BOOST_TEST(answer.result_int() == 404);
-    BOOST_TEST(answer.body() == "other");
-  });
+  const auto answer = entry.AnswerTo(ChatPost());
+  BOOST_TEST(answer.result_int() == 404);
+  BOOST_TEST(answer.body() == "other");
 }
 
 BOOST_AUTO_TEST_CASE(LateAnswerDiesWithItsConnection) {
--- a/settings/include/cicadaloft/settings/settings_reader.h
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -51,30 +51,18 @@
   bool FlagOr(std::string_view field, bool fallback);
   /// @return an "IPv4:port" that stands in no other field.
   std::string Address(std::string_view field);
-  /// @return an "IPv4:port" that may be that of the field `twin`.
-  /// @param twin the field whose address is taken if this one is left out.
-  std::string AddressOr(std::string_view field, std::string_view twin);
-  /// @return a shared secret, from `field` or from the file that the field
-  /// `<field>_file` names; exactly one of them must be there.
-  std::string Secret(std::string_view field);
 
   /// Call it after all fields have been asked for.
   /// @return kSettingsInvalid with the first error as one line that names the
   /// file, the field and what was expected; also for a field nobody asked for.
   Result<Done> Finish();
 
-  /// Shortest secret, in bytes.
-  static constexpr std::size_t kMinSecretBytes = 16;
-
  private:
   struct Document;
   explicit SettingsReader(std::unique_ptr<Document> document);
 
   void Expect(std::string_view field, std::string_view expected);
   std::optional<std::string> FindText(std::string_view field);
-  std::string TakeAddress(std::string_view field,
-                          const std::string& text,
-                          std::string_view twin);
 
   std::unique_ptr<Document> document;
 };
--- a/settings/settings_reader.cc
+++ b/settings/settings_reader.cc
@@ -270,19 +270,7 @@
 }
 
 std::string SettingsReader::Address(std::string_view field) {
-  return this->TakeAddress(field, this->Text(field), "");
-}
-
-std::string SettingsReader::AddressOr(std::string_view field,
-                                      std::string_view twin) {
-  const json* const value = this->document->Find(field);
-  return this->TakeAddress(
-      field, value == nullptr ? this->Text(twin) : this->Text(field), twin);
-}
-
-std::string SettingsReader::TakeAddress(std::string_view field,
-                                        const std::string& text,
-                                        std::string_view twin) {
+  const std::string text = this->Text(field);
   const Result<SocketAddress> address = ParseSocketAddress(text);
   if (!IsOk(address)) {
     this->Expect(field, "an IPv4 address and port such as \"127.0.0.1:7101\"");
@@ -294,34 +282,12 @@
   }
   const auto [entry, is_new] =
       this->document->fields_of_addresses.try_emplace(text, field);
-  if (!is_new && entry->second != twin) {
+  if (!is_new) {
     this->Expect(field, "another address than \"" + entry->second + "\" has");
   }
   return text;
 }
 
-std::string SettingsReader::Secret(std::string_view field) {
-  const std::string file_field = std::string(field) + "_file";
-  const std::optional<std::string> in_place = this->FindText(field);
-  const std::optional<std::string> path = this->FindText(file_field);
-  if (in_place.has_value() == path.has_value()) {
-    this->Expect(field, "exactly one of it and \"" + file_field + "\"");
-    return "";
-  }
-  const std::optional<std::string> read = path ? ReadFile(*path) : in_place;
-  if (!read) {
-    this->Expect(file_field, "the path of a readable file");
-    return "";
-  }
-  const std::string secret =
-      read->substr(0, read->find_last_not_of(" \t\r\n") + 1);
-  if (secret.size() < kMinSecretBytes) {
-    this->Expect(path ? file_field : field,
-                 "at least " + std::to_string(kMinSecretBytes) + " bytes");
-  }
-  return secret;
-}
-
 Result<Done> SettingsReader::Finish() {
   const auto unknown =
       FindUnknown(this->document->root, "", this->document->asked);
--- a/settings/tests/settings_test.cc
+++ b/settings/tests/settings_test.cc
@@ -65,29 +65,11 @@
     reader.Address("listen");
     BOOST_TEST(Verdict(reader).starts_with("s.json: listen: expected an IPv4"));
   }
-  SettingsReader reader =
-      Read(R"({"a": "127.0.0.1:1", "b": "127.0.0.1:1", "c": "127.0.0.1:1"})");
+  SettingsReader reader = Read(R"({"a": "127.0.0.1:1", "b": "127.0.0.1:1"})");
   reader.Address("a");
-  BOOST_TEST(reader.AddressOr("b", "a") == "127.0.0.1:1");
-  reader.Address("c");
+  reader.Address("b");
   BOOST_TEST(Verdict(reader) ==
-             "s.json: c: expected another address than \"a\" has");
-}
-
-BOOST_AUTO_TEST_CASE(ASecretStandsInPlaceOrInAFile) {
-  SettingsReader neither = Read("{}");
-  neither.Secret("secret");
-  BOOST_TEST(Verdict(neither).starts_with("s.json: secret: expected exactly"));
-  SettingsReader shorter = Read(R"({"secret": "short"})");
-  shorter.Secret("secret");
-  BOOST_TEST(Verdict(shorter).starts_with("s.json: secret: expected at least"));
-  const std::string path = std::filesystem::temp_directory_path() /
-                           ("settings_test." + std::to_string(getpid()));
-  std::ofstream(path) << "0123456789abcdef\n";
-  SettingsReader file = Read(R"({"secret_file": ")" + path + R"("})");
-  BOOST_TEST(file.Secret("secret") == "0123456789abcdef");
-  std::filesystem::remove(path);
-  BOOST_TEST(Verdict(file) == "ok");
+             "s.json: b: expected another address than \"a\" has");
 }
 
 BOOST_AUTO_TEST_CASE(AMissingOrBrokenFileIsNamed) {
--- a/telemetry/include/cicadaloft/telemetry/log.h
+++ b/telemetry/include/cicadaloft/telemetry/log.h
@@ -31,7 +31,6 @@
  public:
   explicit Log(std::string component);
 
-  void Debug(std::string_view text) const;
   void Info(std::string_view text) const;
   void Warn(std::string_view text) const;
   void Error(std::string_view text) const;
--- a/telemetry/log.cc
+++ b/telemetry/log.cc
@@ -93,11 +93,6 @@
 
 Log::Log(std::string component) : component(std::move(component)) {}
 
-void Log::Debug(std::string_view text) const {
-  Write(this->component, log4cplus::DEBUG_LOG_LEVEL,
-        "\"message\":" + JsonText(text));
-}
-
 void Log::Info(std::string_view text) const {
   Write(this->component, log4cplus::INFO_LOG_LEVEL,
         "\"message\":" + JsonText(text));
--- a/telemetry/tests/telemetry_test.cc
+++ b/telemetry/tests/telemetry_test.cc
@@ -42,9 +42,9 @@
 
 BOOST_AUTO_TEST_CASE(ARecordIsOneJsonObjectALine) {
   Capture capture;
-  const LogSession session("info", capture.output);
+  const LogSession session("warn", capture.output);
   Log("links").Warn("peer\nsaid \"no\"");
-  Log("links").Debug("unseen");
+  Log("links").Info("unseen");
   const std::string text = capture.Text();
   BOOST_TEST(std::ranges::count(text, '\n') == 1);
   const auto line = nlohmann::json::parse(text);
