Pace shares within the window, and let the lease's record tell what is spent

Ruled out: grants (shares added up). Change: three tenths of a share may be spent at once, the rest comes evenly; the record of the lease lists what hosts have spent of the limits, and a process that comes back holds its part of that back for a window. AProcessThatComesBackStaysNearTheLimit fails without it.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -5,6 +5,13 @@
 #include <ranges>
 
 namespace cicadaloft {
+namespace {
+
+/// Part of a window's share that may be spent at once, if the burst is not
+/// more.
+constexpr double kAtOncePart = 0.3;
+
+}  // namespace
 
 double CustomerLimit::Allowed() const {
   const std::chrono::duration<double> seconds = this->window;
@@ -13,22 +20,31 @@
 
 void CustomerShare::Set(const CustomerLimit& new_limit,
                         double share,
-                        double new_credit) {
+                        double new_credit,
+                        TimePoint now) {
+  this->Refill(now);
   this->limit = new_limit;
   this->part = share;
   this->credit = new_credit;
   this->most = new_limit.Allowed() * share;
+  if (this->is_new && this->most > 0) {
+    this->is_new = false;
+    this->at_once = this->MostAtOnce() * (1 - this->spent_before);
+  }
+  this->at_once = std::min(this->at_once, this->MostAtOnce());
 }
 
 bool CustomerShare::TryTake(double cost, TimePoint now) {
   this->Forget(now);
-  const double left =
-      this->most - this->HeldBack(now) + this->credit - this->spent;
-  if (this->most <= 0 || left < std::min(cost, this->most)) {
+  this->Refill(now);
+  const bool has_window = this->WindowWait(cost, now) == Duration::zero();
+  const bool has_pace = this->PaceWait(cost) == Duration::zero();
+  if (this->most <= 0 || !has_window || !has_pace) {
     return false;
   }
   this->expenses.push_back(Expense{.at = now, .cost = cost});
   this->spent += cost;
+  this->at_once -= cost;
   return true;
 }
 
@@ -38,42 +54,77 @@
   const auto found = std::ranges::find(same_time, cost, &Expense::cost);
   if (found != same_time.end()) {
     this->spent -= cost;
+    this->at_once = std::min(this->MostAtOnce(), this->at_once + cost);
     this->expenses.erase(found);
   }
 }
 
 Duration CustomerShare::TimeUntil(double cost, TimePoint now) {
   this->Forget(now);
+  this->Refill(now);
   if (this->most <= 0) {
     return kLongestWait;
   }
-  const double needed = std::min(cost, this->most) - this->credit;
-  double still_spent = this->spent;
-  TimePoint at = now;
-  Duration shortest = kLongestWait;
-  const auto consider = [&] {
-    // What is held back for a process before this one falls to this.
-    const double free_part = (needed + still_spent) / this->most;
-    if (free_part <= 1) {
-      const TimePoint released =
-          this->is_first ? at
-                         : this->began + std::chrono::duration_cast<Duration>(
-                                             this->limit.window * free_part);
-      shortest = std::min(shortest, std::max(at, released) - now);
-    }
-  };
-  consider();
+  return std::max(this->WindowWait(cost, now), this->PaceWait(cost));
+}
+
+double CustomerShare::MostAtOnce() const {
+  return std::max(this->most * kAtOncePart, this->limit.burst * this->part);
+}
+
+// How long until enough has left the window.
+Duration CustomerShare::WindowWait(double cost, TimePoint now) const {
+  const double needed = std::min(cost, this->most);
+  double excess = this->spent + needed - this->most - this->credit;
+  if (excess + this->HeldBack(now) <= 0) {
+    return Duration::zero();
+  }
   for (const Expense& expense : this->expenses) {
-    still_spent -= expense.cost;
-    at = expense.at + this->limit.window;
-    consider();
+    excess -= expense.cost;
+    const TimePoint gone = expense.at + this->limit.window;
+    if (excess + this->HeldBack(gone) <= 0) {
+      return gone - now;
+    }
+  }
+  return std::max(Duration::zero(), this->began + this->limit.window - now);
+}
+
+Duration CustomerShare::PaceWait(double cost) const {
+  const double needed = std::min(cost, this->MostAtOnce());
+  const double missing = needed - this->credit - this->at_once;
+  if (missing <= 0) {
+    return Duration::zero();
+  }
+  return std::min<Duration>(kLongestWait, FromSeconds(missing / this->Pace()));
+}
+
+// What comes in a second.
+double CustomerShare::Pace() const {
+  const std::chrono::duration<double> window = this->limit.window;
+  return this->most / window.count();
+}
+
+// When in the window it was spent is not known, so that it counts for a whole
+// one.
+double CustomerShare::HeldBack(TimePoint now) const {
+  return now - this->began < this->limit.window
+             ? this->most * this->spent_before
+             : 0;
+}
+
+void CustomerShare::Refill(TimePoint now) {
+  const std::chrono::duration<double> passed = now - this->refilled;
+  if (passed.count() > 0) {
+    this->at_once = std::min(this->MostAtOnce(),
+                             this->at_once + this->Pace() * passed.count());
+    this->refilled = now;
   }
-  return std::max(Duration::zero(), shortest);
 }
 
 double CustomerShare::PartInUse(TimePoint now) {
   const double allowed = this->limit.Allowed();
-  const double uncredited = this->Spent(now) - this->credit;
+  const double uncredited =
+      this->Spent(now) + this->HeldBack(now) - this->credit;
   return allowed <= 0 ? 0 : std::clamp(uncredited / allowed, 0.0, 1.0);
 }
 
@@ -94,14 +145,4 @@
   }
 }
 
-// What the process before may have spent in the window.
-double CustomerShare::HeldBack(TimePoint now) const {
-  if (this->is_first || now - this->began >= this->limit.window) {
-    return 0;
-  }
-  const std::chrono::duration<double> passed = now - this->began;
-  const std::chrono::duration<double> whole = this->limit.window;
-  return this->most * (1 - passed / whole);
-}
-
 }  // namespace cicadaloft
--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -26,18 +26,26 @@
 /// One host's part of a customer's limit: it spends at most its share of what
 /// the limit allows in any window. Shares that add up to at most 1 over all
 /// hosts keep the limit without a message for each request.
+///
+/// Within the window it is paced: part of the share may be spent at once, the
+/// rest comes evenly. So a customer that asks for more is served all the time,
+/// and a process that dies has not spent a whole window's share just before.
 class CustomerShare {
  public:
-  /// @param is_first whether nothing can have been spent before. A process that
-  /// comes back does not know what the one before spent: it begins as if all
-  /// had been, evenly over the window.
-  CustomerShare(bool is_first, TimePoint now)
-      : is_first(is_first), began(now) {}
+  /// @param began when the process began.
+  explicit CustomerShare(TimePoint began) : began(began), refilled(began) {}
+
+  /// Holds back for a window what the process before may have spent.
+  /// @param spent the part of the limit, from 0 to 1.
+  void SetSpentBefore(double spent) { this->spent_before = spent; }
 
   /// Sets the limit and this host's share of it.
   /// @param share from 0 to 1.
   /// @param credit what may be spent beyond it.
-  void Set(const CustomerLimit& limit, double share, double credit);
+  void Set(const CustomerLimit& limit,
+           double share,
+           double credit,
+           TimePoint now);
 
   /// Spends `cost` if the window has as much left. A cost above the whole share
   /// needs an unused one, so that large requests are not shut out.
@@ -66,14 +74,23 @@
   };
 
   void Forget(TimePoint now);
+  void Refill(TimePoint now);
   double HeldBack(TimePoint now) const;
+  double MostAtOnce() const;
+  double Pace() const;
+  Duration PaceWait(double cost) const;
+  Duration WindowWait(double cost, TimePoint now) const;
 
-  bool is_first;
   TimePoint began;
+  double spent_before = 0;
+  bool is_new = true;
   CustomerLimit limit;
   double part = 0;
   double most = 0;  ///< To spend in a window.
   double credit = 0;
+  double at_once =
+      0;  ///< What the pace allows now; below 0 after a large cost.
+  TimePoint refilled;
   double spent = 0;
   std::deque<Expense> expenses;  ///< Of the window, the oldest first.
 };
--- /dev/null
+++ b/admission/include/cicadaloft/admission/share_json.h
@@ -0,0 +1,25 @@
+#ifndef CICADALOFT_ADMISSION_SHARE_JSON_H_
+#define CICADALOFT_ADMISSION_SHARE_JSON_H_
+
+#include <tuple>
+
+#include "cicadaloft/admission/share_messages.h"
+#include "cicadaloft/codec/json_containers.h"
+
+namespace cicadaloft {
+
+template <>
+inline constexpr auto kJsonFields<GrantedShare> =
+    std::tuple(Required("customer", &GrantedShare::customer),
+               Required("share", &GrantedShare::share));
+template <>
+inline constexpr bool kIsJsonRow<GrantedShare> = true;
+
+template <>
+inline constexpr auto kJsonFields<SpentLimits> =
+    std::tuple(Required("listed", &SpentLimits::listed),
+               Required("others", &SpentLimits::others));
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_ADMISSION_SHARE_JSON_H_
--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -33,7 +33,11 @@
   /// taken to use its even part.
   /// @param hosts_before hosts that the earlier holder knew; 0: there was none.
   /// @param silent_for how long that holder can't have granted anything.
-  void Begin(std::uint32_t hosts_before, Duration silent_for, TimePoint now);
+  /// @param spent what that holder told to be spent.
+  void Begin(std::uint32_t hosts_before,
+             Duration silent_for,
+             SpentLimits spent,
+             TimePoint now);
   void OnReport(const DemandReported& report, TimePoint now);
 
   /// Divides the customers' limits anew.
@@ -42,6 +46,9 @@
       const std::vector<CustomerId>& customers,
       TimePoint now);
 
+  /// @return what hosts have spent of customers' limits in the window.
+  SpentLimits Spent(TimePoint now) const;
+
   /// @return hosts that may take requests; at least 1.
   std::uint32_t HostCount(TimePoint now) const;
 
@@ -58,6 +65,7 @@
     std::deque<Grant> grants;
     /// What it uses, or has spent in the window, by its last report.
     std::map<CustomerId, double> held;
+    std::map<CustomerId, double> spent;  ///< By its last report.
   };
 
   double ToldPart(TimePoint now) const;
@@ -74,6 +82,7 @@
   std::uint64_t last_number = 0;
   std::uint32_t expected_hosts = 0;
   TimePoint began{};
+  SpentLimits spent_before;
   TimePoint lapsed_at{};  ///< When what an earlier holder granted has lapsed.
 };
 
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -19,6 +19,18 @@
   friend bool operator==(const GrantedShare&, const GrantedShare&) = default;
 };
 
+/// How much of customers' limits all hosts have spent in the window.
+struct SpentLimits {
+  std::vector<GrantedShare> listed;
+  double others = 1;  ///< At most so much for customers that are not listed.
+
+  /// @return the customer's part, from 0 to 1.
+  double PartOf(const CustomerId& customer) const;
+
+  friend auto operator<=>(const SpentLimits&, const SpentLimits&) = default;
+  friend bool operator==(const SpentLimits&, const SpentLimits&) = default;
+};
+
 /// What a host's callers have asked for of one customer's limit.
 struct CustomerDemand {
   CustomerId customer;
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <ranges>
+#include <utility>
 
 #include "cicadaloft/core/half_life.h"
 
@@ -17,12 +19,25 @@
 /// margin covers a message's way.
 constexpr Duration kMargin = std::chrono::milliseconds(500);
 
+/// What is spent is told for so many customers, those that have spent most.
+constexpr std::size_t kMostListed = 64;
+/// Parts below it are not told: they may double until the next record.
+constexpr double kLeastSpent = 0.25;
+
 }  // namespace
 
+double SpentLimits::PartOf(const CustomerId& customer) const {
+  const auto found =
+      std::ranges::find(this->listed, customer, &GrantedShare::customer);
+  return found == this->listed.end() ? this->others : found->share;
+}
+
 void ShareLedger::Begin(std::uint32_t hosts_before,
                         Duration silent_for,
+                        SpentLimits spent,
                         TimePoint now) {
   this->hosts.clear();
+  this->spent_before = std::move(spent);
   this->began = now;
   this->expected_hosts = hosts_before;
   this->lapsed_at = now + kGrantTerm + kMargin - silent_for;
@@ -37,8 +52,10 @@
   for (auto& [customer, cost] : host.demand) {
     cost *= fade;
   }
+  host.spent.clear();
   for (const CustomerDemand& demand : report.demands) {
     host.demand[demand.customer] += demand.cost;
+    host.spent[demand.customer] = demand.in_use;
   }
   host.heard_at = now;
   host.held.clear();
@@ -94,6 +111,40 @@
   return granted;
 }
 
+SpentLimits ShareLedger::Spent(TimePoint now) const {
+  std::map<CustomerId, double> sums;
+  if (now - this->began < this->limit_window) {
+    for (const GrantedShare& spent : this->spent_before.listed) {
+      sums[spent.customer] = spent.share;
+    }
+  }
+  std::map<CustomerId, double> told;
+  for (const auto& [id, host] : this->hosts) {
+    for (const auto& [customer, part] : host.spent) {
+      told[customer] += part * this->InWindow(host.heard_at, now);
+    }
+  }
+  for (const auto& [customer, part] : told) {
+    double& sum = sums[customer];
+    sum = std::clamp(part, sum, 1.0);
+  }
+  std::vector<GrantedShare> listed;
+  for (const auto& [customer, part] : sums) {
+    listed.push_back(GrantedShare{.customer = customer, .share = part});
+  }
+  std::ranges::sort(listed, std::greater(), &GrantedShare::share);
+  SpentLimits spent{.others = kLeastSpent};
+  if (listed.size() > kMostListed) {
+    spent.others = std::max(kLeastSpent, listed[kMostListed].share);
+    listed.resize(kMostListed);
+  }
+  std::erase_if(listed, [&](const GrantedShare& part) {
+    return part.share <= spent.others;
+  });
+  spent.listed = std::move(listed);
+  return spent;
+}
+
 std::uint32_t ShareLedger::HostCount(TimePoint now) const {
   const auto known = static_cast<std::uint32_t>(this->hosts.size());
   const std::uint32_t expected =
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -23,8 +23,11 @@
   // that they are few.
   this->lease.SetHosts(std::max({this->ledger.HostCount(this->now),
                                  this->hosts_before, this->known_hosts}));
+  this->lease.SetSpent(this->is_acting ? this->ledger.Spent(this->now)
+                                       : this->spent_before);
   auto step = Decide(std::move(this->lease), event, this->now);
   this->lease = std::move(step.state);
+  this->NoteSpentBefore();
   for (const LeaseEffect& effect : step.effects) {
     std::visit(
         Overloaded{
@@ -47,7 +50,7 @@
                                    this->is_own_machine_before
                                        ? Duration::zero()
                                        : this->lease_settings.holder_gap,
-                                   this->now);
+                                   this->spent_before, this->now);
                 this->FeedPlacement(PlacementBegins{.token = right.token});
               }
             },
@@ -166,6 +169,20 @@
              : kUnknownHosts;
 }
 
+// The newest record when this process first reads the log tells of the time
+// before it.
+void ControlState::NoteSpentBefore() {
+  const auto& last = this->lease.last();
+  if (!last || last->record.secret == this->lease_settings.secret) {
+    return;
+  }
+  this->spent_before = last->record.spent;
+  if (!this->spent_before_start) {
+    this->spent_before_start = last->record.spent;
+    this->TellShares();
+  }
+}
+
 double ControlState::ReservedShare() const {
   return kReservedPart / this->KnownHosts();
 }
@@ -175,6 +192,9 @@
   const std::uint32_t hosts = this->KnownHosts();
   const double reserved = this->ReservedShare();
   SharesChanged shares{.hosts = hosts, .usual_share = reserved};
+  if (this->spent_before_start) {
+    shares.spent_before = *this->spent_before_start;
+  }
   if (this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm) {
     for (const GrantedShare& share : this->granted.customers) {
       shares.customers.push_back(GrantedShare{.customer = share.customer,
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -66,6 +66,7 @@
       const std::vector<CustomerDemand>& demands) const;
   std::uint32_t KnownHosts() const;
   double ReservedShare() const;
+  void NoteSpentBefore();
   void TellShares();
   void TellFleet();
   void TellEvacuations();
@@ -88,6 +89,9 @@
   LeaseState lease;
   std::optional<HostId> holder;    ///< As the lease's log tells.
   std::uint32_t hosts_before = 0;  ///< That the holder before this one knew.
+  SpentLimits spent_before;        ///< As that holder told.
+  /// As the first record that this process has read told.
+  std::optional<SpentLimits> spent_before_start;
   bool is_own_machine_before = false;  ///< An earlier process of this host.
   TimePoint right_until{};             ///< When the right to act ends.
   bool is_acting = false;              ///< Placement has been told to begin.
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -195,9 +195,7 @@
     return found->second;
   }
   CustomerShare& share =
-      this->customer_shares
-          .emplace(customer.id,
-                   CustomerShare(this->settings.is_first_start, this->now))
+      this->customer_shares.emplace(customer.id, CustomerShare(this->began))
           .first->second;
   this->SetShare(customer, share);
   return share;
@@ -220,15 +218,19 @@
   // What all hosts together may be over, each its part, so that a request is
   // not refused for where its customer's share lies. The rest is left for hosts
   // that come and go.
-  constexpr double kCreditPart = 0.3;
+  constexpr double kCreditPart = 0.2;
   const CustomerLimit limit{.rate_per_second = customer.rate_per_second,
                             .burst = customer.burst,
                             .window = this->settings.limit_window};
   const double tolerated =
       limit.Allowed() * this->settings.limit_overshoot +
       (customer.counts_tokens ? this->settings.limit_slack : 0);
+  share.SetSpentBefore(this->settings.is_first_start
+                           ? 0
+                           : this->shares.spent_before.PartOf(customer.id));
   share.Set(limit, part,
-            tolerated * kCreditPart / std::max(1U, this->shares.hosts));
+            tolerated * kCreditPart / std::max(1U, this->shares.hosts),
+            this->now);
 }
 
 std::optional<Duration> EntryCore::RetryAfter(const OpenRequest& request,
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -44,7 +44,10 @@
   void Take(const EntryTick& tick);
   void Take(const EntryStopRequested& stop);
 
-  void SetNow(TimePoint time) { this->now = time; }
+  void SetNow(TimePoint time) {
+    this->now = time;
+    this->began = this->began == TimePoint{} ? time : this->began;
+  }
   std::vector<EntryEffect> TakeEffects() {
     return std::exchange(this->effects, {});
   }
@@ -126,6 +129,7 @@
 
   const EntrySettings settings;
   TimePoint now{};
+  TimePoint began{};  ///< When the first event came.
   std::vector<EntryEffect> effects;
 
   ActiveConfigurationPtr configuration;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -148,6 +148,8 @@
   std::uint32_t hosts = 1;  ///< That take requests.
   double usual_share = 0;   ///< For customers that are not listed.
   std::vector<GrantedShare> customers;
+  /// Before this process began.
+  SpentLimits spent_before;
 
   friend auto operator<=>(const SharesChanged&, const SharesChanged&) = default;
   friend bool operator==(const SharesChanged&, const SharesChanged&) = default;
--- a/lease/include/cicadaloft/lease/messages.h
+++ b/lease/include/cicadaloft/lease/messages.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/admission/share_messages.h"
 #include "cicadaloft/core/decision_line.h"
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
@@ -23,6 +24,8 @@
   FencingToken token;   ///< 0 in the record that begins a tenure.
   bool is_released = false;
   std::uint32_t hosts = 1;  ///< That the holder knows to take requests.
+  /// For hosts that come back and do not know what they have spent.
+  SpentLimits spent;
 
   friend auto operator<=>(const LeaseRecord&, const LeaseRecord&) = default;
   friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
--- a/lease/lease_codec.cc
+++ b/lease/lease_codec.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cicadaloft/admission/share_json.h"
 #include "cicadaloft/codec/cbor.h"
 #include "cicadaloft/codec/json_containers.h"
 
@@ -16,13 +17,15 @@
                Required("secret", &LeaseRecord::secret),
                Required("token", &LeaseRecord::token),
                Required("is_released", &LeaseRecord::is_released),
-               Required("hosts", &LeaseRecord::hosts));
+               Required("hosts", &LeaseRecord::hosts),
+               Required("spent", &LeaseRecord::spent));
 
 namespace {
 
-constexpr JsonLimits kLimits{.max_bytes = 4096,
-                             .max_depth = 4,
-                             .max_values = 64};
+// Room for the customers that a ledger lists.
+constexpr JsonLimits kLimits{.max_bytes = 16384,
+                             .max_depth = 8,
+                             .max_values = 512};
 
 }  // namespace
 
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -229,7 +229,8 @@
                                            .secret = this->settings.secret,
                                            .token = this->own_token,
                                            .is_released = is_release,
-                                           .hosts = this->hosts}};
+                                           .hosts = this->hosts,
+                                           .spent = this->spent}};
   this->is_calling = true;
   this->last_try = this->now;
   // A repeat may be found in the log as the first try that it repeats, so the
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "cicadaloft/admission/share_json.h"
 #include "cicadaloft/codec/json_containers.h"
 #include "cicadaloft/peering/messages.h"
 
@@ -37,13 +38,6 @@
 template <>
 inline constexpr bool kIsJsonRow<CustomerDemand> = true;
 
-template <>
-inline constexpr auto kJsonFields<GrantedShare> =
-    std::tuple(Required("customer", &GrantedShare::customer),
-               Required("share", &GrantedShare::share));
-template <>
-inline constexpr bool kIsJsonRow<GrantedShare> = true;
-
 template <>
 inline constexpr auto kJsonFields<DemandReported> =
     std::tuple(Required("host", &DemandReported::host),
