Let granted shares outlive two holders that stop in turn

Ruled out: the new holder's ledger (shares came back within a second of its begin). Change: grants last 14 s. What it costs is that a dead host's part is idle for longer.

--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -77,7 +77,7 @@
 
 /// How long a grant lasts without another one: longer than a change of the
 /// holder takes, so that shares outlive it.
-inline constexpr Duration kGrantTerm = std::chrono::seconds(7);
+inline constexpr Duration kGrantTerm = std::chrono::seconds(14);
 
 /// Hosts that a host reckons with while it has not heard how many there are.
 inline constexpr std::uint32_t kUnknownHosts = 16;
