Wait for a target with a copy instead of loading from the weight store

Ruled out: weights lost with runners (most slow wakes had a usable target with the weights on disk). Change: the time until a target is free counts as cost; one that is free within a second and is the best is waited for, unless it has just left an order unanswered.

--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -33,6 +33,10 @@
 /// Of several holders each is worth this part of a sole one.
 constexpr double kSpareWeight = 0.05;
 
+/// A target that can take an order so soon is waited for if it is the best; a
+/// load from the weight store takes several times as long.
+constexpr Duration kLongestRest = std::chrono::seconds(1);
+
 /// Free room is filled this often, one model a target at a time.
 constexpr Duration kFillInterval = std::chrono::milliseconds(200);
 /// A model with fewer requests a second and holder gets no further holder.
@@ -186,16 +190,26 @@
   for (auto& [id, book] : this->books) {
     const bool is_other = want.chosen && *want.chosen != id;
     if (book.record().service != want.service || is_other ||
-        !this->IsUsable(book) || !book.IsFree(this->now) ||
-        want.denied_by.contains(id) || this->IsClaimed(id, want)) {
+        !this->IsUsable(book) || want.denied_by.contains(id) ||
+        this->IsClaimed(id, want)) {
+      continue;
+    }
+    const std::chrono::duration<double> until_free = book.UntilFree(this->now);
+    if (until_free > kLongestRest) {
       continue;
     }
     auto site = this->SiteOn(book, *model, *engine);
-    if (site && (!best || site->cost < best->cost)) {
+    if (!site) {
+      continue;
+    }
+    site->cost += until_free.count();
+    if (!best || site->cost < best->cost) {
       best = std::move(site);
     }
   }
-  return best;
+  // One that is free in a moment and has the weights at hand is waited for.
+  const bool is_free = best && best->book->IsFree(this->now);
+  return is_free ? best : std::nullopt;
 }
 
 std::optional<PlacementCore::Site> PlacementCore::SiteOn(TargetBook& book,
--- a/placement/target_book.cc
+++ b/placement/target_book.cc
@@ -19,6 +19,8 @@
 /// After an unload, which takes effect when the runs have ended.
 constexpr Duration kUnloadRest = std::chrono::milliseconds(10);
 constexpr Duration kConflictRest = std::chrono::milliseconds(100);
+/// Within which an order is answered by a target that lives, as a rule.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(50);
 /// Longer than most runs last.
 constexpr Duration kUnloadTerm = std::chrono::seconds(4);
 
@@ -29,6 +31,18 @@
          now >= this->rests_until;
 }
 
+Duration TargetBook::UntilFree(TimePoint now) const {
+  // One that has just left an order without an answer may be dead.
+  if (!this->is_known || this->silent_orders > 0) {
+    return this->IsFree(now) ? Duration::zero() : Duration::max();
+  }
+  Duration until = std::max(Duration::zero(), this->rests_until - now);
+  if (this->under_way) {
+    until = std::max(until, this->under_way->ready_at - now);
+  }
+  return this->unanswered ? std::max(until, kAnswerTime) : until;
+}
+
 bool TargetBook::NeedsReport(TimePoint now) const {
   return !this->is_known && !this->unanswered && now >= this->report_due;
 }
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -38,6 +38,9 @@
   /// @return whether orders may be given: what it holds is known, and none is
   /// under way.
   bool IsFree(TimePoint now) const;
+  /// @return how long until orders may be given; the longest time if that can't
+  /// be told.
+  Duration UntilFree(TimePoint now) const;
   /// @return whether its report has to be asked for.
   bool NeedsReport(TimePoint now) const;
   bool Holds(const ModelPath& path) const { return this->paths.contains(path); }
