Count an adapter's use for its model

Cause: a model that is used through its adapters alone had no rate of its own, so that it was the first to be unloaded. AnAdaptersUseCountsForItsModel fails without.

--- a/placement/include/cicadaloft/placement/use_history.h
+++ b/placement/include/cicadaloft/placement/use_history.h
@@ -8,7 +8,8 @@
 
 namespace cicadaloft {
 
-/// How much each model and adapter is used, over all hosts.
+/// How much each model and adapter is used, over all hosts. What an adapter is
+/// used counts for its model as well.
 class UseHistory {
  public:
   /// What is older counts half. Demand moves between models within seconds.
--- a/placement/tests/placement_test.cc
+++ b/placement/tests/placement_test.cc
@@ -178,6 +178,22 @@
   }
 }
 
+// Without, a model that is used through its adapters alone was the first to be
+// unloaded.
+BOOST_AUTO_TEST_CASE(AnAdaptersUseCountsForItsModel) {
+  UseHistory history;
+  history.Add(
+      UseReported{
+          .host = HostId("a"),
+          .uses = {{.path = Path("m", "a1"), .arrivals = 6, .running = 2},
+                   {.path = Path("m", "a2"), .arrivals = 2, .running = 1}}},
+      kStart);
+  BOOST_TEST(history.Running(Path("m"), kStart) == 3);
+  BOOST_TEST(history.Rate(Path("m"), kStart) >
+             history.Rate(Path("m", "a1"), kStart));
+  BOOST_TEST((history.LastUse(Path("m")) == kStart));
+}
+
 BOOST_AUTO_TEST_CASE(UseFadesAndRunningLapses) {
   UseHistory history;
   history.Add(
--- a/placement/use_history.cc
+++ b/placement/use_history.cc
@@ -19,8 +19,21 @@
 }  // namespace
 
 void UseHistory::Add(const UseReported& report, TimePoint now) {
+  std::map<ModelPath, ModelUse> sums;
+  const auto count = [&](const ModelPath& path, const ModelUse& use) {
+    ModelUse& sum = sums[path];
+    sum.arrivals += use.arrivals;
+    sum.running += use.running;
+    sum.urgent += use.urgent;
+  };
   for (const ModelUse& use : report.uses) {
-    Use& known = this->uses[use.path];
+    count(use.path, use);
+    if (use.path.IsAdapter()) {
+      count(use.path.Base(), use);
+    }
+  }
+  for (const auto& [path, use] : sums) {
+    Use& known = this->uses[path];
     const double fade = Fade(known.counted_at, now);
     known.weight = known.weight * fade + use.arrivals;
     known.urgent = known.urgent * fade + use.urgent;
@@ -69,6 +82,7 @@
 
 void UseHistory::Touch(const ModelPath& path, TimePoint now) {
   this->uses[path].last_use = now;
+  this->uses[path.Base()].last_use = now;
 }
 
 }  // namespace cicadaloft
