End waits before a stopping host does

Change: at a planned stop all waits end a second before the process does, with 503. WaitsEndBeforeAStoppingHostDoes fails without.

Two tests that stayed green with their mechanism switched off are stricter: LoadsFromTheStoreKeepTheirRate uses a rate that loads at once could exceed, and ARefusalAfterARunDoesNotSayThatNothingRan requires the refusal.

--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -84,8 +84,9 @@
   const Duration time = std::min(request.route->timeout, arrived.deadline);
   request.ends_at = this->now + time;
   const Duration patience = std::min(time, request.route->patience);
-  request.gives_up_at =
-      this->now + std::chrono::duration_cast<Duration>(patience * kWaitPart);
+  request.gives_up_at = std::min(
+      this->waits_end,
+      this->now + std::chrono::duration_cast<Duration>(patience * kWaitPart));
   if (auto error = this->CheckCustomer(request)) {
     return Refusal{*error};
   }
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -1,15 +1,22 @@
 #include "entry_core.h"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <numeric>
 #include <ranges>
 
 #include "cicadaloft/core/rendezvous.h"
-
 #include "cicadaloft/entry/reasons.h"
 
 namespace cicadaloft {
+namespace {
+
+/// A run that begins later before the end of a stop seldom ends in time; who
+/// waits is told to go elsewhere instead.
+constexpr Duration kLeastRunAtStop = std::chrono::seconds(1);
+
+}  // namespace
 
 bool OpenRequest::IsBatch() const {
   // Requests that nobody waits for in front of a screen.
@@ -196,9 +203,18 @@
   this->demands.clear();
 }
 
-void EntryCore::Take(const EntryStopRequested&) {
+void EntryCore::Take(const EntryStopRequested& stop) {
   this->is_stopping = true;
   this->stopped_at = this->now;
+  this->waits_end = this->now + stop.within - kLeastRunAtStop;
+  for (auto& [id, request] : this->requests) {
+    const TimePoint before = request.gives_up_at;
+    request.gives_up_at = std::min(before, this->waits_end);
+    if (!request.is_running) {
+      this->expiries.erase({before, id});
+      this->expiries.emplace(request.gives_up_at, id);
+    }
+  }
 }
 
 void EntryCore::Log(const char* reason,
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -155,6 +155,7 @@
   std::uint64_t last_number = 0;
   bool is_stopping = false;
   TimePoint stopped_at{};
+  TimePoint waits_end = TimePoint::max();  ///< Of all requests, at a stop.
 };
 
 }  // namespace cicadaloft
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -173,6 +173,8 @@
 
 /// A planned stop has been asked for.
 struct EntryStopRequested {
+  Duration within = std::chrono::hours(1);  ///< Until the process ends.
+
   friend auto operator<=>(const EntryStopRequested&,
                           const EntryStopRequested&) = default;
   friend bool operator==(const EntryStopRequested&,
--- a/entry/tests/entry_test.cc
+++ b/entry/tests/entry_test.cc
@@ -113,12 +113,15 @@
   entry.Begin();
   entry.Ask("any");
   entry.End(entry.All<Dispatch>()[0], AttemptOutcome::kDiedUnstarted);
-  entry.End(entry.All<Dispatch>()[1], AttemptOutcome::kShed, 503);
-  entry.RunFor(seconds(3));
-  const auto refusals = entry.All<Refuse>();
-  for (const Refuse& refusal : refusals) {
-    BOOST_TEST((refusal.run_state != RunState::kNotRun));
+  for (std::size_t next = 1; entry.All<Refuse>().empty() && next < 100;) {
+    if (next < entry.All<Dispatch>().size()) {
+      entry.End(entry.All<Dispatch>()[next++], AttemptOutcome::kShed, 503);
+    } else {
+      entry.RunFor(milliseconds(100));
+    }
   }
+  BOOST_REQUIRE(entry.All<Refuse>().size() == 1);
+  BOOST_TEST((entry.All<Refuse>()[0].run_state != RunState::kNotRun));
 }
 
 BOOST_AUTO_TEST_CASE(ALeavingOrEvacuatedTargetGetsNothing) {
@@ -234,6 +237,20 @@
 
 // Found by trouble-2 of the second site: a request came on a kept connection
 // when the time to stop was nearly over.
+// Found by roll_term on the second site: a request that waited for its model
+// when the process ended got no answer.
+BOOST_AUTO_TEST_CASE(WaitsEndBeforeAStoppingHostDoes) {
+  // Shorter than the caller's patience allows to wait.
+  const Duration within = milliseconds(1100);
+  Entry entry;
+  entry.Begin();
+  entry.Ask("chat", kModel);
+  entry.Feed(EntryStopRequested{.within = within});
+  entry.Ask("chat", kModel);
+  entry.RunFor(within);
+  BOOST_TEST(entry.All<Refuse>().size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(AStoppingHostServesOnForAWhileAndThenRefuses) {
   Entry entry;
   entry.Begin();
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -254,12 +254,12 @@
   }
 
   asio::awaitable<void> StopGracefully() {
-    const EntryEvent stop = EntryStopRequested{};
+    const Duration most = this->settings.stop_time - kStopMargin;
+    const EntryEvent stop = EntryStopRequested{.within = most};
     const ControlEvent control_stop = ControlStop{};
     const auto began = std::chrono::steady_clock::now();
     co_await Send(*this->control, control_stop);
     co_await Send(*this->node, NodeMessage(stop));
-    const Duration most = this->settings.stop_time - kStopMargin;
     co_await this->Sleep(std::min(kCloseAfter, most));
     Post(*this->callers_stop, HostStops{});
     Post(*this->own_callers_stop, HostStops{});
--- a/placement/tests/placement_test.cc
+++ b/placement/tests/placement_test.cc
@@ -137,13 +137,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(LoadsFromTheStoreKeepTheirRate) {
-  World world(8, 24, 310);
+  // Slower than the loads that may run at once would be.
+  const double rate = 0.1;
+  World world(8, 24, 310, rate);
   for (auto& [id, runner] : world.runners) {
     runner.disk.clear();
     runner.record.on_disk.clear();
   }
   world.Begin();
-  for (int round = 0; round < 40; ++round) {
+  for (int round = 0; round < 400; ++round) {
     for (int i = 0; i < 24; ++i) {
       world.Want(Path("m" + std::to_string(i)));
     }
@@ -154,7 +156,7 @@
     const auto in_window = std::ranges::count_if(
         world.store_loads,
         [&](TimePoint at) { return at >= from && at < from + seconds(5); });
-    BOOST_TEST(in_window <= 2 * 5 * 1.1 + 3);
+    BOOST_TEST(in_window <= rate * 5 * 1.1 + 3);
   }
 }
 
--- a/placement/tests/placement_world.h
+++ b/placement/tests/placement_world.h
@@ -29,9 +29,12 @@
   return ModelPath{.model = ModelId(model), .adapter = AdapterId(adapter)};
 }
 
-inline ActiveConfigurationPtr MakeConfiguration(int models, double room) {
-  Engine engine{
-      .weights_mb = room, .adapter_slots = 2, .store_loads_per_second = 2};
+inline ActiveConfigurationPtr MakeConfiguration(int models,
+                                                double room,
+                                                double store_loads_per_second) {
+  Engine engine{.weights_mb = room,
+                .adapter_slots = 2,
+                .store_loads_per_second = store_loads_per_second};
   for (int i = 0; i < models; ++i) {
     engine.models.push_back(Model{.id = ModelId("m" + std::to_string(i)),
                                   .weights_mb = 100,
@@ -68,8 +71,13 @@
 /// The decisions with runners. Time passes by RunFor() alone.
 class World {
  public:
-  explicit World(int runners, int models, double room = 300)
-      : room(room), configuration(MakeConfiguration(models, room)) {
+  /// @param room for weights on each runner, in MB; a model has 100.
+  World(int runners,
+        int models,
+        double room = 300,
+        double store_loads_per_second = 2)
+      : room(room),
+        configuration(MakeConfiguration(models, room, store_loads_per_second)) {
     for (int i = 0; i < runners; ++i) {
       const std::string id = "t" + std::to_string(i);
       Runner runner{.record = {.id = TargetId(id),
