--- a/host/host_settings.h
+++ b/host/host_settings.h
@@ -21,7 +21,7 @@
   std::string peer_listen;   ///< For links from other hosts.
   std::string own_listen;    ///< For the product's own interface; may be "".
   std::string store;
-  bool is_first_start = false;  ///< The whole system starts for the first time.
+  bool is_first_start = false;  ///< The hosts start together.
   Duration stop_time{};         ///< Between a planned stop and the kill.
   double retry_ratio = 0;
   double retry_slack = 0;
--- a/host/main.cc
+++ b/host/main.cc
@@ -26,8 +26,9 @@
 namespace asio = boost::asio;
 
 constexpr char kVersion[] = "cicadaloft-host 0.2.0";
-constexpr char kUsage[] =
-    R"(Serves rarely used models and adapters: one program a host.
+// The platform names the variable.
+const std::string kUsage =
+    std::string(R"(Serves rarely used models and adapters: one program a host.
 
 Usage:
   cicadaloft-host [--settings FILE] [--check]
@@ -36,7 +37,8 @@
 
 Options:
   --settings FILE  Settings, JSON with comments. Without it, the file that the
-                   environment variable CICADALOFT_BOOT names.
+                   environment variable )") +
+    platform::kSettingsVariable + R"( names.
   --check          Check the settings and exit.
   -h --help        Show this text.
   --version        Show the version.
--- a/placement/include/cicadaloft/placement/messages.h
+++ b/placement/include/cicadaloft/placement/messages.h
@@ -30,7 +30,7 @@
   kRejected,       ///< It makes no sense to the target.
   kOtherInstance,  ///< Another process than the expected one answered.
   kNotSent,        ///< No byte of it has left.
-  kNoAnswer,       ///< It may have been accepted, or may be yet.
+  kNoAnswer,       ///< Whether it counts, or still will, is unknown.
 };
 
 /// @return a stable token, for logs.
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -62,7 +62,7 @@
   void OnNotDone() { this->unanswered.reset(); }
   /// The target refuses since an order is under way, or has come in between.
   void OnConflict(TimePoint now);
-  /// The order may have been accepted, or may be yet. What the target holds at
+  /// Whether the order counts, or still will, is not known. What the target holds at
   /// the known sequence stays known: another order that names it is refused if
   /// the first one has counted, and keeps it from counting if not.
   void OnNoAnswer(TimePoint now);
