Take the number of hosts from the holder's newest record

Shares added up to 1.26: the holder was cut off, and its successor took the number of hosts from the record that began the last tenure, which knew one; so it granted the parts of hosts it could not reach. Change: the newest record, and what grants told, say how many there are.

--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -27,13 +27,12 @@
                                        : this->spent_before);
   auto step = Decide(std::move(this->lease), event, this->now);
   this->lease = std::move(step.state);
-  this->NoteSpentBefore();
+  this->NoteHolderBefore();
   for (const LeaseEffect& effect : step.effects) {
     std::visit(
         Overloaded{
             [this](const HolderChanged& change) {
               if (change.holder.secret != this->lease_settings.secret) {
-                this->hosts_before = change.holder.hosts;
                 this->is_own_machine_before =
                     change.holder.holder == this->lease_settings.self;
               }
@@ -46,11 +45,12 @@
               this->right_until = right.until;
               if (!this->is_acting) {
                 this->is_acting = true;
-                this->ledger.Begin(this->hosts_before,
-                                   this->is_own_machine_before
-                                       ? Duration::zero()
-                                       : this->lease_settings.holder_gap,
-                                   this->spent_before, this->now);
+                this->ledger.Begin(
+                    std::max(this->hosts_before, this->known_hosts),
+                    this->is_own_machine_before
+                        ? Duration::zero()
+                        : this->lease_settings.holder_gap,
+                    this->spent_before, this->now);
                 this->FeedPlacement(PlacementBegins{.token = right.token});
               }
             },
@@ -171,11 +171,13 @@
 
 // The newest record when this process first reads the log tells of the time
 // before it.
-void ControlState::NoteSpentBefore() {
+void ControlState::NoteHolderBefore() {
   const auto& last = this->lease.last();
   if (!last || last->record.secret == this->lease_settings.secret) {
     return;
   }
+  // A holder's first record can't tell how many hosts there are.
+  this->hosts_before = last->record.hosts;
   this->spent_before = last->record.spent;
   if (!this->spent_before_start) {
     this->spent_before_start = last->record.spent;
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -66,7 +66,7 @@
       const std::vector<CustomerDemand>& demands) const;
   std::uint32_t KnownHosts() const;
   double ReservedShare() const;
-  void NoteSpentBefore();
+  void NoteHolderBefore();
   void TellShares();
   void TellFleet();
   void TellEvacuations();
