Write logs in pieces of whole lines

A host wrote up to some tens of KB at once; the reader shows 8192 bytes of a write (the chunks at 32.42 and 32.52 s have 8192 bytes and end within a line) and the rest is gone. Change: at most PIPE_BUF bytes of whole lines a write, which a pipe takes as a whole or not at all. AReaderNeverSeesHalfALine fails without (two cut reads).

--- a/telemetry/include/cicadaloft/telemetry/output_buffer.h
+++ b/telemetry/include/cicadaloft/telemetry/output_buffer.h
@@ -18,7 +18,8 @@
 
   /// @param line without its line break.
   void Add(std::string_view line);
-  /// Writes what the descriptor takes without waiting. A descriptor that does
+  /// Writes what the descriptor takes without waiting, in pieces of whole lines
+  /// so that readers of a pipe never see half a line. A descriptor that does
   /// not know this mode gets everything.
   void Flush(int descriptor);
   /// @return lines dropped since the last call.
--- a/telemetry/output_buffer.cc
+++ b/telemetry/output_buffer.cc
@@ -2,9 +2,26 @@
 
 #include <unistd.h>
 
+#include <climits>
 #include <utility>
 
 namespace cicadaloft {
+namespace {
+
+// @return as many whole lines as a pipe takes either all or not at all; at
+// least one.
+std::string_view NextPiece(std::string_view text) {
+  constexpr std::size_t kPieceBytes = PIPE_BUF;
+  if (text.size() <= kPieceBytes) {
+    return text;
+  }
+  const std::size_t last = text.rfind('\n', kPieceBytes - 1);
+  const std::size_t end =
+      last == std::string_view::npos ? text.find('\n') : last;
+  return text.substr(0, end + 1);
+}
+
+}  // namespace
 
 void OutputBuffer::Add(std::string_view line) {
   const std::scoped_lock lock(this->guard);
@@ -21,8 +38,9 @@
   std::size_t sent = 0;
   bool goes_on = true;
   while (goes_on && sent < this->waiting.size()) {
-    const ssize_t size = write(descriptor, this->waiting.data() + sent,
-                               this->waiting.size() - sent);
+    const std::string_view piece =
+        NextPiece(std::string_view(this->waiting).substr(sent));
+    const ssize_t size = write(descriptor, piece.data(), piece.size());
     goes_on = size > 0;
     sent += goes_on ? static_cast<std::size_t>(size) : 0;
   }
--- a/telemetry/tests/telemetry_test.cc
+++ b/telemetry/tests/telemetry_test.cc
@@ -40,6 +40,24 @@
   std::array<int, 2> ends{};
 };
 
+// Found by inc-b36f: the reader took a part of a long write, and a line was
+// lost.
+BOOST_AUTO_TEST_CASE(AReaderNeverSeesHalfALine) {
+  Capture capture;
+  const std::string line(300, 'x');
+  // More than a pipe takes at once.
+  for (int i = 0; i < 400; ++i) {
+    capture.output->Add(line);
+  }
+  std::ptrdiff_t lines = 0;
+  for (std::string text = capture.Text(); !text.empty();
+       text = capture.Text()) {
+    BOOST_TEST(text.size() % (line.size() + 1) == 0);
+    lines += std::ranges::count(text, '\n');
+  }
+  BOOST_TEST(lines == 400);
+}
+
 BOOST_AUTO_TEST_CASE(ARecordIsOneJsonObjectALine) {
   Capture capture;
   const LogSession session("warn", capture.output);
