Fill the lease's record when it is written, and merge what was written twice

The sums of what is spent were computed on each event of the lease, several times a second; now once for each record, where they are known, and the lease has no setters for what it does not decide. The number of hosts is kept once. TryTake() asks TimeUntil(); grants and held shares lapse by one function; HasGrant() replaces three copies. Tests share the first ledger, the held lease and the cut answer; TheRecordTellsHostsAndWhatIsSpent is new. The bound of AShareSpendsItsPartOfTheLimitInAnyWindow on wrongful refusals was 80 in 100 of the share; it is the stated 0.1% now, and its time steps are exact.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -35,11 +35,7 @@
 }
 
 bool CustomerShare::TryTake(double cost, TimePoint now) {
-  this->Forget(now);
-  this->Refill(now);
-  const bool has_window = this->WindowWait(cost, now) == Duration::zero();
-  const bool has_pace = this->PaceWait(cost) == Duration::zero();
-  if (this->most <= 0 || !has_window || !has_pace) {
+  if (this->TimeUntil(cost, now) > Duration::zero()) {
     return false;
   }
   this->expenses.push_back(Expense{.at = now, .cost = cost});
--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -88,8 +88,8 @@
   double part = 0;
   double most = 0;  ///< To spend in a window.
   double credit = 0;
-  double at_once =
-      0;  ///< What the pace allows now; below 0 after a large cost.
+  /// What the pace allows now; below 0 after a large cost.
+  double at_once = 0;
   TimePoint refilled;
   double spent = 0;
   std::deque<Expense> expenses;  ///< Of the window, the oldest first.
--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -69,7 +69,7 @@
   };
 
   double ToldPart(TimePoint now) const;
-  double InWindow(TimePoint lapsed, TimePoint now) const;
+  double InWindow(TimePoint ended, TimePoint now) const;
   double Outstanding(const Host& host,
                      const CustomerId& customer,
                      TimePoint now) const;
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -164,10 +164,10 @@
   return 1 - (1 - told / expected) * this->InWindow(this->lapsed_at, now);
 }
 
-// What was spent of a share that has lapsed leaves the window bit by bit.
-// @return from 1 until the lapse to 0 a window after it.
-double ShareLedger::InWindow(TimePoint lapsed, TimePoint now) const {
-  const std::chrono::duration<double> since = now - lapsed;
+// What was spent leaves the window bit by bit.
+// @return from 1 until the spending ended to 0 a window after it.
+double ShareLedger::InWindow(TimePoint ended, TimePoint now) const {
+  const std::chrono::duration<double> since = now - ended;
   const std::chrono::duration<double> whole = this->limit_window;
   return std::clamp(1 - since / whole, 0.0, 1.0);
 }
@@ -176,19 +176,18 @@
                                 const CustomerId& customer,
                                 TimePoint now) const {
   double most = 0;
-  for (const Grant& grant : host.grants) {
-    const auto found = grant.shares.find(customer);
-    if (found != grant.shares.end()) {
-      const TimePoint lapsed = grant.sent_at + kGrantTerm + kMargin;
+  const auto count = [&](const std::map<CustomerId, double>& shares,
+                         TimePoint since) {
+    const auto found = shares.find(customer);
+    if (found != shares.end()) {
+      const TimePoint lapsed = since + kGrantTerm + kMargin;
       most = std::max(most, found->second * this->InWindow(lapsed, now));
     }
+  };
+  for (const Grant& grant : host.grants) {
+    count(grant.shares, grant.sent_at);
   }
-  const auto held = host.held.find(customer);
-  if (held != host.held.end()) {
-    most = std::max(
-        most, held->second *
-                  this->InWindow(host.heard_at + kGrantTerm + kMargin, now));
-  }
+  count(host.held, host.heard_at);
   return most;
 }
 
--- a/admission/tests/admission_test.cc
+++ b/admission/tests/admission_test.cc
@@ -91,25 +91,33 @@
 }
 
 BOOST_AUTO_TEST_CASE(AShareSpendsItsPartOfTheLimitInAnyWindow) {
+  // Of what the limit allows so much may be refused in calm times, as a part.
+  const double refusable = 0.001;
+  // Sums of it are exact.
+  const double cost = 1.0 / 64;
   CustomerShare share(kNow);
   share.Set(kLimit, 0.5, 0, kNow);
   std::deque<double> window;
   for (int second = 0; second < 40; ++second) {
-    window.push_back(TakeAll(share, 1, kNow + seconds(second)));
-    if (second == 0) {
-      BOOST_TEST(window.front() == 150);
-    }
+    window.push_back(TakeAll(share, cost, kNow + seconds(second)));
     if (window.size() < 8) {
       continue;
     }
     const double sum = std::accumulate(window.begin(), window.end(), 0.0);
     BOOST_TEST(sum <= 500);
-    // It is served all the time, not in bursts.
-    BOOST_TEST(sum >= 400);
+    BOOST_TEST(sum >= 500 * (1 - refusable));
     window.pop_front();
   }
 }
 
+BOOST_AUTO_TEST_CASE(PartOfAShareIsSpentAtOnceAndTheRestEvenly) {
+  CustomerShare share(kNow);
+  share.Set(kLimit, 0.5, 0, kNow);
+  BOOST_TEST(TakeAll(share, 1, kNow) == 150);
+  BOOST_TEST(TakeAll(share, 1, kNow + seconds(1)) == 62);
+  BOOST_TEST(TakeAll(share, 1, kNow + seconds(2)) == 63);
+}
+
 BOOST_AUTO_TEST_CASE(ASmallerShareKeepsWhatIsSpentInMind) {
   CustomerShare share(kNow);
   share.Set(kLimit, 0.5, 0, kNow);
@@ -140,7 +148,7 @@
   BOOST_TEST(share.TryTake(100, kNow));
 }
 
-// Found by quiet-1: seven hosts with room for a request and a half each refused
+// Found by quiet-1: seven hosts with room for few requests each refused
 // what the limit allowed.
 BOOST_AUTO_TEST_CASE(CreditIsSpentBeyondTheShare) {
   CustomerShare share(kNow);
@@ -186,13 +194,19 @@
                         .held = shares};
 }
 
+// The ledger of a holder that had none before it.
+ShareLedger FirstLedger() {
+  ShareLedger ledger(kWindow);
+  ledger.Begin(0, Duration::zero(), {}, kNow);
+  return ledger;
+}
+
 double ShareIn(const SharesGranted& granted) {
   return granted.customers.at(0).share;
 }
 
 BOOST_AUTO_TEST_CASE(SharesFollowDemandAndAddUpToWhatIsNotReserved) {
-  ShareLedger ledger(kWindow);
-  ledger.Begin(0, Duration::zero(), {}, kNow);
+  ShareLedger ledger = FirstLedger();
   ledger.OnReport(Report("a", 90), kNow);
   ledger.OnReport(Report("b", 10), kNow);
   const auto granted = ledger.Divide({kCustomer}, kNow);
@@ -203,8 +217,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AShareGrowsOnlyByWhatAnotherHostHasConfirmedToGiveUp) {
-  ShareLedger ledger(kWindow);
-  ledger.Begin(0, Duration::zero(), {}, kNow);
+  ShareLedger ledger = FirstLedger();
   ledger.OnReport(Report("a", 100), kNow);
   ledger.OnReport(Report("b", 0), kNow);
   const auto first = ledger.Divide({kCustomer}, kNow);
@@ -223,8 +236,7 @@
 
 // Otherwise what "a" has spent in the window is spent by "b" again.
 BOOST_AUTO_TEST_CASE(AShareDoesNotGrowByWhatAnotherHostHasSpentInTheWindow) {
-  ShareLedger ledger(kWindow);
-  ledger.Begin(0, Duration::zero(), {}, kNow);
+  ShareLedger ledger = FirstLedger();
   ledger.OnReport(Report("a", 1, 0, 0.5), kNow);
   ledger.OnReport(Report("b", 1000), kNow);
   const auto first = ledger.Divide({kCustomer}, kNow);
@@ -265,8 +277,7 @@
     const auto chance = [&](double p) {
       return std::uniform_real_distribution<double>()(random) < p;
     };
-    ShareLedger ledger(kWindow);
-    ledger.Begin(0, Duration::zero(), {}, kNow);
+    ShareLedger ledger = FirstLedger();
     struct Host {
       std::uint64_t grant = 0;
       double share = 0;
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -84,23 +84,20 @@
   if (!measured.uses.empty()) {
     this->Report(UseReported{.host = self, .uses = measured.uses});
   }
-  const bool has_grant =
-      this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm;
-  this->Report(DemandReported{.host = self,
-                              .grant = has_grant ? this->granted.grant : 0,
-                              .demands = measured.demands,
-                              .held = this->HeldShares(measured.demands),
-                              .configuration = this->Version()});
+  this->Report(
+      DemandReported{.host = self,
+                     .grant = this->HasGrant() ? this->granted.grant : 0,
+                     .demands = measured.demands,
+                     .held = this->HeldShares(measured.demands),
+                     .configuration = this->Version()});
 }
 
 // What has been spent beyond a share that has shrunk counts as held until it
 // has left the window.
 std::vector<GrantedShare> ControlState::HeldShares(
     const std::vector<CustomerDemand>& demands) const {
-  const bool has_grant =
-      this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm;
   std::vector<GrantedShare> held =
-      has_grant ? this->granted.customers : std::vector<GrantedShare>();
+      this->HasGrant() ? this->granted.customers : std::vector<GrantedShare>();
   const double reserved = this->ReservedShare();
   for (const CustomerDemand& demand : demands) {
     const double spent = demand.in_use - reserved;
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -19,12 +19,6 @@
 }
 
 void ControlState::FeedLease(const LeaseEvent& event) {
-  // A new holder has heard of nobody yet, and must not make the others believe
-  // that they are few.
-  this->lease.SetHosts(std::max({this->ledger.HostCount(this->now),
-                                 this->hosts_before, this->known_hosts}));
-  this->lease.SetSpent(this->is_acting ? this->ledger.Spent(this->now)
-                                       : this->spent_before);
   auto step = Decide(std::move(this->lease), event, this->now);
   this->lease = std::move(step.state);
   this->NoteHolderBefore();
@@ -37,20 +31,17 @@
                     change.holder.holder == this->lease_settings.self;
               }
               this->holder = change.holder.holder;
-              this->known_hosts =
-                  std::max(this->known_hosts, change.holder.hosts);
               this->effects.emplace_back(LinkToHolder{.holder = change.holder});
             },
             [this](const RightExtended& right) {
               this->right_until = right.until;
               if (!this->is_acting) {
                 this->is_acting = true;
-                this->ledger.Begin(
-                    std::max(this->hosts_before, this->known_hosts),
-                    this->is_own_machine_before
-                        ? Duration::zero()
-                        : this->lease_settings.holder_gap,
-                    this->spent_before, this->now);
+                this->ledger.Begin(this->known_hosts,
+                                   this->is_own_machine_before
+                                       ? Duration::zero()
+                                       : this->lease_settings.holder_gap,
+                                   this->spent_before, this->now);
                 this->FeedPlacement(PlacementBegins{.token = right.token});
               }
             },
@@ -58,11 +49,24 @@
               this->is_acting = false;
               this->FeedPlacement(PlacementEnds{});
             },
+            [this](const AppendLease& append) {
+              this->effects.emplace_back(this->Complete(append));
+            },
             [this](const auto& other) { this->effects.emplace_back(other); }},
         effect);
   }
 }
 
+AppendLease ControlState::Complete(AppendLease append) const {
+  // A new holder has heard of nobody yet, and must not make the others believe
+  // that they are few.
+  append.record.hosts =
+      std::max(this->ledger.HostCount(this->now), this->known_hosts);
+  append.record.spent =
+      this->is_acting ? this->ledger.Spent(this->now) : this->spent_before;
+  return append;
+}
+
 void ControlState::FeedPlacement(const PlacementEvent& event) {
   auto step = Decide(std::move(this->placement), event, this->now);
   this->placement = std::move(step.state);
@@ -173,11 +177,13 @@
 // before it.
 void ControlState::NoteHolderBefore() {
   const auto& last = this->lease.last();
-  if (!last || last->record.secret == this->lease_settings.secret) {
+  if (!last || last->offset == this->noted_record ||
+      last->record.secret == this->lease_settings.secret) {
     return;
   }
+  this->noted_record = last->offset;
   // A holder's first record can't tell how many hosts there are.
-  this->hosts_before = last->record.hosts;
+  this->known_hosts = std::max(this->known_hosts, last->record.hosts);
   this->spent_before = last->record.spent;
   if (!this->spent_before_start) {
     this->spent_before_start = last->record.spent;
@@ -185,6 +191,10 @@
   }
 }
 
+bool ControlState::HasGrant() const {
+  return this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm;
+}
+
 double ControlState::ReservedShare() const {
   return kReservedPart / this->KnownHosts();
 }
@@ -197,7 +207,7 @@
   if (this->spent_before_start) {
     shares.spent_before = *this->spent_before_start;
   }
-  if (this->granted.grant != 0 && this->now - this->granted_at < kGrantTerm) {
+  if (this->HasGrant()) {
     for (const GrantedShare& share : this->granted.customers) {
       shares.customers.push_back(GrantedShare{.customer = share.customer,
                                               .share = share.share + reserved});
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -65,7 +65,10 @@
   std::vector<GrantedShare> HeldShares(
       const std::vector<CustomerDemand>& demands) const;
   std::uint32_t KnownHosts() const;
+  bool HasGrant() const;
   double ReservedShare() const;
+  /// @return the append with what its record tells of hosts and limits.
+  AppendLease Complete(AppendLease append) const;
   void NoteHolderBefore();
   void TellShares();
   void TellFleet();
@@ -87,9 +90,9 @@
   TimePoint told_version_at{};
 
   LeaseState lease;
-  std::optional<HostId> holder;    ///< As the lease's log tells.
-  std::uint32_t hosts_before = 0;  ///< That the holder before this one knew.
-  SpentLimits spent_before;        ///< As that holder told.
+  std::optional<HostId> holder;           ///< As the lease's log tells.
+  std::optional<LogOffset> noted_record;  ///< The newest one of another holder.
+  SpentLimits spent_before;               ///< As that record told.
   /// As the first record that this process has read told.
   std::optional<SpentLimits> spent_before_start;
   bool is_own_machine_before = false;  ///< An earlier process of this host.
--- a/control/tests/control_test.cc
+++ b/control/tests/control_test.cc
@@ -24,12 +24,14 @@
       seconds(8)};
   TimePoint now{seconds(1000)};
   std::optional<SharesGranted> granted;  ///< To host "d", the newest one.
+  std::optional<LeaseRecord> appended;   ///< The newest one.
 
   void Feed(const ControlEvent& event) {
     auto step = Decide(std::move(this->state), event, this->now);
     this->state = std::move(step.state);
     for (const ControlEffect& effect : step.effects) {
       if (const auto* append = std::get_if<AppendLease>(&effect)) {
+        this->appended = append->record;
         this->Feed(
             LeaseEvent(LeaseAppendEnded{.outcome = LeaseAppendOutcome::kWritten,
                                         .offset = append->at,
@@ -53,37 +55,57 @@
   }
 };
 
+/// A host that becomes the holder after another one, which knew of six hosts.
+struct NewHolder : Host {
+  NewHolder() {
+    this->Feed(ConfigurationRead{
+        .configuration =
+            std::make_shared<const ActiveConfiguration>(Configuration{
+                .version = ConfigurationVersion(1),
+                .customers = {{.id = kCustomer, .rate_per_second = 100}}})});
+    LeaseRecord record{.holder = HostId("a"),
+                       .address = "127.0.0.1:2",
+                       .secret = "other",
+                       .hosts = 1};
+    const PlacedLeaseRecord begins{.offset = LogOffset(0), .record = record};
+    record.hosts = 6;
+    const PlacedLeaseRecord renewed{.offset = LogOffset(1), .record = record};
+    this->Feed(LeaseEvent(
+        LeaseLogRead{.records = {begins, renewed}, .end = LogOffset(2)}));
+    this->RunFor(seconds(7));
+  }
+
+  void HearD(double in_use) {
+    this->Feed(PeerReceived{
+        .host = HostId("d"),
+        .message = DemandReported{
+            .host = HostId("d"),
+            .demands = {
+                {.customer = kCustomer, .cost = 1000, .in_use = in_use}}}});
+    this->RunFor(seconds(2));
+  }
+};
+
 // Found by scale-2 of the second site, seed 363063461589: the record that began
 // the last tenure knew one host, so that a new holder granted the shares of
 // those it could not reach.
-BOOST_AUTO_TEST_CASE(ANewHolderReckonsWithTheHostsOfTheNewestRecord) {
-  Host host;
-  host.Feed(ConfigurationRead{
-      .configuration =
-          std::make_shared<const ActiveConfiguration>(Configuration{
-              .version = ConfigurationVersion(1),
-              .customers = {{.id = kCustomer, .rate_per_second = 100}}})});
-  LeaseRecord record{.holder = HostId("a"),
-                     .address = "127.0.0.1:2",
-                     .secret = "other",
-                     .hosts = 1};
-  const PlacedLeaseRecord begins{.offset = LogOffset(0), .record = record};
-  record.hosts = 6;
-  const PlacedLeaseRecord renewed{.offset = LogOffset(1), .record = record};
-  host.Feed(LeaseEvent(
-      LeaseLogRead{.records = {begins, renewed}, .end = LogOffset(2)}));
-  host.RunFor(seconds(7));
-  host.Feed(PeerReceived{
-      .host = HostId("d"),
-      .message =
-          DemandReported{.host = HostId("d"),
-                         .demands = {{.customer = kCustomer, .cost = 1000}}}});
-  host.RunFor(seconds(2));
-  BOOST_REQUIRE(host.granted.has_value());
+BOOST_FIXTURE_TEST_CASE(ANewHolderReckonsWithTheHostsOfTheNewestRecord,
+                        NewHolder) {
+  this->HearD(0);
+  BOOST_REQUIRE(this->granted.has_value());
   // Two of six hosts have told.
-  BOOST_TEST(host.granted->customers.at(0).share <=
+  BOOST_TEST(this->granted->customers.at(0).share <=
              (1 - kReservedPart) * 2 / 6 + 1e-9);
 }
 
+BOOST_FIXTURE_TEST_CASE(TheRecordTellsHostsAndWhatIsSpent, NewHolder) {
+  this->HearD(0.75);
+  BOOST_REQUIRE(this->appended.has_value());
+  BOOST_TEST(this->appended->hosts == 6);
+  // It leaves the window from the report on.
+  BOOST_TEST(this->appended->spent.PartOf(kCustomer) > 0.75 * 6 / 8 - 1e-9);
+  BOOST_TEST(this->appended->spent.PartOf(CustomerId("other")) < 0.5);
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -96,9 +96,11 @@
   });
 }
 
-void CheckTruncated(const std::string& bytes) {
-  EntryFixture entry;
-  entry.target.scripts.push_back({.pieces = {bytes}, .after = After::kClose});
+// The caller sees that the answer of this script is not whole.
+void CheckCut(EntryFixture& entry,
+              TargetScript script,
+              AttemptOutcome outcome) {
+  entry.target.scripts.push_back(std::move(script));
   entry.Run([&]() -> awaitable<void> {
     auto caller = co_await entry.Caller();
     co_await caller.Write(ServiceGet("/"));
@@ -106,7 +108,12 @@
     BOOST_TEST(caller.error.failed());
     co_await entry.Ended(1);
   });
-  BOOST_TEST((entry.Outcomes() == Outcomes{kDiedStarted}));
+  BOOST_TEST((entry.Outcomes() == Outcomes{outcome}));
+}
+
+void CheckTruncated(const std::string& bytes) {
+  EntryFixture entry;
+  CheckCut(entry, {.pieces = {bytes}, .after = After::kClose}, kDiedStarted);
 }
 
 BOOST_AUTO_TEST_CASE(TruncatedAnswersEndInAVisibleError) {
@@ -187,17 +194,10 @@
 BOOST_AUTO_TEST_CASE(StalledAnswerTimesOutVisibly) {
   EntryFixture entry;
   entry.plan->work_within = std::chrono::milliseconds(100);
-  entry.target.scripts.push_back(
-      {.pieces = {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"},
-       .after = After::kHang});
-  entry.Run([&]() -> awaitable<void> {
-    auto caller = co_await entry.Caller();
-    co_await caller.Write(ServiceGet("/"));
-    co_await caller.Read();
-    BOOST_TEST(caller.error.failed());
-    co_await entry.Ended(1);
-  });
-  BOOST_TEST((entry.Outcomes() == Outcomes{kTimedOut}));
+  CheckCut(entry,
+           {.pieces = {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"},
+            .after = After::kHang},
+           kTimedOut);
 }
 
 BOOST_AUTO_TEST_CASE(LeavingCallerEndsTheAttemptOnce) {
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "cicadaloft/core/step.h"
@@ -53,9 +52,6 @@
   FencingToken token() const { return this->own_token; }
   /// @return what the last record says; none if nothing has been read.
   const std::optional<PlacedLeaseRecord>& last() const { return this->newest; }
-  /// Stand in the next renewal.
-  void SetHosts(std::uint32_t hosts) { this->hosts = hosts; }
-  void SetSpent(SpentLimits spent) { this->spent = std::move(spent); }
 
   friend Step<LeaseState, LeaseEffect> Decide(LeaseState state,
                                               const LeaseEvent& event,
@@ -100,8 +96,6 @@
   TimePoint unanswered_sent{};
   FencingToken own_token;
   TimePoint right_until{};
-  std::uint32_t hosts = 1;
-  SpentLimits spent;
   bool is_stopping = false;
   bool has_released = false;
 };
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -228,9 +228,7 @@
                                            .address = this->settings.address,
                                            .secret = this->settings.secret,
                                            .token = this->own_token,
-                                           .is_released = is_release,
-                                           .hosts = this->hosts,
-                                           .spent = this->spent}};
+                                           .is_released = is_release}};
   this->is_calling = true;
   this->last_try = this->now;
   // A repeat may be found in the log as the first try that it repeats, so the
--- a/lease/tests/lease_test.cc
+++ b/lease/tests/lease_test.cc
@@ -125,6 +125,13 @@
   return now;
 }
 
+// Host "a" has held the lease for some time.
+struct HeldLease {
+  FakeLog log;
+  Host a{"a", log};
+  TimePoint now = RunFor({&a}, kStart, seconds(1));
+};
+
 BOOST_AUTO_TEST_CASE(OneOfManyHostsTakesAFreeLeaseWithinASecond) {
   FakeLog log;
   Host a("a", log);
@@ -133,11 +140,9 @@
   BOOST_TEST(a.MayAct(now) != b.MayAct(now));
 }
 
-BOOST_AUTO_TEST_CASE(AHolderThatIsCutOffLosesItsRightBeforeASuccessorActs) {
-  FakeLog log;
-  Host a("a", log);
+BOOST_FIXTURE_TEST_CASE(AHolderThatIsCutOffLosesItsRightBeforeASuccessorActs,
+                        HeldLease) {
   Host b("b", log);
-  TimePoint now = RunFor({&a}, kStart, seconds(1));
   BOOST_REQUIRE(a.MayAct(now));
   now = RunFor({&a, &b}, now, seconds(1));
   a.is_cut = true;
@@ -153,11 +158,8 @@
   BOOST_TEST((now - cut <= settings.term + MostClaimTime(settings)));
 }
 
-BOOST_AUTO_TEST_CASE(AReleasedLeaseIsTakenAfterTheGapAlone) {
-  FakeLog log;
-  Host a("a", log);
+BOOST_FIXTURE_TEST_CASE(AReleasedLeaseIsTakenAfterTheGapAlone, HeldLease) {
   Host b("b", log);
-  TimePoint now = RunFor({&a}, kStart, seconds(1));
   now = RunFor({&a, &b}, now, seconds(1));
   a.Feed(LeaseStop{}, now);
   BOOST_TEST(!a.MayAct(now));
@@ -181,19 +183,13 @@
   BOOST_TEST(after.MayAct(later));
 }
 
-BOOST_AUTO_TEST_CASE(ARenewalWhoseAnswerIsLostIsFoundInTheLog) {
-  FakeLog log;
-  Host a("a", log);
-  TimePoint now = RunFor({&a}, kStart, seconds(1));
+BOOST_FIXTURE_TEST_CASE(ARenewalWhoseAnswerIsLostIsFoundInTheLog, HeldLease) {
   a.loses_answers = true;
   now = RunFor({&a}, now, seconds(5));
   BOOST_TEST(a.MayAct(now));
 }
 
-BOOST_AUTO_TEST_CASE(ALateRenewalCountsFromItsSending) {
-  FakeLog log;
-  Host a("a", log);
-  TimePoint now = RunFor({&a}, kStart, seconds(1));
+BOOST_FIXTURE_TEST_CASE(ALateRenewalCountsFromItsSending, HeldLease) {
   a.delays_appends = true;
   now = RunFor({&a}, now, milliseconds(800));
   BOOST_REQUIRE(!a.delayed.empty());
@@ -207,10 +203,7 @@
   BOOST_TEST((!a.MayAct(now) || now - sent < SettingsOf("a").term));
 }
 
-BOOST_AUTO_TEST_CASE(AHostThatHearsTheHolderLeavesTheLogAlone) {
-  FakeLog log;
-  Host a("a", log);
-  TimePoint now = RunFor({&a}, kStart, seconds(1));
+BOOST_FIXTURE_TEST_CASE(AHostThatHearsTheHolderLeavesTheLogAlone, HeldLease) {
   Host b("b", log);
   b.Tick(now);
   const int tokens = a.extensions;
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -52,7 +52,7 @@
 constexpr double kServesFirstCost = 3;
 
 /// What the only copy in a data centre is worth beyond another one, as a part
-/// of its rate: data centres can be cut off from each other.
+/// of its rate: a link between two of them may fail.
 constexpr double kNearWeight = 0.08;
 
 /// Memory kept for adapters on each target, as a number of them.
