--- a/control/tests/control_test.cc
+++ b/control/tests/control_test.cc
@@ -3,9 +3,11 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <variant>
 
+#include "cicadaloft/control/control_load.h"
 #include "cicadaloft/control/control_state.h"
 
 namespace cicadaloft {
@@ -107,5 +109,31 @@
   BOOST_TEST(this->appended->spent.PartOf(CustomerId("other")) < 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(ControlThatTakesMoreThanPlannedSaysSo) {
+  const ControlEvent tick = ControlTick{};
+  const auto lines_of_a_second = [&](Duration each) {
+    ControlLoad load;
+    int lines = 0;
+    for (TimePoint now(seconds(1)); now <= TimePoint(milliseconds(2100));
+         now += milliseconds(20)) {
+      lines += load.Note(tick, now, now + each) ? 1 : 0;
+    }
+    return lines;
+  };
+  BOOST_TEST(lines_of_a_second(std::chrono::microseconds(500)) == 0);
+  BOOST_TEST(lines_of_a_second(milliseconds(1)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LateTicksAreTold) {
+  const ControlEvent tick = ControlTick{};
+  ControlLoad load;
+  const TimePoint begin(seconds(1));
+  BOOST_TEST(!load.Note(tick, begin, begin));
+  const TimePoint late = begin + seconds(1);
+  const auto line = load.Note(tick, late, late);
+  BOOST_REQUIRE(line.has_value());
+  BOOST_TEST(std::string(line->reason) == "control.load");
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "cicadaloft/control/control_load.h"
 #include "cicadaloft/control/control_state.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/node_messages.h"
@@ -57,11 +58,15 @@
 
  private:
   void Take(const ControlEvent& event) {
-    auto step = Decide(std::move(this->state), event, this->clock.Now());
+    const TimePoint now = this->clock.Now();
+    auto step = Decide(std::move(this->state), event, now);
     this->state = std::move(step.state);
     for (const ControlEffect& effect : step.effects) {
       std::visit([this](const auto& item) { this->Carry(item); }, effect);
     }
+    if (const auto line = this->load.Note(event, now, this->clock.Now())) {
+      this->log(*line);
+    }
   }
 
   void Carry(const TellEntry& tell) { Post(*this->links.node, tell.event); }
@@ -123,6 +128,7 @@
   LeaseCalls<platform::StoreClient> lease_calls;
   platform::RunnerClient runners;
   const DecisionLog log;
+  ControlLoad load;
   const BootClock clock{};
 };
 
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -78,6 +78,7 @@
   double ValueOf(const ModelPath& path, const TargetBook& book) const;
   std::uint32_t Swaps() const;
   bool IsFarCopy(const ModelPath& path, const TargetBook& book) const;
+  void LogWaiting();
   void FillFreeRoom();
   void FillOne(TargetBook& book, const Engine& engine);
   void Order(TargetBook& book,
@@ -101,6 +102,7 @@
   UseHistory history;
   LoadBudget budget;
   TimePoint filled_at{};
+  TimePoint waiting_logged{};
 };
 
 }  // namespace cicadaloft
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -42,6 +42,9 @@
 /// A model with fewer requests a second and holder gets no further holder.
 constexpr double kSpareRate = 0.5;
 
+/// Between two lines on what is wanted and not placed yet.
+constexpr Duration kLogInterval = std::chrono::seconds(1);
+
 /// Batch work may wait for a place: while room is made, a place serves nobody,
 /// and too many at once leave too few.
 constexpr Duration kPatientAim = std::chrono::seconds(1);
@@ -80,9 +83,34 @@
       this->wants.erase(path);
     }
   }
+  this->LogWaiting();
   this->FillFreeRoom();
 }
 
+void PlacementCore::LogWaiting() {
+  if (this->wants.empty() || this->now - this->waiting_logged < kLogInterval) {
+    return;
+  }
+  this->waiting_logged = this->now;
+  const auto oldest =
+      std::ranges::min(this->wants | std::views::values, {}, &Want::first_asked)
+          .first_asked;
+  const auto count = [this](auto is_so) {
+    return std::ranges::count_if(this->books | std::views::values, is_so);
+  };
+  this->Log("place.waiting",
+            {{"wanted", this->wants.size()},
+             {"oldest_ms", this->now - oldest},
+             {"making_room", this->Swaps()},
+             {"store_loads", this->StoreLoads()},
+             {"targets", this->books.size()},
+             {"unknown",
+              count([](const TargetBook& book) { return !book.IsKnown(); })},
+             {"busy", count([](const TargetBook& book) {
+                return book.loading().has_value() || book.pending().has_value();
+              })}});
+}
+
 void PlacementCore::AskReports() {
   for (auto& [id, book] : this->books) {
     const bool is_engine = this->FindEngine(book.record().service) != nullptr;
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -35,6 +35,8 @@
   TimePoint LoadedAt(const ModelPath& path) const;
   const std::optional<SendOrder>& pending() const { return this->unanswered; }
 
+  /// @return whether it is known what the target holds.
+  bool IsKnown() const { return this->is_known; }
   /// @return whether orders may be given: what it holds is known, and none is
   /// under way.
   bool IsFree(TimePoint now) const;
