Plan by indexes, and tell only hosts that a change concerns

Callers saw models and adapters that were never served, and 503s. The holder of the lease looked at all targets, hosts and wants for each want and each event: 0.4 to 0.9 s of each second of a host with 0.12 cores. Besides, each change of a model went to all hosts, each host reported five times a second however many there were, and each registry record copied the fleet.

Now a want is looked up in indexes of holders and of copies, other wants are planned once a tick, what runs is summed when it is reported, changes go to hosts that ask for the model or use it, hosts report some 100 times a second together, and the fleet is handed on once a tick. Work grows with what is wanted, no more with its product with targets and hosts.

Ruled out: the bound on loads from the weight store, of which none was under way then.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -70,9 +70,8 @@
 }
 
 void ControlState::Take(const FleetEvent& event) {
-  if (this->fleet_register.Apply(event, this->now)) {
-    this->TellFleet();
-  }
+  // Told with the next tick: on a large site tens of records come a second.
+  this->is_fleet_changed |= this->fleet_register.Apply(event, this->now);
 }
 
 void ControlState::Take(const ModelWanted& wanted) {
@@ -81,9 +80,11 @@
 
 void ControlState::Take(const UsageMeasured& measured) {
   const HostId& self = this->lease_settings.self;
-  if (!measured.uses.empty()) {
+  // The report after the last use tells that nothing runs any more.
+  if (!measured.uses.empty() || this->has_reported_use) {
     this->Report(UseReported{.host = self, .uses = measured.uses});
   }
+  this->has_reported_use = !measured.uses.empty();
   this->Report(
       DemandReported{.host = self,
                      .grant = this->HasGrant() ? this->granted.grant : 0,
@@ -154,7 +155,8 @@
 }
 
 void ControlState::Take(const ControlTick&) {
-  if (this->fleet_register.Tick(this->now)) {
+  this->is_fleet_changed |= this->fleet_register.Tick(this->now);
+  if (std::exchange(this->is_fleet_changed, false)) {
     this->TellFleet();
   }
   this->CatchUp();
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -71,19 +71,24 @@
   auto step = Decide(std::move(this->placement), event, this->now);
   this->placement = std::move(step.state);
   for (const PlacementEffect& effect : step.effects) {
-    std::visit(
-        Overloaded{
-            [this](const PlacementChange& change) {
-              this->effects.emplace_back(TellAllHosts{.message = change});
-              this->Tell(change);
-            },
-            [this](const SendOrder& order) {
-              SendOrder bounded = order;
-              bounded.not_after = this->right_until;
-              this->effects.emplace_back(std::move(bounded));
-            },
-            [this](const auto& other) { this->effects.emplace_back(other); }},
-        effect);
+    std::visit(Overloaded{[this](const TellPlacement& tell) {
+                            this->Tell(tell.change);
+                            for (const HostId& host : tell.hosts) {
+                              if (host != this->lease_settings.self) {
+                                this->effects.emplace_back(TellHost{
+                                    .host = host, .message = tell.change});
+                              }
+                            }
+                          },
+                          [this](const SendOrder& order) {
+                            SendOrder bounded = order;
+                            bounded.not_after = this->right_until;
+                            this->effects.emplace_back(std::move(bounded));
+                          },
+                          [this](const auto& other) {
+                            this->effects.emplace_back(other);
+                          }},
+               effect);
   }
 }
 
@@ -110,9 +115,9 @@
   }
 }
 
-void ControlState::OnPeer(const HostId&, const ModelWanted& wanted) {
+void ControlState::OnPeer(const HostId& host, const ModelWanted& wanted) {
   if (this->IsHolder()) {
-    this->FeedPlacement(wanted);
+    this->FeedPlacement(ModelAsked{.host = host, .wanted = wanted});
   }
 }
 
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -85,6 +85,8 @@
   ActiveConfigurationPtr configuration;
   std::set<DataCentreId> evacuated;
   FleetRegister fleet_register;
+  bool is_fleet_changed = false;  ///< Since it was told.
+  bool has_reported_use = false;  ///< With the last measurement.
   bool is_operator_reachable = false;
   ConfigurationVersion told_version;  ///< The newest one any host has told of.
   TimePoint told_version_at{};
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -159,7 +159,9 @@
 void EntryCore::Take(const EntryTick&) {
   this->EndExpired();
   this->PumpAll();
-  if (this->now - this->usage_reported >= kUsageInterval) {
+  const Duration interval =
+      std::max(kUsageInterval, kUsageIntervalPerHost * this->shares.hosts);
+  if (this->now - this->usage_reported >= interval) {
     this->usage_reported = this->now;
     this->ReportUsage();
   }
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -274,6 +274,9 @@
 /// Between two measurements of usage. Which models are idle is known about as
 /// well as this is short against a run's length.
 inline constexpr Duration kUsageInterval = std::chrono::milliseconds(200);
+/// The same where many hosts measure: the holder takes some 100 reports a
+/// second from all of them together, for any number of hosts.
+inline constexpr Duration kUsageIntervalPerHost = std::chrono::milliseconds(10);
 
 }  // namespace cicadaloft
 
--- a/fleet/fleet_register.cc
+++ b/fleet/fleet_register.cc
@@ -20,6 +20,13 @@
          }) > 0;
 }
 
+FleetPtr FleetRegister::fleet() const {
+  if (this->told == nullptr) {
+    this->told = std::make_shared<const Fleet>(Fleet{.targets = this->targets});
+  }
+  return this->told;
+}
+
 std::vector<DecisionLine> FleetRegister::TakeLines() {
   return std::exchange(this->lines, {});
 }
@@ -30,7 +37,7 @@
 }
 
 bool FleetRegister::Take(const TargetRemoved& removed, TimePoint now) {
-  if (!this->current->targets.contains(removed.target)) {
+  if (!this->targets.contains(removed.target)) {
     return false;
   }
   if (this->IsInDoubt(now)) {
@@ -47,8 +54,8 @@
     present.insert(record->id);
     has_changed |= this->Take(TargetSeen{.record = record}, now);
   }
-  const FleetPtr before = this->current;
-  for (const auto& [id, record] : before->targets) {
+  const std::map<TargetId, TargetRecordPtr> before = this->targets;
+  for (const auto& [id, record] : before) {
     if (!present.contains(id)) {
       has_changed |= this->Take(TargetRemoved{.target = id}, now);
     }
@@ -61,17 +68,15 @@
     this->returned_at = now;
   }
   this->reachable = change.is_reachable;
-  if (this->reachable) {
-  }
   return false;
 }
 
 bool FleetRegister::Put(const TargetRecordPtr& record) {
-  const FleetPtr before = this->current;
-  const auto found = before->targets.find(record->id);
-  const bool is_known = found != before->targets.end();
-  if (is_known) {
-    const TargetRecord& known = *found->second;
+  const auto found = this->targets.find(record->id);
+  const TargetRecordPtr before =
+      found == this->targets.end() ? nullptr : found->second;
+  if (before != nullptr) {
+    const TargetRecord& known = *before;
     // Of an earlier process, or of one that has said more since.
     const bool is_old = record->instance < known.instance;
     // Leaving is final; a reading that says otherwise is outdated.
@@ -81,13 +86,11 @@
       return false;
     }
   }
-  auto targets = before->targets;
-  targets[record->id] = record;
-  this->current =
-      std::make_shared<const Fleet>(Fleet{.targets = std::move(targets)});
-  const bool is_news = !is_known ||
-                       found->second->instance != record->instance ||
-                       found->second->is_draining != record->is_draining;
+  this->targets[record->id] = record;
+  this->told.reset();
+  const bool is_news = before == nullptr ||
+                       before->instance != record->instance ||
+                       before->is_draining != record->is_draining;
   if (is_news) {
     this->lines.push_back(DecisionLine{
         .reason = record->is_draining ? "fleet.draining" : "fleet.seen",
@@ -100,13 +103,10 @@
 }
 
 bool FleetRegister::Drop(const TargetId& target, const char* reason) {
-  if (!this->current->targets.contains(target)) {
+  if (this->targets.erase(target) == 0) {
     return false;
   }
-  auto targets = this->current->targets;
-  targets.erase(target);
-  this->current =
-      std::make_shared<const Fleet>(Fleet{.targets = std::move(targets)});
+  this->told.reset();
   this->lines.push_back(
       DecisionLine{.reason = reason, .fields = {{"target", target.value()}}});
   return true;
--- a/fleet/include/cicadaloft/fleet/fleet_register.h
+++ b/fleet/include/cicadaloft/fleet/fleet_register.h
@@ -65,7 +65,7 @@
   /// @return whether the fleet has changed.
   bool Tick(TimePoint now);
 
-  FleetPtr fleet() const { return this->current; }
+  FleetPtr fleet() const;
   /// What has been decided since the last call, for the log.
   std::vector<DecisionLine> TakeLines();
 
@@ -78,7 +78,10 @@
   bool Drop(const TargetId& target, const char* reason);
   bool IsInDoubt(TimePoint now) const;
 
-  FleetPtr current = std::make_shared<const Fleet>();
+  std::map<TargetId, TargetRecordPtr> targets;
+  /// The fleet as it was handed on last; null after a change. Records come
+  /// faster than anybody asks for the fleet.
+  mutable FleetPtr told;
   bool reachable = false;
   std::optional<TimePoint> returned_at;  ///< When the registry came back.
   std::set<TargetId> absent;  ///< Removed in doubt; still in the fleet.
--- a/placement/include/cicadaloft/placement/messages.h
+++ b/placement/include/cicadaloft/placement/messages.h
@@ -97,6 +97,25 @@
   friend bool operator==(const ReportFailed&, const ReportFailed&) = default;
 };
 
+/// A host asks for a model or adapter that it has requests for.
+struct ModelAsked {
+  const HostId host;
+  const ModelWanted wanted;
+
+  friend auto operator<=>(const ModelAsked&, const ModelAsked&) = default;
+  friend bool operator==(const ModelAsked&, const ModelAsked&) = default;
+};
+
+/// Tell these hosts, which ask for the path or use it, what changes. Others
+/// see it in the registry some seconds later.
+struct TellPlacement {
+  const PlacementChange change;
+  const std::set<HostId> hosts;
+
+  friend auto operator<=>(const TellPlacement&, const TellPlacement&) = default;
+  friend bool operator==(const TellPlacement&, const TellPlacement&) = default;
+};
+
 /// One host's use of models since its last report.
 struct UseReported {
   const HostId host;
@@ -132,7 +151,7 @@
                                     ConfigurationChanged,
                                     EvacuationsChanged,
                                     FleetChanged,
-                                    ModelWanted,
+                                    ModelAsked,
                                     UseReported,
                                     OrderEnded,
                                     ReportRead,
@@ -140,7 +159,7 @@
                                     PlacementTick>;
 
 using PlacementEffect =
-    std::variant<SendOrder, AskReport, PlacementChange, DecisionLine>;
+    std::variant<SendOrder, AskReport, TellPlacement, DecisionLine>;
 
 }  // namespace cicadaloft
 
--- a/placement/include/cicadaloft/placement/use_history.h
+++ b/placement/include/cicadaloft/placement/use_history.h
@@ -1,7 +1,9 @@
 #ifndef CICADALOFT_PLACEMENT_USE_HISTORY_H_
 #define CICADALOFT_PLACEMENT_USE_HISTORY_H_
 
+#include <cstdint>
 #include <map>
+#include <set>
 
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/placement/messages.h"
@@ -9,22 +11,31 @@
 namespace cicadaloft {
 
 /// How much each model and adapter is used, over all hosts. What an adapter is
-/// used counts for its model as well.
+/// used counts for its model as well. A question costs the same for any number
+/// of hosts.
 class UseHistory {
  public:
   /// What is older counts half. Demand moves between models within seconds.
   static constexpr Duration kHalfLife = std::chrono::seconds(8);
+  /// A host that has not reported for so long runs nothing that counts. Above
+  /// the longest time between two reports of one host.
+  static constexpr Duration kReportTerm = std::chrono::seconds(5);
 
+  /// A host's report replaces what it ran by its last one.
   void Add(const UseReported& report, TimePoint now);
+  /// Drops what hosts ran that have fallen silent.
+  void Tick(TimePoint now);
 
   /// @return requests a second, lately.
   double Rate(const ModelPath& path, TimePoint now) const;
   /// @return part of the requests that are awaited at a screen, from 0 to 1.
   double UrgentPart(const ModelPath& path) const;
   /// @return requests running now, by the hosts' last reports.
-  std::uint32_t Running(const ModelPath& path, TimePoint now) const;
+  std::uint32_t Running(const ModelPath& path) const;
   /// @return when it was last asked for; the beginning of time if never.
   TimePoint LastUse(const ModelPath& path) const;
+  /// @return hosts that have reported use of it within kReportTerm.
+  std::set<HostId> UsersOf(const ModelPath& path, TimePoint now) const;
   /// The path has just been asked for.
   void Touch(const ModelPath& path, TimePoint now);
 
@@ -34,10 +45,19 @@
     double urgent = 0;
     TimePoint counted_at{};
     TimePoint last_use{};
-    std::map<HostId, std::pair<TimePoint, std::uint32_t>> running;
+    std::uint32_t running = 0;  ///< Over all hosts.
+    std::map<HostId, TimePoint> users;
   };
+  struct HostReport {
+    TimePoint at{};
+    std::map<ModelPath, std::uint32_t> running;
+  };
+
+  void Count(const UseReported& report, const ModelUse& sum, TimePoint now);
+  void Forget(const HostReport& report);
 
   std::map<ModelPath, Use> uses;
+  std::map<HostId, HostReport> reports;
 };
 
 }  // namespace cicadaloft
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -39,6 +39,7 @@
   for (auto& [id, book] : this->books) {
     book.OnUnclear(this->now);
     book.Doubt(this->now);
+    this->Index(book);
   }
   this->Plan();
 }
@@ -64,16 +65,30 @@
 void PlacementCore::Take(const FleetChanged& change) {
   this->fleet = change.fleet;
   for (const auto& [id, record] : this->fleet->targets) {
-    const auto [place, is_new] = this->books.try_emplace(id, *record);
-    place->second.OnRecord(*record, this->now);
+    const auto [place, is_new] = this->books.try_emplace(id, record);
+    TargetBook& book = place->second;
+    if (is_new || book.told_record() != record) {
+      book.OnRecord(record, this->now);
+      this->Index(book);
+    }
   }
   std::erase_if(this->books, [this](const auto& entry) {
-    return !this->fleet->targets.contains(entry.first);
+    const bool is_gone = !this->fleet->targets.contains(entry.first);
+    if (is_gone) {
+      this->holders.Remove(entry.first);
+      this->copies.Remove(entry.first);
+    }
+    return is_gone;
   });
-  this->Plan();
 }
 
-void PlacementCore::Take(const ModelWanted& wanted) {
+void PlacementCore::Index(const TargetBook& book) {
+  this->holders.Set(book.record().id, book.HeldOrOrdered());
+  this->copies.Set(book.record().id, book.Copies());
+}
+
+void PlacementCore::Take(const ModelAsked& asked) {
+  const ModelWanted& wanted = asked.wanted;
   this->history.Touch(wanted.path, this->now);
   if (this->token == FencingToken()) {
     return;
@@ -85,6 +100,7 @@
                             : std::min(want.latency_aim, wanted.latency_aim);
   want.asked_at = this->now;
   want.first_asked = is_new ? this->now : want.first_asked;
+  want.asked_by.insert(asked.host);
   for (const TargetId& target : wanted.denied_by) {
     const auto found = this->books.find(target);
     const bool is_believed = found != this->books.end() &&
@@ -99,7 +115,7 @@
       found->second.Doubt(this->now);
     }
   }
-  this->Plan();
+  this->ServeInOrder({wanted.path});
 }
 
 void PlacementCore::Take(const UseReported& report) {
@@ -128,7 +144,11 @@
   switch (ended.outcome) {
     case OrderOutcome::kAccepted:
       book.OnAccepted(source, ready_in, this->now);
-      this->Broadcast(book, order.path, is_load, ready_in);
+      this->Tell(book, order.path, is_load, ready_in,
+                 this->ConcernedBy(order.path));
+      if (is_load) {
+        this->wants.erase(order.path);
+      }
       break;
     case OrderOutcome::kAlready:
       // An adapter that nobody uses is unloaded at once, which counts as an
@@ -138,7 +158,8 @@
       } else {
         book.OnAlready(this->now);
       }
-      this->Broadcast(book, order.path, is_load, Duration::zero());
+      this->Tell(book, order.path, is_load, Duration::zero(),
+                 this->ConcernedBy(order.path));
       break;
     case OrderOutcome::kNotSent:
       book.OnNotDone();
@@ -159,9 +180,11 @@
                        ended.outcome != OrderOutcome::kNoAnswer;
   if (is_kept) {
     // Hosts have been told that it goes.
-    this->Broadcast(book, order.path, true, Duration::zero());
+    this->Tell(book, order.path, true, Duration::zero(),
+               this->ConcernedBy(order.path));
   }
-  this->Plan();
+  this->Index(book);
+  this->ServeAfterOrder(ended.target);
 }
 
 void PlacementCore::Take(const ReportRead& read) {
@@ -178,7 +201,7 @@
                              {"is_busy", read.report.is_busy ? "yes" : "no"},
                              {"loaded", read.report.loaded.size()}});
   book.OnReport(read.report, this->now);
-  this->Plan();
+  this->Index(book);
 }
 
 void PlacementCore::Take(const ReportFailed& failed) {
@@ -190,6 +213,7 @@
   for (auto& [id, book] : this->books) {
     book.Tick(this->now);
   }
+  this->history.Tick(this->now);
   this->Plan();
 }
 
@@ -212,11 +236,10 @@
 
 std::uint32_t PlacementCore::HoldersOf(const ServiceId& service,
                                        const ModelPath& path) const {
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(this->books, [&](const auto& entry) {
-        const TargetBook& book = entry.second;
-        return book.record().service == service && this->IsUsable(book) &&
-               (book.Holds(path) || book.IsComing(path));
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      this->holders.Of(path), [&](const TargetId& target) {
+        const TargetBook& book = this->books.at(target);
+        return book.record().service == service && this->IsUsable(book);
       }));
 }
 
@@ -276,26 +299,35 @@
              {"used_mb", static_cast<std::int64_t>(this->UsedMb(book))},
              {"holders", this->HoldersOf(book.record().service, path)}});
   book.OnOrderSent(order);
+  this->Index(book);
   this->effects.emplace_back(order);
   if (kind == OrderKind::kUnload) {
     // Nobody should send there while the runs before the unload finish.
-    this->effects.emplace_back(
-        PlacementChange{.target = order.target,
-                        .instance = book.record().instance,
-                        .path = path,
-                        .is_load = false});
+    this->Tell(book, path, false, Duration::zero(), this->ConcernedBy(path));
   }
 }
 
-void PlacementCore::Broadcast(const TargetBook& book,
-                              const ModelPath& path,
-                              bool is_load,
-                              Duration ready_in) {
-  this->effects.emplace_back(PlacementChange{.target = book.record().id,
-                                             .instance = book.record().instance,
-                                             .path = path,
-                                             .is_load = is_load,
-                                             .ready_in = ready_in});
+std::set<HostId> PlacementCore::ConcernedBy(const ModelPath& path) const {
+  std::set<HostId> hosts = this->history.UsersOf(path, this->now);
+  const auto want = this->wants.find(path);
+  if (want != this->wants.end()) {
+    hosts.insert(want->second.asked_by.begin(), want->second.asked_by.end());
+  }
+  return hosts;
+}
+
+void PlacementCore::Tell(const TargetBook& book,
+                         const ModelPath& path,
+                         bool is_load,
+                         Duration ready_in,
+                         std::set<HostId> hosts) {
+  this->effects.emplace_back(
+      TellPlacement{.change = {.target = book.record().id,
+                               .instance = book.record().instance,
+                               .path = path,
+                               .is_load = is_load,
+                               .ready_in = ready_in},
+                    .hosts = std::move(hosts)});
 }
 
 void PlacementCore::Log(const char* reason, std::vector<LogField> fields) {
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -11,6 +11,7 @@
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/placement/use_history.h"
 #include "target_book.h"
+#include "target_index.h"
 
 namespace cicadaloft {
 
@@ -22,7 +23,7 @@
   void Take(const ConfigurationChanged& change);
   void Take(const EvacuationsChanged& change);
   void Take(const FleetChanged& change);
-  void Take(const ModelWanted& wanted);
+  void Take(const ModelAsked& asked);
   void Take(const UseReported& report);
   void Take(const OrderEnded& ended);
   void Take(const ReportRead& read);
@@ -40,8 +41,10 @@
     Duration latency_aim{};
     TimePoint asked_at{};
     TimePoint first_asked{};
+    std::set<HostId> asked_by;
     std::set<TargetId> denied_by;  ///< Targets that hold it by the books only.
-    std::optional<TargetId> chosen;  ///< Where room is being made for it.
+    std::optional<TargetId> chosen;      ///< Where room is being made for it.
+    std::optional<TargetId> ordered_on;  ///< Where the last order for it went.
   };
   /// A target on which a model could be loaded.
   struct Site {
@@ -62,9 +65,15 @@
   static Duration LoadTime(const Model& model, WeightSource source);
   std::uint32_t StoreLoads() const;
 
+  // Keeps the indexes in step with a book that has changed.
+  void Index(const TargetBook& book);
+
   // Decisions.
   void Plan();
   void AskReports();
+  void DropOldWants();
+  void ServeInOrder(const std::vector<ModelPath>& paths);
+  void ServeAfterOrder(const TargetId& target);
   bool Serve(const ModelPath& path, Want& want);
   bool IsOrdered(const ModelPath& path) const;
   bool ServeHeld(const ModelPath& path, const Want& want);
@@ -72,6 +81,11 @@
   bool IsClaimed(const TargetId& target, const Want& by) const;
   bool ServeAdapter(const ModelPath& path, Want& want);
   std::optional<Site> FindSite(const ModelPath& path, const Want& want);
+  template <typename Targets>
+  std::optional<Site> BestSite(const Targets& targets,
+                               const Model& model,
+                               const Want& want);
+  bool MayLoadFromStore(const Engine& engine);
   std::optional<Site> SiteOn(TargetBook& book,
                              const Model& model,
                              const Engine& engine);
@@ -80,15 +94,21 @@
   bool IsFarCopy(const ModelPath& path, const TargetBook& book) const;
   void LogWaiting();
   void FillFreeRoom();
+  bool HasRoomFor(const TargetBook& book,
+                  const Model& model,
+                  const Engine& engine) const;
   void FillOne(TargetBook& book, const Engine& engine);
   void Order(TargetBook& book,
              OrderKind kind,
              const ModelPath& path,
              const char* reason);
-  void Broadcast(const TargetBook& book,
-                 const ModelPath& path,
-                 bool is_load,
-                 Duration ready_in);
+  /// Hosts that ask for the path or use it.
+  std::set<HostId> ConcernedBy(const ModelPath& path) const;
+  void Tell(const TargetBook& book,
+            const ModelPath& path,
+            bool is_load,
+            Duration ready_in,
+            std::set<HostId> hosts);
   void Log(const char* reason, std::vector<LogField> fields);
 
   TimePoint now{};
@@ -98,6 +118,8 @@
   std::set<DataCentreId> evacuated;
   FleetPtr fleet;
   std::map<TargetId, TargetBook> books;
+  TargetIndex<ModelPath> holders;  ///< Targets that hold it or will.
+  TargetIndex<ModelId> copies;     ///< Targets that can load it at once.
   std::map<ModelPath, Want> wants;
   UseHistory history;
   LoadBudget budget;
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <string>
 
@@ -68,13 +69,29 @@
     return;
   }
   this->AskReports();
+  this->DropOldWants();
+  std::vector<ModelPath> paths;
+  std::ranges::copy(this->wants | std::views::keys, std::back_inserter(paths));
+  this->ServeInOrder(paths);
+  this->LogWaiting();
+  this->FillFreeRoom();
+}
+
+void PlacementCore::DropOldWants() {
   std::erase_if(this->wants, [this](const auto& entry) {
     return this->now - entry.second.asked_at > kWantTerm;
   });
-  // What is due first goes first.
+}
+
+// What is due first goes first.
+void PlacementCore::ServeInOrder(const std::vector<ModelPath>& paths) {
+  if (this->token == FencingToken() || !this->configuration) {
+    return;
+  }
   std::vector<std::pair<TimePoint, ModelPath>> order;
-  order.reserve(this->wants.size());
-  for (const auto& [path, want] : this->wants) {
+  order.reserve(paths.size());
+  for (const ModelPath& path : paths) {
+    const Want& want = this->wants.at(path);
     order.emplace_back(want.first_asked + want.latency_aim, path);
   }
   std::ranges::sort(order);
@@ -83,8 +100,17 @@
       this->wants.erase(path);
     }
   }
-  this->LogWaiting();
-  this->FillFreeRoom();
+}
+
+// An order has ended: those for whom it was given go on at once.
+void PlacementCore::ServeAfterOrder(const TargetId& target) {
+  std::vector<ModelPath> paths;
+  for (const auto& [path, want] : this->wants) {
+    if (want.ordered_on == target) {
+      paths.push_back(path);
+    }
+  }
+  this->ServeInOrder(paths);
 }
 
 void PlacementCore::LogWaiting() {
@@ -113,8 +139,8 @@
 
 void PlacementCore::AskReports() {
   for (auto& [id, book] : this->books) {
-    const bool is_engine = this->FindEngine(book.record().service) != nullptr;
-    if (is_engine && book.NeedsReport(this->now)) {
+    if (book.NeedsReport(this->now) &&
+        this->FindEngine(book.record().service) != nullptr) {
       book.OnReportAsked(this->now);
       this->effects.emplace_back(
           AskReport{.target = id, .address = book.record().address});
@@ -139,27 +165,30 @@
 
 // Whether a load of it waits for the target's answer.
 bool PlacementCore::IsOrdered(const ModelPath& path) const {
-  return std::ranges::any_of(this->books, [&](const auto& entry) {
-    const auto& pending = entry.second.pending();
-    return pending && pending->kind == OrderKind::kLoad &&
-           pending->path == path;
-  });
+  return std::ranges::any_of(
+      this->holders.Of(path), [&](const TargetId& target) {
+        const auto& pending = this->books.at(target).pending();
+        return pending && pending->kind == OrderKind::kLoad &&
+               pending->path == path;
+      });
 }
 
-// Tells again where the path is, or will be: the host that asks has missed it.
+// Tells again where the path is, or will be: the hosts that ask have missed it.
 bool PlacementCore::ServeHeld(const ModelPath& path, const Want& want) {
   bool is_held = false;
-  for (auto& [id, book] : this->books) {
+  for (const TargetId& id : this->holders.Of(path)) {
+    const TargetBook& book = this->books.at(id);
     if (book.record().service != want.service || !this->IsUsable(book)) {
       continue;
     }
     if (book.IsComing(path)) {
-      this->Broadcast(
+      this->Tell(
           book, path, true,
-          std::max(Duration::zero(), book.loading()->ready_at - this->now));
+          std::max(Duration::zero(), book.loading()->ready_at - this->now),
+          want.asked_by);
       is_held = true;
     } else if (book.Holds(path) && !want.denied_by.contains(id)) {
-      this->Broadcast(book, path, true, Duration::zero());
+      this->Tell(book, path, true, Duration::zero(), want.asked_by);
       is_held = true;
     }
   }
@@ -183,6 +212,7 @@
     return false;
   }
   want.chosen = site->book->record().id;
+  want.ordered_on = want.chosen;
   if (!site->victims.empty()) {
     this->Order(*site->book, OrderKind::kUnload, site->victims.front(),
                 "place.make_room");
@@ -209,24 +239,43 @@
   });
 }
 
+// A load from the weight store takes several times as long as one from a copy,
+// so that it is looked for only where no target with a copy will do.
 std::optional<PlacementCore::Site> PlacementCore::FindSite(
     const ModelPath& path,
     const Want& want) {
   const Model* model = this->FindModel(want.service, path.model);
   const Engine* engine = this->FindEngine(want.service);
   std::optional<Site> best;
-  for (auto& [id, book] : this->books) {
-    const bool is_other = want.chosen && *want.chosen != id;
-    if (book.record().service != want.service || is_other ||
-        !this->IsUsable(book) || want.denied_by.contains(id) ||
-        this->IsClaimed(id, want)) {
-      continue;
+  if (want.chosen) {
+    best = this->BestSite(std::set<TargetId>{*want.chosen}, *model, want);
+  } else {
+    best = this->BestSite(this->copies.Of(path.model), *model, want);
+    if (!best && this->MayLoadFromStore(*engine)) {
+      best = this->BestSite(this->books | std::views::keys, *model, want);
     }
+  }
+  // One that is free in a moment and has the weights at hand is waited for.
+  const bool is_free = best && best->book->IsFree(this->now);
+  return is_free ? best : std::nullopt;
+}
+
+template <typename Targets>
+std::optional<PlacementCore::Site> PlacementCore::BestSite(
+    const Targets& targets,
+    const Model& model,
+    const Want& want) {
+  const Engine* engine = this->FindEngine(want.service);
+  std::optional<Site> best;
+  for (const TargetId& id : targets) {
+    TargetBook& book = this->books.at(id);
     const std::chrono::duration<double> until_free = book.UntilFree(this->now);
-    if (until_free > kLongestRest) {
+    if (until_free > kLongestRest || book.record().service != want.service ||
+        !this->IsUsable(book) || want.denied_by.contains(id) ||
+        this->IsClaimed(id, want)) {
       continue;
     }
-    auto site = this->SiteOn(book, *model, *engine);
+    auto site = this->SiteOn(book, model, *engine);
     if (!site) {
       continue;
     }
@@ -235,19 +284,19 @@
       best = std::move(site);
     }
   }
-  // One that is free in a moment and has the weights at hand is waited for.
-  const bool is_free = best && best->book->IsFree(this->now);
-  return is_free ? best : std::nullopt;
+  return best;
+}
+
+bool PlacementCore::MayLoadFromStore(const Engine& engine) {
+  return this->StoreLoads() < kStoreLoadsAtOnce &&
+         this->budget.Has(engine.store_loads_per_second, this->now);
 }
 
 std::optional<PlacementCore::Site> PlacementCore::SiteOn(TargetBook& book,
                                                          const Model& model,
                                                          const Engine& engine) {
   Site site{.book = &book, .source = book.SourceOf(model.id)};
-  const bool needs_store = site.source == WeightSource::kStore;
-  if (needs_store &&
-      (this->StoreLoads() >= kStoreLoadsAtOnce ||
-       !this->budget.Has(engine.store_loads_per_second, this->now))) {
+  if (site.source == WeightSource::kStore && !this->MayLoadFromStore(engine)) {
     return std::nullopt;
   }
   const std::chrono::duration<double> load = LoadTime(model, site.source);
@@ -281,7 +330,7 @@
   const ServiceId& service = book.record().service;
   const std::uint32_t holders = this->HoldersOf(service, path);
   const double rate = this->history.Rate(path, this->now);
-  const double running = this->history.Running(path, this->now);
+  const double running = this->history.Running(path);
   const double urgency = kBatchWeight + this->history.UrgentPart(path);
   const bool is_new = this->now < book.LoadedAt(path) + kServesFirst;
   const double wait =
@@ -304,11 +353,12 @@
 // Whether no other target of the data centre holds it.
 bool PlacementCore::IsFarCopy(const ModelPath& path,
                               const TargetBook& book) const {
-  return std::ranges::none_of(this->books, [&](const auto& entry) {
-    const TargetBook& other = entry.second;
-    return &other != &book && other.Holds(path) && this->IsUsable(other) &&
-           other.record().data_centre == book.record().data_centre;
-  });
+  return std::ranges::none_of(
+      this->holders.Of(path), [&](const TargetId& target) {
+        const TargetBook& other = this->books.at(target);
+        return &other != &book && other.Holds(path) && this->IsUsable(other) &&
+               other.record().data_centre == book.record().data_centre;
+      });
 }
 
 bool PlacementCore::ServeAdapter(const ModelPath& path, Want& want) {
@@ -316,9 +366,9 @@
   const Model* model = this->FindModel(want.service, path.model);
   TargetBook* best = nullptr;
   bool is_base_held = false;
-  for (auto& [id, book] : this->books) {
-    if (book.record().service != want.service || !this->IsUsable(book) ||
-        !(book.Holds(path.Base()) || book.IsComing(path.Base()))) {
+  for (const TargetId& id : this->holders.Of(path.Base())) {
+    TargetBook& book = this->books.at(id);
+    if (book.record().service != want.service || !this->IsUsable(book)) {
       continue;
     }
     is_base_held = true;
@@ -336,6 +386,7 @@
   if (best == nullptr) {
     return false;
   }
+  want.ordered_on = best->record().id;
   const bool has_slot = this->AdaptersOn(*best) < engine->adapter_slots;
   const bool has_room =
       this->UsedMb(*best) + model->adapter_mb <= engine->weights_mb;
@@ -371,28 +422,33 @@
   }
 }
 
+bool PlacementCore::HasRoomFor(const TargetBook& book,
+                               const Model& model,
+                               const Engine& engine) const {
+  return this->UsedMb(book) + model.weights_mb +
+             model.adapter_mb * kAdapterReserve <=
+         engine.weights_mb;
+}
+
 // Loads what no target holds, or else a further copy of what is used most.
 void PlacementCore::FillOne(TargetBook& book, const Engine& engine) {
   const ServiceId& service = book.record().service;
-  const double used = this->UsedMb(book);
   const Model* best = nullptr;
   double best_score = 0;
-  for (const Model& model : engine.models) {
-    const ModelPath path{.model = model.id};
-    const bool fits =
-        used + model.weights_mb + model.adapter_mb * kAdapterReserve <=
-        engine.weights_mb;
-    if (!fits || book.Holds(path) ||
-        book.SourceOf(model.id) == WeightSource::kStore) {
+  for (const ModelId& id : book.Copies()) {
+    const ModelPath path{.model = id};
+    const Model* model = this->FindModel(service, id);
+    if (model == nullptr || book.Holds(path) ||
+        !this->HasRoomFor(book, *model, engine)) {
       continue;
     }
-    const std::uint32_t holders = this->HoldersOf(service, path);
+    const std::uint32_t holding = this->HoldersOf(service, path);
     const double rate = this->history.Rate(path, this->now);
     const double score =
-        holders == 0 ? 1 + rate
-                     : (rate / holders > kSpareRate ? rate / holders / 100 : 0);
+        holding == 0 ? 1 + rate
+                     : (rate / holding > kSpareRate ? rate / holding / 100 : 0);
     if (score > best_score) {
-      best = &model;
+      best = model;
       best_score = score;
     }
   }
--- a/placement/target_book.cc
+++ b/placement/target_book.cc
@@ -68,19 +68,35 @@
              : WeightSource::kStore;
 }
 
-void TargetBook::OnRecord(const TargetRecord& record, TimePoint now) {
-  const bool is_new_process = record.instance != this->known.instance;
-  this->known = record;
+std::set<ModelPath> TargetBook::HeldOrOrdered() const {
+  std::set<ModelPath> all = this->paths;
+  if (this->unanswered && this->unanswered->kind == OrderKind::kLoad) {
+    all.insert(this->unanswered->path);
+  }
+  return all;
+}
+
+std::set<ModelId> TargetBook::Copies() const {
+  std::set<ModelId> copies(this->known.in_memory.begin(),
+                           this->known.in_memory.end());
+  copies.insert(this->known.on_disk.begin(), this->known.on_disk.end());
+  return copies;
+}
+
+void TargetBook::OnRecord(const TargetRecordPtr& record, TimePoint now) {
+  const bool is_new_process = record->instance != this->known.instance;
+  this->told = record;
+  this->known = *record;
   if (is_new_process) {
     this->orders = OrderSequence();
     this->unanswered.reset();
-    this->paths = {record.loaded.begin(), record.loaded.end()};
+    this->paths = {record->loaded.begin(), record->loaded.end()};
     this->Doubt(now);
     return;
   }
   const bool is_done =
       this->under_way &&
-      std::ranges::binary_search(record.loaded, this->under_way->path);
+      std::ranges::binary_search(record->loaded, this->under_way->path);
   if (is_done) {
     this->under_way.reset();
   }
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -17,8 +17,10 @@
 /// one of several orders that were given on the same knowledge is carried out.
 class TargetBook {
  public:
-  explicit TargetBook(const TargetRecord& record)
-      : known(record), paths(record.loaded.begin(), record.loaded.end()) {}
+  explicit TargetBook(const TargetRecordPtr& record)
+      : told(record),
+        known(*record),
+        paths(record->loaded.begin(), record->loaded.end()) {}
 
   struct Loading {
     ModelPath path;
@@ -27,6 +29,8 @@
   };
 
   const TargetRecord& record() const { return this->known; }
+  /// @return the registry's newest record.
+  const TargetRecordPtr& told_record() const { return this->told; }
   OrderSequence sequence() const { return this->orders; }
   const std::set<ModelPath>& held() const { return this->paths; }
   const std::optional<Loading>& loading() const { return this->under_way; }
@@ -46,12 +50,16 @@
   /// @return whether its report has to be asked for.
   bool NeedsReport(TimePoint now) const;
   bool Holds(const ModelPath& path) const { return this->paths.contains(path); }
+  /// @return what it holds, and what it has been ordered to load.
+  std::set<ModelPath> HeldOrOrdered() const;
+  /// @return the models of which it has a copy, in memory or on disk.
+  std::set<ModelId> Copies() const;
   /// @return whether a load of the path is under way, or its order unanswered.
   bool IsComing(const ModelPath& path) const;
   WeightSource SourceOf(const ModelId& model) const;
 
   /// Takes the registry's newest record over.
-  void OnRecord(const TargetRecord& record, TimePoint now);
+  void OnRecord(const TargetRecordPtr& record, TimePoint now);
   void OnReportAsked(TimePoint now);
   void OnReport(const TargetReport& report, TimePoint now);
   /// Nothing is taken as known until the next report.
@@ -75,7 +83,8 @@
  private:
   void Drop(const ModelPath& path);
 
-  TargetRecord known;
+  TargetRecordPtr told;
+  TargetRecord known;  ///< That record, corrected by newer reports.
   OrderSequence orders;
   std::set<ModelPath> paths;
   std::map<ModelPath, TimePoint> loaded_at;
