Let hosts draw from a customer's limit instead of dividing it all

Each of 76 hosts had a 76th of a limit, less than a few requests cost, and what one host left unused was lost to the others. On 360 hosts the limit was overspent besides, as each host let through one request that cost more than its whole share.

Shares are now granted only for what a host will most likely use, with two standard deviations to spare, and for no fewer than eight requests.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -129,6 +129,11 @@
   return this->spent;
 }
 
+double CustomerShare::Left(TimePoint now) {
+  return std::max(
+      0.0, this->most + this->credit - this->HeldBack(now) - this->Spent(now));
+}
+
 void CustomerShare::Forget(TimePoint now) {
   while (!this->expenses.empty() &&
          now - this->expenses.front().at >= this->limit.window) {
--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -63,6 +63,8 @@
 
   /// @return what is spent in the window.
   double Spent(TimePoint now);
+  /// @return what the window has left.
+  double Left(TimePoint now);
   double capacity() const { return this->most; }
   double share() const { return this->part; }
   static constexpr Duration kLongestWait = std::chrono::seconds(60);
--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -7,13 +7,28 @@
 #include <set>
 #include <vector>
 
+#include "cicadaloft/admission/customer_share.h"
 #include "cicadaloft/admission/share_messages.h"
 
 namespace cicadaloft {
 
-/// The holder's account of customers' shares. A host's share grows only by what
-/// others have confirmed to have given up, or have let lapse, so that the sum
-/// over hosts never exceeds 1, whatever messages are lost.
+/// A customer and its limit.
+struct LimitedCustomer {
+  CustomerId id;
+  CustomerLimit limit;
+
+  friend auto operator<=>(const LimitedCustomer&,
+                          const LimitedCustomer&) = default;
+  friend bool operator==(const LimitedCustomer&,
+                         const LimitedCustomer&) = default;
+};
+
+/// The holder's account of customers' limits. Each host is granted a share of
+/// what it will most likely use. What is granted to nobody is a pool from which
+/// hosts draw for single requests, so that a customer gets its limit wherever
+/// its requests arrive. A share grows only by what others have confirmed to
+/// have given up, or have let lapse, and by what the pool has not spent, so
+/// that the sum never exceeds 1, whatever messages are lost.
 class ShareLedger {
  public:
   /// A host that has not reported for so long takes no requests.
@@ -43,16 +58,25 @@
   /// Divides the customers' limits anew.
   /// @return a grant for each host that takes requests.
   std::map<HostId, SharesGranted> Divide(
-      const std::vector<CustomerId>& customers,
+      const std::vector<LimitedCustomer>& customers,
       TimePoint now);
 
+  /// Takes the cost of a request from the pool if there is as much. Customers
+  /// are known from the last division.
+  LimitDrawn Draw(const LimitDrawAsked& asked, TimePoint now);
+
   /// @return what hosts have spent of customers' limits in the window.
-  SpentLimits Spent(TimePoint now) const;
+  SpentLimits Spent(TimePoint now);
 
   /// @return hosts that may take requests; at least 1.
   std::uint32_t HostCount(TimePoint now) const;
 
  private:
+  /// Both faded.
+  struct Demand {
+    double cost = 0;
+    double requests = 0;
+  };
   struct Grant {
     std::uint64_t number = 0;
     TimePoint sent_at{};
@@ -60,7 +84,7 @@
   };
   struct Host {
     TimePoint heard_at{};
-    std::map<CustomerId, double> demand;  ///< Faded.
+    std::map<CustomerId, Demand> demand;
     /// The newest confirmed grant first, then those that may be in use.
     std::deque<Grant> grants;
     /// What it uses, or has spent in the window, by its last report.
@@ -68,14 +92,19 @@
     std::map<CustomerId, double> spent;  ///< By its last report.
   };
 
+  bool TakesRequests(const Host& host, TimePoint now) const;
   double ToldPart(TimePoint now) const;
   double InWindow(TimePoint ended, TimePoint now) const;
   double Outstanding(const Host& host,
                      const CustomerId& customer,
                      TimePoint now) const;
-  std::map<CustomerId, double> Wanted(const HostId& id,
-                                      const std::vector<CustomerId>& customers,
-                                      TimePoint now) const;
+  double AllOutstanding(const CustomerId& customer, TimePoint now) const;
+  static double LikelyUse(const Host& host, const LimitedCustomer& customer);
+  static double MeanCost(const Host& host, const LimitedCustomer& customer);
+  void DivideOne(const LimitedCustomer& customer,
+                 std::map<HostId, Grant>& grants,
+                 TimePoint now);
+  CustomerShare& PoolOf(const CustomerId& customer);
 
   Duration limit_window;
   std::map<HostId, Host> hosts;
@@ -83,6 +112,8 @@
   std::uint32_t expected_hosts = 0;
   TimePoint began{};
   SpentLimits spent_before;
+  std::map<CustomerId, CustomerShare> pools;
+  TimePoint silent_since{};  ///< An earlier holder has granted nothing since.
   TimePoint lapsed_at{};  ///< When what an earlier holder granted has lapsed.
 };
 
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -34,8 +34,9 @@
 /// What a host's callers have asked for of one customer's limit.
 struct CustomerDemand {
   CustomerId customer;
-  double cost = 0;    ///< In the customer's unit, since the last report.
-  double in_use = 0;  ///< Part of the limit that this host has spent.
+  double cost = 0;  ///< In the customer's unit, since the last report.
+  std::uint32_t requests = 0;  ///< Of that cost.
+  double in_use = 0;           ///< Part of the limit that this host has spent.
 
   friend auto operator<=>(const CustomerDemand&,
                           const CustomerDemand&) = default;
@@ -71,9 +72,41 @@
   friend bool operator==(const SharesGranted&, const SharesGranted&) = default;
 };
 
-/// Part of each limit that is not granted, but divided evenly for good, so that
-/// a host that reaches nobody can still serve.
-inline constexpr double kReservedPart = 0.3;
+/// A request does not fit its host's share of the limit: the holder is asked
+/// for its cost from what is shared out to nobody. A LimitDrawn follows, unless
+/// a message is lost.
+struct LimitDrawAsked {
+  const HostId host;
+  const RequestId request;  ///< The host's own id.
+  const CustomerId customer;
+  const double cost = 0;  ///< In the customer's unit.
+
+  friend auto operator<=>(const LimitDrawAsked&,
+                          const LimitDrawAsked&) = default;
+  friend bool operator==(const LimitDrawAsked&,
+                         const LimitDrawAsked&) = default;
+};
+
+/// The holder's answer. A cost that is granted counts as spent from now on.
+struct LimitDrawn {
+  const RequestId request;
+  const bool is_granted = false;
+  const Duration come_back_in{};  ///< When it could be, if it is not.
+
+  friend auto operator<=>(const LimitDrawn&, const LimitDrawn&) = default;
+  friend bool operator==(const LimitDrawn&, const LimitDrawn&) = default;
+};
+
+/// @param hosts that take requests.
+/// @return the part of each limit that is divided evenly for good, so that a
+/// host that reaches nobody can still serve. Where many hosts divide it, each
+/// one's part would be less than a request and of use to nobody.
+constexpr double ReservedPart(std::uint32_t hosts) {
+  constexpr double kMostReserved = 0.3;
+  constexpr std::uint32_t kHostsThatUseIt = 8;
+  return hosts <= kHostsThatUseIt ? kMostReserved
+                                  : kMostReserved * kHostsThatUseIt / hosts;
+}
 
 /// How long a grant lasts without another one: longer than a change of the
 /// holder takes, so that shares outlive it.
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <functional>
+#include <numbers>
+#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -11,9 +14,16 @@
 namespace cicadaloft {
 namespace {
 
-/// Part of a customer's grantable share that is divided evenly whatever the
-/// demand is, so that a host's first requests find some.
-constexpr double kEvenPart = 0.25;
+/// Part of what may be granted that shares take at most; the rest is left to
+/// the pool.
+constexpr double kMostGranted = 0.8;
+
+/// A share is what a host will use with this many standard deviations to spare,
+/// where requests come independently.
+constexpr double kDeviations = 2;
+/// A share of fewer requests is not worth granting: a request more or less than
+/// fits leaves a good part of it unused.
+constexpr double kFewestRequests = 8;
 
 /// Grants of an earlier holder have lapsed so long after its last one; the
 /// margin covers a message's way.
@@ -37,6 +47,8 @@
                         SpentLimits spent,
                         TimePoint now) {
   this->hosts.clear();
+  this->pools.clear();
+  this->silent_since = now - silent_for;
   this->spent_before = std::move(spent);
   this->began = now;
   this->expected_hosts = hosts_before;
@@ -49,12 +61,15 @@
 void ShareLedger::OnReport(const DemandReported& report, TimePoint now) {
   Host& host = this->hosts[report.host];
   const double fade = FadeFactor(now - host.heard_at, kHalfLife);
-  for (auto& [customer, cost] : host.demand) {
-    cost *= fade;
+  for (auto& [customer, demand] : host.demand) {
+    demand.cost *= fade;
+    demand.requests *= fade;
   }
   host.spent.clear();
   for (const CustomerDemand& demand : report.demands) {
-    host.demand[demand.customer] += demand.cost;
+    Demand& known = host.demand[demand.customer];
+    known.cost += demand.cost;
+    known.requests += demand.requests;
     host.spent[demand.customer] = demand.in_use;
   }
   host.heard_at = now;
@@ -75,43 +90,129 @@
   }
 }
 
+bool ShareLedger::TakesRequests(const Host& host, TimePoint now) const {
+  return now - host.heard_at <= kHostTerm;
+}
+
 std::map<HostId, SharesGranted> ShareLedger::Divide(
-    const std::vector<CustomerId>& customers,
+    const std::vector<LimitedCustomer>& customers,
     TimePoint now) {
   std::erase_if(this->hosts, [&](const auto& entry) {
     return now - entry.second.heard_at > kMemberTerm;
   });
-  const double grantable = (1 - kReservedPart) * this->ToldPart(now);
-  std::map<HostId, SharesGranted> granted;
-  for (auto& [id, host] : this->hosts) {
-    if (now - host.heard_at > kHostTerm) {
-      continue;
-    }
-    const auto wanted = this->Wanted(id, customers, now);
-    Grant grant{.number = ++this->last_number, .sent_at = now};
-    for (const auto& [customer, want] : wanted) {
-      double others = 0;
-      for (const auto& [other_id, other] : this->hosts) {
-        others += other_id == id ? 0 : this->Outstanding(other, customer, now);
-      }
-      const double own = this->Outstanding(host, customer, now);
-      // What the host uses anyway may stay with it.
-      const double most = std::max(std::min(own, 1 - kReservedPart - others),
-                                   grantable - others);
-      grant.shares[customer] = std::clamp(want, 0.0, std::max(0.0, most));
+  std::map<HostId, Grant> grants;
+  for (const auto& [id, host] : this->hosts) {
+    if (this->TakesRequests(host, now)) {
+      grants.emplace(id, Grant{.number = ++this->last_number, .sent_at = now});
     }
+  }
+  for (const LimitedCustomer& customer : customers) {
+    this->DivideOne(customer, grants, now);
+  }
+  std::map<HostId, SharesGranted> granted;
+  for (auto& [id, grant] : grants) {
     SharesGranted message{.grant = grant.number, .hosts = this->HostCount(now)};
     for (const auto& [customer, share] : grant.shares) {
       message.customers.push_back(
           GrantedShare{.customer = customer, .share = share});
     }
-    host.grants.push_back(std::move(grant));
+    this->hosts.at(id).grants.push_back(std::move(grant));
     granted.emplace(id, std::move(message));
   }
   return granted;
 }
 
-SpentLimits ShareLedger::Spent(TimePoint now) const {
+void ShareLedger::DivideOne(const LimitedCustomer& customer,
+                            std::map<HostId, Grant>& grants,
+                            TimePoint now) {
+  const double grantable = 1 - ReservedPart(this->HostCount(now));
+  const double told = grantable * this->ToldPart(now);
+  CustomerShare& pool = this->PoolOf(customer.id);
+  const double drawn = pool.PartInUse(now);
+  std::map<HostId, double> likely;
+  double all_likely = 0;
+  for (const auto& [id, grant] : grants) {
+    const double use = LikelyUse(this->hosts.at(id), customer);
+    likely[id] = use;
+    all_likely += use;
+  }
+  const double scale =
+      all_likely > 0 ? std::min(1.0, grantable * kMostGranted / all_likely) : 0;
+  double outstanding = this->AllOutstanding(customer.id, now);
+  for (auto& [id, grant] : grants) {
+    const double own = this->Outstanding(this->hosts.at(id), customer.id, now);
+    const double others = outstanding - own + drawn;
+    // What the host uses anyway may stay with it.
+    const double most =
+        std::max(std::min(own, grantable - others), told - others);
+    const double wanted =
+        std::clamp(likely.at(id) * scale, 0.0, std::max(0.0, most));
+    const double fewest =
+        kFewestRequests * MeanCost(this->hosts.at(id), customer);
+    const double share = wanted < fewest ? 0 : wanted;
+    outstanding += std::max(0.0, share - own);
+    if (share > 0) {
+      grant.shares[customer.id] = share;
+    }
+  }
+  pool.Set(customer.limit, std::max(0.0, told - outstanding), 0, now);
+}
+
+// In parts of the limit. Few requests are too uncertain to be reckoned with.
+double ShareLedger::LikelyUse(const Host& host,
+                              const LimitedCustomer& customer) {
+  const auto found = host.demand.find(customer.id);
+  if (found == host.demand.end() || customer.limit.Allowed() <= 0) {
+    return 0;
+  }
+  // Faded sums are what comes in the mean age of their parts.
+  const std::chrono::duration<double> half = kHalfLife;
+  const std::chrono::duration<double> window = customer.limit.window;
+  const double windows = window.count() * std::numbers::ln2 / half.count();
+  const double requests = found->second.requests * windows;
+  const double cost = found->second.cost * windows;
+  const double sure = requests <= 0 ? 0 : 1 - kDeviations / std::sqrt(requests);
+  return std::max(0.0, sure) * cost / customer.limit.Allowed();
+}
+
+// Of one request, in parts of the limit.
+double ShareLedger::MeanCost(const Host& host,
+                             const LimitedCustomer& customer) {
+  const auto found = host.demand.find(customer.id);
+  const bool is_known =
+      found != host.demand.end() && found->second.requests > 0;
+  return is_known ? found->second.cost / found->second.requests /
+                        customer.limit.Allowed()
+                  : 0;
+}
+
+CustomerShare& ShareLedger::PoolOf(const CustomerId& customer) {
+  const auto found = this->pools.find(customer);
+  if (found != this->pools.end()) {
+    return found->second;
+  }
+  // An earlier holder may have let hosts draw until its end.
+  CustomerShare& pool =
+      this->pools.emplace(customer, CustomerShare(this->silent_since))
+          .first->second;
+  pool.SetSpentBefore(this->spent_before.PartOf(customer));
+  return pool;
+}
+
+LimitDrawn ShareLedger::Draw(const LimitDrawAsked& asked, TimePoint now) {
+  const auto found = this->pools.find(asked.customer);
+  if (found == this->pools.end()) {
+    return LimitDrawn{.request = asked.request};
+  }
+  CustomerShare& pool = found->second;
+  if (pool.TryTake(asked.cost, now)) {
+    return LimitDrawn{.request = asked.request, .is_granted = true};
+  }
+  return LimitDrawn{.request = asked.request,
+                    .come_back_in = pool.TimeUntil(asked.cost, now)};
+}
+
+SpentLimits ShareLedger::Spent(TimePoint now) {
   std::map<CustomerId, double> sums;
   if (now - this->began < this->limit_window) {
     for (const GrantedShare& spent : this->spent_before.listed) {
@@ -124,6 +225,9 @@
       told[customer] += part * this->InWindow(host.heard_at, now);
     }
   }
+  for (auto& [customer, pool] : this->pools) {
+    told[customer] += pool.PartInUse(now);
+  }
   for (const auto& [customer, part] : told) {
     double& sum = sums[customer];
     sum = std::clamp(part, sum, 1.0);
@@ -191,26 +295,13 @@
   return most;
 }
 
-std::map<CustomerId, double> ShareLedger::Wanted(
-    const HostId& id,
-    const std::vector<CustomerId>& customers,
-    TimePoint now) const {
-  const double even = 1.0 / this->HostCount(now);
-  std::map<CustomerId, double> wanted;
-  for (const CustomerId& customer : customers) {
-    double total = 0;
-    double own = 0;
-    for (const auto& [other_id, host] : this->hosts) {
-      const auto found = host.demand.find(customer);
-      const double demand = found == host.demand.end() ? 0 : found->second;
-      total += now - host.heard_at > kHostTerm ? 0 : demand;
-      own = other_id == id ? demand : own;
-    }
-    const double by_demand = total > 0 ? own / total : even;
-    wanted[customer] =
-        (1 - kReservedPart) * (kEvenPart * even + (1 - kEvenPart) * by_demand);
-  }
-  return wanted;
+double ShareLedger::AllOutstanding(const CustomerId& customer,
+                                   TimePoint now) const {
+  return std::accumulate(this->hosts.begin(), this->hosts.end(), 0.0,
+                         [&](double sum, const auto& entry) {
+                           return sum + this->Outstanding(entry.second,
+                                                          customer, now);
+                         });
 }
 
 }  // namespace cicadaloft
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -15,7 +15,10 @@
 }  // namespace
 
 ControlState::ControlState(const LeaseSettings& given, Duration limit_window)
-    : lease_settings(given), lease(given), ledger(limit_window) {}
+    : lease_settings(given),
+      limit_window(limit_window),
+      lease(given),
+      ledger(limit_window) {}
 
 Step<ControlState, ControlEffect> Decide(ControlState state,
                                          const ControlEvent& event,
@@ -113,6 +116,10 @@
   return held;
 }
 
+void ControlState::Take(const LimitDrawAsked& asked) {
+  this->Report(asked);
+}
+
 void ControlState::Take(const DeathNoticed& notice) {
   this->Report(notice);
 }
@@ -135,10 +142,13 @@
                    .fields = {{"host", change.host.value()}}});
   if (this->holder == change.host) {
     if (change.is_up) {
+      this->linked_holder = change.host;
       this->FeedLease(HolderHeard{.holder = change.host});
     } else {
+      this->linked_holder.reset();
       this->FeedLease(HolderLost{});
     }
+    this->TellShares();
   }
 }
 
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -31,6 +31,7 @@
                     change.holder.holder == this->lease_settings.self;
               }
               this->holder = change.holder.holder;
+              this->linked_holder.reset();
               this->effects.emplace_back(LinkToHolder{.holder = change.holder});
             },
             [this](const RightExtended& right) {
@@ -57,7 +58,7 @@
   }
 }
 
-AppendLease ControlState::Complete(AppendLease append) const {
+AppendLease ControlState::Complete(AppendLease append) {
   // A new holder has heard of nobody yet, and must not make the others believe
   // that they are few.
   append.record.hosts =
@@ -138,6 +139,24 @@
   this->TellShares();
 }
 
+void ControlState::OnPeer(const HostId& host, const LimitDrawAsked& asked) {
+  // One that has lost its right knows too little to give anything.
+  const LimitDrawn drawn = this->IsHolder()
+                               ? this->ledger.Draw(asked, this->now)
+                               : LimitDrawn{.request = asked.request};
+  if (host == this->lease_settings.self) {
+    this->Tell(drawn);
+  } else {
+    this->effects.emplace_back(TellHost{.host = host, .message = drawn});
+  }
+}
+
+void ControlState::OnPeer(const HostId& host, const LimitDrawn& drawn) {
+  if (this->holder == host) {
+    this->Tell(drawn);
+  }
+}
+
 // The holder passes it on to all; others take it from the holder.
 void ControlState::OnPeer(const HostId& host, const DeathNoticed& notice) {
   if (this->IsHolder()) {
@@ -154,10 +173,13 @@
     return;
   }
   this->divided_at = this->now;
-  std::vector<CustomerId> limited;
+  std::vector<LimitedCustomer> limited;
   for (const Customer& customer : this->configuration->value().customers) {
     if (customer.rate_per_second > 0) {
-      limited.push_back(customer.id);
+      limited.push_back({.id = customer.id,
+                         .limit = {.rate_per_second = customer.rate_per_second,
+                                   .burst = customer.burst,
+                                   .window = this->limit_window}});
     }
   }
   for (auto& [host, message] : this->ledger.Divide(limited, this->now)) {
@@ -201,14 +223,19 @@
 }
 
 double ControlState::ReservedShare() const {
-  return kReservedPart / this->KnownHosts();
+  return ReservedPart(this->KnownHosts()) / this->KnownHosts();
+}
+
+bool ControlState::CanDraw() const {
+  return this->IsHolder() || this->linked_holder.has_value();
 }
 
 // What this host may use: its part of what is reserved, and what is granted.
 void ControlState::TellShares() {
   const std::uint32_t hosts = this->KnownHosts();
   const double reserved = this->ReservedShare();
-  SharesChanged shares{.hosts = hosts, .usual_share = reserved};
+  SharesChanged shares{
+      .hosts = hosts, .usual_share = reserved, .can_draw = this->CanDraw()};
   if (this->spent_before_start) {
     shares.spent_before = *this->spent_before_start;
   }
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -39,6 +39,7 @@
   // What the entry tells.
   void Take(const ModelWanted& wanted);
   void Take(const UsageMeasured& measured);
+  void Take(const LimitDrawAsked& asked);
   void Take(const DeathNoticed& notice);
   // The lease, and the duties that come with it.
   void Take(const LeaseEvent& event);
@@ -58,6 +59,8 @@
   void OnPeer(const HostId& host, const ModelWanted& wanted);
   void OnPeer(const HostId& host, const PlacementChange& change);
   void OnPeer(const HostId& host, const SharesGranted& granted);
+  void OnPeer(const HostId& host, const LimitDrawAsked& asked);
+  void OnPeer(const HostId& host, const LimitDrawn& drawn);
   void OnPeer(const HostId& host, const DeathNoticed& notice);
   /// To the holder, which may be this host.
   void Report(PeerMessage message);
@@ -66,9 +69,10 @@
       const std::vector<CustomerDemand>& demands) const;
   std::uint32_t KnownHosts() const;
   bool HasGrant() const;
+  bool CanDraw() const;
   double ReservedShare() const;
   /// @return the append with what its record tells of hosts and limits.
-  AppendLease Complete(AppendLease append) const;
+  AppendLease Complete(AppendLease append);
   void NoteHolderBefore();
   void TellShares();
   void TellFleet();
@@ -80,6 +84,7 @@
   bool IsHolder() const { return this->lease.MayAct(this->now); }
 
   LeaseSettings lease_settings;
+  Duration limit_window;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
@@ -93,6 +98,7 @@
 
   LeaseState lease;
   std::optional<HostId> holder;           ///< As the lease's log tells.
+  std::optional<HostId> linked_holder;    ///< The holder, while its link is up.
   std::optional<LogOffset> noted_record;  ///< The newest one of another holder.
   SpentLimits spent_before;               ///< As that record told.
   /// As the first record that this process has read told.
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -28,12 +28,28 @@
     return;
   }
   OpenRequest& admitted = std::get<OpenRequest>(admission);
-  this->BudgetOf(admitted.line.service).OnRequest();
-  this->CountUse(admitted);
-  const LineKey line = admitted.line;
-  const RequestId id = arrived.request;
-  this->requests.emplace(id, std::move(admitted));
-  this->Enqueue(this->requests.at(id));
+  const LimitCheck check = this->CheckLimit(admitted);
+  if (const auto* refusal = std::get_if<Refusal>(&check)) {
+    this->RefuseArrival(arrived, *refusal);
+    return;
+  }
+  OpenRequest& request =
+      this->requests.emplace(arrived.request, std::move(admitted))
+          .first->second;
+  if (std::holds_alternative<NeedsDraw>(check)) {
+    this->AskForDraw(request);
+  } else {
+    this->Accept(request);
+  }
+}
+
+// The request counts against its limit and waits for a target.
+void EntryCore::Accept(OpenRequest& request) {
+  const LineKey line = request.line;
+  const RequestId id = request.arrival.request;
+  this->BudgetOf(line.service).OnRequest();
+  this->CountUse(request);
+  this->Enqueue(request);
   this->Pump(line);
   const auto found = this->requests.find(id);
   if (found != this->requests.end() && !found->second.is_running) {
@@ -94,9 +110,6 @@
     return Refusal{Fail(ErrorKind::kPoisonRequest,
                         "several targets have died running this request")};
   }
-  if (auto refusal = this->TakeQuota(request)) {
-    return *refusal;
-  }
   return request;
 }
 
@@ -144,37 +157,6 @@
   return std::nullopt;
 }
 
-std::optional<EntryCore::Refusal> EntryCore::TakeQuota(
-    const OpenRequest& request) {
-  if (request.customer == nullptr || request.customer->rate_per_second <= 0) {
-    return std::nullopt;
-  }
-  this->demands[request.customer->id] += request.cost;
-  CustomerShare& share = this->ShareOf(*request.customer);
-  if (share.TryTake(request.cost, this->now)) {
-    return std::nullopt;
-  }
-  const auto whole = [](double number) {
-    return std::to_string(static_cast<std::int64_t>(number));
-  };
-  return Refusal{
-      .error = Fail(
-          ErrorKind::kRateLimited,
-          "over the limit of customer " + request.customer->id.value() +
-              ": cost " + whole(request.cost) + ", spent " +
-              whole(share.Spent(this->now)) + " of " + whole(share.capacity()) +
-              " in the window, limit " +
-              whole(request.customer->rate_per_second) + " a second, share " +
-              whole(share.share() * 1000) + " of 1000"),
-      .come_back_in = share.TimeUntil(request.cost, this->now)};
-}
-
-void EntryCore::GiveQuotaBack(const OpenRequest& request) {
-  if (request.customer != nullptr && request.customer->rate_per_second > 0) {
-    this->ShareOf(*request.customer).GiveBack(request.cost, request.arrived);
-  }
-}
-
 RetryBudget& EntryCore::BudgetOf(const ServiceId& service) {
   const auto [place, is_new] =
       this->budgets.try_emplace(service, this->settings.is_first_start);
@@ -190,50 +172,6 @@
   budget.Set(this->settings.retry_ratio, this->settings.retry_slack / hosts);
 }
 
-CustomerShare& EntryCore::ShareOf(const Customer& customer) {
-  const auto found = this->customer_shares.find(customer.id);
-  if (found != this->customer_shares.end()) {
-    return found->second;
-  }
-  CustomerShare& share =
-      this->customer_shares.emplace(customer.id, CustomerShare(this->began))
-          .first->second;
-  this->SetShare(customer, share);
-  return share;
-}
-
-void EntryCore::SetAllShares() {
-  for (auto& [id, share] : this->customer_shares) {
-    if (const Customer* customer = this->configuration->FindCustomer(id)) {
-      this->SetShare(*customer, share);
-    }
-  }
-}
-
-void EntryCore::SetShare(const Customer& customer, CustomerShare& share) const {
-  const auto granted = std::ranges::find(this->shares.customers, customer.id,
-                                         &GrantedShare::customer);
-  const double part = granted == this->shares.customers.end()
-                          ? this->shares.usual_share
-                          : granted->share;
-  // What all hosts together may be over, each its part, so that a request is
-  // not refused for where its customer's share lies. The rest is left for hosts
-  // that come and go.
-  constexpr double kCreditPart = 0.2;
-  const CustomerLimit limit{.rate_per_second = customer.rate_per_second,
-                            .burst = customer.burst,
-                            .window = this->settings.limit_window};
-  const double tolerated =
-      limit.Allowed() * this->settings.limit_overshoot +
-      (customer.counts_tokens ? this->settings.limit_slack : 0);
-  share.SetSpentBefore(this->settings.is_first_start
-                           ? 0
-                           : this->shares.spent_before.PartOf(customer.id));
-  share.Set(limit, part,
-            tolerated * kCreditPart / std::max(1U, this->shares.hosts),
-            this->now);
-}
-
 std::optional<Duration> EntryCore::RetryAfter(const OpenRequest& request,
                                               ErrorKind kind) {
   if (!AnswerFor(kind).may_retry) {
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -269,6 +269,10 @@
                                      "no whole answer within the time limit"));
       continue;
     }
+    if (request.draw_ends_at) {
+      this->EndDraw(request, Duration::zero());
+      continue;
+    }
     this->RefuseOpen(request,
                      Fail(ErrorKind::kNoCapacity,
                           "no target could take it within the time to wait"));
@@ -280,6 +284,9 @@
   const RequestId id = request.arrival.request;
   this->expiries.erase({request.gives_up_at, id});
   this->expiries.erase({request.ends_at, id});
+  if (request.draw_ends_at) {
+    this->expiries.erase({*request.draw_ends_at, id});
+  }
   if (!request.is_running) {
     this->LeaveLine(request);
   }
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -189,10 +189,12 @@
   const auto demands =
       this->customer_shares | std::views::transform([this](auto& entry) {
         const auto asked = this->demands.find(entry.first);
-        return CustomerDemand{
-            .customer = entry.first,
-            .cost = asked == this->demands.end() ? 0 : asked->second,
-            .in_use = entry.second.PartInUse(this->now)};
+        const Demand demand =
+            asked == this->demands.end() ? Demand{} : asked->second;
+        return CustomerDemand{.customer = entry.first,
+                              .cost = demand.cost,
+                              .requests = demand.requests,
+                              .in_use = entry.second.PartInUse(this->now)};
       });
   std::vector<CustomerDemand> told;
   std::ranges::copy_if(demands, std::back_inserter(told),
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -40,6 +40,7 @@
   void Take(const FleetChanged& change);
   void Take(const PlacementChange& change);
   void Take(const SharesChanged& change);
+  void Take(const LimitDrawn& drawn);
   void Take(const DeathNoticed& notice);
   void Take(const EntryTick& tick);
   void Take(const EntryStopRequested& stop);
@@ -72,18 +73,40 @@
   };
   using Admission = std::variant<OpenRequest, Refusal>;
 
+  struct WithinLimit {};
+  /// It does not fit this host's share; the holder may have more.
+  struct NeedsDraw {};
+  using LimitCheck = std::variant<WithinLimit, NeedsDraw, Refusal>;
+  /// What the holder would not give.
+  struct RefusedDraw {
+    double cost = 0;
+    TimePoint until{};  ///< It is not asked for as much before.
+    TimePoint come_back_at{};
+  };
+  struct Demand {
+    double cost = 0;
+    std::uint32_t requests = 0;
+  };
+
   // Admission.
   Admission Admit(const RequestArrived& arrived);
   void RefuseArrival(const RequestArrived& arrived, const Refusal& refusal);
   Result<const Route*> FindRoute(const RequestArrived& arrived) const;
   std::optional<Error> CheckCustomer(OpenRequest& request);
-  std::optional<Refusal> TakeQuota(const OpenRequest& request);
+  void Accept(OpenRequest& request);
+  RetryBudget& BudgetOf(const ServiceId& service);
+  void SetBudget(RetryBudget& budget) const;
+
+  // Customers' limits.
+  LimitCheck CheckLimit(const OpenRequest& request);
+  Refusal OverLimit(const OpenRequest& request, Duration come_back_in);
+  void AskForDraw(OpenRequest& request);
+  void EndDraw(const OpenRequest& request, Duration come_back_in);
   void GiveQuotaBack(const OpenRequest& request);
+  bool IsAlone() const;
   CustomerShare& ShareOf(const Customer& customer);
   void SetShare(const Customer& customer, CustomerShare& share) const;
   void SetAllShares();
-  RetryBudget& BudgetOf(const ServiceId& service);
-  void SetBudget(RetryBudget& budget) const;
 
   // Lines and dispatch.
   void Enqueue(const OpenRequest& request);
@@ -142,11 +165,12 @@
 
   SharesChanged shares;
   std::map<CustomerId, CustomerShare> customer_shares;
+  std::map<CustomerId, RefusedDraw> refused_draws;
   std::map<ServiceId, RetryBudget> budgets;
   SuspectList suspects;
 
   std::map<ModelPath, ModelUse> uses;  ///< Since the last report.
-  std::map<CustomerId, double> demands;
+  std::map<CustomerId, Demand> demands;
   TimePoint usage_reported{};
 
   Requests requests;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -148,6 +148,7 @@
   std::uint32_t hosts = 1;  ///< That take requests.
   double usual_share = 0;   ///< For customers that are not listed.
   std::vector<GrantedShare> customers;
+  bool can_draw = false;  ///< A holder is there to be asked for more.
   /// Before this process began.
   SpentLimits spent_before;
 
@@ -190,6 +191,7 @@
                                 FleetChanged,
                                 PlacementChange,
                                 SharesChanged,
+                                LimitDrawn,
                                 DeathNoticed,
                                 EntryTick,
                                 EntryStopRequested>;
@@ -267,6 +269,7 @@
                                  Refuse,
                                  ModelWanted,
                                  UsageMeasured,
+                                 LimitDrawAsked,
                                  DeathNoticed,
                                  DecisionLine>;
 
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -33,6 +33,9 @@
   double cost = 1;          ///< In the customer's unit.
   TimePoint ends_at{};      ///< No answer may take longer.
   TimePoint gives_up_at{};  ///< No wait may take longer.
+  /// While the holder is asked for its cost.
+  std::optional<TimePoint> draw_ends_at;
+  bool is_drawn = false;  ///< Its cost is spent at the holder, not here.
   AttemptNumber attempt;
   bool is_running = false;
   bool has_started = false;    ///< The caller has part of an answer.
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -46,7 +46,8 @@
 concept DecisionSink = std::invocable<const L&, const DecisionLine&>;
 
 /// What the entry tells the host's control.
-using EntryNews = std::variant<ModelWanted, UsageMeasured, DeathNoticed>;
+using EntryNews =
+    std::variant<ModelWanted, UsageMeasured, LimitDrawAsked, DeathNoticed>;
 using EntryNewsMailbox = Mailbox<EntryNews>;
 /// All requests have been answered after a stop was asked for.
 struct EntryDrained {};
@@ -177,6 +178,7 @@
   // Control that is behind loses asks; they are repeated while requests wait.
   void Carry(const ModelWanted& wanted) { this->TellControl(wanted); }
   void Carry(const UsageMeasured& measured) { this->TellControl(measured); }
+  void Carry(const LimitDrawAsked& asked) { this->TellControl(asked); }
   void Carry(const DeathNoticed& notice) { this->TellControl(notice); }
 
   void TellControl(EntryNews news) {
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -18,7 +18,9 @@
                                  ModelWanted,
                                  PlacementChange,
                                  SharesGranted,
-                                 DeathNoticed>;
+                                 DeathNoticed,
+                                 LimitDrawAsked,
+                                 LimitDrawn>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -34,6 +34,7 @@
 inline constexpr auto kJsonFields<CustomerDemand> =
     std::tuple(Required("customer", &CustomerDemand::customer),
                Required("cost", &CustomerDemand::cost),
+               Required("requests", &CustomerDemand::requests),
                Required("in_use", &CustomerDemand::in_use));
 template <>
 inline constexpr bool kIsJsonRow<CustomerDemand> = true;
@@ -74,12 +75,25 @@
     std::tuple(Required("fingerprint", &DeathNoticed::fingerprint),
                Required("target", &DeathNoticed::target));
 
+template <>
+inline constexpr auto kJsonFields<LimitDrawAsked> =
+    std::tuple(Required("host", &LimitDrawAsked::host),
+               Required("request", &LimitDrawAsked::request),
+               Required("customer", &LimitDrawAsked::customer),
+               Required("cost", &LimitDrawAsked::cost));
+
+template <>
+inline constexpr auto kJsonFields<LimitDrawn> =
+    std::tuple(Required("request", &LimitDrawn::request),
+               Required("is_granted", &LimitDrawn::is_granted),
+               Required("come_back_in", &LimitDrawn::come_back_in));
+
 /// In the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
-    std::to_array<std::string_view>({"use_reported", "demand_reported",
-                                     "model_wanted", "placement_change",
-                                     "shares_granted", "death_noticed"});
+    std::to_array<std::string_view>(
+        {"use_reported", "demand_reported", "model_wanted", "placement_change",
+         "shares_granted", "death_noticed", "limit_draw_asked", "limit_drawn"});
 
 }  // namespace cicadaloft
 
