Let more targets make room for batch work on larger sites

A third of the service's targets may now. MoreTargetsMakeRoomForBatchWorkAtOnce: 4 of 60 before, 20 after.

--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -91,6 +91,7 @@
                              const Engine& engine);
   double ValueOf(const ModelPath& path, const TargetBook& book) const;
   std::uint32_t Swaps() const;
+  std::uint32_t TargetsOf(const ServiceId& service) const;
   bool IsFarCopy(const ModelPath& path, const TargetBook& book) const;
   void LogWaiting();
   void FillFreeRoom();
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <ranges>
 #include <string>
@@ -47,9 +48,9 @@
 constexpr Duration kLogInterval = std::chrono::seconds(1);
 
 /// Batch work may wait for a place: while room is made, a place serves nobody,
-/// and too many at once leave too few.
+/// and too many at once leave too few: at most this part of the targets.
 constexpr Duration kPatientAim = std::chrono::seconds(1);
-constexpr std::uint32_t kMostPatientSwaps = 4;
+constexpr double kMostPatientSwaps = 1.0 / 3;
 
 /// A model that has just been loaded serves those that waited for it first.
 constexpr Duration kServesFirst = std::chrono::milliseconds(1200);
@@ -208,7 +209,8 @@
   }
   const bool begins = !want.chosen && !site->victims.empty();
   if (begins && want.latency_aim >= kPatientAim &&
-      this->Swaps() >= kMostPatientSwaps) {
+      this->Swaps() >=
+          std::ceil(kMostPatientSwaps * this->TargetsOf(want.service))) {
     return false;
   }
   want.chosen = site->book->record().id;
@@ -232,6 +234,14 @@
       [](const auto& entry) { return entry.second.chosen.has_value(); }));
 }
 
+// That can be given orders for the service, as far as the registry tells.
+std::uint32_t PlacementCore::TargetsOf(const ServiceId& service) const {
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      this->books | std::views::values, [&](const TargetBook& book) {
+        return book.record().service == service && this->IsUsable(book);
+      }));
+}
+
 // Whether another want makes room there.
 bool PlacementCore::IsClaimed(const TargetId& target, const Want& by) const {
   return std::ranges::any_of(this->wants, [&](const auto& entry) {
--- a/placement/tests/placement_test.cc
+++ b/placement/tests/placement_test.cc
@@ -137,6 +137,28 @@
   BOOST_TEST(world.store_loads.empty());
 }
 
+// Guards against batch work that waits while most targets of a large site are
+// free: four made room at a time, however many there were.
+BOOST_AUTO_TEST_CASE(MoreTargetsMakeRoomForBatchWorkAtOnce) {
+  constexpr int kTargets = 60;
+  World world(kTargets, 2 * kTargets, 100);
+  int number = 0;
+  for (auto& [id, runner] : world.runners) {
+    runner.held = {Path("m" + std::to_string(number++))};
+  }
+  world.Begin();
+  // Runs on all of them last.
+  for (auto& [id, runner] : world.runners) {
+    runner.unloads_at = world.now + seconds(2);
+  }
+  for (int model = kTargets; model < 2 * kTargets; ++model) {
+    world.Want(Path("m" + std::to_string(model)), {}, seconds(4));
+  }
+  world.RunFor(milliseconds(200));
+  BOOST_TEST(std::ranges::count(world.orders, OrderKind::kUnload,
+                                &SendOrder::kind) == kTargets / 3);
+}
+
 BOOST_AUTO_TEST_CASE(LoadsFromTheStoreKeepTheirRate) {
   // Slower than the loads that may run at once would be.
   const double rate = 0.1;
--- a/placement/tests/placement_world.h
+++ b/placement/tests/placement_world.h
@@ -113,12 +113,14 @@
     this->Feed(FleetChanged{.fleet = std::make_shared<const Fleet>(fleet)});
   }
 
-  void Want(const ModelPath& path, std::vector<TargetId> denied_by = {}) {
+  void Want(const ModelPath& path,
+            std::vector<TargetId> denied_by = {},
+            Duration latency_aim = milliseconds(250)) {
     this->Feed(ModelAsked{.host = kHost,
                           .wanted = {.service = kService,
                                      .path = path,
                                      .waiting = 1,
-                                     .latency_aim = milliseconds(250),
+                                     .latency_aim = latency_aim,
                                      .denied_by = std::move(denied_by)}});
   }
 
