Divide limits without a gap when the holder changes

It had lost its right, but its answers kept the other hosts from claiming the lease; and a successor claimed it only when it might give orders, 3 s after it might divide.

Now only a holder that can renew keeps others from claiming. A successor claims as soon as the right before has ended, and gives orders after the platform's gap; the record tells how long, so that a restart does not shorten it. A holder that has lost its right goes on dividing limits for the part of the hosts that keep their links to it, until another holder is known or its grants have lapsed. A holder that gets its right back, with nobody between, keeps what it knows of targets.

--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -47,18 +47,20 @@
   /// lapses; hosts tell of it in their reports, and a host that has not is
   /// taken to use its even part.
   /// @param hosts_before hosts that the earlier holder knew; 0: there was none.
-  /// @param silent_for how long that holder can't have granted anything.
   /// @param spent what that holder told to be spent.
-  void Begin(std::uint32_t hosts_before,
-             Duration silent_for,
-             SpentLimits spent,
-             TimePoint now);
+  void Begin(std::uint32_t hosts_before, SpentLimits spent, TimePoint now);
   void OnReport(const DemandReported& report, TimePoint now);
+  /// The link to the host is down: it may turn to another holder.
+  void OnLinkDown(const HostId& host);
 
   /// Divides the customers' limits anew.
+  /// @param has_right whether nobody else can be the holder. Without, only the
+  /// part of the hosts that still have a link is given out: the others may have
+  /// another holder.
   /// @return a grant for each host that takes requests.
   std::map<HostId, SharesGranted> Divide(
       const std::vector<LimitedCustomer>& customers,
+      bool has_right,
       TimePoint now);
 
   /// Takes the cost of a request from the pool if there is as much. Customers
@@ -84,6 +86,7 @@
   };
   struct Host {
     TimePoint heard_at{};
+    bool is_linked = true;
     std::map<CustomerId, Demand> demand;
     /// The newest confirmed grant first, then those that may be in use.
     std::deque<Grant> grants;
@@ -94,6 +97,7 @@
 
   bool TakesRequests(const Host& host, TimePoint now) const;
   double ToldPart(TimePoint now) const;
+  double LinkedPart(TimePoint now) const;
   double InWindow(TimePoint ended, TimePoint now) const;
   double Outstanding(const Host& host,
                      const CustomerId& customer,
@@ -103,6 +107,7 @@
   static double MeanCost(const Host& host, const LimitedCustomer& customer);
   void DivideOne(const LimitedCustomer& customer,
                  std::map<HostId, Grant>& grants,
+                 double part,
                  TimePoint now);
   CustomerShare& PoolOf(const CustomerId& customer);
 
@@ -113,7 +118,6 @@
   TimePoint began{};
   SpentLimits spent_before;
   std::map<CustomerId, CustomerShare> pools;
-  TimePoint silent_since{};  ///< An earlier holder has granted nothing since.
   TimePoint lapsed_at{};  ///< When what an earlier holder granted has lapsed.
 };
 
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -67,6 +67,7 @@
   std::uint32_t hosts = 1;  ///< That take requests.
   std::vector<GrantedShare> customers;
   ConfigurationVersion configuration;  ///< The newest one the holder knows.
+  bool has_right = false;              ///< The holder could renew its lease.
 
   friend auto operator<=>(const SharesGranted&, const SharesGranted&) = default;
   friend bool operator==(const SharesGranted&, const SharesGranted&) = default;
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -29,6 +29,10 @@
 /// margin covers a message's way.
 constexpr Duration kMargin = std::chrono::milliseconds(500);
 
+/// Hosts turn to a new holder within this time: the interval at which they read
+/// the lease's log without one, and the making of the link.
+constexpr Duration kTurnTime = std::chrono::milliseconds(1200);
+
 /// What is spent is told for so many customers, those that have spent most.
 constexpr std::size_t kMostListed = 64;
 /// Parts below it are not told: they may double until the next record.
@@ -43,16 +47,14 @@
 }
 
 void ShareLedger::Begin(std::uint32_t hosts_before,
-                        Duration silent_for,
                         SpentLimits spent,
                         TimePoint now) {
   this->hosts.clear();
   this->pools.clear();
-  this->silent_since = now - silent_for;
   this->spent_before = std::move(spent);
   this->began = now;
   this->expected_hosts = hosts_before;
-  this->lapsed_at = now + kGrantTerm + kMargin - silent_for;
+  this->lapsed_at = now + kGrantTerm + kMargin;
   // Numbers of two tenures must not be mixed up.
   this->last_number =
       static_cast<std::uint64_t>(now.time_since_epoch().count());
@@ -73,6 +75,7 @@
     host.spent[demand.customer] = demand.in_use;
   }
   host.heard_at = now;
+  host.is_linked = true;
   host.held.clear();
   for (const GrantedShare& share : report.held) {
     host.held[share.customer] = share.share;
@@ -94,8 +97,16 @@
   return now - host.heard_at <= kHostTerm;
 }
 
+void ShareLedger::OnLinkDown(const HostId& host) {
+  const auto found = this->hosts.find(host);
+  if (found != this->hosts.end()) {
+    found->second.is_linked = false;
+  }
+}
+
 std::map<HostId, SharesGranted> ShareLedger::Divide(
     const std::vector<LimitedCustomer>& customers,
+    bool has_right,
     TimePoint now) {
   std::erase_if(this->hosts, [&](const auto& entry) {
     return now - entry.second.heard_at > kMemberTerm;
@@ -106,12 +117,16 @@
       grants.emplace(id, Grant{.number = ++this->last_number, .sent_at = now});
     }
   }
+  const double part =
+      this->ToldPart(now) * (has_right ? 1 : this->LinkedPart(now));
   for (const LimitedCustomer& customer : customers) {
-    this->DivideOne(customer, grants, now);
+    this->DivideOne(customer, grants, part, now);
   }
   std::map<HostId, SharesGranted> granted;
   for (auto& [id, grant] : grants) {
-    SharesGranted message{.grant = grant.number, .hosts = this->HostCount(now)};
+    SharesGranted message{.grant = grant.number,
+                          .hosts = this->HostCount(now),
+                          .has_right = has_right};
     for (const auto& [customer, share] : grant.shares) {
       message.customers.push_back(
           GrantedShare{.customer = customer, .share = share});
@@ -124,9 +139,10 @@
 
 void ShareLedger::DivideOne(const LimitedCustomer& customer,
                             std::map<HostId, Grant>& grants,
+                            double part,
                             TimePoint now) {
   const double grantable = 1 - ReservedPart(this->HostCount(now));
-  const double told = grantable * this->ToldPart(now);
+  const double told = grantable * part;
   CustomerShare& pool = this->PoolOf(customer.id);
   const double drawn = pool.PartInUse(now);
   std::map<HostId, double> likely;
@@ -191,9 +207,9 @@
   if (found != this->pools.end()) {
     return found->second;
   }
-  // An earlier holder may have let hosts draw until its end.
+  // Hosts may have drawn from an earlier holder until they turned to this one.
   CustomerShare& pool =
-      this->pools.emplace(customer, CustomerShare(this->silent_since))
+      this->pools.emplace(customer, CustomerShare(this->began + kTurnTime))
           .first->second;
   pool.SetSpentBefore(this->spent_before.PartOf(customer));
   return pool;
@@ -268,6 +284,12 @@
   return 1 - (1 - told / expected) * this->InWindow(this->lapsed_at, now);
 }
 
+double ShareLedger::LinkedPart(TimePoint now) const {
+  const auto linked = static_cast<double>(std::ranges::count_if(
+      this->hosts, [](const auto& entry) { return entry.second.is_linked; }));
+  return linked / this->HostCount(now);
+}
+
 // What was spent leaves the window bit by bit.
 // @return from 1 until the spending ended to 0 a window after it.
 double ShareLedger::InWindow(TimePoint ended, TimePoint now) const {
--- a/admission/tests/admission_test.cc
+++ b/admission/tests/admission_test.cc
@@ -202,7 +202,7 @@
 // The ledger of a holder that had none before it.
 ShareLedger FirstLedger() {
   ShareLedger ledger(kWindow);
-  ledger.Begin(0, Duration::zero(), {}, kNow);
+  ledger.Begin(0, {}, kNow);
   return ledger;
 }
 
@@ -214,7 +214,7 @@
   ShareLedger ledger = FirstLedger();
   ledger.OnReport(Report("a", 90), kNow);
   ledger.OnReport(Report("b", 10), kNow);
-  const auto granted = ledger.Divide({kLimited}, kNow);
+  const auto granted = ledger.Divide({kLimited}, true, kNow);
   const double a = ShareIn(granted.at(HostId("a")));
   const double b = ShareIn(granted.at(HostId("b")));
   BOOST_TEST(a > 3 * b);
@@ -225,17 +225,17 @@
   ShareLedger ledger = FirstLedger();
   ledger.OnReport(Report("a", 100), kNow);
   ledger.OnReport(Report("b", 0), kNow);
-  const auto first = ledger.Divide({kLimited}, kNow);
+  const auto first = ledger.Divide({kLimited}, true, kNow);
   const double a = ShareIn(first.at(HostId("a")));
   // The demand moves; "a" does not answer.
   const TimePoint later = kNow + seconds(4);
   ledger.OnReport(Report("b", 1000, first.at(HostId("b")).grant, 0.1), later);
-  const auto second = ledger.Divide({kLimited}, later);
+  const auto second = ledger.Divide({kLimited}, true, later);
   BOOST_TEST(a + ShareIn(second.at(HostId("b"))) <= 1 - ReservedPart(2) + 1e-9);
   // Its grant has lapsed.
   const TimePoint lapsed = later + kGrantTerm + kWindow + seconds(1);
   ledger.OnReport(Report("b", 1000, second.at(HostId("b")).grant, 0.1), lapsed);
-  const auto third = ledger.Divide({kLimited}, lapsed);
+  const auto third = ledger.Divide({kLimited}, true, lapsed);
   BOOST_TEST(ShareIn(third.at(HostId("b"))) > 0.5);
 }
 
@@ -244,16 +244,16 @@
   ShareLedger ledger = FirstLedger();
   ledger.OnReport(Report("a", 1, 0, 0.5), kNow);
   ledger.OnReport(Report("b", 1000), kNow);
-  const auto first = ledger.Divide({kLimited}, kNow);
+  const auto first = ledger.Divide({kLimited}, true, kNow);
   const std::uint64_t grant = first.at(HostId("a")).grant;
   ledger.OnReport(Report("a", 1, grant, 0.5), kNow + seconds(1));
-  const auto second = ledger.Divide({kLimited}, kNow + seconds(1));
+  const auto second = ledger.Divide({kLimited}, true, kNow + seconds(1));
   const double b = ShareIn(second.at(HostId("b")));
   BOOST_TEST(0.5 + b <= 1 - ReservedPart(2) + 1e-9);
   // It has left the window.
   ledger.OnReport(Report("a", 1, second.at(HostId("a")).grant, 0.1),
                   kNow + seconds(2));
-  const auto third = ledger.Divide({kLimited}, kNow + seconds(2));
+  const auto third = ledger.Divide({kLimited}, true, kNow + seconds(2));
   BOOST_TEST(ShareIn(third.at(HostId("b"))) > b);
 }
 
@@ -261,14 +261,14 @@
 // for good then kept the others at the reserved part for seconds.
 BOOST_AUTO_TEST_CASE(ANewHolderLeavesHostsThatHaveNotToldTheirPart) {
   ShareLedger ledger(kWindow);
-  ledger.Begin(2, Duration::zero(), {}, kNow);
+  ledger.Begin(2, {}, kNow);
   ledger.OnReport(Report("a", 100, 7, 0.2), kNow);
-  const auto first = ledger.Divide({kLimited}, kNow);
+  const auto first = ledger.Divide({kLimited}, true, kNow);
   BOOST_TEST(ShareIn(first.at(HostId("a"))) <=
              (1 - ReservedPart(2)) / 2 + 1e-9);
   ledger.OnReport(Report("b", 1, 8, 0.1), kNow);
   ledger.OnReport(Report("a", 100, first.at(HostId("a")).grant, 0.35), kNow);
-  const auto later = ledger.Divide({kLimited}, kNow + milliseconds(1));
+  const auto later = ledger.Divide({kLimited}, true, kNow + milliseconds(1));
   const double sum =
       ShareIn(later.at(HostId("a"))) + ShareIn(later.at(HostId("b")));
   BOOST_TEST(ShareIn(later.at(HostId("a"))) > 0.35);
@@ -305,7 +305,7 @@
               now);
         }
       }
-      for (const auto& [id, granted] : ledger.Divide({kLimited}, now)) {
+      for (const auto& [id, granted] : ledger.Divide({kLimited}, true, now)) {
         if (chance(0.6)) {
           hosts[id] = Host{
               .grant = granted.grant, .share = ShareIn(granted), .at = now};
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -140,6 +140,9 @@
   this->effects.emplace_back(
       DecisionLine{.reason = change.is_up ? "peer.up" : "peer.down",
                    .fields = {{"host", change.host.value()}}});
+  if (!change.is_up) {
+    this->ledger.OnLinkDown(change.host);
+  }
   if (this->holder == change.host) {
     if (change.is_up) {
       this->linked_holder = change.host;
@@ -153,7 +156,10 @@
 }
 
 void ControlState::Take(const PeerReceived& received) {
-  if (this->holder == received.host) {
+  // Only a holder that can renew its lease keeps others from claiming it.
+  const auto* granted = std::get_if<SharesGranted>(&received.message);
+  if (this->holder == received.host && granted != nullptr &&
+      granted->has_right) {
     this->FeedLease(HolderHeard{.holder = received.host});
   }
   std::visit([&](const auto& message) { this->OnPeer(received.host, message); },
@@ -171,8 +177,9 @@
   }
   this->CatchUp();
   this->FeedLease(LeaseTick{});
+  this->BeginPlacementIfDue();
   this->FeedPlacement(PlacementTick{});
-  this->DivideShares();
+  this->DivideSharesIfDue();
   this->TellShares();
 }
 
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -26,29 +26,14 @@
     std::visit(
         Overloaded{
             [this](const HolderChanged& change) {
-              if (change.holder.secret != this->lease_settings.secret) {
-                this->is_own_machine_before =
-                    change.holder.holder == this->lease_settings.self;
-              }
-              this->holder = change.holder.holder;
-              this->linked_holder.reset();
-              this->effects.emplace_back(LinkToHolder{.holder = change.holder});
-            },
-            [this](const RightExtended& right) {
-              this->right_until = right.until;
-              if (!this->is_acting) {
-                this->is_acting = true;
-                this->ledger.Begin(this->known_hosts,
-                                   this->is_own_machine_before
-                                       ? Duration::zero()
-                                       : this->lease_settings.holder_gap,
-                                   this->spent_before, this->now);
-                this->FeedPlacement(PlacementBegins{.token = right.token});
-              }
+              this->OnHolderChanged(change.holder);
             },
+            [this](const RightExtended& right) { this->OnRight(right); },
             [this](const RightLost&) {
-              this->is_acting = false;
+              this->has_right = false;
+              this->next_token = FencingToken();
               this->FeedPlacement(PlacementEnds{});
+              this->DivideShares();
             },
             [this](const AppendLease& append) {
               this->effects.emplace_back(this->Complete(append));
@@ -58,13 +43,45 @@
   }
 }
 
+void ControlState::OnHolderChanged(const LeaseRecord& record) {
+  if (record.secret != this->lease_settings.secret) {
+    this->is_keeper = false;
+    this->has_placed = false;
+  }
+  this->holder = record.holder;
+  this->linked_holder.reset();
+  this->effects.emplace_back(LinkToHolder{.holder = record});
+}
+
+void ControlState::OnRight(const RightExtended& right) {
+  this->right_until = right.until;
+  if (std::exchange(this->has_right, true)) {
+    return;
+  }
+  this->orders_from = right.orders_from;
+  this->next_token = right.token;
+  if (!std::exchange(this->is_keeper, true)) {
+    this->ledger.Begin(this->known_hosts, this->spent_before, this->now);
+  }
+  this->BeginPlacementIfDue();
+  this->DivideShares();
+}
+
+void ControlState::BeginPlacementIfDue() {
+  if (this->next_token != FencingToken() && this->now >= this->orders_from) {
+    this->FeedPlacement(PlacementBegins{
+        .token = std::exchange(this->next_token, FencingToken()),
+        .goes_on = std::exchange(this->has_placed, true)});
+  }
+}
+
 AppendLease ControlState::Complete(AppendLease append) {
   // A new holder has heard of nobody yet, and must not make the others believe
   // that they are few.
   append.record.hosts =
       std::max(this->ledger.HostCount(this->now), this->known_hosts);
   append.record.spent =
-      this->is_acting ? this->ledger.Spent(this->now) : this->spent_before;
+      this->is_keeper ? this->ledger.Spent(this->now) : this->spent_before;
   return append;
 }
 
@@ -94,7 +111,7 @@
 }
 
 void ControlState::Report(PeerMessage message) {
-  if (this->IsHolder()) {
+  if (this->is_keeper) {
     std::visit(
         [this](const auto& item) {
           this->OnPeer(this->lease_settings.self, item);
@@ -111,15 +128,13 @@
 
 void ControlState::OnPeer(const HostId&, const DemandReported& report) {
   this->NoteVersion(report.configuration);
-  if (this->IsHolder()) {
+  if (this->is_keeper) {
     this->ledger.OnReport(report, this->now);
   }
 }
 
 void ControlState::OnPeer(const HostId& host, const ModelWanted& wanted) {
-  if (this->IsHolder()) {
-    this->FeedPlacement(ModelAsked{.host = host, .wanted = wanted});
-  }
+  this->FeedPlacement(ModelAsked{.host = host, .wanted = wanted});
 }
 
 void ControlState::OnPeer(const HostId& host, const PlacementChange& change) {
@@ -140,8 +155,7 @@
 }
 
 void ControlState::OnPeer(const HostId& host, const LimitDrawAsked& asked) {
-  // One that has lost its right knows too little to give anything.
-  const LimitDrawn drawn = this->IsHolder()
+  const LimitDrawn drawn = this->is_keeper
                                ? this->ledger.Draw(asked, this->now)
                                : LimitDrawn{.request = asked.request};
   if (host == this->lease_settings.self) {
@@ -159,7 +173,7 @@
 
 // The holder passes it on to all; others take it from the holder.
 void ControlState::OnPeer(const HostId& host, const DeathNoticed& notice) {
-  if (this->IsHolder()) {
+  if (this->is_keeper) {
     this->effects.emplace_back(TellAllHosts{.message = notice});
   }
   if (host != this->lease_settings.self) {
@@ -167,9 +181,18 @@
   }
 }
 
+void ControlState::DivideSharesIfDue() {
+  // What a successor takes this host to use has lapsed by then.
+  if (!this->has_right && this->now - this->right_until > kGrantTerm) {
+    this->is_keeper = false;
+  }
+  if (this->now - this->divided_at >= kDivideInterval) {
+    this->DivideShares();
+  }
+}
+
 void ControlState::DivideShares() {
-  if (!this->IsHolder() || !this->configuration ||
-      this->now - this->divided_at < kDivideInterval) {
+  if (!this->is_keeper || !this->configuration) {
     return;
   }
   this->divided_at = this->now;
@@ -182,7 +205,8 @@
                                    .window = this->limit_window}});
     }
   }
-  for (auto& [host, message] : this->ledger.Divide(limited, this->now)) {
+  for (auto& [host, message] :
+       this->ledger.Divide(limited, this->has_right, this->now)) {
     message.configuration = this->Version();
     if (host == this->lease_settings.self) {
       this->OnPeer(host, message);
@@ -227,7 +251,7 @@
 }
 
 bool ControlState::CanDraw() const {
-  return this->IsHolder() || this->linked_holder.has_value();
+  return this->is_keeper || this->linked_holder.has_value();
 }
 
 // What this host may use: its part of what is reserved, and what is granted.
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -65,11 +65,15 @@
   /// To the holder, which may be this host.
   void Report(PeerMessage message);
   void DivideShares();
+  void DivideSharesIfDue();
   std::vector<GrantedShare> HeldShares(
       const std::vector<CustomerDemand>& demands) const;
   std::uint32_t KnownHosts() const;
   bool HasGrant() const;
   bool CanDraw() const;
+  void OnHolderChanged(const LeaseRecord& record);
+  void OnRight(const RightExtended& right);
+  void BeginPlacementIfDue();
   double ReservedShare() const;
   /// @return the append with what its record tells of hosts and limits.
   AppendLease Complete(AppendLease append);
@@ -81,7 +85,6 @@
   ConfigurationVersion Version() const;
   void NoteVersion(ConfigurationVersion version);
   void CatchUp();
-  bool IsHolder() const { return this->lease.MayAct(this->now); }
 
   LeaseSettings lease_settings;
   Duration limit_window;
@@ -103,9 +106,16 @@
   SpentLimits spent_before;               ///< As that record told.
   /// As the first record that this process has read told.
   std::optional<SpentLimits> spent_before_start;
-  bool is_own_machine_before = false;  ///< An earlier process of this host.
-  TimePoint right_until{};             ///< When the right to act ends.
-  bool is_acting = false;              ///< Placement has been told to begin.
+  TimePoint right_until{};  ///< When the right to give orders ends.
+  bool has_right = false;   ///< The lease is this host's.
+  /// This host has been the holder not long ago, and no other one is known
+  /// since: it divides limits among the hosts that keep their links.
+  bool is_keeper = false;
+  bool has_placed = false;  ///< It has given orders since it is the keeper.
+  /// Of the placement that is to begin when others' orders can't arrive any
+  /// more; 0: none.
+  FencingToken next_token;
+  TimePoint orders_from{};
   PlacementState placement;
   ShareLedger ledger;
   TimePoint divided_at{};
--- a/control/tests/hosts_world.h
+++ b/control/tests/hosts_world.h
@@ -103,6 +103,20 @@
     }
   }
 
+  /// The holder can't reach the lease's log any more; its links hold.
+  void CutHolderFromLog() {
+    for (const auto& host : this->hosts) {
+      host->is_cut |= host->id == this->log.back().record.holder;
+    }
+  }
+
+  /// Nobody can reach the lease's log.
+  void CutAllFromLog() {
+    for (const auto& host : this->hosts) {
+      host->is_cut = true;
+    }
+  }
+
   /// The process that holds the lease ends without a word.
   void KillHolder() {
     for (const auto& host : this->hosts) {
@@ -173,6 +187,7 @@
     EntryState entry;
     std::optional<HostId> holder;
     bool is_alive = true;
+    bool is_cut = false;  ///< From the lease's log.
     std::map<RequestId, double> costs;
   };
 
@@ -274,6 +289,12 @@
     this->FeedEntry(host, tell.event);
   }
   void Carry(Host& host, const LinkToHolder& link) {
+    if (host.holder && *host.holder != host.id) {
+      Host* before = this->Find(*host.holder);
+      this->At(kLinkDelay, [this, &host, before] {
+        this->FeedControl(*before, PeerChanged{.host = host.id});
+      });
+    }
     host.holder = link.holder.holder;
     if (link.holder.holder == host.id) {
       return;
@@ -302,6 +323,12 @@
     }
   }
   void Carry(Host& host, const ReadLeaseLog& read) {
+    if (host.is_cut) {
+      this->At(kLinkDelay, [this, &host] {
+        this->FeedControl(host, LeaseEvent(LeaseReadFailed{}));
+      });
+      return;
+    }
     std::vector<PlacedLeaseRecord> records;
     std::ranges::copy_if(
         this->log, std::back_inserter(records),
@@ -313,19 +340,21 @@
     });
   }
   void Carry(Host& host, const AppendLease& append) {
-    const bool is_free = append.at == LogOffset(this->log.size());
+    const bool is_free =
+        !host.is_cut && append.at == LogOffset(this->log.size());
     if (is_free) {
       this->log.push_back({.offset = append.at, .record = append.record});
     }
     const TimePoint sent_at = this->now;
     const LogOffset offset = append.at;
     this->At(kLinkDelay, [this, &host, is_free, offset, sent_at] {
-      this->FeedControl(host,
-                        LeaseEvent(LeaseAppendEnded{
-                            .outcome = is_free ? LeaseAppendOutcome::kWritten
-                                               : LeaseAppendOutcome::kConflict,
-                            .offset = offset,
-                            .sent_at = sent_at}));
+      this->FeedControl(
+          host, LeaseEvent(LeaseAppendEnded{
+                    .outcome = is_free       ? LeaseAppendOutcome::kWritten
+                               : host.is_cut ? LeaseAppendOutcome::kRefused
+                                             : LeaseAppendOutcome::kConflict,
+                    .offset = offset,
+                    .sent_at = sent_at}));
     });
   }
   template <typename Other>
--- a/control/tests/limits_test.cc
+++ b/control/tests/limits_test.cc
@@ -52,6 +52,39 @@
   }
 }
 
+// Guards against refusals of all limited customers while the log is away: hosts
+// went on asking a holder that had lost its right and gave nothing.
+BOOST_AUTO_TEST_CASE(CustomersAreServedWhileNobodyReachesTheLog) {
+  for (const std::size_t hosts : kHostCounts) {
+    HostsWorld world(hosts);
+    world.RunFor(kLead);
+    world.AskFor(seconds(5), 0.5);
+    world.CutAllFromLog();
+    world.ForgetCounts();
+    world.AskFor(kGrantTerm, 0.5);
+    BOOST_TEST_CONTEXT(hosts << " hosts, " << world.refused << " of "
+                             << world.asked << " refused") {
+      BOOST_TEST(PartRefused(world) <= kRefusable);
+    }
+  }
+}
+
+// The holder is replaced while it still serves its links.
+BOOST_AUTO_TEST_CASE(LimitsAreKeptAndUsedWhenTheHolderIsCutFromTheLog) {
+  for (const std::size_t hosts : kHostCounts) {
+    HostsWorld world(hosts);
+    world.RunFor(kLead);
+    world.AskFor(kLimitWindow, 3);
+    world.CutHolderFromLog();
+    world.AskFor(seconds(24), 3);
+    BOOST_TEST_CONTEXT(hosts << " hosts") {
+      BOOST_TEST(world.MostSpentInWindow() <=
+                 world.limit.Allowed() * (1 + world.limit.overshoot) +
+                     world.limit.slack);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LimitsAreKeptWhenTheHolderDies) {
   for (const std::size_t hosts : kHostCounts) {
     for (const int second : {1, 4, 9}) {
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -40,13 +40,14 @@
 
 /// One host's part in the lease: at most one host may act as the holder at a
 /// time. The log decides: a record counts if it was written where the log
-/// ended for its writer, and the last one names the holder. A successor waits
-/// until the right of the last writer has ended for sure.
+/// ended for its writer, and the last one names the holder. A successor claims
+/// when the right of the last writer has ended for sure, and gives orders when
+/// the platform's gap between two holders has passed besides.
 class LeaseState {
  public:
   explicit LeaseState(LeaseSettings settings);
 
-  /// @return whether this host may act now.
+  /// @return whether this host may give orders now.
   bool MayAct(TimePoint now) const;
   /// @return the token of the present tenure; 0 if this host is not the holder.
   FencingToken token() const { return this->own_token; }
@@ -73,6 +74,8 @@
   void Append(bool is_release);
   bool IsOwn(const LeaseRecord& record) const;
   bool MayClaim() const;
+  TimePoint RightOfLastEnds() const;
+  TimePoint OrdersFrom() const;
   bool IsReadDue() const;
   bool IsRenewalDue() const;
   void EndRightIfOver();
@@ -96,6 +99,7 @@
   TimePoint unanswered_sent{};
   FencingToken own_token;
   TimePoint right_until{};
+  TimePoint orders_from{};  ///< Of the present tenure, or of the claim.
   bool is_stopping = false;
   bool has_released = false;
 };
--- a/lease/include/cicadaloft/lease/messages.h
+++ b/lease/include/cicadaloft/lease/messages.h
@@ -23,6 +23,9 @@
   std::string secret;   ///< Proves on links who may read this log.
   FencingToken token;   ///< 0 in the record that begins a tenure.
   bool is_released = false;
+  /// From the writing: the holder gives no orders before. A process of the same
+  /// machine that goes on waits as long.
+  Duration orders_in{};
   std::uint32_t hosts = 1;  ///< That the holder knows to take requests.
   /// For hosts that come back and do not know what they have spent.
   SpentLimits spent;
@@ -137,16 +140,17 @@
   friend bool operator==(const HolderChanged&, const HolderChanged&) = default;
 };
 
-/// This host may act as the holder until `until`; said again at each renewal.
+/// This host is the holder until `until`; said again at each renewal.
 struct RightExtended {
   const FencingToken token;
   const TimePoint until{};
+  const TimePoint orders_from{};  ///< It may give orders from then on.
 
   friend auto operator<=>(const RightExtended&, const RightExtended&) = default;
   friend bool operator==(const RightExtended&, const RightExtended&) = default;
 };
 
-/// This host must not act as the holder any more.
+/// This host must not give orders any more.
 struct RightLost {
   friend auto operator<=>(const RightLost&, const RightLost&) = default;
   friend bool operator==(const RightLost&, const RightLost&) = default;
--- a/lease/lease_codec.cc
+++ b/lease/lease_codec.cc
@@ -17,6 +17,7 @@
                Required("secret", &LeaseRecord::secret),
                Required("token", &LeaseRecord::token),
                Required("is_released", &LeaseRecord::is_released),
+               Required("orders_in", &LeaseRecord::orders_in),
                Required("hosts", &LeaseRecord::hosts),
                Required("spent", &LeaseRecord::spent));
 
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -34,7 +34,8 @@
 }
 
 bool LeaseState::MayAct(TimePoint time) const {
-  return this->own_token != FencingToken() && time < this->right_until;
+  return this->own_token != FencingToken() && time < this->right_until &&
+         time >= this->orders_from;
 }
 
 void LeaseState::Take(const LeaseLogRead& read) {
@@ -126,8 +127,9 @@
     this->Log("lease.gained", {{"token", this->own_token.value()}});
   }
   this->right_until = sent_at + this->settings.term;
-  this->effects.emplace_back(
-      RightExtended{.token = this->own_token, .until = this->right_until});
+  this->effects.emplace_back(RightExtended{.token = this->own_token,
+                                           .until = this->right_until,
+                                           .orders_from = this->orders_from});
 }
 
 void LeaseState::Take(const LeaseReadFailed&) {
@@ -210,10 +212,25 @@
   if (is_heard) {
     return false;
   }
+  return this->now >= this->RightOfLastEnds() + spread;
+}
+
+// With what clocks may differ by.
+TimePoint LeaseState::RightOfLastEnds() const {
   const Duration right =
-      last.is_released ? Duration::zero() : this->settings.term;
-  return this->now - this->newest_at >=
-         right + this->settings.holder_gap + this->settings.drift + spread;
+      this->newest->record.is_released ? Duration::zero() : this->settings.term;
+  return this->newest_at + right + this->settings.drift;
+}
+
+TimePoint LeaseState::OrdersFrom() const {
+  if (!this->newest) {
+    return this->now;
+  }
+  const LeaseRecord& last = this->newest->record;
+  if (last.holder == this->settings.self) {
+    return this->newest_at + last.orders_in;
+  }
+  return this->RightOfLastEnds() + this->settings.holder_gap;
 }
 
 void LeaseState::Read() {
@@ -223,12 +240,19 @@
 }
 
 void LeaseState::Append(bool is_release) {
+  const bool is_claim = this->own_token == FencingToken() && !this->unanswered;
+  if (is_claim) {
+    this->orders_from = this->OrdersFrom();
+  }
   AppendLease append{.at = this->next,
-                     .record = LeaseRecord{.holder = this->settings.self,
-                                           .address = this->settings.address,
-                                           .secret = this->settings.secret,
-                                           .token = this->own_token,
-                                           .is_released = is_release}};
+                     .record = LeaseRecord{
+                         .holder = this->settings.self,
+                         .address = this->settings.address,
+                         .secret = this->settings.secret,
+                         .token = this->own_token,
+                         .is_released = is_release,
+                         .orders_in = std::max(Duration::zero(),
+                                               this->orders_from - this->now)}};
   this->is_calling = true;
   this->last_try = this->now;
   // A repeat may be found in the log as the first try that it repeats, so the
--- a/lease/tests/lease_test.cc
+++ b/lease/tests/lease_test.cc
@@ -183,6 +183,42 @@
   BOOST_TEST(after.MayAct(later));
 }
 
+// Guards against customers that are refused while nobody divides their limits:
+// a successor is the holder long before it may give orders.
+BOOST_FIXTURE_TEST_CASE(ASuccessorHoldsTheLeaseBeforeItGivesOrders, HeldLease) {
+  Host b("b", log);
+  now = RunFor({&a, &b}, now, seconds(1));
+  const LeaseSettings settings = SettingsOf("b");
+  a.is_cut = true;
+  const TimePoint cut = now;
+  while (b.extensions == 0 && now < cut + seconds(20)) {
+    now = RunFor({&a, &b}, now, kTick);
+  }
+  BOOST_TEST((now - cut <= kLeaseReadInterval + settings.term + settings.drift +
+                               kClaimSpread + 3 * kTick));
+  BOOST_TEST(!b.MayAct(now));
+}
+
+// A process that claims and ends leaves the gap to the next one.
+BOOST_FIXTURE_TEST_CASE(ARestartDoesNotShortenTheGapBeforeOrders, HeldLease) {
+  Host b("b", log);
+  now = RunFor({&a, &b}, now, seconds(1));
+  a.is_cut = true;
+  TimePoint last_of_a = now;
+  while (b.extensions == 0) {
+    now = RunFor({&a, &b}, now, kTick);
+    last_of_a = a.MayAct(now) ? now : last_of_a;
+  }
+  LeaseSettings again = SettingsOf("b");
+  again.secret = "another process";
+  b.state = LeaseState(again);
+  while (!b.MayAct(now) && now < last_of_a + seconds(20)) {
+    now = RunFor({&a, &b}, now, kTick);
+  }
+  BOOST_TEST(b.MayAct(now));
+  BOOST_TEST((now - last_of_a >= again.holder_gap));
+}
+
 BOOST_FIXTURE_TEST_CASE(ARenewalWhoseAnswerIsLostIsFoundInTheLog, HeldLease) {
   a.loses_answers = true;
   now = RunFor({&a}, now, seconds(5));
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -68,7 +68,8 @@
     std::tuple(Required("grant", &SharesGranted::grant),
                Required("hosts", &SharesGranted::hosts),
                Required("customers", &SharesGranted::customers),
-               Required("configuration", &SharesGranted::configuration));
+               Required("configuration", &SharesGranted::configuration),
+               Required("has_right", &SharesGranted::has_right));
 
 template <>
 inline constexpr auto kJsonFields<DeathNoticed> =
--- a/placement/include/cicadaloft/placement/messages.h
+++ b/placement/include/cicadaloft/placement/messages.h
@@ -128,6 +128,9 @@
 /// This host may give orders from now on, under this token.
 struct PlacementBegins {
   const FencingToken token;
+  /// This host gave orders before, and nobody else has since: what it knows of
+  /// targets still holds.
+  const bool goes_on = false;
 
   friend auto operator<=>(const PlacementBegins&,
                           const PlacementBegins&) = default;
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -34,6 +34,9 @@
 
 void PlacementCore::Take(const PlacementBegins& begins) {
   this->token = begins.token;
+  if (begins.goes_on) {
+    return;
+  }
   this->budget.Begin(this->now);
   this->wants.clear();
   for (auto& [id, book] : this->books) {
@@ -46,7 +49,6 @@
 
 void PlacementCore::Take(const PlacementEnds&) {
   this->token = FencingToken();
-  this->wants.clear();
 }
 
 void PlacementCore::Take(const ConfigurationChanged& change) {
