Bound what is read of answers that nobody gets

A target that has refused a request and sends bytes without end, or hangs within the body, kept the request from another target until its deadline; informational heads without end were read for ever. Bodies that nobody gets are skipped for 100 ms and 64 KiB, and eight informational heads are taken.

ARefusalThatNeverEndsIsNotReadToItsEnd and HeadsThatNeverEndAreGivenUp fail before: the first waits for the 4 s of the deadline, the second never ends.

--- a/forwarding/target_answer.cc
+++ b/forwarding/target_answer.cc
@@ -1,9 +1,13 @@
 #include "cicadaloft/forwarding/target_answer.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <chrono>
+#include <cstddef>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -17,6 +21,14 @@
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Informational heads before an answer; a well-behaved target sends one.
+constexpr int kMostInformationalHeads = 8;
+
+/// A body that nobody gets is read to keep the connection, which is worth less
+/// than this time and so many bytes.
+constexpr Duration kMostSkipTime = std::chrono::milliseconds(100);
+constexpr std::size_t kMostSkippedBytes = std::size_t{64} * 1024;
+
 }  // namespace
 
 TargetAnswer::TargetAnswer(std::shared_ptr<TargetConnection> connection,
@@ -25,7 +37,11 @@
 
 asio::awaitable<std::optional<AttemptOutcome>> TargetAnswer::ReadHead(
     Duration limit) {
+  int heads = 0;
   do {
+    if (++heads > kMostInformationalHeads) {
+      co_return AttemptOutcome::kDiedUnstarted;
+    }
     this->parser.emplace();
     this->parser->header_limit(kHeaderLimit);
     this->parser->body_limit(boost::none);
@@ -74,16 +90,20 @@
 }
 
 asio::awaitable<bool> TargetAnswer::SkipBody(Duration limit) {
-  const auto skip = [this, limit]() -> asio::awaitable<bool> {
+  const Duration time = std::min(limit, kMostSkipTime);
+  const auto skip = [this, time]() -> asio::awaitable<bool> {
+    std::size_t skipped = 0;
     while (!this->IsDone()) {
-      const Piece dropped = co_await this->ReadPiece(limit);
-      if (std::holds_alternative<AttemptOutcome>(dropped)) {
+      const Piece dropped = co_await this->ReadPiece(time);
+      const auto* bytes = std::get_if<std::string>(&dropped);
+      if (bytes == nullptr || skipped > kMostSkippedBytes) {
         co_return false;
       }
+      skipped += bytes->size();
     }
     co_return true;
   };
-  const auto is_whole = co_await Within(limit, skip());
+  const auto is_whole = co_await Within(time, skip());
   co_return is_whole.value_or(false);
 }
 
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -163,6 +163,48 @@
   BOOST_TEST(entry.target.connections == 1);
 }
 
+// Guards against requests that wait until their deadline while a target that
+// has refused them sends on without end.
+BOOST_AUTO_TEST_CASE(ARefusalThatNeverEndsIsNotReadToItsEnd) {
+  const std::string head =
+      "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const bool hangs : {false, true}) {
+    EntryFixture entry;
+    entry.plan->work_within = std::chrono::seconds(4);
+    entry.target.scripts.push_back({.pieces = {head, "5\r\nbytes\r\n"},
+                                    .after = After::kHang,
+                                    .never_ends = !hangs});
+    const auto begun = std::chrono::steady_clock::now();
+    entry.Run([&]() -> awaitable<void> {
+      auto caller = co_await entry.Caller();
+      co_await caller.Write(ServiceGet("/"));
+      // The next attempt is answered.
+      BOOST_TEST((co_await caller.Read()).result_int() == 200);
+      co_await entry.Ended(2);
+    });
+    BOOST_TEST(
+        (std::chrono::steady_clock::now() - begun < std::chrono::seconds(1)));
+    BOOST_TEST((entry.Outcomes() == Outcomes{kShed, kCompleted}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HeadsThatNeverEndAreGivenUp) {
+  const std::vector<std::vector<std::string>> heads = {
+      {"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
+      {"HTTP/1.1 100 Continue\r\n\r\n"}};
+  for (const std::vector<std::string>& head : heads) {
+    EntryFixture entry;
+    entry.plan->work_within = std::chrono::seconds(4);
+    entry.target.scripts.push_back({.pieces = head, .never_ends = true});
+    const auto begun = std::chrono::steady_clock::now();
+    const auto answer = entry.AnswerTo(ServiceGet("/"));
+    BOOST_TEST(
+        (std::chrono::steady_clock::now() - begun < std::chrono::seconds(1)));
+    BOOST_TEST(answer.result_int() == 502);
+    BOOST_TEST((entry.Outcomes() == Outcomes{kDiedUnstarted}));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OtherNotFoundAnswersArePassedOn) {
   EntryFixture entry;
   entry.target.scripts.push_back(
--- a/forwarding/tests/scripted_target.h
+++ b/forwarding/tests/scripted_target.h
@@ -29,6 +29,7 @@
   std::vector<std::string> pieces;  ///< Raw bytes of the answer.
   After after = After::kKeep;
   bool waits_between = false;  ///< Sends a piece at each call of Allow().
+  bool never_ends = false;     ///< The last piece comes again and again.
 };
 
 struct Permission {};
@@ -103,6 +104,12 @@
           boost::asio::as_tuple(boost::asio::use_awaitable));
       ++this->pieces_sent;
     }
+    while (script.never_ends) {
+      const auto [error, size] = co_await boost::asio::async_write(
+          socket, boost::asio::buffer(script.pieces.back()),
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+      script.never_ends = !error;
+    }
     // A hanging target still reads, and so sees the connection's end.
     co_return script.after != TargetScript::After::kClose;
   }
