Leave a target that takes no connection for another one

A target whose order could not be sent is not known any more until it reports, and wants that made room there look elsewhere.

--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -163,12 +163,11 @@
       this->Tell(book, order.path, is_load, Duration::zero(),
                  this->ConcernedBy(order.path));
       break;
-    case OrderOutcome::kNotSent:
-      book.OnNotDone();
-      break;
     case OrderOutcome::kNoAnswer:
       book.OnNoAnswer(this->now);
       break;
+    case OrderOutcome::kNotSent:
+      // It may be dead, and would refuse the connection again at once.
     case OrderOutcome::kRejected:
     case OrderOutcome::kOtherInstance:
       book.OnUnclear(this->now);
@@ -177,6 +176,9 @@
       book.OnConflict(this->now);
       break;
   }
+  if (!book.IsKnown()) {
+    this->LeaveSite(ended.target);
+  }
   const bool is_kept = !is_load && ended.outcome != OrderOutcome::kAccepted &&
                        ended.outcome != OrderOutcome::kAlready &&
                        ended.outcome != OrderOutcome::kNoAnswer;
@@ -219,6 +221,15 @@
   this->Plan();
 }
 
+// Wants for which room was being made there look for another target.
+void PlacementCore::LeaveSite(const TargetId& target) {
+  for (auto& [path, want] : this->wants) {
+    if (want.chosen == target) {
+      want.chosen.reset();
+    }
+  }
+}
+
 const Engine* PlacementCore::FindEngine(const ServiceId& service) const {
   const Service* found =
       this->configuration ? this->configuration->FindService(service) : nullptr;
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -74,6 +74,7 @@
   void DropOldWants();
   void ServeInOrder(const std::vector<ModelPath>& paths);
   void ServeAfterOrder(const TargetId& target);
+  void LeaveSite(const TargetId& target);
   bool Serve(const ModelPath& path, Want& want);
   bool IsOrdered(const ModelPath& path) const;
   bool ServeHeld(const ModelPath& path, const Want& want);
--- a/placement/target_book.h
+++ b/placement/target_book.h
@@ -69,7 +69,6 @@
   /// @param ready_in until a load is expected to be done.
   void OnAccepted(WeightSource source, Duration ready_in, TimePoint now);
   void OnAlready(TimePoint now);
-  void OnNotDone() { this->unanswered.reset(); }
   /// The target refuses since an order is under way, or has come in between.
   void OnConflict(TimePoint now);
   /// Whether the order counts, or still will, is not known. What the target
--- a/placement/tests/placement_test.cc
+++ b/placement/tests/placement_test.cc
@@ -137,6 +137,22 @@
   BOOST_TEST(world.store_loads.empty());
 }
 
+// Guards against a holder that spends its time on a dead target: it was given
+// the same order again and again, 7,600 times on one day.
+BOOST_AUTO_TEST_CASE(ADeadTargetIsLeftForAnother) {
+  World world(2, 2, 100);
+  world.runners.at(TargetId("t0")).held = {Path("m0")};
+  world.runners.at(TargetId("t1")).held = {Path("m0")};
+  world.Begin();
+  world.runners.at(TargetId("t0")).is_dead = true;
+  const auto before = world.orders.size();
+  world.Want(Path("m1"));
+  world.RunFor(seconds(1));
+  BOOST_TEST(world.runners.at(TargetId("t1")).held.contains(Path("m1")));
+  // One that fails, an unload and a load.
+  BOOST_TEST(world.orders.size() - before <= 3U);
+}
+
 // Guards against batch work that waits while most targets of a large site are
 // free: four made room at a time, however many there were.
 BOOST_AUTO_TEST_CASE(MoreTargetsMakeRoomForBatchWorkAtOnce) {
--- a/placement/tests/placement_world.h
+++ b/placement/tests/placement_world.h
@@ -57,6 +57,7 @@
   std::uint64_t sequence = 0;
   std::set<ModelPath> held;
   TimePoint busy_until{};
+  bool is_dead = false;    ///< It takes no connection.
   TimePoint unloads_at{};  ///< Runs that an unload has to wait for end then.
   std::set<ModelId> disk;
 
@@ -178,6 +179,10 @@
 
   PlacementEvent Give(const SendOrder& order) {
     this->orders.push_back(order);
+    if (this->runners.at(order.target).is_dead) {
+      return OrderEnded{.target = order.target,
+                        .outcome = OrderOutcome::kNotSent};
+    }
     if (this->Chance(this->lost)) {
       if (this->Chance(0.5)) {
         this->late.emplace_back(this->now + milliseconds(2000), order);
@@ -234,6 +239,9 @@
 
   PlacementEvent Report(const TargetId& target) const {
     const Runner& runner = this->runners.at(target);
+    if (runner.is_dead) {
+      return ReportFailed{.target = target, .reason = "no report"};
+    }
     return ReportRead{
         .target = target,
         .report = {.sequence = OrderSequence(runner.sequence),
