--- a/placement/tests/placement_scale_test.cc
+++ b/placement/tests/placement_scale_test.cc
@@ -76,8 +76,10 @@
   }
 
   void ReportUse(int host) {
+    constexpr int kPaths = 4;
     std::vector<ModelUse> uses;
-    for (int i = 0; i < 4; ++i) {
+    uses.reserve(kPaths);
+    for (int i = 0; i < kPaths; ++i) {
       uses.push_back(ModelUse{.path = ModelPath{.model = this->Draw()},
                               .arrivals = 1,
                               .running = 1,
