--- a/entry/tests/limit_draw_test.cc
+++ b/entry/tests/limit_draw_test.cc
@@ -15,15 +15,11 @@
 struct SmallShare : Entry {
   SmallShare() {
     this->Begin();
-    this->TellShares(true);
+    this->Feed(
+        SharesChanged{.hosts = 100, .usual_share = 0.001, .can_draw = true});
     this->effects.clear();
   }
 
-  void TellShares(bool can_draw) {
-    this->Feed(SharesChanged{
-        .hosts = 100, .usual_share = 0.001, .can_draw = can_draw});
-  }
-
   LimitDrawAsked Asked() const {
     const auto asked = this->All<LimitDrawAsked>();
     BOOST_REQUIRE(asked.size() == 1);
@@ -74,7 +70,7 @@
 // holder was there for a moment.
 BOOST_FIXTURE_TEST_CASE(WithoutAHolderCallersComeBackWhenOneMayBeThere,
                         SmallShare) {
-  this->TellShares(false);
+  this->Feed(SharesChanged{.hosts = 100, .usual_share = 0});
   this->Ask("any");
   BOOST_TEST((this->Refusal() == ErrorKind::kRateLimited));
   BOOST_TEST((*this->All<Refuse>()[0].retry_after <= seconds(2)));
