Let strong hosts take the lease first

Of 67 hosts 59 have 0.12 cores, and any of them could be the holder.

Hosts know how many cores they may use and report it; the lease's record tells the most, and weaker hosts claim 0.8 s later. Where nobody has held the lease yet, a host waits the longer the less it has. AStrongHostTakesTheLeaseBeforeWeakerOnes fails without the wait.

--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -73,6 +73,9 @@
   /// @return hosts that may take requests; at least 1.
   std::uint32_t HostCount(TimePoint now) const;
 
+  /// @return the most cores that a host has told to have; 0: none has.
+  double MostCores() const;
+
  private:
   /// Both faded.
   struct Demand {
@@ -87,6 +90,7 @@
   struct Host {
     TimePoint heard_at{};
     bool is_linked = true;
+    double cores = 0;
     std::map<CustomerId, Demand> demand;
     /// The newest confirmed grant first, then those that may be in use.
     std::deque<Grant> grants;
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -53,6 +53,7 @@
   /// The granted shares that it uses now, or has spent in the window before.
   const std::vector<GrantedShare> held;
   const ConfigurationVersion configuration;  ///< The newest one that it knows.
+  const double cores = 0;                    ///< That the host may use.
 
   friend auto operator<=>(const DemandReported&,
                           const DemandReported&) = default;
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -76,6 +76,7 @@
   }
   host.heard_at = now;
   host.is_linked = true;
+  host.cores = report.cores;
   host.held.clear();
   for (const GrantedShare& share : report.held) {
     host.held[share.customer] = share.share;
@@ -273,6 +274,13 @@
   return std::max({1U, known, expected});
 }
 
+double ShareLedger::MostCores() const {
+  return std::accumulate(this->hosts.begin(), this->hosts.end(), 0.0,
+                         [](double most, const auto& entry) {
+                           return std::max(most, entry.second.cores);
+                         });
+}
+
 // Hosts that an earlier holder knew and that have not told yet may use shares
 // of it until these lapse; each is taken to have its even part.
 double ShareLedger::ToldPart(TimePoint now) const {
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -93,7 +93,8 @@
                      .grant = this->HasGrant() ? this->granted.grant : 0,
                      .demands = measured.demands,
                      .held = this->HeldShares(measured.demands),
-                     .configuration = this->Version()});
+                     .configuration = this->Version(),
+                     .cores = this->lease_settings.cores});
 }
 
 // What has been spent beyond a share that has shrunk counts as held until it
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -80,6 +80,11 @@
   // that they are few.
   append.record.hosts =
       std::max(this->ledger.HostCount(this->now), this->known_hosts);
+  const auto& last = this->lease.last();
+  append.record.most_cores = std::max(this->lease_settings.cores,
+                                      this->is_keeper ? this->ledger.MostCores()
+                                      : last          ? last->record.most_cores
+                                                      : 0);
   append.record.spent =
       this->is_keeper ? this->ledger.Spent(this->now) : this->spent_before;
   return append;
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -148,6 +148,7 @@
     const LeaseSettings lease{.self = this->settings.host,
                               .address = this->settings.peer_listen,
                               .secret = MakeSecret(),
+                              .cores = this->settings.cores,
                               .holder_gap = this->settings.holder_gap};
     auto links = PeerLinks::Open(this->executor, lease, this->control);
     if (!IsOk(links)) {
--- a/host/host_settings.cc
+++ b/host/host_settings.cc
@@ -10,6 +10,7 @@
 constexpr Duration kUsualStopTime = std::chrono::seconds(8);
 constexpr Duration kUsualHolderGap = std::chrono::seconds(3);
 constexpr double kUsualRetryRatio = 0.2;
+constexpr double kMostCores = 1024;
 constexpr double kUsualRetrySlack = 50;
 constexpr double kMostRetrySlack = 1'000'000;
 constexpr double kUsualLimitOvershoot = 0.1;
@@ -30,6 +31,7 @@
       .own_listen = reader.TextOr("own_listen", ""),
       .store = reader.Address("store"),
       .is_first_start = reader.FlagOr("first_start", false),
+      .cores = reader.NumberOr("cores", 1, kMostCores),
       .stop_time = reader.TimeOr("stop_time", kUsualStopTime),
       .retry_ratio = reader.NumberOr("retry_ratio", kUsualRetryRatio, 1),
       .retry_slack =
--- a/host/host_settings.h
+++ b/host/host_settings.h
@@ -22,6 +22,7 @@
   std::string own_listen;    ///< For the product's own interface; may be "".
   std::string store;
   bool is_first_start = false;  ///< The hosts start together.
+  double cores = 1;             ///< That this host may use.
   Duration stop_time{};         ///< Between a planned stop and the kill.
   double retry_ratio = 0;
   double retry_slack = 0;
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -18,11 +18,16 @@
 /// instead of paying for a conflict.
 inline constexpr Duration kClaimSpread = std::chrono::milliseconds(400);
 
+/// Weaker hosts claim later by this: a stronger one, which reads the log as
+/// often as kLeaseReadInterval, comes before them.
+inline constexpr Duration kWeakerWait = std::chrono::milliseconds(800);
+
 /// Who this host is as a holder, and the lease's times.
 struct LeaseSettings {
   HostId self;
   std::string address;
   std::string secret;  ///< That this host would give out.
+  double cores = 1;    ///< That this host may use; holders need many.
   /// A holder may act for so long from the sending of its last renewal on.
   Duration term = std::chrono::milliseconds(1600);
   /// Several renewals may fail before the right ends.
@@ -74,6 +79,7 @@
   void Append(bool is_release);
   bool IsOwn(const LeaseRecord& record) const;
   bool MayClaim() const;
+  Duration ClaimWait() const;
   TimePoint RightOfLastEnds() const;
   TimePoint OrdersFrom() const;
   bool IsReadDue() const;
--- a/lease/include/cicadaloft/lease/messages.h
+++ b/lease/include/cicadaloft/lease/messages.h
@@ -27,6 +27,7 @@
   /// machine that goes on waits as long.
   Duration orders_in{};
   std::uint32_t hosts = 1;  ///< That the holder knows to take requests.
+  double most_cores = 0;    ///< That one of them has.
   /// For hosts that come back and do not know what they have spent.
   SpentLimits spent;
 
--- a/lease/lease_codec.cc
+++ b/lease/lease_codec.cc
@@ -19,6 +19,7 @@
                Required("is_released", &LeaseRecord::is_released),
                Required("orders_in", &LeaseRecord::orders_in),
                Required("hosts", &LeaseRecord::hosts),
+               Required("most_cores", &LeaseRecord::most_cores),
                Required("spent", &LeaseRecord::spent));
 
 namespace {
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -14,6 +14,8 @@
 constexpr Duration kSlowReadInterval = std::chrono::seconds(5);
 /// A holder whose link is up but silent for so long is read about.
 constexpr Duration kSilence = std::chrono::milliseconds(1800);
+/// Hosts with this part of the most cores are as good as the strongest.
+constexpr double kStrongPart = 0.8;
 /// After an append that failed.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
 
@@ -194,12 +196,23 @@
              this->settings.renew_interval;
 }
 
-bool LeaseState::MayClaim() const {
+// Hosts claim one after the other, the strongest first.
+Duration LeaseState::ClaimWait() const {
   const Duration spread(StableHash(this->settings.self.value()) %
                         static_cast<std::uint64_t>(kClaimSpread.count()));
+  if (!this->newest) {
+    const double missing = 1 - std::min(1.0, this->settings.cores);
+    return spread + std::chrono::duration_cast<Duration>(kWeakerWait * missing);
+  }
+  const bool is_weaker =
+      this->settings.cores < this->newest->record.most_cores * kStrongPart;
+  return is_weaker ? kWeakerWait + spread : spread;
+}
+
+bool LeaseState::MayClaim() const {
   if (!this->newest) {
     // Nobody has ever held it, or so long ago that its records are gone.
-    return this->now - this->newest_at >= spread;
+    return this->now - this->newest_at >= this->ClaimWait();
   }
   const LeaseRecord& last = this->newest->record;
   if (last.holder == this->settings.self) {
@@ -212,7 +225,7 @@
   if (is_heard) {
     return false;
   }
-  return this->now >= this->RightOfLastEnds() + spread;
+  return this->now >= this->RightOfLastEnds() + this->ClaimWait();
 }
 
 // With what clocks may differ by.
--- a/lease/tests/lease_test.cc
+++ b/lease/tests/lease_test.cc
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE lease
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <random>
 #include <string>
@@ -199,6 +201,32 @@
   BOOST_TEST(!b.MayAct(now));
 }
 
+// Guards against holders that are too weak for a large site: whichever host
+// came first took the lease.
+BOOST_AUTO_TEST_CASE(AStrongHostTakesTheLeaseBeforeWeakerOnes) {
+  FakeLog log;
+  std::deque<Host> weak;
+  for (int i = 0; i < 30; ++i) {
+    weak.emplace_back("weak" + std::to_string(i), log);
+    LeaseSettings settings = SettingsOf("weak" + std::to_string(i));
+    settings.cores = 0.12;
+    weak.back().state = LeaseState(settings);
+  }
+  LeaseSettings settings = SettingsOf("strong");
+  settings.cores = 0.5;
+  Host strong("strong", log);
+  strong.state = LeaseState(settings);
+  Host first("first", log);
+  TimePoint now = RunFor({&first}, kStart, seconds(1));
+  BOOST_REQUIRE(!log.records.empty());
+  log.records.back().most_cores = 0.5;
+  std::vector<Host*> others = {&strong};
+  std::ranges::transform(weak, std::back_inserter(others),
+                         [](Host& host) { return &host; });
+  now = RunFor(others, now, seconds(4));
+  BOOST_TEST((log.records.back().holder == HostId("strong")));
+}
+
 // A process that claims and ends leaves the gap to the next one.
 BOOST_FIXTURE_TEST_CASE(ARestartDoesNotShortenTheGapBeforeOrders, HeldLease) {
   Host b("b", log);
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -45,7 +45,8 @@
                Required("grant", &DemandReported::grant),
                Required("demands", &DemandReported::demands),
                Required("held", &DemandReported::held),
-               Required("configuration", &DemandReported::configuration));
+               Required("configuration", &DemandReported::configuration),
+               Required("cores", &DemandReported::cores));
 
 template <>
 inline constexpr auto kJsonFields<ModelWanted> =
