--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -270,7 +270,7 @@
       continue;
     }
     if (request.draw_ends_at) {
-      this->EndDraw(request, Duration::zero());
+      this->EndDraw(request, Duration::zero(), "the holder has not answered");
       continue;
     }
     this->RefuseOpen(request,
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -99,9 +99,14 @@
 
   // Customers' limits.
   LimitCheck CheckLimit(const OpenRequest& request);
-  Refusal OverLimit(const OpenRequest& request, Duration come_back_in);
+  /// @param why this host got no more than its own share.
+  Refusal OverLimit(const OpenRequest& request,
+                    Duration come_back_in,
+                    const std::string& why);
   void AskForDraw(OpenRequest& request);
-  void EndDraw(const OpenRequest& request, Duration come_back_in);
+  void EndDraw(const OpenRequest& request,
+               Duration come_back_in,
+               const std::string& why);
   void GiveQuotaBack(const OpenRequest& request);
   bool IsAlone() const;
   CustomerShare& ShareOf(const Customer& customer);
--- a/entry/entry_limits.cc
+++ b/entry/entry_limits.cc
@@ -20,6 +20,8 @@
 /// that a customer far over its limit costs it little.
 constexpr Duration kLongestRefusal = std::chrono::milliseconds(250);
 
+constexpr char kHolderGivesNoMore[] = "the holder gives no more";
+
 }  // namespace
 
 EntryCore::LimitCheck EntryCore::CheckLimit(const OpenRequest& request) {
@@ -39,34 +41,36 @@
   if (!this->shares.can_draw) {
     return this->OverLimit(
         request,
-        std::min(share.TimeUntil(request.cost, this->now), kHolderReturn));
+        std::min(share.TimeUntil(request.cost, this->now), kHolderReturn),
+        "the holder is not reached");
   }
   const auto refused = this->refused_draws.find(request.customer->id);
   const bool was_refused = refused != this->refused_draws.end() &&
                            this->now < refused->second.until &&
                            request.cost >= refused->second.cost;
   if (was_refused) {
-    return this->OverLimit(request, refused->second.come_back_at - this->now);
+    return this->OverLimit(request, refused->second.come_back_at - this->now,
+                           kHolderGivesNoMore);
   }
   return NeedsDraw{};
 }
 
 EntryCore::Refusal EntryCore::OverLimit(const OpenRequest& request,
-                                        Duration come_back_in) {
+                                        Duration come_back_in,
+                                        const std::string& why) {
   CustomerShare& share = this->ShareOf(*request.customer);
   const auto whole = [](double number) {
     return std::to_string(static_cast<std::int64_t>(number));
   };
   return Refusal{
-      .error = Fail(
-          ErrorKind::kRateLimited,
-          "over the limit of customer " + request.customer->id.value() +
-              ": cost " + whole(request.cost) + ", limit " +
-              whole(request.customer->rate_per_second) +
-              " a second; of its share of " + whole(share.capacity()) +
-              " in the window this host has " + whole(share.Left(this->now)) +
-              " left, and the holder " +
-              (this->shares.can_draw ? "gives no more" : "is not reached")),
+      .error =
+          Fail(ErrorKind::kRateLimited,
+               "over the limit of customer " + request.customer->id.value() +
+                   ": cost " + whole(request.cost) + ", limit " +
+                   whole(request.customer->rate_per_second) +
+                   " a second; of its share of " + whole(share.capacity()) +
+                   " in the window this host has " +
+                   whole(share.Left(this->now)) + " left, and " + why),
       .come_back_in = come_back_in};
 }
 
@@ -96,12 +100,15 @@
       .cost = request.cost,
       .until = this->now + std::min(drawn.come_back_in, kLongestRefusal),
       .come_back_at = this->now + drawn.come_back_in};
-  this->EndDraw(request, drawn.come_back_in);
+  this->EndDraw(request, drawn.come_back_in, kHolderGivesNoMore);
 }
 
 // The request is over its limit, or nobody has said that it is not.
-void EntryCore::EndDraw(const OpenRequest& request, Duration come_back_in) {
-  this->RefuseArrival(request.arrival, this->OverLimit(request, come_back_in));
+void EntryCore::EndDraw(const OpenRequest& request,
+                        Duration come_back_in,
+                        const std::string& why) {
+  this->RefuseArrival(request.arrival,
+                      this->OverLimit(request, come_back_in, why));
   this->Close(request);
 }
 
