--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -137,13 +137,34 @@
              {"kind", order.kind == OrderKind::kLoad ? "load" : "unload"},
              {"expect", order.expect.value()},
              {"outcome", ToString(ended.outcome)}});
+  this->NoteOutcome(book, order, ended.outcome);
+  if (!book.IsKnown()) {
+    this->LeaveSite(ended.target);
+  }
+  const bool is_kept = order.kind == OrderKind::kUnload &&
+                       ended.outcome != OrderOutcome::kAccepted &&
+                       ended.outcome != OrderOutcome::kAlready &&
+                       ended.outcome != OrderOutcome::kNoAnswer;
+  if (is_kept) {
+    // Hosts have been told that it goes.
+    this->Tell(book, order.path, true, Duration::zero(),
+               this->ConcernedBy(order.path));
+  }
+  this->Index(book);
+  this->ServeAfterOrder(ended.target);
+}
+
+// Enters in the book what the target has answered, and tells hosts of it.
+void PlacementCore::NoteOutcome(TargetBook& book,
+                                const SendOrder& order,
+                                OrderOutcome outcome) {
   const bool is_load = order.kind == OrderKind::kLoad;
   const Model* model = this->FindModel(book.record().service, order.path.model);
   const WeightSource source = book.SourceOf(order.path.model);
   const Duration ready_in = !is_load || model == nullptr ? Duration::zero()
                             : order.path.IsAdapter()     ? kAdapterTime
                                                      : LoadTime(*model, source);
-  switch (ended.outcome) {
+  switch (outcome) {
     case OrderOutcome::kAccepted:
       book.OnAccepted(source, ready_in, this->now);
       this->Tell(book, order.path, is_load, ready_in,
@@ -176,19 +197,6 @@
       book.OnConflict(this->now);
       break;
   }
-  if (!book.IsKnown()) {
-    this->LeaveSite(ended.target);
-  }
-  const bool is_kept = !is_load && ended.outcome != OrderOutcome::kAccepted &&
-                       ended.outcome != OrderOutcome::kAlready &&
-                       ended.outcome != OrderOutcome::kNoAnswer;
-  if (is_kept) {
-    // Hosts have been told that it goes.
-    this->Tell(book, order.path, true, Duration::zero(),
-               this->ConcernedBy(order.path));
-  }
-  this->Index(book);
-  this->ServeAfterOrder(ended.target);
 }
 
 void PlacementCore::Take(const ReportRead& read) {
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -75,6 +75,9 @@
   void ServeInOrder(const std::vector<ModelPath>& paths);
   void ServeAfterOrder(const TargetId& target);
   void LeaveSite(const TargetId& target);
+  void NoteOutcome(TargetBook& book,
+                   const SendOrder& order,
+                   OrderOutcome outcome);
   bool Serve(const ModelPath& path, Want& want);
   bool IsOrdered(const ModelPath& path) const;
   bool ServeHeld(const ModelPath& path, const Want& want);
