--- a/control/tests/limits_takeover_test.cc
+++ b/control/tests/limits_takeover_test.cc
@@ -18,8 +18,8 @@
 constexpr Duration kTakeover = seconds(5);
 
 // Guards against refusals of customers below their limits after changes of the
-// holder: a new one holds back for a whole window what had been spent at any time
-// in it, and the next one that again.
+// holder: a new one holds back for a whole window what had been spent at any
+// time in it, and the next one that again.
 BOOST_AUTO_TEST_CASE(CustomersBelowTheirLimitAreServedAfterTakeovers) {
   for (const std::size_t hosts : {6, 76, 360}) {
     HostsWorld world(hosts);
