--- a/control/tests/limits_takeover_test.cc
+++ b/control/tests/limits_takeover_test.cc
@@ -40,5 +40,22 @@
   }
 }
 
+// Guards against refusals below the limit of a customer that asks for more than
+// it: what shares leave unused is lost.
+BOOST_AUTO_TEST_CASE(ACustomerOverItsLimitGetsAllOfIt) {
+  constexpr int kWindows = 3;
+  for (const std::size_t hosts : {6, 76, 360}) {
+    HostsWorld world(hosts);
+    world.RunFor(seconds(10));
+    world.AskFor(kLimitWindow, 3);
+    world.ForgetCounts();
+    world.AskFor(kLimitWindow * kWindows, 3);
+    BOOST_TEST_CONTEXT(hosts << " hosts") {
+      BOOST_TEST(world.TotalSent() >=
+                 world.limit.Allowed() * kWindows * (1 - kRefusableInTrouble));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cicadaloft
