--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -116,6 +116,8 @@
              {"waited_ms", this->now - request.arrived},
              {"candidates", candidates.size()},
              {"own_load", target->in_flight()},
+             {"cold_ms", target->ColdLeft(this->now)},
+             {"hosts", this->shares.hosts},
              {"configuration", request.configuration->version().value()}});
   this->effects.emplace_back(
       Dispatch{.request = request.arrival.request,
--- a/fleet/fleet_register.cc
+++ b/fleet/fleet_register.cc
@@ -91,13 +91,18 @@
   const bool is_news = before == nullptr ||
                        before->instance != record->instance ||
                        before->is_draining != record->is_draining;
-  if (is_news) {
-    this->lines.push_back(DecisionLine{
-        .reason = record->is_draining ? "fleet.draining" : "fleet.seen",
-        .fields = {{"target", record->id.value()},
-                   {"address", record->address},
-                   {"instance", record->instance.value()},
-                   {"cold", record->cold_left}}});
+  const bool is_cold_again = !is_news &&
+                             before->cold_left == Duration::zero() &&
+                             record->cold_left > Duration::zero();
+  if (is_news || is_cold_again) {
+    this->lines.push_back(
+        DecisionLine{.reason = is_cold_again         ? "fleet.cold"
+                               : record->is_draining ? "fleet.draining"
+                                                     : "fleet.seen",
+                     .fields = {{"target", record->id.value()},
+                                {"address", record->address},
+                                {"instance", record->instance.value()},
+                                {"cold", record->cold_left}}});
   }
   return true;
 }
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_ROUTING_TARGET_VIEW_H_
 #define CICADALOFT_ROUTING_TARGET_VIEW_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -42,6 +43,10 @@
   /// @return whether one may go now.
   bool HasColdRoom(double cold_rate, TimePoint now) const;
   bool IsCold(TimePoint now) const { return now < this->cold_until; }
+  /// @return how much longer it is taken to be cold; 0: it is not.
+  Duration ColdLeft(TimePoint now) const {
+    return std::max(Duration::zero(), this->cold_until - now);
+  }
 
  private:
   double ColdStock(double cold_rate, TimePoint now) const;
