--- a/control/tests/hosts_world.h
+++ b/control/tests/hosts_world.h
@@ -41,35 +41,30 @@
   }
 };
 
+/// What a target that has just started tolerates, over all hosts.
+struct ColdBound {
+  double rate_per_second = 16;
+  double overshoot = 1.5;
+  double slack = 5;
+
+  double MostInOneSecond() const {
+    return this->rate_per_second * this->overshoot + this->slack;
+  }
+};
+
 /// Entries and controls of many hosts, with links and a lease log between
-/// them, and one customer. All targets answer. Time passes by RunFor() alone.
+/// them, one customer and one target, which answers. Time passes by RunFor()
+/// alone.
 class HostsWorld {
  public:
   static constexpr Duration kLinkDelay = milliseconds(2);
   static constexpr Duration kRunTime = milliseconds(200);
 
-  explicit HostsWorld(std::size_t count) {
-    Fleet fleet;
-    const TargetRecord target{.id = TargetId("t"),
-                              .service = ServiceId("s"),
-                              .address = "10.0.0.1:1",
-                              .data_centre = DataCentreId("dc"),
-                              .slots = 1'000'000,
-                              .instance = TargetInstance(1)};
-    fleet.targets[target.id] = std::make_shared<const TargetRecord>(target);
-    const auto shared = std::make_shared<const Fleet>(fleet);
-    const auto configuration = this->MakeConfiguration();
+  explicit HostsWorld(std::size_t count, const LimitOfAll& limit = {})
+      : limit(limit) {
     for (std::size_t i = 0; i < count; ++i) {
       this->hosts.push_back(std::make_unique<Host>(i, this->limit));
-      Host& host = *this->hosts.back();
-      this->FeedControl(host,
-                        ConfigurationRead{.configuration = configuration});
-      this->FeedEntry(host, FleetChanged{.fleet = shared});
-      // Ticks of different hosts come at different times.
-      const Duration phase =
-          milliseconds(20) * static_cast<int>(i) / static_cast<int>(count);
-      this->At(phase, [this, &host] { this->TickControl(host); });
-      this->At(phase, [this, &host] { this->TickEntry(host); });
+      this->Start(*this->hosts.back());
     }
   }
 
@@ -103,6 +98,50 @@
     }
   }
 
+  /// The target has become cold for this time.
+  /// @param seen_by part of the hosts that see it in the registry.
+  void MakeCold(Duration cold_left, double seen_by = 1) {
+    this->target.cold_left = cold_left;
+    const auto count = static_cast<std::size_t>(
+        seen_by * static_cast<double>(this->hosts.size()));
+    for (std::size_t i = 0; i < count; ++i) {
+      this->TellTarget(*this->hosts.at(i));
+    }
+  }
+
+  /// The target's data centre is to be emptied, or taken back.
+  void Evacuate(bool is_asked) {
+    for (const auto& host : this->hosts) {
+      this->FeedControl(*host,
+                        EvacuationAsked{.data_centre = this->target.data_centre,
+                                        .is_asked = is_asked});
+    }
+  }
+
+  /// All processes end without a word, and start again with the registry read.
+  void RestartAll() {
+    for (const auto& host : this->hosts) {
+      host->Restart(this->limit);
+      this->Start(*host);
+    }
+  }
+
+  /// The first hosts can't make links any more.
+  /// @param part of the hosts.
+  void CutLinks(double part) {
+    const auto count = static_cast<std::size_t>(
+        part * static_cast<double>(this->hosts.size()));
+    for (std::size_t i = 0; i < count; ++i) {
+      Host& host = *this->hosts.at(i);
+      host.has_links = false;
+      if (host.holder && *host.holder != host.id) {
+        this->FeedControl(host, PeerChanged{.host = *host.holder});
+        this->FeedControl(*this->Find(*host.holder),
+                          PeerChanged{.host = host.id});
+      }
+    }
+  }
+
   /// The holder can't reach the lease's log any more; its links hold.
   void CutHolderFromLog() {
     for (const auto& host : this->hosts) {
@@ -146,6 +185,19 @@
     return most;
   }
 
+  /// @return the most requests that have been sent in any second.
+  std::size_t MostSentInOneSecond() const {
+    std::size_t most = 0;
+    auto first = this->sent.begin();
+    for (auto last = this->sent.begin(); last != this->sent.end(); ++last) {
+      while (last->first - first->first >= seconds(1)) {
+        ++first;
+      }
+      most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
+  }
+
   double TotalSent() const {
     return std::accumulate(
         this->sent.begin(), this->sent.end(), 0.0,
@@ -159,6 +211,7 @@
   }
 
   LimitOfAll limit;
+  ColdBound cold;
   std::size_t asked = 0;
   std::size_t refused = 0;
   std::vector<std::pair<TimePoint, double>> sent;
@@ -170,27 +223,63 @@
 
   struct Host {
     Host(std::size_t number, const LimitOfAll& limit)
-        : id("h" + std::to_string(number)),
-          control(LeaseSettings{.self = id,
-                                .address = "10.0.0.1:1",
-                                .secret = id.value()},
-                  kLimitWindow),
-          entry(EntrySettings{.host = id,
-                              .data_centre = DataCentreId("dc"),
-                              .limit_overshoot = limit.overshoot,
-                              .limit_slack = limit.slack,
-                              .limit_window = kLimitWindow,
-                              .is_first_start = true}) {}
+        : number(number), id("h" + std::to_string(number)) {
+      this->Restart(limit);
+    }
 
+    /// A new process, which knows nothing of the one before.
+    void Restart(const LimitOfAll& limit) {
+      ++this->process;
+      this->control.emplace(
+          LeaseSettings{
+              .self = this->id,
+              .address = "10.0.0.1:1",
+              .secret = this->id.value() + "." + std::to_string(this->process)},
+          kLimitWindow);
+      this->entry.emplace(EntrySettings{.host = this->id,
+                                        .data_centre = DataCentreId("dc"),
+                                        .limit_overshoot = limit.overshoot,
+                                        .limit_slack = limit.slack,
+                                        .limit_window = kLimitWindow,
+                                        .is_first_start = this->process == 1});
+      this->holder.reset();
+      this->costs.clear();
+    }
+
+    std::size_t number;
     HostId id;
-    ControlState control;
-    EntryState entry;
+    int process = 0;  ///< The number of its starts.
+    std::optional<ControlState> control;
+    std::optional<EntryState> entry;
     std::optional<HostId> holder;
     bool is_alive = true;
     bool is_cut = false;  ///< From the lease's log.
+    bool has_links = true;
     std::map<RequestId, double> costs;
   };
 
+  void Start(Host& host) {
+    this->FeedControl(
+        host, ConfigurationRead{.configuration = this->MakeConfiguration()});
+    this->FeedControl(host, FleetEvent(RegistryReachable{true}));
+    this->TellTarget(host);
+    // Ticks of different hosts come at different times.
+    const Duration phase = milliseconds(20) * static_cast<int>(host.number) /
+                           static_cast<int>(this->hosts.size());
+    const int process = host.process;
+    this->At(phase, [this, &host, process] {
+      this->TickControl(host, process);
+      this->TickEntry(host, process);
+    });
+  }
+
+  void TellTarget(Host& host) {
+    this->FeedControl(
+        host,
+        FleetEvent(TargetSeen{
+            .record = std::make_shared<const TargetRecord>(this->target)}));
+  }
+
   ActiveConfigurationPtr MakeConfiguration() const {
     return std::make_shared<const ActiveConfiguration>(Configuration{
         .version = ConfigurationVersion(1),
@@ -201,7 +290,8 @@
                          .latency_aim = milliseconds(300),
                          .patience = seconds(8),
                          .shares = {{.service = ServiceId("s")}}}},
-        .services = {{.id = ServiceId("s")}},
+        .services = {{.id = ServiceId("s"),
+                      .cold_requests_per_second = this->cold.rate_per_second}},
         .customers = {{.id = CustomerId("c"),
                        .keys = {"key"},
                        .counts_tokens = true,
@@ -213,18 +303,19 @@
     this->events.emplace(this->now + in, std::move(action));
   }
 
-  void TickControl(Host& host) {
-    if (host.is_alive) {
+  void TickControl(Host& host, int process) {
+    if (host.is_alive && host.process == process) {
       this->FeedControl(host, ControlTick{});
       this->At(kControlTickInterval,
-               [this, &host] { this->TickControl(host); });
+               [this, &host, process] { this->TickControl(host, process); });
     }
   }
 
-  void TickEntry(Host& host) {
-    if (host.is_alive) {
+  void TickEntry(Host& host, int process) {
+    if (host.is_alive && host.process == process) {
       this->FeedEntry(host, EntryTick{});
-      this->At(kEntryTickInterval, [this, &host] { this->TickEntry(host); });
+      this->At(kEntryTickInterval,
+               [this, &host, process] { this->TickEntry(host, process); });
     }
   }
 
@@ -248,7 +339,7 @@
     if (!host.is_alive) {
       return;
     }
-    auto step = Decide(std::move(host.control), event, this->now);
+    auto step = Decide(std::move(*host.control), event, this->now);
     host.control = std::move(step.state);
     for (const ControlEffect& effect : step.effects) {
       std::visit([&](const auto& item) { this->Carry(host, item); }, effect);
@@ -259,7 +350,7 @@
     if (!host.is_alive) {
       return;
     }
-    auto step = Decide(std::move(host.entry), event, this->now);
+    auto step = Decide(std::move(*host.entry), event, this->now);
     host.entry = std::move(step.state);
     for (const EntryEffect& effect : step.effects) {
       std::visit([&](const auto& item) { this->CarryEntry(host, item); },
@@ -301,7 +392,9 @@
     }
     Host* holder = this->Find(link.holder.holder);
     this->At(kLinkDelay, [this, &host, holder] {
-      if (holder->is_alive && host.holder == holder->id) {
+      const bool can_link = holder->is_alive && holder->has_links &&
+                            host.has_links && host.holder == holder->id;
+      if (can_link) {
         this->FeedControl(*holder, PeerChanged{.host = host.id, .is_up = true});
         this->FeedControl(host, PeerChanged{.host = holder->id, .is_up = true});
       }
@@ -361,6 +454,9 @@
   void Carry(Host&, const Other&) {}
 
   void Deliver(Host& from, Host& to, const PeerMessage& message) {
+    if (!from.has_links || !to.has_links) {
+      return;
+    }
     this->At(kLinkDelay, [this, id = from.id, &to, message] {
       this->FeedControl(to, PeerReceived{.host = id, .message = message});
     });
@@ -372,6 +468,12 @@
         ->get();
   }
 
+  TargetRecord target{.id = TargetId("t"),
+                      .service = ServiceId("s"),
+                      .address = "10.0.0.1:1",
+                      .data_centre = DataCentreId("dc"),
+                      .slots = 1'000'000,
+                      .instance = TargetInstance(1)};
   TimePoint now{seconds(1000)};
   std::vector<std::unique_ptr<Host>> hosts;
   std::vector<PlacedLeaseRecord> log;
