Let the holder grant what is sent to cold targets

Cause: each host kept the rate by itself. It might send one request at once and then its part of the rate, so that as many came at once as there are hosts; a host that does not know how many they are reckons with 16, or with 1. After an evacuation's end hosts sent without any bound until the registry told that the targets were cold.

Now a host sends nothing to a cold target by itself. It asks the holder of the lease, which keeps one account for each target and lets hosts take turns. What is granted ends 0.4 s after the ask; a holder grants only under its lease, and a new one waits until earlier grants have ended. So the sum holds for any number of hosts, whatever they know. Targets of a data centre that is given back are taken to be cold until the registry must have told otherwise.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -121,6 +121,10 @@
   this->Report(asked);
 }
 
+void ControlState::Take(const WarmupAsked& asked) {
+  this->Report(asked);
+}
+
 void ControlState::Take(const DeathNoticed& notice) {
   this->Report(notice);
 }
@@ -181,6 +185,7 @@
   this->BeginPlacementIfDue();
   this->FeedPlacement(PlacementTick{});
   this->DivideSharesIfDue();
+  this->GrantWarmup();
   this->TellShares();
 }
 
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -60,6 +60,7 @@
   }
   this->orders_from = right.orders_from;
   this->next_token = right.token;
+  this->warmup.Begin(this->now);
   if (!std::exchange(this->is_keeper, true)) {
     this->ledger.Begin(this->known_hosts, this->spent_before, this->now);
   }
@@ -176,6 +177,45 @@
   }
 }
 
+void ControlState::OnPeer(const HostId&, const WarmupAsked& asked) {
+  const double rate = this->ColdRate(asked.target);
+  if (rate > 0) {
+    this->warmup.OnAsked(asked, rate, this->now);
+    this->GrantWarmup();
+  }
+}
+
+void ControlState::OnPeer(const HostId& host, const WarmupGranted& granted) {
+  if (this->holder == host) {
+    this->Tell(granted);
+  }
+}
+
+double ControlState::ColdRate(const TargetId& target) const {
+  const TargetRecordPtr record = this->fleet_register.Find(target);
+  const Service* service =
+      record == nullptr || this->configuration == nullptr
+          ? nullptr
+          : this->configuration->FindService(record->service);
+  return service == nullptr ? 0 : service->cold_requests_per_second;
+}
+
+// Only under the lease: the next holder may grant the whole rate as soon as the
+// right has ended, whether this host has noticed that or not.
+void ControlState::GrantWarmup() {
+  if (!this->has_right || this->now >= this->right_until) {
+    return;
+  }
+  for (const WarmupGrant& grant : this->warmup.Grant(this->now)) {
+    if (grant.host == this->lease_settings.self) {
+      this->Tell(grant.granted);
+    } else {
+      this->effects.emplace_back(
+          TellHost{.host = grant.host, .message = grant.granted});
+    }
+  }
+}
+
 // The holder passes it on to all; others take it from the holder.
 void ControlState::OnPeer(const HostId& host, const DeathNoticed& notice) {
   if (this->is_keeper) {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -14,6 +14,7 @@
 #include "cicadaloft/fleet/fleet_register.h"
 #include "cicadaloft/lease/lease_state.h"
 #include "cicadaloft/placement/placement_state.h"
+#include "cicadaloft/warmup/warmup_ledger.h"
 
 namespace cicadaloft {
 
@@ -40,6 +41,7 @@
   void Take(const ModelWanted& wanted);
   void Take(const UsageMeasured& measured);
   void Take(const LimitDrawAsked& asked);
+  void Take(const WarmupAsked& asked);
   void Take(const DeathNoticed& notice);
   // The lease, and the duties that come with it.
   void Take(const LeaseEvent& event);
@@ -61,11 +63,17 @@
   void OnPeer(const HostId& host, const SharesGranted& granted);
   void OnPeer(const HostId& host, const LimitDrawAsked& asked);
   void OnPeer(const HostId& host, const LimitDrawn& drawn);
+  void OnPeer(const HostId& host, const WarmupAsked& asked);
+  void OnPeer(const HostId& host, const WarmupGranted& granted);
   void OnPeer(const HostId& host, const DeathNoticed& notice);
   /// To the holder, which may be this host.
   void Report(PeerMessage message);
   void DivideShares();
   void DivideSharesIfDue();
+  /// @return requests a second that the target bears while it is cold, from all
+  /// hosts together; 0: not known.
+  double ColdRate(const TargetId& target) const;
+  void GrantWarmup();
   std::vector<GrantedShare> HeldShares(
       const std::vector<CustomerDemand>& demands) const;
   std::uint32_t KnownHosts() const;
@@ -118,6 +126,7 @@
   TimePoint orders_from{};
   PlacementState placement;
   ShareLedger ledger;
+  WarmupLedger warmup;
   TimePoint divided_at{};
 
   SharesGranted granted;  ///< The newest one for this host.
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -92,6 +92,10 @@
   if (change.data_centres == this->evacuated) {
     return;
   }
+  std::set<DataCentreId> given_back;
+  std::ranges::set_difference(this->evacuated, change.data_centres,
+                              std::inserter(given_back, given_back.end()));
+  this->PresumeCold(given_back);
   this->evacuated = change.data_centres;
   std::string names;
   for (const DataCentreId& id : this->evacuated) {
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -21,6 +21,7 @@
 #include "cicadaloft/routing/retry_budget.h"
 #include "cicadaloft/routing/suspect_list.h"
 #include "cicadaloft/routing/target_view.h"
+#include "cicadaloft/warmup/warmup_permits.h"
 #include "open_request.h"
 
 namespace cicadaloft {
@@ -41,6 +42,7 @@
   void Take(const PlacementChange& change);
   void Take(const SharesChanged& change);
   void Take(const LimitDrawn& drawn);
+  void Take(const WarmupGranted& granted);
   void Take(const DeathNoticed& notice);
   void Take(const EntryTick& tick);
   void Take(const EntryStopRequested& stop);
@@ -121,7 +123,6 @@
   bool HasRoom(const Candidates& candidates) const;
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
   Candidates CandidatesFor(const LineKey& key);
-  double ColdRate(const ServiceId& id) const;
   bool MayTake(const TargetView& target, const OpenRequest& request) const;
   std::vector<TargetId> UselessHolders(const LineKey& key,
                                        const Candidates& candidates) const;
@@ -131,6 +132,14 @@
                    Line& line,
                    const Candidates& candidates);
   void LogWait(const OpenRequest& request);
+
+  // Cold targets.
+  bool NeedsPermit(const TargetView& target) const;
+  void AskForWarmup(const LineKey& key,
+                    const Line& line,
+                    const Candidates& candidates);
+  void PresumeCold(const std::set<DataCentreId>& data_centres);
+
   void CountUse(const OpenRequest& request);
   void ReportUsage();
 
@@ -173,6 +182,7 @@
   std::map<CustomerId, RefusedDraw> refused_draws;
   std::map<ServiceId, RetryBudget> budgets;
   SuspectList suspects;
+  WarmupPermits permits;
 
   std::map<ModelPath, ModelUse> uses;  ///< Since the last report.
   std::map<CustomerId, Demand> demands;
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -75,6 +75,7 @@
     this->lines.erase(key);
     return;
   }
+  this->AskForWarmup(key, line, candidates);
   this->AskForModel(key, line, candidates);
 }
 
@@ -107,7 +108,10 @@
   request.is_running = true;
   request.target = target->record().id;
   request.instance = target->record().instance;
-  target->OnDispatch(this->ColdRate(target->record().service), this->now);
+  if (this->NeedsPermit(*target)) {
+    this->permits.OnSend(request.target);
+  }
+  target->OnDispatch();
   this->Log(reasons::kDispatch, request.arrival.caller_id,
             {{"target", request.target.value()},
              {"attempt", request.attempt.value()},
@@ -162,16 +166,8 @@
   const TargetRecord& record = target.record();
   return this->IsUsable(target) && !request.Avoids(record.id, this->now) &&
          !this->IsFull(target) &&
-         target.HasColdRoom(this->ColdRate(record.service), this->now);
-}
-
-// This host's part of what a cold target of the service tolerates, in requests
-// a second; 0: no limit.
-double EntryCore::ColdRate(const ServiceId& id) const {
-  const Service* service =
-      this->configuration ? this->configuration->FindService(id) : nullptr;
-  const double hosts = std::max(1U, this->shares.hosts);
-  return service == nullptr ? 0 : service->cold_requests_per_second / hosts;
+         (!this->NeedsPermit(target) ||
+          this->permits.MaySend(record.id, this->now));
 }
 
 bool EntryCore::IsFull(const TargetView& target) const {
@@ -245,6 +241,9 @@
        {"full", count([this](const TargetView* holder) {
           return this->IsFull(*holder);
         })},
+       {"cold", count([this](const TargetView* holder) {
+          return this->NeedsPermit(*holder);
+        })},
        {"line", this->lines.contains(key) ? this->lines[key].queue.size() : 0},
        {"at_most_ms", request.gives_up_at - this->now}});
 }
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -20,6 +20,7 @@
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/routing/model_whereabouts.h"
 #include "cicadaloft/routing/target_load.h"
+#include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
 
@@ -192,6 +193,7 @@
                                 PlacementChange,
                                 SharesChanged,
                                 LimitDrawn,
+                                WarmupGranted,
                                 DeathNoticed,
                                 EntryTick,
                                 EntryStopRequested>;
@@ -270,6 +272,7 @@
                                  ModelWanted,
                                  UsageMeasured,
                                  LimitDrawAsked,
+                                 WarmupAsked,
                                  DeathNoticed,
                                  DecisionLine>;
 
--- a/entry/include/cicadaloft/entry/reasons.h
+++ b/entry/include/cicadaloft/entry/reasons.h
@@ -11,6 +11,7 @@
 inline constexpr char kDeath[] = "route.target_death";
 inline constexpr char kCallerGone[] = "route.caller_gone";
 inline constexpr char kModelWanted[] = "route.model_wanted";
+inline constexpr char kWarmupWanted[] = "route.warmup_wanted";
 inline constexpr char kConfiguration[] = "configuration.adopted";
 inline constexpr char kConfigurationOlder[] = "configuration.older_ignored";
 inline constexpr char kEvacuations[] = "configuration.evacuations";
--- a/fleet/fleet_register.cc
+++ b/fleet/fleet_register.cc
@@ -27,6 +27,11 @@
   return this->told;
 }
 
+TargetRecordPtr FleetRegister::Find(const TargetId& target) const {
+  const auto found = this->targets.find(target);
+  return found == this->targets.end() ? nullptr : found->second;
+}
+
 std::vector<DecisionLine> FleetRegister::TakeLines() {
   return std::exchange(this->lines, {});
 }
--- a/fleet/include/cicadaloft/fleet/fleet_register.h
+++ b/fleet/include/cicadaloft/fleet/fleet_register.h
@@ -66,6 +66,8 @@
   bool Tick(TimePoint now);
 
   FleetPtr fleet() const;
+  /// @return what is known of the target; null: nothing.
+  TargetRecordPtr Find(const TargetId& target) const;
   /// What has been decided since the last call, for the log.
   std::vector<DecisionLine> TakeLines();
 
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -46,8 +46,11 @@
 concept DecisionSink = std::invocable<const L&, const DecisionLine&>;
 
 /// What the entry tells the host's control.
-using EntryNews =
-    std::variant<ModelWanted, UsageMeasured, LimitDrawAsked, DeathNoticed>;
+using EntryNews = std::variant<ModelWanted,
+                               UsageMeasured,
+                               LimitDrawAsked,
+                               WarmupAsked,
+                               DeathNoticed>;
 using EntryNewsMailbox = Mailbox<EntryNews>;
 /// All requests have been answered after a stop was asked for.
 struct EntryDrained {};
@@ -179,6 +182,7 @@
   void Carry(const ModelWanted& wanted) { this->TellControl(wanted); }
   void Carry(const UsageMeasured& measured) { this->TellControl(measured); }
   void Carry(const LimitDrawAsked& asked) { this->TellControl(asked); }
+  void Carry(const WarmupAsked& asked) { this->TellControl(asked); }
   void Carry(const DeathNoticed& notice) { this->TellControl(notice); }
 
   void TellControl(EntryNews news) {
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -9,6 +9,7 @@
 #include "cicadaloft/admission/share_messages.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/placement/messages.h"
+#include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
 
@@ -20,7 +21,9 @@
                                  SharesGranted,
                                  DeathNoticed,
                                  LimitDrawAsked,
-                                 LimitDrawn>;
+                                 LimitDrawn,
+                                 WarmupAsked,
+                                 WarmupGranted>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -90,12 +90,26 @@
                Required("is_granted", &LimitDrawn::is_granted),
                Required("come_back_in", &LimitDrawn::come_back_in));
 
+template <>
+inline constexpr auto kJsonFields<WarmupAsked> =
+    std::tuple(Required("host", &WarmupAsked::host),
+               Required("target", &WarmupAsked::target),
+               Required("ask", &WarmupAsked::ask),
+               Required("wanted", &WarmupAsked::wanted));
+
+template <>
+inline constexpr auto kJsonFields<WarmupGranted> =
+    std::tuple(Required("target", &WarmupGranted::target),
+               Required("ask", &WarmupGranted::ask),
+               Required("count", &WarmupGranted::count));
+
 /// In the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
     std::to_array<std::string_view>(
         {"use_reported", "demand_reported", "model_wanted", "placement_change",
-         "shares_granted", "death_noticed", "limit_draw_asked", "limit_drawn"});
+         "shares_granted", "death_noticed", "limit_draw_asked", "limit_drawn",
+         "warmup_asked", "warmup_granted"});
 
 }  // namespace cicadaloft
 
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -58,7 +58,21 @@
           .hosts = DrawCount(),
           .customers = {{.customer = CustomerId(DrawName()), .share = 0.125}},
           .configuration = ConfigurationVersion(DrawCount())},
-      DeathNoticed{.fingerprint = DrawCount(), .target = TargetId(DrawName())}};
+      DeathNoticed{.fingerprint = DrawCount(), .target = TargetId(DrawName())},
+      LimitDrawAsked{.host = HostId(DrawName()),
+                     .request = RequestId(DrawName()),
+                     .customer = CustomerId(DrawName()),
+                     .cost = 0.5 * DrawCount()},
+      LimitDrawn{.request = RequestId(DrawName()),
+                 .is_granted = true,
+                 .come_back_in = Duration(DrawCount())},
+      WarmupAsked{.host = HostId(DrawName()),
+                  .target = TargetId(DrawName()),
+                  .ask = DrawCount(),
+                  .wanted = DrawCount()},
+      WarmupGranted{.target = TargetId(DrawName()),
+                    .ask = DrawCount(),
+                    .count = DrawCount()}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -22,8 +22,7 @@
   /// Takes a newer record over.
   void Update(TargetRecordPtr record, TimePoint now);
 
-  /// @param cold_rate as for HasColdRoom().
-  void OnDispatch(double cold_rate, TimePoint now);
+  void OnDispatch() { ++this->own; }
   /// A request has ended, however.
   void OnEnd();
   void OnLoad(const TargetLoad& load, TimePoint now);
@@ -38,10 +37,10 @@
   double EstimatedLoad(TimePoint now) const;
   std::uint32_t in_flight() const { return this->own; }
 
-  /// @param cold_rate requests a second that this host may send while the
-  /// target is cold; 0: no limit.
-  /// @return whether one may go now.
-  bool HasColdRoom(double cold_rate, TimePoint now) const;
+  /// It may have become cold: takes it to be so until its record must have
+  /// told.
+  void PresumeCold(TimePoint now);
+  /// @return whether it tolerates little work.
   bool IsCold(TimePoint now) const { return now < this->cold_until; }
   /// @return how much longer it is taken to be cold; 0: it is not.
   Duration ColdLeft(TimePoint now) const {
@@ -49,16 +48,12 @@
   }
 
  private:
-  double ColdStock(double cold_rate, TimePoint now) const;
-
   TargetRecordPtr known;
   Ejection ejected;
   std::uint32_t own = 0;
   double others = 0;  ///< Requests of other hosts, when last told.
   TimePoint told_at{};
   TimePoint cold_until{};
-  double cold_stock = 1;
-  TimePoint cold_refilled{};
 };
 
 }  // namespace cicadaloft
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -15,8 +15,9 @@
 /// Records of coldness are as old as a beat may be late.
 constexpr Duration kColdMargin = std::chrono::milliseconds(500);
 
-/// Unused room for a cold target that may be saved up.
-constexpr double kColdBurst = 1;
+/// A target that has become cold says so with its next beat, some 1.2 s later,
+/// and hosts read the registry up to 1.05 s after that.
+constexpr Duration kColdNewsTerm = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -33,10 +34,8 @@
   this->known = std::move(record);
 }
 
-void TargetView::OnDispatch(double cold_rate, TimePoint now) {
-  ++this->own;
-  this->cold_stock = this->ColdStock(cold_rate, now) - 1;
-  this->cold_refilled = now;
+void TargetView::PresumeCold(TimePoint now) {
+  this->cold_until = std::max(this->cold_until, now + kColdNewsTerm);
 }
 
 void TargetView::OnEnd() {
@@ -54,15 +53,4 @@
          this->others * FadeFactor(now - this->told_at, kLoadHalfLife);
 }
 
-bool TargetView::HasColdRoom(double cold_rate, TimePoint now) const {
-  return cold_rate <= 0 || !this->IsCold(now) ||
-         this->ColdStock(cold_rate, now) >= 1;
-}
-
-double TargetView::ColdStock(double cold_rate, TimePoint now) const {
-  const std::chrono::duration<double> passed = now - this->cold_refilled;
-  return std::clamp(this->cold_stock + cold_rate * passed.count(), 0.0,
-                    kColdBurst);
-}
-
 }  // namespace cicadaloft
--- a/routing/tests/routing_test.cc
+++ b/routing/tests/routing_test.cc
@@ -190,31 +190,24 @@
 
 BOOST_AUTO_TEST_CASE(AReportIsCorrectedByOwnSendsAndFades) {
   TargetView view = MakeView("t");
-  view.OnDispatch(0, kNow);
+  view.OnDispatch();
   view.OnLoad(TargetLoad{.running = 4, .waiting = 1, .slots = 10}, kNow);
-  view.OnDispatch(0, kNow);
+  view.OnDispatch();
   BOOST_TEST(view.EstimatedLoad(kNow) == 6);
   BOOST_TEST(view.EstimatedLoad(kNow + seconds(10)) < 2.1);
 }
 
-BOOST_AUTO_TEST_CASE(AColdTargetGetsItsRateOnly) {
+BOOST_AUTO_TEST_CASE(ATargetIsColdUntilItsRecordMustHaveToldOtherwise) {
   TargetView view = MakeView("t");
   TargetRecord record = MakeRecord("t");
   record.cold_left = seconds(3);
   view.Update(std::make_shared<const TargetRecord>(record), kNow);
   BOOST_TEST(view.IsCold(kNow + seconds(3)));
   BOOST_TEST(!view.IsCold(kNow + seconds(4)));
-  int taken = 0;
-  for (int i = 0; i < 1000; ++i) {
-    const TimePoint at = kNow + i * milliseconds(1);
-    if (view.HasColdRoom(4, at)) {
-      view.OnDispatch(4, at);
-      ++taken;
-    }
-  }
-  // One at once, and one each quarter of a second.
-  BOOST_TEST(taken == 4);
-  BOOST_TEST(view.HasColdRoom(0, kNow + seconds(1)));
+  const TimePoint later = kNow + seconds(10);
+  view.PresumeCold(later);
+  BOOST_TEST(view.IsCold(later + seconds(2)));
+  BOOST_TEST(!view.IsCold(later + seconds(3)));
 }
 
 BOOST_AUTO_TEST_CASE(TheEmptiestTargetIsChosenUnlessItIsFarOrLacksThePrompt) {
@@ -224,7 +217,7 @@
   const TargetWish wish{.near = DataCentreId("dc-near")};
   const auto any = [](const TargetView&) { return true; };
   BOOST_TEST(ChooseTarget(targets, wish, kNow, any) == &near);
-  near.OnDispatch(0, kNow);
+  near.OnDispatch();
   BOOST_TEST(ChooseTarget(targets, wish, kNow, any) == &far);
   const auto none = [](const TargetView&) { return false; };
   BOOST_TEST((ChooseTarget(targets, wish, kNow, none) == nullptr));
--- /dev/null
+++ b/warmup/include/cicadaloft/warmup/warmup_messages.h
@@ -0,0 +1,44 @@
+#ifndef CICADALOFT_WARMUP_WARMUP_MESSAGES_H_
+#define CICADALOFT_WARMUP_WARMUP_MESSAGES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
+
+namespace cicadaloft {
+
+/// A host asks the holder to be let send requests to a cold target. Any number
+/// of WarmupGranted may follow, of `wanted` requests at most together.
+struct WarmupAsked {
+  const HostId host;
+  const TargetId target;
+  const std::uint64_t ask = 0;     ///< The host's number of this ask.
+  const std::uint32_t wanted = 0;  ///< Requests.
+
+  friend auto operator<=>(const WarmupAsked&, const WarmupAsked&) = default;
+  friend bool operator==(const WarmupAsked&, const WarmupAsked&) = default;
+};
+
+/// The host may send so many more requests to the target, until kWarmupTerm
+/// after it asked.
+struct WarmupGranted {
+  const TargetId target;
+  const std::uint64_t ask = 0;  ///< As the host numbered it.
+  const std::uint32_t count = 0;
+
+  friend auto operator<=>(const WarmupGranted&, const WarmupGranted&) = default;
+  friend bool operator==(const WarmupGranted&, const WarmupGranted&) = default;
+};
+
+/// From the sending of an ask until it and all that was granted for it end.
+/// What is granted within the term before a second may be used in that second
+/// besides what is granted in it: 4/10 of a target's rate, which is less than
+/// the half that platforms tolerate.
+inline constexpr Duration kWarmupTerm = std::chrono::milliseconds(400);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_WARMUP_WARMUP_MESSAGES_H_
--- /dev/null
+++ b/warmup/tests/warmup_test.cc
@@ -0,0 +1,113 @@
+#define BOOST_TEST_MODULE warmup
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstdint>
+
+#include "cicadaloft/warmup/warmup_ledger.h"
+#include "cicadaloft/warmup/warmup_permits.h"
+
+namespace cicadaloft {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{seconds(1000)};
+constexpr double kRate = 10;
+const TargetId kTarget("t");
+
+WarmupAsked AskOf(const char* host, std::uint32_t wanted) {
+  return WarmupAsked{
+      .host = HostId(host), .target = kTarget, .ask = 1, .wanted = wanted};
+}
+
+WarmupLedger MakeLedger() {
+  WarmupLedger ledger;
+  ledger.Begin(kNow - seconds(1));
+  return ledger;
+}
+
+std::uint32_t Sum(const std::vector<WarmupGrant>& grants) {
+  std::uint32_t sum = 0;
+  for (const WarmupGrant& grant : grants) {
+    sum += grant.granted.count;
+  }
+  return sum;
+}
+
+BOOST_AUTO_TEST_CASE(ATargetGetsItsRateHoweverManyAsk) {
+  WarmupLedger ledger = MakeLedger();
+  std::uint32_t sum = 0;
+  for (int ms = 0; ms < 2000; ms += 20) {
+    const TimePoint at = kNow + milliseconds(ms);
+    for (int host = 0; host < 100; ++host) {
+      ledger.OnAsked(AskOf(std::to_string(host).c_str(), 5), kRate, at);
+    }
+    sum += Sum(ledger.Grant(at));
+  }
+  // Two at once, and ten a second.
+  BOOST_TEST(sum >= 20);
+  BOOST_TEST(sum <= 22);
+}
+
+BOOST_AUTO_TEST_CASE(HostsThatAskTakeTurns) {
+  WarmupLedger ledger = MakeLedger();
+  ledger.OnAsked(AskOf("greedy", 50), kRate, kNow);
+  ledger.OnAsked(AskOf("modest", 1), kRate, kNow);
+  const auto grants = ledger.Grant(kNow);
+  BOOST_TEST(grants.size() == 2);
+  BOOST_TEST(Sum(grants) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AnAskThatCantBeAnsweredInTimeIsDropped) {
+  WarmupLedger ledger = MakeLedger();
+  ledger.OnAsked(AskOf("a", 5), kRate, kNow);
+  BOOST_TEST(Sum(ledger.Grant(kNow)) == 2);
+  BOOST_TEST(ledger.Grant(kNow + kWarmupTerm).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ANewHolderWaitsForEarlierGrantsToEnd) {
+  WarmupLedger ledger;
+  ledger.Begin(kNow);
+  const TimePoint before = kNow + kWarmupTerm - milliseconds(1);
+  ledger.OnAsked(AskOf("a", 1), kRate, before);
+  BOOST_TEST(ledger.Grant(before).empty());
+  BOOST_TEST(Sum(ledger.Grant(kNow + kWarmupTerm)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AHostSendsWhatItIsGranted) {
+  WarmupPermits permits;
+  BOOST_TEST(!permits.MaySend(kTarget, kNow));
+  const WarmupAsked asked = permits.Ask(HostId("a"), kTarget, 2, kNow);
+  BOOST_TEST(permits.Open(kTarget, kNow) == 2);
+  BOOST_TEST(!permits.MaySend(kTarget, kNow));
+  permits.OnGranted({.target = kTarget, .ask = asked.ask, .count = 1});
+  BOOST_TEST(permits.MaySend(kTarget, kNow));
+  permits.OnSend(kTarget);
+  BOOST_TEST(!permits.MaySend(kTarget, kNow));
+  BOOST_TEST(permits.Open(kTarget, kNow) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(GrantsEndWithTheirAsk) {
+  WarmupPermits permits;
+  const WarmupAsked asked = permits.Ask(HostId("a"), kTarget, 1, kNow);
+  permits.OnGranted({.target = kTarget, .ask = asked.ask, .count = 1});
+  BOOST_TEST(permits.MaySend(kTarget, kNow + kWarmupTerm - milliseconds(1)));
+  BOOST_TEST(!permits.MaySend(kTarget, kNow + kWarmupTerm));
+  BOOST_TEST(permits.Open(kTarget, kNow + kWarmupTerm) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(GrantsOfAnEarlierAskAndOfTooManyAreVoid) {
+  WarmupPermits permits;
+  const WarmupAsked first = permits.Ask(HostId("a"), kTarget, 1, kNow);
+  const TimePoint later = kNow + kWarmupTerm;
+  const WarmupAsked second = permits.Ask(HostId("a"), kTarget, 1, later);
+  permits.OnGranted({.target = kTarget, .ask = first.ask, .count = 1});
+  BOOST_TEST(!permits.MaySend(kTarget, later));
+  permits.OnGranted({.target = kTarget, .ask = second.ask, .count = 7});
+  permits.OnSend(kTarget);
+  BOOST_TEST(!permits.MaySend(kTarget, later));
+}
+
+}  // namespace
+}  // namespace cicadaloft
