--- a/tests/host_process_test.sh
+++ b/tests/host_process_test.sh
@@ -91,7 +91,8 @@
 until_ok $deadline_ms ask $((base + 10)) /chat/x cold-1 -H 'Model: frames-natal' -H 'Token-Counts: 10,10'
 
 check "the store is down: requests go on"
-fault down 2000
+# Longer than a read waits for news, so that each host meets the outage.
+fault down 4000
 ask $((base + 10)) /reservations/a during-outage >/dev/null
 ask $((base + 15)) /chat/x during-outage-2 -H 'Model: frames-natal' -H 'Token-Counts: 1,1' >/dev/null
 until_ok $recovery_ms grep -q store.lost "$dir/h1.log"
