Go on handling signals during a planned stop

The first SIGTERM ended the only handler, so that the next SIGTERM or SIGHUP had the default effect and ended the process at once, as a replaced settings file does during a rolling restart.

--- a/host/main.cc
+++ b/host/main.cc
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cicadaloft/platform/wires.h"
@@ -56,25 +57,37 @@
   return path == nullptr ? "" : path;
 }
 
+void CheckSettingsAgain(const std::string& path) {
+  const auto settings = ReadHostSettings(SettingsReader::FromFile(path));
+  Log("host").Info(IsOk(settings)
+                       ? "settings read again; addresses stay as they are"
+                       : "settings not taken: " + ErrorOf(settings).message);
+}
+
+// Goes on during a stop: without a handler the next signal ends the process,
+// and with it the requests that it still answers.
 asio::awaitable<void> HandleSignals(asio::io_context& context,
                                     HostRuntime& runtime,
                                     std::string path) {
   const Log log("host");
   asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-  int number = SIGHUP;
-  while (number == SIGHUP) {
-    const auto [error, signal] =
+  bool is_stopping = false;
+  while (true) {
+    const auto [error, number] =
         co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
-    number = error ? SIGTERM : signal;
+    if (error) {
+      log.Error("signals can't be awaited: " + error.message());
+      co_return;
+    }
     if (number == SIGHUP) {
-      const auto settings = ReadHostSettings(SettingsReader::FromFile(path));
-      log.Info(IsOk(settings)
-                   ? "settings read again; addresses stay as they are"
-                   : "settings not taken: " + ErrorOf(settings).message);
+      CheckSettingsAgain(path);
+    } else if (std::exchange(is_stopping, true)) {
+      log.Info("stop requested again; it goes on");
+    } else {
+      log.Info("stop requested");
+      runtime.Stop();
     }
   }
-  log.Info("stop requested");
-  runtime.Stop();
 }
 
 // Standard output must never make the process wait.
--- a/tests/host_process_test.sh
+++ b/tests/host_process_test.sh
@@ -128,7 +128,13 @@
   "http://127.0.0.1:$other_port/reservations/a")
 [ "$status" = 503 ] || [ "$status" = 502 ]
 
-check "a planned stop ends with 0"
-kill -TERM "$(eval echo "\$pid_$other")"
-wait "$(eval echo "\$pid_$other")"
+check "a planned stop ends with 0, whatever signals follow"
+pid=$(eval echo "\$pid_$other")
+kill -TERM "$pid"
+until_ok $config_ms grep -q "stop requested" "$dir/$other.log"
+kill -HUP "$pid"
+kill -TERM "$pid"
+ask "$other_port" /chat/x during-stop -H 'Model: frames-small' -H 'Token-Counts: 10,10' >/dev/null
+wait "$pid"
+grep -q "stopped: all requests answered" "$dir/$other.log"
 echo "all checks passed"
