Wait for all requests at a planned stop, also for those that came late

Callers of a stopping host lost requests 3.5 s after SIGTERM, though the stop may take 8 s: on 76 hosts a host is without a request for a moment soon after the signal; the node task then said that all had been answered, and the message lay in its mailbox when the program looked for it at 3.5 s. On 7 hosts that moment hardly comes. Now the program asks, and is told when no request is open from then on. AStopWaitsForRequestsThatCameAfterAMomentWithoutAny failed with the behaviour before.

--- a/forwarding/include/cicadaloft/forwarding/node_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/node_messages.h
@@ -66,13 +66,21 @@
   friend bool operator==(const AdminQuestion&, const AdminQuestion&) = default;
 };
 
+/// The program is about to end. An EntryDrained follows as soon as no request
+/// is open, which may be at once.
+struct DrainAsked {
+  friend auto operator<=>(const DrainAsked&, const DrainAsked&) = default;
+  friend bool operator==(const DrainAsked&, const DrainAsked&) = default;
+};
+
 /// All that the node task hears of.
 using NodeMessage = std::variant<EntryEvent,
                                  CallerArrived,
                                  CallerDone,
                                  CallerRejected,
                                  ConnectionFreed,
-                                 AdminQuestion>;
+                                 AdminQuestion,
+                                 DrainAsked>;
 
 using NodeMailbox = Mailbox<NodeMessage>;
 
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -52,7 +52,8 @@
                                WarmupAsked,
                                DeathNoticed>;
 using EntryNewsMailbox = Mailbox<EntryNews>;
-/// All requests have been answered after a stop was asked for.
+/// No request is open. Said after a DrainAsked alone: requests may come until
+/// then, also after a moment without any.
 struct EntryDrained {};
 using DrainedMailbox = Mailbox<EntryDrained>;
 
@@ -126,6 +127,11 @@
     this->carrier.KeepConnection(freed, this->clock.Now());
   }
 
+  void Take(const DrainAsked&) {
+    this->is_drain_asked = true;
+    this->TellDrained();
+  }
+
   void Take(const AdminQuestion& question) {
     const AdminReply reply = std::visit(
         [this](const auto& ask) { return this->Answer(ask); }, question.ask);
@@ -159,7 +165,6 @@
       this->carrier.NoteEnd(*ended);
     } else if (std::holds_alternative<EntryStopRequested>(event)) {
       this->is_stopping = true;
-      this->TellDrained();
     }
   }
 
@@ -199,7 +204,7 @@
 
   // The program may end when the last answer has been written, too.
   void TellDrained() {
-    if (this->is_stopping && this->carrier.open_requests() == 0) {
+    if (this->is_drain_asked && this->carrier.open_requests() == 0) {
       TrySend(*this->links.drained, EntryDrained{});
     }
   }
@@ -228,6 +233,7 @@
   DecisionHistory history;
   std::deque<EntryEvent> pending;
   bool is_stopping = false;
+  bool is_drain_asked = false;
 };
 
 /// Sends an EntryTick at each kEntryTickInterval until the inbox is closed.
--- a/forwarding/tests/admin_test.cc
+++ b/forwarding/tests/admin_test.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cicadaloft/forwarding/admin_listener.h"
+#include "cicadaloft/forwarding/deadline.h"
 #include "entry_fixture.h"
 
 namespace cicadaloft {
@@ -29,6 +30,7 @@
     co_return co_await caller.Read();
   }
 
+  void AskForDrain() { Post(*this->inbox, DrainAsked{}); }
   void Stop() { Post(*this->inbox, EntryEvent(EntryStopRequested{})); }
 
   std::shared_ptr<tcp::acceptor> admin;
@@ -104,6 +106,31 @@
     BOOST_TEST(entry.Outcomes().empty());
     entry.target.Allow();
     BOOST_TEST((co_await running.ReadUntil("body")) == "body");
+    entry.AskForDrain();
+    BOOST_TEST((co_await Receive(*entry.drained) != nullptr));
+  });
+}
+
+// Guards against answers that a planned stop cuts: a moment without requests
+// after the stop was taken for the end of all requests.
+BOOST_AUTO_TEST_CASE(AStopWaitsForRequestsThatCameAfterAMomentWithoutAny) {
+  AdminFixture entry;
+  entry.plan->takes_after_stop = true;
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "body"},
+       .waits_between = true});
+  entry.Run([&]() -> awaitable<void> {
+    entry.Stop();
+    BOOST_TEST((co_await entry.Get("/ready")).result_int() == 503);
+    auto running = co_await entry.Caller();
+    co_await running.Write(ServiceGet("/"));
+    entry.target.Allow();
+    co_await running.ReadUntil("\r\n\r\n");
+    entry.AskForDrain();
+    BOOST_TEST(!(co_await Within(std::chrono::milliseconds(100),
+                                 Receive(*entry.drained))));
+    entry.target.Allow();
+    BOOST_TEST((co_await running.ReadUntil("body")) == "body");
     BOOST_TEST((co_await Receive(*entry.drained) != nullptr));
   });
 }
--- a/forwarding/tests/direct_decider.h
+++ b/forwarding/tests/direct_decider.h
@@ -21,8 +21,9 @@
   std::string address;
   Duration work_within = std::chrono::seconds(20);
   bool holds_failure = false;
-  bool cancels = true;   ///< Ends the attempts of callers that leave.
-  bool refuses = false;  ///< Answers each request with kRateLimited.
+  bool cancels = true;            ///< Ends the attempts of callers that leave.
+  bool refuses = false;           ///< Answers each request with kRateLimited.
+  bool takes_after_stop = false;  ///< Requests, for as long as they come.
   std::vector<EntryEvent> seen;
 
   template <typename E>
@@ -61,7 +62,9 @@
             },
             [&](const AttemptEnded& ended) { state.End(ended, effects); },
             [&](const CallerGone& gone) { state.Leave(gone, effects); },
-            [&](const EntryStopRequested&) { state.stopping = true; },
+            [&](const EntryStopRequested&) {
+              state.stopping = !state.plan->takes_after_stop;
+            },
             [](const auto&) {}},
         event);
     return {std::move(state), std::move(effects)};
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -266,6 +266,7 @@
     Post(*this->own_callers_stop, HostStops{});
     co_await this->Sleep(std::min(kLeaveAfter, most) -
                          std::min(kCloseAfter, most));
+    co_await Send(*this->node, NodeMessage(DrainAsked{}));
     const auto passed = std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - began);
     const Duration left = std::max(Duration::zero(), most - passed);
