--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -191,7 +191,27 @@
         this->node));
   }
 
-  void Stop() { this->Spawn(this->StopGracefully()); }
+  asio::awaitable<void> Stop() {
+    const Duration most = this->settings.stop_time - kStopMargin;
+    const EntryEvent stop = EntryStopRequested{.within = most};
+    const ControlEvent control_stop = ControlStop{};
+    const auto began = std::chrono::steady_clock::now();
+    co_await Send(*this->control, control_stop);
+    co_await Send(*this->node, NodeMessage(stop));
+    co_await this->Sleep(std::min(kCloseAfter, most));
+    Post(*this->callers_stop, HostStops{});
+    Post(*this->own_callers_stop, HostStops{});
+    co_await this->Sleep(std::min(kLeaveAfter, most) -
+                         std::min(kCloseAfter, most));
+    co_await Send(*this->node, NodeMessage(DrainAsked{}));
+    const auto passed = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - began);
+    const Duration left = std::max(Duration::zero(), most - passed);
+    const auto drained = co_await Within(left, Receive(*this->drained));
+    Log("host").Info(drained ? "stopped: all requests answered"
+                             : "stopped: the time to stop is over");
+    this->output->Flush(STDOUT_FILENO);
+  }
 
  private:
   void Spawn(asio::awaitable<void> task) {
@@ -254,29 +274,6 @@
     }
   }
 
-  asio::awaitable<void> StopGracefully() {
-    const Duration most = this->settings.stop_time - kStopMargin;
-    const EntryEvent stop = EntryStopRequested{.within = most};
-    const ControlEvent control_stop = ControlStop{};
-    const auto began = std::chrono::steady_clock::now();
-    co_await Send(*this->control, control_stop);
-    co_await Send(*this->node, NodeMessage(stop));
-    co_await this->Sleep(std::min(kCloseAfter, most));
-    Post(*this->callers_stop, HostStops{});
-    Post(*this->own_callers_stop, HostStops{});
-    co_await this->Sleep(std::min(kLeaveAfter, most) -
-                         std::min(kCloseAfter, most));
-    co_await Send(*this->node, NodeMessage(DrainAsked{}));
-    const auto passed = std::chrono::duration_cast<Duration>(
-        std::chrono::steady_clock::now() - began);
-    const Duration left = std::max(Duration::zero(), most - passed);
-    const auto drained = co_await Within(left, Receive(*this->drained));
-    Log("host").Info(drained ? "stopped: all requests answered"
-                             : "stopped: the time to stop is over");
-    this->output->Flush(STDOUT_FILENO);
-    this->context.stop();
-  }
-
   asio::awaitable<void> Sleep(Duration time) {
     asio::steady_timer timer(this->executor, time);
     co_await timer.async_wait(kNoThrow);
@@ -322,8 +319,8 @@
   return std::unique_ptr<HostRuntime>(new HostRuntime(std::move(tasks)));
 }
 
-void HostRuntime::Stop() {
-  this->tasks->Stop();
+asio::awaitable<void> HostRuntime::Stop() {
+  return this->tasks->Stop();
 }
 
 }  // namespace cicadaloft
--- a/host/host_runtime.h
+++ b/host/host_runtime.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_HOST_HOST_RUNTIME_H_
 #define CICADALOFT_HOST_HOST_RUNTIME_H_
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
@@ -21,8 +22,9 @@
       std::shared_ptr<OutputBuffer> output);
   ~HostRuntime();
 
-  /// Finishes what runs, then stops the context. Returns at once.
-  void Stop();
+  /// Takes no more requests and finishes those that run.
+  /// @return when nothing is left to do, or the time to stop is over.
+  boost::asio::awaitable<void> Stop();
 
  private:
   class Tasks;
--- a/host/main.cc
+++ b/host/main.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -13,7 +14,6 @@
 #include <iostream>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "cicadaloft/platform/wires.h"
@@ -64,32 +64,43 @@
                        : "settings not taken: " + ErrorOf(settings).message);
 }
 
-// Goes on during a stop: without a handler the next signal ends the process,
-// and with it the requests that it still answers.
-asio::awaitable<void> HandleSignals(asio::io_context& context,
-                                    HostRuntime& runtime,
-                                    std::string path) {
-  const Log log("host");
-  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-  bool is_stopping = false;
-  while (true) {
-    const auto [error, number] =
+// @return when a signal asks the host to stop.
+asio::awaitable<void> AwaitStop(asio::signal_set& signals,
+                                const std::string& path) {
+  int number = SIGHUP;
+  while (number == SIGHUP) {
+    const auto [error, signal] =
         co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (error) {
-      log.Error("signals can't be awaited: " + error.message());
-      co_return;
-    }
+    number = error ? SIGTERM : signal;
     if (number == SIGHUP) {
       CheckSettingsAgain(path);
-    } else if (std::exchange(is_stopping, true)) {
-      log.Info("stop requested again; it goes on");
-    } else {
-      log.Info("stop requested");
-      runtime.Stop();
     }
   }
 }
 
+// Keeps signals from ending the process while it still answers requests. Runs
+// until it is cancelled.
+asio::awaitable<void> HoldOffSignals(asio::signal_set& signals) {
+  while (true) {
+    const int number = co_await signals.async_wait(asio::use_awaitable);
+    Log("host").Info("signal " + std::to_string(number) +
+                     " changes nothing: the stop goes on");
+  }
+}
+
+asio::awaitable<void> RunUntilStopped(asio::io_context& context,
+                                      HostRuntime& runtime,
+                                      std::string path) {
+  using asio::experimental::awaitable_operators::operator||;
+  {
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    co_await AwaitStop(signals, path);
+    Log("host").Info("stop requested");
+    co_await (runtime.Stop() || HoldOffSignals(signals));
+  }
+  context.stop();
+}
+
 // Standard output must never make the process wait.
 void SetNonBlocking(int descriptor) {
   const int flags = fcntl(descriptor, F_GETFL);
@@ -110,11 +121,13 @@
   }
   Log("host").Info("started " + settings.host.value() + " in " +
                    settings.data_centre.value());
-  asio::co_spawn(context, HandleSignals(context, *ValueOf(runtime), path),
+  asio::co_spawn(context, RunUntilStopped(context, *ValueOf(runtime), path),
                  asio::detached);
   context.run();
   output->Flush(STDOUT_FILENO);
-  return 0;
+  // Without teardown: all is answered, and tearing tasks and libraries down has
+  // kept stopped hosts until they were killed.
+  std::_Exit(0);
 }
 
 int Main(const std::vector<std::string>& arguments) {
