--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -163,14 +163,21 @@
 void EntryCore::Take(const EntryTick&) {
   this->EndExpired();
   this->PumpAll();
-  const Duration interval =
-      std::max(kUsageInterval, kUsageIntervalPerHost * this->shares.hosts);
-  if (this->now - this->usage_reported >= interval) {
+  if (this->now - this->usage_reported >= this->UsageInterval()) {
     this->usage_reported = this->now;
     this->ReportUsage();
   }
 }
 
+Duration EntryCore::UsageInterval() const {
+  // A holder that has not told yet how many hosts there are has to hear of
+  // this one first.
+  return this->shares.hosts == kUnknownHosts
+             ? kUsageInterval
+             : std::max(kUsageInterval,
+                        kUsageIntervalPerHost * this->shares.hosts);
+}
+
 void EntryCore::CountUse(const OpenRequest& request) {
   if (!request.line.model) {
     return;
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -141,6 +141,7 @@
   void PresumeCold(const std::set<DataCentreId>& data_centres);
 
   void CountUse(const OpenRequest& request);
+  Duration UsageInterval() const;
   void ReportUsage();
 
   // Ends.
