--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -20,6 +20,7 @@
 #include "cicadaloft/routing/model_whereabouts.h"
 #include "cicadaloft/routing/retry_budget.h"
 #include "cicadaloft/routing/suspect_list.h"
+#include "cicadaloft/routing/target_choice.h"
 #include "cicadaloft/routing/target_view.h"
 #include "cicadaloft/warmup/warmup_permits.h"
 #include "open_request.h"
@@ -122,6 +123,7 @@
   void PumpAll();
   bool HasRoom(const Candidates& candidates) const;
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
+  TargetWish WishOf(const OpenRequest& request) const;
   Candidates CandidatesFor(const LineKey& key);
   bool MayTake(const TargetView& target, const OpenRequest& request) const;
   std::vector<TargetId> UselessHolders(const LineKey& key,
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -89,11 +89,8 @@
 
 bool EntryCore::TryDispatch(OpenRequest& request,
                             const Candidates& candidates) {
-  const TargetWish wish{.near = this->settings.data_centre,
-                        .prompt_key = request.arrival.prompt_key,
-                        .draw = StableHash(request.arrival.caller_id.value())};
   TargetView* target = ChooseTarget(
-      candidates, wish, this->now,
+      candidates, this->WishOf(request), this->now,
       [&](const TargetView& view) { return this->MayTake(view, request); });
   if (target == nullptr) {
     return false;
@@ -136,6 +133,12 @@
   return true;
 }
 
+TargetWish EntryCore::WishOf(const OpenRequest& request) const {
+  return TargetWish{.near = this->settings.data_centre,
+                    .prompt_key = request.arrival.prompt_key,
+                    .draw = StableHash(request.arrival.caller_id.value())};
+}
+
 EntryCore::Candidates EntryCore::CandidatesFor(const LineKey& key) {
   Candidates candidates;
   const auto add = [&](const TargetId& id) {
--- a/entry/entry_warmup.cc
+++ b/entry/entry_warmup.cc
@@ -1,6 +1,5 @@
 #include <numeric>
 
-#include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/entry/reasons.h"
 #include "cicadaloft/routing/target_choice.h"
 #include "entry_core.h"
@@ -35,11 +34,7 @@
   }
   const OpenRequest& oldest = this->requests.at(*line.queue.Oldest());
   const TargetView* target = ChooseTarget(
-      candidates,
-      TargetWish{.near = this->settings.data_centre,
-                 .prompt_key = oldest.arrival.prompt_key,
-                 .draw = StableHash(oldest.arrival.caller_id.value())},
-      this->now, [&](const TargetView& view) {
+      candidates, this->WishOf(oldest), this->now, [&](const TargetView& view) {
         const TargetId& id = view.record().id;
         return this->NeedsPermit(view) && this->IsUsable(view) &&
                !this->IsFull(view) && !oldest.Avoids(id, this->now) &&
