--- a/forwarding/include/cicadaloft/forwarding/effect_carrier.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_carrier.h
@@ -1,14 +1,17 @@
 #ifndef CICADALOFT_FORWARDING_EFFECT_CARRIER_H_
 #define CICADALOFT_FORWARDING_EFFECT_CARRIER_H_
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstddef>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/messages.h"
@@ -105,6 +108,15 @@
     return found == this->attempts.end() ? std::nullopt
                                          : std::optional(found->second.arrived);
   }
+  /// @return the open requests, as their callers name them.
+  std::vector<RequestId> OpenCallerIds() const {
+    std::vector<RequestId> ids;
+    std::ranges::transform(
+        this->callers, std::back_inserter(ids), [](const auto& entry) {
+          return entry.second.arrived.request->arrival.caller_id;
+        });
+    return ids;
+  }
   std::size_t open_requests() const { return this->callers.size(); }
   std::size_t running_attempts() const { return this->attempts.size(); }
 
--- a/forwarding/include/cicadaloft/forwarding/node_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/node_messages.h
@@ -69,6 +69,9 @@
 /// The program is about to end. An EntryDrained follows as soon as no request
 /// is open, which may be at once.
 struct DrainAsked {
+  /// The time to stop is over: it follows in any case, and what is open is cut.
+  const bool ends_now = false;
+
   friend auto operator<=>(const DrainAsked&, const DrainAsked&) = default;
   friend bool operator==(const DrainAsked&, const DrainAsked&) = default;
 };
--- a/forwarding/include/cicadaloft/forwarding/node_task.h
+++ b/forwarding/include/cicadaloft/forwarding/node_task.h
@@ -52,8 +52,8 @@
                                WarmupAsked,
                                DeathNoticed>;
 using EntryNewsMailbox = Mailbox<EntryNews>;
-/// No request is open. Said after a DrainAsked alone: requests may come until
-/// then, also after a moment without any.
+/// No request is open, or none can be waited for. Said after a DrainAsked
+/// alone: requests may come until then, also after a moment without any.
 struct EntryDrained {};
 using DrainedMailbox = Mailbox<EntryDrained>;
 
@@ -127,11 +127,25 @@
     this->carrier.KeepConnection(freed, this->clock.Now());
   }
 
-  void Take(const DrainAsked&) {
+  void Take(const DrainAsked& asked) {
     this->is_drain_asked = true;
+    if (asked.ends_now) {
+      this->LogCuts();
+      TrySend(*this->links.drained, EntryDrained{});
+      return;
+    }
     this->TellDrained();
   }
 
+  void LogCuts() {
+    for (const RequestId& caller_id : this->carrier.OpenCallerIds()) {
+      this->Carry(
+          DecisionLine{.reason = "caller.cut",
+                       .request = caller_id,
+                       .fields = {{"why", "the time to stop is over"}}});
+    }
+  }
+
   void Take(const AdminQuestion& question) {
     const AdminReply reply = std::visit(
         [this](const auto& ask) { return this->Answer(ask); }, question.ask);
--- a/forwarding/tests/admin_test.cc
+++ b/forwarding/tests/admin_test.cc
@@ -30,7 +30,9 @@
     co_return co_await caller.Read();
   }
 
-  void AskForDrain() { Post(*this->inbox, DrainAsked{}); }
+  void AskForDrain(bool ends_now = false) {
+    Post(*this->inbox, DrainAsked{.ends_now = ends_now});
+  }
   void Stop() { Post(*this->inbox, EntryEvent(EntryStopRequested{})); }
 
   std::shared_ptr<tcp::acceptor> admin;
@@ -111,6 +113,26 @@
   });
 }
 
+// Guards against requests that a stop cuts without a trace in the log.
+BOOST_AUTO_TEST_CASE(WhatIsOpenWhenTheTimeToStopIsOverIsLogged) {
+  AdminFixture entry;
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "body"},
+       .waits_between = true});
+  entry.Run([&]() -> awaitable<void> {
+    auto running = co_await entry.Caller();
+    co_await running.Write(ServiceGet("/"));
+    entry.target.Allow();
+    co_await running.ReadUntil("\r\n\r\n");
+    entry.Stop();
+    entry.AskForDrain(true);
+    BOOST_TEST((co_await Receive(*entry.drained) != nullptr));
+    const std::string text = (co_await entry.Get("/metrics")).body();
+    BOOST_TEST(text.find("decisions_total{reason=\"caller.cut\"} 1") !=
+               std::string::npos);
+  });
+}
+
 // Guards against answers that a planned stop cuts: a moment without requests
 // after the stop was taken for the end of all requests.
 BOOST_AUTO_TEST_CASE(AStopWaitsForRequestsThatCameAfterAMomentWithoutAny) {
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -60,6 +60,10 @@
 /// It stays a little longer for what crosses the closing.
 constexpr Duration kLeaveAfter = std::chrono::milliseconds(3500);
 
+/// For the log lines of requests that are still open when the time to stop is
+/// over; part of the margin below.
+constexpr Duration kCutTime = std::chrono::milliseconds(100);
+
 /// Kept free at the end of the stop time, for the last answers' way.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 
@@ -208,6 +212,10 @@
         std::chrono::steady_clock::now() - began);
     const Duration left = std::max(Duration::zero(), most - passed);
     const auto drained = co_await Within(left, Receive(*this->drained));
+    if (!drained) {
+      co_await Send(*this->node, NodeMessage(DrainAsked{.ends_now = true}));
+      co_await Within(kCutTime, Receive(*this->drained));
+    }
     Log("host").Info(drained ? "stopped: all requests answered"
                              : "stopped: the time to stop is over");
     this->output->Flush(STDOUT_FILENO);
