--- a/control/tests/cold_target_flood_test.cc
+++ b/control/tests/cold_target_flood_test.cc
@@ -26,7 +26,7 @@
 
 void CheckNoFlood(const HostsWorld& world, std::size_t hosts) {
   BOOST_TEST_CONTEXT(hosts << " hosts") {
-    BOOST_TEST(static_cast<double>(world.MostSentInOneSecond()) <=
+    BOOST_TEST(static_cast<double>(world.sent.MostInOneSecond()) <=
                world.cold.MostInOneSecond());
   }
 }
@@ -44,7 +44,7 @@
     BOOST_TEST_CONTEXT(hosts << " hosts") {
       // The rate is what a target is sure to bear, and is used.
       const std::chrono::duration<double> time = kCold;
-      BOOST_TEST(static_cast<double>(world.sent.size()) >=
+      BOOST_TEST(static_cast<double>(world.sent.Count()) >=
                  world.cold.rate_per_second * time.count() * 0.9);
     }
   }
--- a/control/tests/hosts_world.h
+++ b/control/tests/hosts_world.h
@@ -4,11 +4,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <numeric>
 #include <optional>
 #include <random>
 #include <set>
@@ -20,38 +18,11 @@
 #include "cicadaloft/control/control_state.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_node.h"
+#include "sent_requests.h"
+#include "world_host.h"
 
 namespace cicadaloft {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-inline constexpr Duration kLimitWindow = seconds(8);
-
-/// A limit in tokens, and the operator's tolerance over it.
-struct LimitOfAll {
-  double rate_per_second = 20'000;
-  double burst = 20'000;
-  double overshoot = 0.1;
-  double slack = 7'400;
-
-  double Allowed() const {
-    const std::chrono::duration<double> window = kLimitWindow;
-    return this->rate_per_second * window.count() + this->burst;
-  }
-};
-
-/// What a target that has just started tolerates, over all hosts.
-struct ColdBound {
-  double rate_per_second = 16;
-  double overshoot = 1.5;
-  double slack = 5;
-
-  double MostInOneSecond() const {
-    return this->rate_per_second * this->overshoot + this->slack;
-  }
-};
-
 /// Entries and controls of many hosts, with links and a lease log between
 /// them, one customer and one target, which answers. Time passes by RunFor()
 /// alone.
@@ -168,95 +139,24 @@
     }
   }
 
-  /// @return the most that has been sent to targets in any window.
-  double MostSpentInWindow() const {
-    double most = 0;
-    double sum = 0;
-    std::deque<std::pair<TimePoint, double>> window;
-    for (const auto& expense : this->sent) {
-      window.push_back(expense);
-      sum += expense.second;
-      while (expense.first - window.front().first >= kLimitWindow) {
-        sum -= window.front().second;
-        window.pop_front();
-      }
-      most = std::max(most, sum);
-    }
-    return most;
-  }
-
-  /// @return the most requests that have been sent in any second.
-  std::size_t MostSentInOneSecond() const {
-    std::size_t most = 0;
-    auto first = this->sent.begin();
-    for (auto last = this->sent.begin(); last != this->sent.end(); ++last) {
-      while (last->first - first->first >= seconds(1)) {
-        ++first;
-      }
-      most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-    }
-    return most;
-  }
-
-  double TotalSent() const {
-    return std::accumulate(
-        this->sent.begin(), this->sent.end(), 0.0,
-        [](double sum, const auto& expense) { return sum + expense.second; });
-  }
-
   void ForgetCounts() {
     this->asked = 0;
     this->refused = 0;
-    this->sent.clear();
+    this->sent = SentRequests();
   }
 
   LimitOfAll limit;
   ColdBound cold;
   std::size_t asked = 0;
   std::size_t refused = 0;
-  std::vector<std::pair<TimePoint, double>> sent;
+  SentRequests sent;
   std::mt19937 random{1};
 
  private:
   static constexpr double kLeastCost = 300;
   static constexpr double kMostCost = 2'500;
 
-  struct Host {
-    Host(std::size_t number, const LimitOfAll& limit)
-        : number(number), id("h" + std::to_string(number)) {
-      this->Restart(limit);
-    }
-
-    /// A new process, which knows nothing of the one before.
-    void Restart(const LimitOfAll& limit) {
-      ++this->process;
-      this->control.emplace(
-          LeaseSettings{
-              .self = this->id,
-              .address = "10.0.0.1:1",
-              .secret = this->id.value() + "." + std::to_string(this->process)},
-          kLimitWindow);
-      this->entry.emplace(EntrySettings{.host = this->id,
-                                        .data_centre = DataCentreId("dc"),
-                                        .limit_overshoot = limit.overshoot,
-                                        .limit_slack = limit.slack,
-                                        .limit_window = kLimitWindow,
-                                        .is_first_start = this->process == 1});
-      this->holder.reset();
-      this->costs.clear();
-    }
-
-    std::size_t number;
-    HostId id;
-    int process = 0;  ///< The number of its starts.
-    std::optional<ControlState> control;
-    std::optional<EntryState> entry;
-    std::optional<HostId> holder;
-    bool is_alive = true;
-    bool is_cut = false;  ///< From the lease's log.
-    bool has_links = true;
-    std::map<RequestId, double> costs;
-  };
+  using Host = WorldHost;
 
   void Start(Host& host) {
     this->FeedControl(
@@ -359,7 +259,7 @@
   }
 
   void CarryEntry(Host& host, const Dispatch& dispatch) {
-    this->sent.emplace_back(this->now, host.costs[dispatch.request]);
+    this->sent.Add(this->now, host.costs[dispatch.request]);
     const RequestId request = dispatch.request;
     const AttemptNumber attempt = dispatch.attempt;
     this->At(kRunTime, [this, &host, request, attempt] {
--- a/control/tests/limits_takeover_test.cc
+++ b/control/tests/limits_takeover_test.cc
@@ -51,7 +51,7 @@
     world.ForgetCounts();
     world.AskFor(kLimitWindow * kWindows, 3);
     BOOST_TEST_CONTEXT(hosts << " hosts") {
-      BOOST_TEST(world.TotalSent() >=
+      BOOST_TEST(world.sent.Cost() >=
                  world.limit.Allowed() * kWindows * (1 - kRefusableInTrouble));
     }
   }
--- a/control/tests/limits_test.cc
+++ b/control/tests/limits_test.cc
@@ -44,10 +44,10 @@
     world.AskFor(seconds(24), 3);
     const double allowed = world.limit.Allowed();
     BOOST_TEST_CONTEXT(hosts << " hosts") {
-      BOOST_TEST(world.MostSpentInWindow() <=
+      BOOST_TEST(world.sent.MostCostInWindow() <=
                  allowed * (1 + world.limit.overshoot) + world.limit.slack);
       // Three windows; what is refused below the limit is lost.
-      BOOST_TEST(world.TotalSent() >= allowed * 3 * 0.9);
+      BOOST_TEST(world.sent.Cost() >= allowed * 3 * 0.9);
     }
   }
 }
@@ -78,7 +78,7 @@
     world.CutHolderFromLog();
     world.AskFor(seconds(24), 3);
     BOOST_TEST_CONTEXT(hosts << " hosts") {
-      BOOST_TEST(world.MostSpentInWindow() <=
+      BOOST_TEST(world.sent.MostCostInWindow() <=
                  world.limit.Allowed() * (1 + world.limit.overshoot) +
                      world.limit.slack);
     }
@@ -94,7 +94,7 @@
       world.KillHolder();
       world.AskFor(seconds(20), 3);
       BOOST_TEST_CONTEXT(hosts << " hosts, killed after " << second << " s") {
-        BOOST_TEST(world.MostSpentInWindow() <=
+        BOOST_TEST(world.sent.MostCostInWindow() <=
                    world.limit.Allowed() * (1 + world.limit.overshoot) +
                        world.limit.slack);
       }
@@ -112,7 +112,7 @@
     world.RestartAll();
     world.AskFor(kLimitWindow * 3, 20);
     BOOST_TEST_CONTEXT(hosts << " hosts") {
-      BOOST_TEST(world.MostSpentInWindow() <=
+      BOOST_TEST(world.sent.MostCostInWindow() <=
                  world.limit.Allowed() * (1 + world.limit.overshoot) +
                      world.limit.slack);
     }
