Reckon with 16 hosts again until it is known how many there are

./demo failed on a fresh clone: hosts that have just started together reckoned with 1,024 hosts, so that their parts held no request, and refused customers until the holder's first grant.

--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -114,10 +114,8 @@
 /// holder takes, so that shares outlive it.
 inline constexpr Duration kGrantTerm = std::chrono::seconds(14);
 
-/// Hosts that a host reckons with while it has not heard how many there are: as
-/// many as may link to a holder. Its parts of what hosts share are next to
-/// nothing then, so that they can't add up to too much.
-inline constexpr std::uint32_t kUnknownHosts = 1024;
+/// Hosts that a host reckons with while it has not heard how many there are.
+inline constexpr std::uint32_t kUnknownHosts = 16;
 
 }  // namespace cicadaloft
 
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -163,21 +163,14 @@
 void EntryCore::Take(const EntryTick&) {
   this->EndExpired();
   this->PumpAll();
-  if (this->now - this->usage_reported >= this->UsageInterval()) {
+  const Duration interval =
+      std::max(kUsageInterval, kUsageIntervalPerHost * this->shares.hosts);
+  if (this->now - this->usage_reported >= interval) {
     this->usage_reported = this->now;
     this->ReportUsage();
   }
 }
 
-Duration EntryCore::UsageInterval() const {
-  // A holder that has not told yet how many hosts there are has to hear of
-  // this one first.
-  return this->shares.hosts == kUnknownHosts
-             ? kUsageInterval
-             : std::max(kUsageInterval,
-                        kUsageIntervalPerHost * this->shares.hosts);
-}
-
 void EntryCore::CountUse(const OpenRequest& request) {
   if (!request.line.model) {
     return;
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -143,7 +143,6 @@
   void PresumeCold(const std::set<DataCentreId>& data_centres);
 
   void CountUse(const OpenRequest& request);
-  Duration UsageInterval() const;
   void ReportUsage();
 
   // Ends.
