Bound JSON from other writers before it is converted

The hello of an unauthenticated link peer and the body of a chat request were parsed without a bound on nesting too.

--- a/own_interface/chat_request.cc
+++ b/own_interface/chat_request.cc
@@ -3,18 +3,19 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
 
+#include "cicadaloft/codec/json.h"
 #include "cicadaloft/core/rendezvous.h"
 
 namespace cicadaloft {
 namespace {
 
-using Json = nlohmann::json;
-
+constexpr JsonLimits kBodyLimits{.max_bytes = std::size_t{16} << 20,
+                                 .max_depth = 64,
+                                 .max_values = 1'000'000};
 constexpr std::size_t kPromptPrefixBytes = 256;
 constexpr std::size_t kBytesPerToken = 4;
 constexpr std::uint64_t kDefaultMaxTokens = 256;
@@ -89,7 +90,13 @@
 }  // namespace
 
 Result<ChatRequest> ParseChatRequest(std::string_view body) {
-  const Json root = Json::parse(body, nullptr, false);
+  const Result<Json> parsed =
+      ParseJson(body, kBodyLimits, JsonComments::kRefused);
+  if (!IsOk(parsed)) {
+    return MakeError(ErrorKind::kMalformedRequest,
+                     "body: " + ErrorOf(parsed).message);
+  }
+  const Json& root = ValueOf(parsed);
   if (auto error = Validate(root)) {
     return *error;
   }
--- a/own_interface/tests/native_protocol_test.cc
+++ b/own_interface/tests/native_protocol_test.cc
@@ -56,6 +56,13 @@
   BOOST_TEST(request.arrival.tokens.value() == 257);
 }
 
+BOOST_AUTO_TEST_CASE(DeeplyNestedChatBodyIsAnError) {
+  const std::string body = R"({"model":"m","messages":)" +
+                           std::string(200'000, '[') +
+                           std::string(200'000, ']') + "}";
+  BOOST_TEST((ErrorKindOf(ChatPost(body)) == ErrorKind::kMalformedRequest));
+}
+
 BOOST_AUTO_TEST_CASE(AdapterIsParsedFromTheModelField) {
   const CallerRequest request =
       ParseValid(ChatPost(R"({"model":"m/a1","messages":[{"content":"x"}]})"));
--- a/peering/link_auth.cc
+++ b/peering/link_auth.cc
@@ -16,6 +16,9 @@
 
 constexpr char kProtocolName[] = "cicadaloft-link-1";
 constexpr std::size_t kHelloFieldCount = 3;
+/// The decoder recurses for each level of nesting, and a hello comes from a
+/// peer that is not authenticated yet.
+constexpr std::size_t kMaxHelloBytes = 1024;
 
 /// Appends a length-prefixed text, so that different lists of texts never yield
 /// the same bytes.
@@ -48,6 +51,9 @@
 }
 
 std::optional<LinkHello> DecodeHello(const std::vector<std::uint8_t>& bytes) {
+  if (bytes.size() > kMaxHelloBytes) {
+    return std::nullopt;
+  }
   const json fields = json::from_cbor(bytes, true, false);
   if (!fields.is_array() || fields.size() != kHelloFieldCount ||
       fields[0] != kProtocolName || !fields[1].is_string() ||
--- a/peering/tests/link_auth_test.cc
+++ b/peering/tests/link_auth_test.cc
@@ -23,6 +23,13 @@
   BOOST_TEST(!DecodeHello(truncated).has_value());
 }
 
+// Guards against the end of the process by a peer that is not authenticated.
+BOOST_AUTO_TEST_CASE(DeeplyNestedHelloIsRejected) {
+  constexpr std::uint8_t kArrayOfOne = 0x81;
+  constexpr std::size_t kDepth = 1'000'000;
+  BOOST_TEST(!DecodeHello(std::vector<std::uint8_t>(kDepth, kArrayOfOne)));
+}
+
 BOOST_AUTO_TEST_CASE(ProofDependsOnRoleHostsNoncesAndSecret) {
   const LinkHello a = MakeHelloFrom("a");
   const LinkHello b = MakeHelloFrom("b");
