Obey what targets say of themselves, and avoid repeated refusals

And the same request, refused once, could be sent again on the same kept connection, where a refusal that a faulty target writes once more was taken for the new response: the caller was told "not run".

Change: platform/ decodes both into a TargetNotice; routing keeps what this host has seen itself (ObservedNotices) apart from reports of others. A target that leaves gets nothing from the response's head on, until a new process; the fleet counts it as draining whatever its record says, the lease holder tells all hosts, also those that link later. A connection does not carry a request that was refused on it, nor any after a refusal without an id.

With the check of refused requests off, RepeatedRefusalIsNotTakenForTheRetrysResponse fails. The exchange test of refusals now expects a second connection for the retry and, in a case of its own, that both connections carry later requests.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -135,6 +135,26 @@
   this->ReportToHolder(report);
 }
 
+void ControlState::Handle(const TargetLeavingReport& report) {
+  this->MarkLeaving(report);
+  this->ReportToHolder(report);
+}
+
+// A host that has just started or was cut off has missed earlier reports.
+void ControlState::SendLeavingTargets(const HostId& host) {
+  for (const auto& [target, instance] : this->fleet_tracker.Leaving()) {
+    this->effects.emplace_back(SendToHost{
+        .host = host,
+        .message =
+            TargetLeavingReport{.target = target, .instance = instance}});
+  }
+}
+
+void ControlState::MarkLeaving(const TargetLeavingReport& report) {
+  this->Handle(FleetEvent(
+      TargetSaidLeaving{.target = report.target, .instance = report.instance}));
+}
+
 void ControlState::Handle(const OrderEnded& ended) {
   this->FeedPlacement(ended);
 }
@@ -153,6 +173,8 @@
                      .fields = {{"host", change.host.value()}}});
   if (!change.is_up) {
     this->ledger.OnLinkDown(change.host);
+  } else if (this->is_limit_coordinator) {
+    this->SendLeavingTargets(change.host);
   }
   if (this->holder == change.host) {
     if (change.is_up) {
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -240,6 +240,17 @@
   }
 }
 
+// Forwarded in the same way as the reports of crashes.
+void ControlState::OnPeerMessage(const HostId& host,
+                                 const TargetLeavingReport& report) {
+  if (this->is_limit_coordinator) {
+    this->effects.emplace_back(SendToAllHosts{.message = report});
+  }
+  if (host != this->lease_settings.self) {
+    this->MarkLeaving(report);
+  }
+}
+
 void ControlState::DivideSharesIfDue() {
   // By then the grants that a successor still counts as used by this host have
   // expired.
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -45,6 +45,9 @@
   void Handle(const QuotaRequest& request);
   void Handle(const WarmupRequest& request);
   void Handle(const TargetCrashReport& report);
+  void Handle(const TargetLeavingReport& report);
+  void MarkLeaving(const TargetLeavingReport& report);
+  void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
   void Handle(const LeaseEvent& event);
   void Handle(const OrderEnded& ended);
@@ -68,6 +71,7 @@
   void OnPeerMessage(const HostId& host, const WarmupRequest& request);
   void OnPeerMessage(const HostId& host, const WarmupGrant& grant);
   void OnPeerMessage(const HostId& host, const TargetCrashReport& report);
+  void OnPeerMessage(const HostId& host, const TargetLeavingReport& report);
   /// Sends the message to the holder, which may be this host.
   void ReportToHolder(PeerMessage message);
   void DivideShares();
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -59,6 +59,7 @@
     return;
   }
   found->second.has_response_started = true;
+  this->RecordNotice(found->second, started.notice);
   const auto target = this->targets.find(found->second.target);
   if (target != this->targets.end() && started.load) {
     target->second.OnLoadReport(*started.load, this->now);
@@ -101,6 +102,7 @@
   }
   TargetView& target = found->second;
   target.OnRequestEnd();
+  this->RecordNotice(request, ended.notice);
   if (ended.load) {
     target.OnLoadReport(*ended.load, this->now);
   }
@@ -142,6 +144,31 @@
   }
 }
 
+// The target's own words take effect at once; the registry may show the same
+// seconds later.
+void EntryCore::RecordNotice(const OpenRequest& request,
+                             const TargetNotice& notice) {
+  const auto found = this->targets.find(request.target);
+  if (notice == TargetNotice{} || found == this->targets.end() ||
+      found->second.record().instance != request.instance) {
+    return;
+  }
+  TargetView& target = found->second;
+  const bool is_resting_already = target.notices().IsResting(this->now);
+  if (target.OnNotice(notice, this->now)) {
+    this->Log(event_names::kTargetLeaving, request.arrival.caller_request_id,
+              {{"target", request.target.value()},
+               {"instance", request.instance.value()}});
+    this->effects.emplace_back(TargetLeavingReport{
+        .target = request.target, .instance = request.instance});
+  }
+  if (target.notices().IsResting(this->now) && !is_resting_already) {
+    this->Log(event_names::kTargetRests, request.arrival.caller_request_id,
+              {{"target", request.target.value()},
+               {"rest_ms", target.notices().resting_until() - this->now}});
+  }
+}
+
 void EntryCore::ReportCrashes(const std::vector<TargetCrash>& crashes) {
   for (const TargetCrash& crash : crashes) {
     this->Log(
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -132,6 +132,7 @@
                                         const Candidates& candidates) const;
   bool IsUsable(const TargetView& target) const;
   bool IsFull(const TargetView& target) const;
+  void RefuseIfTargetsRest(const QueueKey& key, const Candidates& candidates);
   void RequestModelLoad(const QueueKey& key,
                         WaitQueue& queue,
                         const Candidates& candidates);
@@ -153,6 +154,7 @@
                 const AttemptEnded& ended,
                 bool needs_budget);
   void RecordOutcome(const OpenRequest& request, const AttemptEnded& ended);
+  void RecordNotice(const OpenRequest& request, const TargetNotice& notice);
   void ReportCrashes(const std::vector<TargetCrash>& crashes);
   void RecordShed(const OpenRequest& request,
                   const AttemptEnded& ended,
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -79,6 +79,46 @@
   }
   this->RequestWarmup(key, queue, candidates);
   this->RequestModelLoad(key, queue, candidates);
+  this->RefuseIfTargetsRest(key, candidates);
+}
+
+// Refuses the requests that would only wait until the end of their time because
+// all targets that stay rest for longer. A model may be loaded on another
+// target meanwhile, so this applies to services without models.
+void EntryCore::RefuseIfTargetsRest(const QueueKey& key,
+                                    const Candidates& candidates) {
+  const auto leaves = [](const TargetView* target) {
+    return target->record().is_draining || target->notices().is_leaving();
+  };
+  Candidates staying;
+  std::ranges::remove_copy_if(candidates, std::back_inserter(staying), leaves);
+  const bool all_rest =
+      !key.model && !staying.empty() &&
+      std::ranges::all_of(staying, [this](const TargetView* target) {
+        return target->notices().IsResting(this->now);
+      });
+  if (!all_rest) {
+    return;
+  }
+  const TimePoint rest_end = std::ranges::min(
+      staying | std::views::transform([](const TargetView* target) {
+        return target->notices().resting_until();
+      }));
+  std::vector<RequestId> hopeless;
+  for (const auto& [id, request] : this->requests) {
+    if (!request.is_running && !request.quota_deadline &&
+        request.queue_key == key && request.wait_deadline <= rest_end) {
+      hopeless.push_back(id);
+    }
+  }
+  for (const RequestId& id : hopeless) {
+    const OpenRequest& request = this->requests.at(id);
+    this->RefuseOpenRequest(
+        request, MakeError(ErrorKind::kNoCapacity,
+                           "all targets have asked for a rest that is longer "
+                           "than the request may wait"));
+    this->Close(request);
+  }
 }
 
 // Whether any candidate could accept a request that avoids no target.
@@ -164,8 +204,10 @@
 
 bool EntryCore::IsUsable(const TargetView& target) const {
   const TargetRecord& record = target.record();
-  return !record.is_draining && !this->evacuated.contains(record.data_centre) &&
-         !target.ejection().IsEjected(this->now);
+  return !record.is_draining && !target.notices().is_leaving() &&
+         !this->evacuated.contains(record.data_centre) &&
+         !target.ejection().IsEjected(this->now) &&
+         !target.notices().IsResting(this->now);
 }
 
 bool EntryCore::CanAccept(const TargetView& target,
@@ -213,14 +255,16 @@
       .denied_by = this->UnusableTargets(key, candidates)});
 }
 
-// Targets that have denied having the model, and candidates that are ejected.
+// Targets that have denied having the model, and candidates that are ejected
+// or rest.
 std::vector<TargetId> EntryCore::UnusableTargets(
     const QueueKey& key,
     const Candidates& candidates) const {
   std::vector<TargetId> unusable =
       this->model_locations.DenyingTargets(*key.model, this->now);
   for (const TargetView* target : candidates) {
-    if (target->ejection().IsEjected(this->now)) {
+    if (target->ejection().IsEjected(this->now) ||
+        target->notices().IsResting(this->now)) {
       unusable.push_back(target->record().id);
     }
   }
@@ -239,7 +283,10 @@
        {"service", key.service.value()},
        {"holders", candidates.size()},
        {"leaving", count([](const TargetView* target) {
-          return target->record().is_draining;
+          return target->record().is_draining || target->notices().is_leaving();
+        })},
+       {"resting", count([this](const TargetView* target) {
+          return target->notices().IsResting(this->now);
         })},
        {"evacuated", count([this](const TargetView* target) {
           return this->evacuated.contains(target->record().data_centre);
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -20,6 +20,7 @@
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/routing/model_locations.h"
 #include "cicadaloft/routing/target_load.h"
+#include "cicadaloft/routing/target_notice.h"
 #include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
@@ -94,6 +95,7 @@
   const AttemptOutcome outcome = AttemptOutcome::kCompleted;
   const int http_status = 0;  ///< Of the target's response; 0 if none.
   const std::optional<TargetLoad> load;
+  const TargetNotice notice;
 
   friend auto operator<=>(const AttemptEnded&, const AttemptEnded&) = default;
   friend bool operator==(const AttemptEnded&, const AttemptEnded&) = default;
@@ -104,6 +106,7 @@
   const RequestId request;
   const AttemptNumber attempt;
   const std::optional<TargetLoad> load;
+  const TargetNotice notice;
 
   friend auto operator<=>(const ResponseStarted&,
                           const ResponseStarted&) = default;
@@ -287,6 +290,7 @@
                                  QuotaRequest,
                                  WarmupRequest,
                                  TargetCrashReport,
+                                 TargetLeavingReport,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/fleet/fleet_tracker.cc
+++ b/fleet/fleet_tracker.cc
@@ -1,9 +1,17 @@
 #include "cicadaloft/fleet/fleet_tracker.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace cicadaloft {
+namespace {
+
+/// Beyond this number, targets that are no longer in the registry are
+/// forgotten.
+constexpr std::size_t kMaxLeavingTargets = 1024;
+
+}  // namespace
 
 bool FleetTracker::Apply(const FleetEvent& event, TimePoint now) {
   return std::visit([&](const auto& item) { return this->Handle(item, now); },
@@ -77,7 +85,39 @@
   return false;
 }
 
-bool FleetTracker::Upsert(const TargetRecordPtr& record) {
+bool FleetTracker::Handle(const TargetSaidLeaving& leaving, TimePoint) {
+  const TargetRecordPtr known = this->Find(leaving.target);
+  const TargetInstance instance =
+      leaving.instance != TargetInstance() || known == nullptr
+          ? leaving.instance
+          : known->instance;
+  if (this->leaving.size() >= kMaxLeavingTargets) {
+    std::erase_if(this->leaving, [this](const auto& entry) {
+      return !this->targets.contains(entry.first);
+    });
+  }
+  TargetInstance& newest = this->leaving[leaving.target];
+  newest = std::max(newest, instance);
+  return known != nullptr && this->Upsert(known);
+}
+
+// A process that has said that it leaves counts as draining.
+TargetRecordPtr FleetTracker::Corrected(TargetRecordPtr record) {
+  const auto found = this->leaving.find(record->id);
+  if (found == this->leaving.end() || record->is_draining) {
+    return record;
+  }
+  if (record->instance > found->second) {
+    this->leaving.erase(found);
+    return record;
+  }
+  TargetRecord draining = *record;
+  draining.is_draining = true;
+  return std::make_shared<const TargetRecord>(std::move(draining));
+}
+
+bool FleetTracker::Upsert(const TargetRecordPtr& read) {
+  const TargetRecordPtr record = this->Corrected(read);
   const auto found = this->targets.find(record->id);
   const TargetRecordPtr before =
       found == this->targets.end() ? nullptr : found->second;
--- a/fleet/include/cicadaloft/fleet/fleet_tracker.h
+++ b/fleet/include/cicadaloft/fleet/fleet_tracker.h
@@ -48,8 +48,23 @@
                          const RegistryReachability&) = default;
 };
 
-using FleetEvent = std::
-    variant<TargetUpdated, TargetRemoved, RegistryRead, RegistryReachability>;
+/// A target process has said in a response that it leaves. It counts as
+/// draining from then on, whatever its record says.
+struct TargetSaidLeaving {
+  TargetId target;
+  TargetInstance instance;  ///< 0: the newest one that is known.
+
+  friend auto operator<=>(const TargetSaidLeaving&,
+                          const TargetSaidLeaving&) = default;
+  friend bool operator==(const TargetSaidLeaving&,
+                         const TargetSaidLeaving&) = default;
+};
+
+using FleetEvent = std::variant<TargetUpdated,
+                                TargetRemoved,
+                                RegistryRead,
+                                RegistryReachability,
+                                TargetSaidLeaving>;
 
 /// Tracks which targets are alive. A removal may be caused by the registry
 /// itself, when it was unreachable and missed the targets' heartbeats. Such a
@@ -72,6 +87,10 @@
   FleetPtr fleet() const;
   /// @return the target's newest record; null if the target is unknown.
   TargetRecordPtr Find(const TargetId& target) const;
+  /// @return the newest process of each target that has said that it leaves.
+  const std::map<TargetId, TargetInstance>& Leaving() const {
+    return this->leaving;
+  }
   /// @return the decision records since the last call, for the log.
   std::vector<DecisionRecord> TakeDecisionRecords();
 
@@ -80,7 +99,9 @@
   bool Handle(const TargetRemoved& removed, TimePoint now);
   bool Handle(const RegistryRead& read, TimePoint now);
   bool Handle(const RegistryReachability& change, TimePoint now);
-  bool Upsert(const TargetRecordPtr& record);
+  bool Handle(const TargetSaidLeaving& leaving, TimePoint now);
+  TargetRecordPtr Corrected(TargetRecordPtr record);
+  bool Upsert(const TargetRecordPtr& read);
   bool Remove(const TargetId& target, const char* event);
   bool IsRemovalInDoubt(TimePoint now) const;
 
@@ -93,6 +114,8 @@
   std::optional<TimePoint> reachable_since;
   /// Removed during or right after an outage; still in the fleet.
   std::set<TargetId> pending_removals;
+  /// Newest process of each target that has said that it leaves.
+  std::map<TargetId, TargetInstance> leaving;
   std::vector<DecisionRecord> decision_records;
 };
 
--- a/fleet/tests/fleet_test.cc
+++ b/fleet/tests/fleet_test.cc
@@ -47,6 +47,40 @@
   BOOST_TEST(Contains(tracker, "u"));
 }
 
+bool IsDraining(const FleetTracker& tracker, const std::string& id) {
+  return tracker.fleet()->targets.at(TargetId(id))->is_draining;
+}
+
+// Guards against requests to a target that leaves while its record still says
+// ready, also after the record was away.
+BOOST_AUTO_TEST_CASE(TargetThatSaidItLeavesStaysDrainingUntilNewProcess) {
+  FleetTracker tracker = TrackerWithReachableRegistry();
+  BOOST_TEST(tracker.Apply(
+      TargetSaidLeaving{.target = TargetId("t"), .instance = TargetInstance(1)},
+      kNow));
+  BOOST_TEST(IsDraining(tracker, "t"));
+  tracker.Apply(TargetUpdated{.record = Record("t")}, kNow + seconds(1));
+  BOOST_TEST(IsDraining(tracker, "t"));
+  tracker.Apply(TargetRemoved{.target = TargetId("t")}, kNow + seconds(2));
+  tracker.Apply(RegistryRead{.records = {Record("t")}}, kNow + seconds(3));
+  BOOST_TEST(IsDraining(tracker, "t"));
+  tracker.Apply(TargetUpdated{.record = Record("t", 2)}, kNow + seconds(4));
+  BOOST_TEST(!IsDraining(tracker, "t"));
+  // Late news of the earlier process.
+  tracker.Apply(
+      TargetSaidLeaving{.target = TargetId("t"), .instance = TargetInstance(1)},
+      kNow + seconds(5));
+  BOOST_TEST(!IsDraining(tracker, "t"));
+}
+
+BOOST_AUTO_TEST_CASE(LeavingReportWithoutInstanceMeansTheKnownProcess) {
+  FleetTracker tracker = TrackerWithReachableRegistry();
+  tracker.Apply(TargetSaidLeaving{.target = TargetId("t")}, kNow);
+  BOOST_TEST(IsDraining(tracker, "t"));
+  tracker.Apply(TargetSaidLeaving{.target = TargetId("unknown")}, kNow);
+  BOOST_TEST(!Contains(tracker, "unknown"));
+}
+
 BOOST_AUTO_TEST_CASE(RemovalByOutageIsWithdrawnWhenTargetReappears) {
   FleetTracker tracker = TrackerWithReachableRegistry();
   tracker.Apply(RegistryReachability{.is_reachable = false}, kNow);
--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -75,7 +75,8 @@
         .request = received.request,
         .queue_time = now - found->second.arrival_time,
         .closes_connection = closes_connection,
-        .reused_connection = this->pool.Acquire(dispatch.address, now),
+        .reused_connection = this->pool.Acquire(
+            dispatch.address, received.request->arrival.caller_request_id, now),
         .entry_inbox = this->entry_inbox,
         .session = received.session,
         .cancel = std::move(cancel)});
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -52,7 +52,8 @@
                                        UsageReport,
                                        QuotaRequest,
                                        WarmupRequest,
-                                       TargetCrashReport>;
+                                       TargetCrashReport,
+                                       TargetLeavingReport>;
 using EntryNotificationMailbox = Mailbox<EntryNotification>;
 /// No request is open, or the grace period has expired. Sent only after a
 /// DrainRequest: until then requests may arrive, also after a moment with none
@@ -216,6 +217,9 @@
   void Execute(const QuotaRequest& request) { this->NotifyControl(request); }
   void Execute(const WarmupRequest& request) { this->NotifyControl(request); }
   void Execute(const TargetCrashReport& report) { this->NotifyControl(report); }
+  void Execute(const TargetLeavingReport& report) {
+    this->NotifyControl(report);
+  }
 
   void NotifyControl(EntryNotification notification) {
     if (!TrySend(*this->mailboxes.notifications, std::move(notification))) {
--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -12,6 +12,7 @@
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/forwarding/messages.h"
 #include "cicadaloft/routing/target_load.h"
+#include "cicadaloft/routing/target_notice.h"
 
 namespace cicadaloft {
 
@@ -37,11 +38,14 @@
 /// What the head of a target's response says in addition to plain HTTP.
 struct ResponseMetadata {
   bool matches_request = true;  ///< False: the response to an earlier request.
-  bool is_stamped = false;      ///< The response carries the target's stamp.
-  bool was_not_run = false;     ///< The target did not run the request.
-  bool is_misdirected = false;  ///< The target doesn't have the model.
+  /// The response names the request that it belongs to.
+  bool names_request = false;
+  bool is_stamped = false;         ///< The response carries the target's stamp.
+  bool was_not_run = false;        ///< The target did not run the request.
+  bool is_misdirected = false;     ///< The target doesn't have the model.
   bool is_other_instance = false;  ///< Another process than the expected one.
   std::optional<TargetLoad> load;
+  TargetNotice notice;
   /// After which the target closes the connection.
   std::optional<Duration> idle_timeout;
 
--- a/forwarding/include/cicadaloft/forwarding/target_connection.h
+++ b/forwarding/include/cicadaloft/forwarding/target_connection.h
@@ -4,6 +4,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <set>
+
+#include "cicadaloft/core/id.h"
 
 namespace cicadaloft {
 
@@ -14,6 +17,10 @@
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;  ///< Read, but not yet parsed.
+  /// Requests that the target has refused on this connection, by the callers'
+  /// ids. A faulty target may write a refusal again, which would be taken for
+  /// the response if the same request were sent on this connection again.
+  std::set<RequestId> refused;
 };
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/target_connection_pool.h
+++ b/forwarding/include/cicadaloft/forwarding/target_connection_pool.h
@@ -17,9 +17,11 @@
  public:
   explicit TargetConnectionPool(const TargetLimits& limits) : limits(limits) {}
 
-  /// @return a connection on which nothing has arrived since its last response,
-  /// or null.
+  /// @param request the caller's id of the request that is to be sent.
+  /// @return a connection on which nothing has arrived since its last response
+  /// and on which the target has not refused this request, or null.
   std::shared_ptr<TargetConnection> Acquire(const std::string& address,
+                                            const RequestId& request,
                                             TimePoint now);
   /// Adds an idle connection; drops the oldest one for this address if there
   /// are too many.
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -82,6 +82,8 @@
       co_return *failure;
     }
     if (const auto refusal = this->RefusalOutcome()) {
+      this->connection->refused.insert(
+          this->params->request->arrival.caller_request_id);
       co_return co_await this->DiscardAndEnd(*refusal);
     }
     constexpr int kServerError = 500;
@@ -203,7 +205,8 @@
     const auto message =
         EntryEvent(ResponseStarted{.request = dispatch.request,
                                    .attempt = dispatch.attempt,
-                                   .load = this->metadata.load});
+                                   .load = this->metadata.load,
+                                   .notice = this->metadata.notice});
     co_await Send(*this->params->entry_inbox, message);
     this->has_response_started = true;
     bool is_session_open =
@@ -251,10 +254,15 @@
     };
   }
 
+  // A refusal that names no request could be written again for the next one.
   bool IsReusable(AttemptOutcome result) const {
-    const bool is_complete = result == AttemptOutcome::kCompleted ||
-                             result == AttemptOutcome::kShed ||
-                             result == AttemptOutcome::kNotLoaded ||
+    constexpr std::size_t kMaxRefusals = 64;
+    const bool is_refusal = (result == AttemptOutcome::kShed ||
+                             result == AttemptOutcome::kNotLoaded) &&
+                            this->metadata.names_request &&
+                            this->connection->refused.size() <= kMaxRefusals;
+    const bool is_complete = is_refusal ||
+                             result == AttemptOutcome::kCompleted ||
                              result == AttemptOutcome::kErrorResponse;
     return is_complete && this->response->IsConnectionReusable();
   }
@@ -281,7 +289,8 @@
         .attempt = dispatch.attempt,
         .outcome = result,
         .http_status = this->response ? this->response->status() : 0,
-        .load = this->metadata.load});
+        .load = this->metadata.load,
+        .notice = this->metadata.notice});
     co_await Send(*this->params->entry_inbox, message);
   }
 
--- a/forwarding/target_connection_pool.cc
+++ b/forwarding/target_connection_pool.cc
@@ -1,8 +1,11 @@
 #include "cicadaloft/forwarding/target_connection_pool.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <iterator>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -35,6 +38,7 @@
 
 std::shared_ptr<TargetConnection> TargetConnectionPool::Acquire(
     const std::string& address,
+    const RequestId& request,
     TimePoint now) {
   this->Prune(now);
   const auto found = this->idle_connections.find(address);
@@ -42,11 +46,19 @@
     return nullptr;
   }
   std::deque<IdleConnection>& connections = found->second;
-  while (!connections.empty()) {
-    const IdleConnection newest = std::move(connections.back());
-    connections.pop_back();
-    if (IsReusable(*newest.connection)) {
-      return newest.connection;
+  // The newest ones come last.
+  const auto may_carry = [&](const IdleConnection& item) {
+    return !item.connection->refused.contains(request);
+  };
+  for (auto next =
+           std::ranges::find_if(connections | std::views::reverse, may_carry);
+       next != connections.rend();
+       next =
+           std::ranges::find_if(connections | std::views::reverse, may_carry)) {
+    const std::shared_ptr<TargetConnection> connection = next->connection;
+    connections.erase(std::next(next).base());
+    if (IsReusable(*connection)) {
+      return connection;
     }
   }
   return nullptr;
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -161,7 +161,28 @@
   BOOST_TEST(response.result_int() == 502);
   BOOST_TEST((entry.Outcomes() == Outcomes{kNotLoaded, kShed}));
   BOOST_TEST(entry.plan->ReceivedEvents<ResponseStarted>().empty());
-  BOOST_TEST(entry.target.connections == 1);
+  // The retry of the same request goes on a connection of its own.
+  BOOST_TEST(entry.target.connections == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsWithRefusalsCarryOtherRequests) {
+  EntryFixture entry;
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 421 No\r\nX-Not-Loaded: 1\r\n"
+                  "Content-Length: 2\r\n\r\nno"}});
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
+                  "Content-Length: 4\r\n\r\nfull"}});
+  entry.Run([&]() -> awaitable<void> {
+    auto caller = co_await entry.ConnectCaller();
+    co_await caller.Write(ServiceGet("/"));
+    BOOST_TEST((co_await caller.Read()).result_int() == 502);
+    co_await caller.Write(ServiceGet("/"));
+    BOOST_TEST((co_await caller.Read()).body() == "ok");
+    co_await entry.WaitForEndedAttempts(3);
+  });
+  BOOST_TEST((entry.Outcomes() == Outcomes{kNotLoaded, kShed, kCompleted}));
+  BOOST_TEST(entry.target.connections == 2);
 }
 
 // Guards against requests that wait until their deadline because a target
@@ -329,6 +350,45 @@
   });
 }
 
+// Guards against a refusal that a faulty target writes once more when the same
+// request has been sent again on the kept connection: the request runs there,
+// and its caller would be told that it has not run.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalIsNotTakenForTheRetrysResponse) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  EntryFixture entry;
+  entry.target.scripts.push_back(
+      {.pieces = {refusal, refusal}, .waits_for_allow = true});
+  entry.Run([&]() -> awaitable<void> {
+    auto caller = co_await entry.ConnectCaller();
+    co_await caller.Write(ServiceGet("/"));
+    entry.target.Allow();
+    co_await entry.WaitForEndedAttempts(1);
+    entry.target.Allow();
+    BOOST_TEST((co_await caller.Read()).body() == "ok");
+    co_await entry.WaitForEndedAttempts(2);
+  });
+  BOOST_TEST((entry.Outcomes() == Outcomes{kShed, kCompleted}));
+  BOOST_TEST(entry.target.connections == 2U);
+}
+
+// A refusal that names no request could belong to any later one.
+BOOST_AUTO_TEST_CASE(ConnectionIsNotReusedAfterNamelessRefusal) {
+  EntryFixture entry;
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Nameless: 1\r\n"
+                  "Content-Length: 0\r\n\r\n"}});
+  entry.Run([&]() -> awaitable<void> {
+    auto caller = co_await entry.ConnectCaller();
+    co_await caller.Write(ServiceGet("/"));
+    BOOST_TEST((co_await caller.Read()).body() == "ok");
+    co_await caller.Write(ServiceGet("/"));
+    BOOST_TEST((co_await caller.Read()).body() == "ok");
+    co_await entry.WaitForEndedAttempts(3);
+  });
+  BOOST_TEST(entry.target.connections == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(SuccessWithoutStampFailsTheAttempt) {
   EntryFixture entry;
   entry.target.scripts.push_back(
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -35,6 +35,7 @@
       return FindField(fields, name) != nullptr;
     };
     return ResponseMetadata{.matches_request = !has("X-Stale"),
+                            .names_request = !has("X-Nameless"),
                             .is_stamped = !has("X-Unstamped"),
                             .was_not_run = has("X-Not-Run"),
                             .is_misdirected = has("X-Not-Loaded"),
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -112,23 +112,32 @@
   }
 
   boost::asio::awaitable<void> SubmitOrder(SendOrder order) {
-    const OrderOutcome outcome = co_await this->runners.SubmitOrder(order);
+    const auto reply = co_await this->runners.SubmitOrder(order);
+    this->ReportIfLeaving(order.target, reply.is_target_leaving);
     Post(*this->channels.inbox,
-         ControlEvent(OrderEnded{.target = order.target, .outcome = outcome}));
+         ControlEvent(
+             OrderEnded{.target = order.target, .outcome = reply.outcome}));
   }
 
   boost::asio::awaitable<void> FetchReport(RequestTargetReport request) {
     const TargetId target = request.target;
-    Result<TargetReport> report =
-        co_await this->runners.FetchReport(std::move(request));
-    if (IsOk(report)) {
+    const auto reply = co_await this->runners.FetchReport(std::move(request));
+    this->ReportIfLeaving(target, reply.is_target_leaving);
+    if (IsOk(reply.report)) {
       Post(*this->channels.inbox,
-           ControlEvent(TargetReportReceived{
-               .target = target, .report = TakeValue(std::move(report))}));
+           ControlEvent(TargetReportReceived{.target = target,
+                                             .report = ValueOf(reply.report)}));
     } else {
       Post(*this->channels.inbox,
-           ControlEvent(TargetReportFailed{.target = target,
-                                           .reason = ErrorOf(report).message}));
+           ControlEvent(TargetReportFailed{
+               .target = target, .reason = ErrorOf(reply.report).message}));
+    }
+  }
+
+  void ReportIfLeaving(const TargetId& target, bool is_leaving) {
+    if (is_leaving) {
+      Post(*this->channels.inbox,
+           ControlEvent(TargetLeavingReport{.target = target}));
     }
   }
 
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -23,7 +23,8 @@
                                  QuotaRequest,
                                  QuotaReply,
                                  WarmupRequest,
-                                 WarmupGrant>;
+                                 WarmupGrant,
+                                 TargetLeavingReport>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -105,13 +105,18 @@
                Required("ask", &WarmupGrant::request_number),
                Required("count", &WarmupGrant::count));
 
+template <>
+inline constexpr auto kJsonFields<TargetLeavingReport> =
+    std::tuple(Required("target", &TargetLeavingReport::target),
+               Required("instance", &TargetLeavingReport::instance));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
     std::to_array<std::string_view>(
         {"use_reported", "demand_reported", "model_wanted", "placement_change",
          "shares_granted", "death_noticed", "limit_draw_asked", "limit_drawn",
-         "warmup_asked", "warmup_granted"});
+         "warmup_asked", "warmup_granted", "target_leaving"});
 
 }  // namespace cicadaloft
 
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -72,7 +72,9 @@
                         .count = DrawCount()},
           WarmupGrant{.target = TargetId(DrawName()),
                       .request_number = DrawCount(),
-                      .count = DrawCount()}};
+                      .count = DrawCount()},
+          TargetLeavingReport{.target = TargetId(DrawName()),
+                              .instance = TargetInstance(DrawCount())}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -9,6 +9,7 @@
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/routing/ejection.h"
 #include "cicadaloft/routing/target_load.h"
+#include "cicadaloft/routing/target_notice.h"
 
 namespace cicadaloft {
 
@@ -34,6 +35,12 @@
   void OnOverload(TimePoint now) { this->ejection_state.OnOverload(now); }
   const Ejection& ejection() const { return this->ejection_state; }
 
+  /// @return whether the target leaves by this notice and did not before.
+  bool OnNotice(const TargetNotice& notice, TimePoint now) {
+    return this->observed_notices.Add(notice, now);
+  }
+  const ObservedNotices& notices() const { return this->observed_notices; }
+
   /// @return the estimated number of requests at the target: those of this
   /// host, plus those of other hosts by its last load report, which decays with
   /// age.
@@ -54,6 +61,7 @@
  private:
   TargetRecordPtr current_record;
   Ejection ejection_state;
+  ObservedNotices observed_notices;
   std::uint32_t in_flight_count = 0;
   /// Requests of other hosts, by the last load report.
   double other_hosts_load = 0;
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -28,6 +28,7 @@
       record->instance != this->current_record->instance;
   if (is_new_process) {
     this->ejection_state = Ejection();
+    this->observed_notices = ObservedNotices();
     this->other_hosts_load = 0;
   }
   if (record->cold_remaining > Duration::zero()) {
--- a/tests/host_process_test.sh
+++ b/tests/host_process_test.sh
@@ -91,6 +91,38 @@
 check "a request for a cold model: the model is loaded, the response streamed"
 until_ok $deadline_ms send_request $((base + 10)) /chat/x cold-1 -H 'Model: frames-natal' -H 'Token-Counts: 10,10'
 
+check "one odd registry record does no harm"
+nested() { printf '[%.0s' $(seq 1 "$1"); printf ']%.0s' $(seq 1 "$1"); }
+{ printf '{"service":"engines","address":"127.0.0.1:1","zone":"a","state":"ready","models":'
+  nested 200000; printf '}'; } >"$dir/nested"
+curl -fsS -o /dev/null --data-binary @"$dir/nested" "http://$store/admin/put?topic=keyed.servers&key=odd-1"
+until_ok $config_ms grep -q 'target odd-1' "$dir/h1.log"
+send_request $((base + 10)) /reservations/a after-odd >/dev/null
+
+check "a runner that leaves or rests gets no requests from a host that it told so"
+start_runner counter2 $((base + 3)) counter
+until_ok $config_ms grep -q '"target":"counter2"' "$dir/h1.log"
+until_ok $config_ms grep -q '"target":"counter2"' "$dir/h2.log"
+runner_at() { curl -fsS "http://127.0.0.1:$1$2" "${@:3}"; }
+count_ids() { runner_at "$1" "$2" | jq length; }
+runner_at $((base + 2)) "/admin/rest?seconds=2" -X POST -o /dev/null
+for i in $(seq 1 12); do
+  send_request $((base + 10)) /reservations/a "rest-$i" >/dev/null
+done
+[ "$(count_ids $((base + 2)) /turned_away)" -le 2 ]
+sleep 2
+runner_at $((base + 2)) /admin/leaving -X POST -o /dev/null
+for i in $(seq 1 12); do
+  send_request $((base + 10)) /reservations/a "leave-$i" >/dev/null
+done
+until_ok $config_ms grep -q fleet.draining "$dir/h2.log"
+seen=$(count_ids $((base + 2)) /seen)
+for i in $(seq 1 12); do
+  send_request $((base + 10)) /reservations/a "left-$i" >/dev/null
+  send_request $((base + 15)) /reservations/a "gone-$i" >/dev/null
+done
+[ "$(count_ids $((base + 2)) /seen)" = "$seen" ]
+
 check "the store is down: requests are still served"
 # Longer than the timeout of a long poll, so that each host sees the outage.
 fault down 4000
@@ -122,8 +154,10 @@
 until_ok $recovery_ms grep -q lease.gained "$dir/$other.log"
 until_ok $recovery_ms send_request "$other_port" /chat/x cold-2 -H 'Model: frames-small' -H 'Token-Counts: 10,10'
 
-check "a runner crashes: a non-idempotent request fails with 502 or 503"
-curl -s -o /dev/null -X POST "http://127.0.0.1:$((base + 2))/admin/crash" || true
+check "the runners crash: a non-idempotent request fails with 502 or 503"
+for port in $((base + 2)) $((base + 3)); do
+  curl -s -o /dev/null -X POST "http://127.0.0.1:$port/admin/crash" || true
+done
 status=$(curl -s -o /dev/null -w '%{http_code}' --max-time 8 -X POST -d x -H 'Host: provador.example' \
   -H 'Authorization: Bearer demo-key' -H 'Request-Id: late' -H 'Deadline-Ms: 4000' \
   "http://127.0.0.1:$other_port/reservations/a")
--- a/tests/stand_ins/fake_runner.cc
+++ b/tests/stand_ins/fake_runner.cc
@@ -43,7 +43,11 @@
   --event-ms N    Interval between two events of a stream in ms [default: 20].
 
   GET /seen           returns the ids of all requests that were executed
+  GET /turned_away    returns those that were turned away during a rest
   POST /admin/crash   ends the process immediately
+  POST /admin/leaving says in every response that the runner leaves
+  POST /admin/rest?seconds=N
+                      turns requests away with 503 and Retry-After for N seconds
 )";
 
 std::vector<std::string> Split(const std::string& text) {
@@ -99,16 +103,31 @@
 
   asio::awaitable<bool> Handle(const Request& request, Socket& socket) {
     const std::string path = PathOf(std::string(request.target()));
+    if (path == "/admin/leaving") {
+      this->is_leaving = true;
+      co_return co_await this->Write(socket, MakeResponse(200));
+    }
+    if (path == "/admin/rest") {
+      const std::string target(request.target());
+      this->rest_seconds = std::stoi(target.substr(target.find('=') + 1));
+      this->rests_until =
+          Clock::now() + std::chrono::seconds(this->rest_seconds);
+      co_return co_await this->Write(socket, MakeResponse(200));
+    }
     if (path == "/report") {
       json report = this->RegistryRecord();
       report["sequence"] = this->sequence;
       report["busy"] = this->IsBusy();
-      co_return co_await Write(socket, MakeResponse(200, report.dump()));
+      co_return co_await this->Write(socket, MakeResponse(200, report.dump()));
     }
     if (path == "/seen") {
-      co_return co_await Write(
+      co_return co_await this->Write(
           socket, MakeResponse(200, json(this->executed_requests).dump()));
     }
+    if (path == "/turned_away") {
+      co_return co_await this->Write(
+          socket, MakeResponse(200, json(this->turned_away).dump()));
+    }
     if (path == "/admin/crash") {
       std::_Exit(1);
     }
@@ -117,7 +136,8 @@
       co_return co_await this->Reject(socket, 421);
     }
     if (path == "/order") {
-      co_return co_await Write(socket, this->ExecuteOrder(request.body()));
+      co_return co_await this->Write(socket,
+                                     this->ExecuteOrder(request.body()));
     }
     co_return co_await this->ExecuteRequest(request, socket);
   }
@@ -155,6 +175,13 @@
         {"at_hand", {{"in_memory", json::array()}, {"on_disk", this->disk}}}};
   }
 
+  asio::awaitable<bool> Write(Socket& socket, Response response) {
+    if (this->is_leaving) {
+      response.set("Server-Leaving", "1");
+    }
+    co_return co_await stand_ins::Write(socket, std::move(response));
+  }
+
   bool IsBusy() const { return Clock::now() < this->busy_until; }
 
   Response ExecuteOrder(const std::string& body) {
@@ -196,7 +223,7 @@
     Response response = MakeResponse(status);
     response.set("Not-Executed", "1");
     response.set("Instance-Id", this->settings.id);
-    co_return co_await Write(socket, std::move(response));
+    co_return co_await this->Write(socket, std::move(response));
   }
 
   asio::awaitable<bool> ExecuteRequest(const Request& request, Socket& socket) {
@@ -204,6 +231,14 @@
     if (!model.empty() && !this->loaded.contains(model)) {
       co_return co_await this->Reject(socket, 421);
     }
+    if (Clock::now() < this->rests_until) {
+      Response response = MakeResponse(503);
+      response.set("Not-Executed", "1");
+      response.set("Request-Id", request["Request-Id"]);
+      response.set("Retry-After", std::to_string(this->rest_seconds));
+      this->turned_away.push_back(std::string(request["Request-Id"]));
+      co_return co_await this->Write(socket, std::move(response));
+    }
     if (this->IsBusy() && model == this->loading) {
       co_return co_await this->Reject(socket, 503);
     }
@@ -214,7 +249,7 @@
           200,
           json{{"ran", id}, {"tenant", std::string(request["Tenant"])}}.dump());
       this->SetCommonHeaders(response, id);
-      co_return co_await Write(socket, std::move(response));
+      co_return co_await this->Write(socket, std::move(response));
     }
     co_return co_await this->WriteStream(id, socket);
   }
@@ -231,7 +266,8 @@
     std::string head =
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\nRequest-Id: " +
-        id + "\r\nServer-Stamp: stand-in." + this->settings.id + "\r\n\r\n";
+        id + "\r\nServer-Stamp: stand-in." + this->settings.id +
+        (this->is_leaving ? "\r\nServer-Leaving: 1" : "") + "\r\n\r\n";
     const auto write = [&](std::string text) -> asio::awaitable<bool> {
       const auto [error, size] = co_await asio::async_write(
           socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
@@ -260,6 +296,10 @@
   Clock::time_point busy_until{};
   std::string loading;
   std::vector<std::string> executed_requests;  ///< Their ids.
+  std::vector<std::string> turned_away;
+  bool is_leaving = false;
+  int rest_seconds = 0;
+  Clock::time_point rests_until{};
 };
 
 }  // namespace
