Let one host's reads of the store serve all

Change: the slice relay. The lease holder reads both topics at short intervals and sends the records, with the log's offset and the time at which they were complete, to the hosts that ask for them. A host reads the store itself when it is told nothing newer within 9/20 of the drain time, across gaps, and at its start. A host relates the holder's clock to its own by one request, so that a delayed message never counts as newer than it is. A holder of an earlier version closes the link on the request and isn't asked again; unknown messages are skipped from now on. About a dozen hosts keep up with the lease's log; the others read it every 20 s.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -16,9 +16,12 @@
 
 }  // namespace
 
-ControlState::ControlState(const LeaseSettings& settings, Duration limit_window)
+ControlState::ControlState(const LeaseSettings& settings,
+                           Duration limit_window,
+                           Duration relay_interval)
     : lease_settings(settings),
       limit_window(limit_window),
+      relay_interval(relay_interval),
       lease(settings),
       ledger(limit_window) {}
 
@@ -137,7 +140,9 @@
 
 void ControlState::Handle(const TargetLeavingReport& report) {
   this->MarkLeaving(report);
-  this->ReportToHolder(report);
+  if (this->is_limit_coordinator || this->relay_clock.IsRelaying()) {
+    this->ReportToHolder(report);
+  }
 }
 
 // A host that has just started or was cut off has missed earlier reports.
@@ -173,8 +178,7 @@
                      .fields = {{"host", change.host.value()}}});
   if (!change.is_up) {
     this->ledger.OnLinkDown(change.host);
-  } else if (this->is_limit_coordinator) {
-    this->SendLeavingTargets(change.host);
+    this->relay_publisher.OnLinkDown(change.host);
   }
   if (this->holder == change.host) {
     if (change.is_up) {
@@ -182,6 +186,7 @@
       this->FeedLease(HolderHeartbeat{.holder = change.host});
     } else {
       this->connected_holder.reset();
+      this->relay_clock.OnLinkDown();
       this->FeedLease(HolderDisconnected{});
     }
     this->PublishShares();
@@ -217,6 +222,7 @@
   this->DivideSharesIfDue();
   this->SendWarmupGrants();
   this->PublishShares();
+  this->UpdateRelay();
 }
 
 ConfigurationVersion ControlState::CurrentVersion() const {
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -52,6 +52,7 @@
   }
   this->holder = record.holder;
   this->connected_holder.reset();
+  this->relay_clock.OnHolderChanged();
   this->effects.emplace_back(ConnectToHolder{.record = record});
 }
 
@@ -244,7 +245,10 @@
 void ControlState::OnPeerMessage(const HostId& host,
                                  const TargetLeavingReport& report) {
   if (this->is_limit_coordinator) {
-    this->effects.emplace_back(SendToAllHosts{.message = report});
+    // Hosts of an earlier version don't ask for relays, and don't know the
+    // message either.
+    this->effects.emplace_back(SendToHosts{
+        .hosts = this->relay_publisher.subscribers(), .message = report});
   }
   if (host != this->lease_settings.self) {
     this->MarkLeaving(report);
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -14,6 +14,7 @@
 #include "cicadaloft/fleet/fleet_tracker.h"
 #include "cicadaloft/lease/lease_state.h"
 #include "cicadaloft/placement/placement_state.h"
+#include "cicadaloft/relay/relay_publisher.h"
 #include "cicadaloft/warmup/warmup_ledger.h"
 
 namespace cicadaloft {
@@ -25,7 +26,11 @@
  public:
   /// @param lease_settings identity of this host and times of the lease.
   /// @param limit_window the window over which customers' limits hold.
-  ControlState(const LeaseSettings& lease_settings, Duration limit_window);
+  /// @param relay_interval at which the lease holder relays what it reads from
+  /// the store.
+  ControlState(const LeaseSettings& lease_settings,
+               Duration limit_window,
+               Duration relay_interval = kDefaultRelayInterval);
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
@@ -39,6 +44,7 @@
   void Handle(const RecordRejected& rejected);
   void Handle(const OperatorTopicReachability& reachability);
   void Handle(const FleetEvent& event);
+  void Handle(const StoreRead& read);
   // From this host's entry.
   void Handle(const ModelLoadRequest& request);
   void Handle(const UsageReport& report);
@@ -72,6 +78,10 @@
   void OnPeerMessage(const HostId& host, const WarmupGrant& grant);
   void OnPeerMessage(const HostId& host, const TargetCrashReport& report);
   void OnPeerMessage(const HostId& host, const TargetLeavingReport& report);
+  void OnPeerMessage(const HostId& host, const RelayRequest& request);
+  void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
+  void OnPeerMessage(const HostId& host, const StoreRelay& relay);
+  void UpdateRelay();
   /// Sends the message to the holder, which may be this host.
   void ReportToHolder(PeerMessage message);
   void DivideShares();
@@ -103,6 +113,7 @@
 
   LeaseSettings lease_settings;
   Duration limit_window;
+  Duration relay_interval;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
@@ -141,6 +152,10 @@
   WarmupLedger warmup;
   TimePoint last_division_at{};
 
+  RelayPublisher relay_publisher;  ///< Used while this host divides limits.
+  RelayClock relay_clock;          ///< Of the connected holder.
+  bool is_relay_reader = false;    ///< As last announced by a RelayRole.
+
   ShareGrant last_grant;  ///< The newest grant for this host.
   TimePoint last_grant_at{};
   /// 0 until another host or the log has reported it.
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -12,6 +12,7 @@
 #include "cicadaloft/lease/messages.h"
 #include "cicadaloft/peering/messages.h"
 #include "cicadaloft/placement/messages.h"
+#include "cicadaloft/relay/messages.h"
 
 namespace cicadaloft {
 
@@ -108,6 +109,7 @@
                                   RecordRejected,
                                   OperatorTopicReachability,
                                   FleetEvent,
+                                  StoreRead,
                                   ModelLoadRequest,
                                   UsageReport,
                                   QuotaRequest,
@@ -176,12 +178,24 @@
                          const SendToAllHosts&) = default;
 };
 
+/// Send a message from the holder to some of the connected hosts.
+struct SendToHosts {
+  const std::set<HostId> hosts;
+  const PeerMessage message;
+
+  friend auto operator<=>(const SendToHosts&, const SendToHosts&) = default;
+  friend bool operator==(const SendToHosts&, const SendToHosts&) = default;
+};
+
 using ControlEffect = std::variant<SendToEntry,
                                    RereadOperatorTopic,
                                    ConnectToHolder,
                                    SendToHolder,
                                    SendToHost,
                                    SendToAllHosts,
+                                   SendToHosts,
+                                   RelayReceived,
+                                   RelayRole,
                                    ReadLeaseLog,
                                    AppendLeaseRecord,
                                    SendOrder,
@@ -189,6 +203,8 @@
                                    DecisionRecord>;
 
 inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
+inline constexpr Duration kDefaultRelayInterval =
+    std::chrono::milliseconds(400);
 
 }  // namespace cicadaloft
 
--- /dev/null
+++ b/control/relay_duties.cc
@@ -0,0 +1,71 @@
+#include "cicadaloft/control/control_state.h"
+
+namespace cicadaloft {
+
+void ControlState::Handle(const StoreRead& read) {
+  this->relay_publisher.OnRead(read);
+}
+
+// The holder reads for all hosts that have asked it to.
+void ControlState::UpdateRelay() {
+  const bool is_reader = this->is_limit_coordinator &&
+                         !this->relay_publisher.subscribers().empty();
+  if (is_reader != this->is_relay_reader) {
+    this->is_relay_reader = is_reader;
+    this->effects.emplace_back(RelayRole{.is_reader = is_reader});
+    this->effects.emplace_back(
+        DecisionRecord{.event = is_reader ? "relay.begun" : "relay.ended"});
+  }
+  if (is_reader) {
+    if (auto relay =
+            this->relay_publisher.Publish(this->relay_interval, this->now)) {
+      this->effects.emplace_back(
+          SendToHosts{.hosts = this->relay_publisher.subscribers(),
+                      .message = std::move(*relay)});
+    }
+  }
+  if (this->connected_holder &&
+      *this->connected_holder != this->lease_settings.self) {
+    if (auto request =
+            this->relay_clock.Request(this->lease_settings.self, this->now)) {
+      this->effects.emplace_back(SendToHolder{.message = *request});
+    }
+  }
+}
+
+void ControlState::OnPeerMessage(const HostId& host,
+                                 const RelayRequest& request) {
+  if (!this->is_limit_coordinator || host == this->lease_settings.self) {
+    return;
+  }
+  const bool is_new = !this->relay_publisher.subscribers().contains(host);
+  this->effects.emplace_back(SendToHost{
+      .host = host,
+      .message = this->relay_publisher.OnRequest(
+          RelayRequest{.host = host, .number = request.number}, this->now)});
+  if (is_new) {
+    this->SendLeavingTargets(host);
+  }
+}
+
+void ControlState::OnPeerMessage(const HostId& host,
+                                 const RelayWelcome& welcome) {
+  if (this->connected_holder != host) {
+    return;
+  }
+  this->relay_clock.OnWelcome(welcome);
+}
+
+void ControlState::OnPeerMessage(const HostId& host, const StoreRelay& relay) {
+  if (this->connected_holder != host) {
+    return;
+  }
+  for (const RelayedTopic& topic : relay.topics) {
+    if (const auto complete_at = this->relay_clock.ToLocal(topic.complete_at)) {
+      this->effects.emplace_back(
+          RelayReceived{.topic = topic, .complete_at = *complete_at});
+    }
+  }
+}
+
+}  // namespace cicadaloft
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -98,6 +98,19 @@
     }
   }
 
+  /// Crashes all processes but the lease holder's and starts them again.
+  void RestartFollowers() {
+    const HostId holder = this->lease_log.back().record.holder;
+    for (const auto& host : this->hosts) {
+      if (host->id != holder) {
+        this->FeedControl(*this->Find(holder),
+                          PeerLinkChanged{.host = host->id});
+        host->Restart(this->limit);
+        this->Start(*host);
+      }
+    }
+  }
+
   /// Cuts the links of the first hosts; they can't make new ones.
   /// @param fraction of the hosts that are cut off.
   void CutLinks(double fraction) {
@@ -128,6 +141,37 @@
     }
   }
 
+  /// The holder has read records of a topic from the store.
+  void ReadStore(const std::string& topic,
+                 LogOffset from,
+                 std::vector<std::string> records) {
+    this->FeedControl(*this->Find(this->lease_log.back().record.holder),
+                      StoreRead{.topic = topic,
+                                .from = from,
+                                .records = std::move(records),
+                                .sent_at = this->now});
+  }
+
+  /// One host has seen in a response that the target leaves.
+  void ReportLeavingTarget(std::size_t host) {
+    this->FeedControl(*this->hosts.at(host),
+                      TargetLeavingReport{.target = this->target.id,
+                                          .instance = this->target.instance});
+  }
+
+  /// @return the hosts that live and don't hold the lease.
+  std::vector<const SimulatedHost*> Followers() const {
+    std::vector<const SimulatedHost*> followers;
+    for (const auto& host : this->hosts) {
+      if (host->is_alive && host->id != this->lease_log.back().record.holder) {
+        followers.push_back(host.get());
+      }
+    }
+    return followers;
+  }
+
+  TimePoint Now() const { return this->now; }
+
   /// Crashes the process that holds the lease.
   void CrashHolder() {
     for (const auto& host : this->hosts) {
@@ -284,8 +328,21 @@
   }
 
   void Execute(Host& host, const SendToEntry& send) {
+    if (const auto* change = std::get_if<FleetChanged>(&send.event)) {
+      const auto found = change->fleet->targets.find(this->target.id);
+      host.sees_draining_target =
+          found != change->fleet->targets.end() && found->second->is_draining;
+    }
     this->FeedEntry(host, send.event);
   }
+  void Execute(Host& host, const RelayReceived& received) {
+    host.relayed.insert_or_assign(received.topic.topic, received);
+  }
+  void Execute(Host& host, const SendToHosts& send) {
+    for (const HostId& id : send.hosts) {
+      this->Deliver(host, *this->Find(id), send.message);
+    }
+  }
   void Execute(Host& host, const ConnectToHolder& connect) {
     if (host.holder && *host.holder != host.id) {
       Host* previous = this->Find(*host.holder);
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -36,6 +36,8 @@
                                       .is_first_start = this->process == 1});
     this->holder.reset();
     this->costs.clear();
+    this->relayed.clear();
+    this->sees_draining_target = false;
   }
 
   std::size_t index;
@@ -48,6 +50,8 @@
   bool is_cut_from_log = false;  ///< Cut off from the lease's log.
   bool has_links = true;
   std::map<RequestId, double> costs;
+  std::map<std::string, RelayReceived> relayed;  ///< The newest of each topic.
+  bool sees_draining_target = false;
 };
 
 }  // namespace cicadaloft
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -14,8 +14,10 @@
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/lease/lease_log_client.h"
+#include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/runner_client.h"
 #include "cicadaloft/platform/store_client.h"
+#include "cicadaloft/relay/relayed_store.h"
 #include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
 #include "control_mailbox.h"
@@ -29,6 +31,9 @@
   std::shared_ptr<EntryTaskMailbox> entry;
   std::shared_ptr<PeerLinks> peers;
   std::shared_ptr<Mailbox<ResyncRequest>> operator_resync;
+  std::shared_ptr<Mailbox<ResyncRequest>> registry_resync;
+  std::shared_ptr<RelayMailbox> operator_relay;
+  std::shared_ptr<RelayMailbox> registry_relay;
 };
 
 /// Owns the control state of this host: passes each event to it and executes
@@ -39,10 +44,11 @@
   ControlTask(boost::asio::any_io_executor executor,
               const LeaseSettings& settings,
               Duration limit_window,
+              Duration relay_interval,
               const std::string& store,
               ControlTaskChannels channels)
       : executor(std::move(executor)),
-        state(settings, limit_window),
+        state(settings, limit_window, relay_interval),
         channels(std::move(channels)),
         lease_log(platform::StoreClient(this->executor, store)),
         runners(this->executor, settings.self) {}
@@ -88,6 +94,26 @@
   void Execute(const SendToAllHosts& effect) {
     this->channels.peers->Execute(effect);
   }
+  void Execute(const SendToHosts& effect) {
+    this->channels.peers->Execute(effect);
+  }
+  // A follower that lags misses messages; it reads the gap from the store.
+  void Execute(const RelayReceived& received) {
+    TrySend(received.topic.topic == platform::kRegistryTopic
+                ? *this->channels.registry_relay
+                : *this->channels.operator_relay,
+            RelayInput(received));
+  }
+  // Relayed records of the registry lack what the lease holder needs, so a
+  // reader begins with a snapshot.
+  void Execute(const RelayRole& role) {
+    Post(*this->channels.operator_relay, RelayInput(role));
+    Post(*this->channels.registry_relay, RelayInput(role));
+    if (role.is_reader) {
+      TrySend(*this->channels.operator_resync, ResyncRequest{});
+      TrySend(*this->channels.registry_resync, ResyncRequest{});
+    }
+  }
   void Execute(const DecisionRecord& record) { this->log(record); }
 
   // The lease state requests the next call only after the last one has ended.
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -28,6 +28,7 @@
 #include "cicadaloft/platform/protocols.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/store_client.h"
+#include "cicadaloft/relay/relayed_store.h"
 #include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
 #include "cicadaloft/telemetry/log.h"
@@ -54,6 +55,17 @@
 constexpr int kRegistryIntervalNumerator = 7;
 constexpr int kRegistryIntervalDenominator = 20;
 
+/// The lease holder relays what it reads every 1/10 of drain_time, and its
+/// reads wait as long for a record. So what other hosts know is 2/10 to 3/10
+/// old; at 9/20 they read by themselves, which leaves 11/20 for that and for
+/// requests that are on their way.
+constexpr int kRelayIntervalDenominator = 10;
+constexpr int kReaderIntervalDenominator = 20;
+constexpr int kMaxRelayAgeNumerator = 9;
+constexpr int kMaxRelayAgeDenominator = 20;
+/// Relayed messages that may wait for a follower.
+constexpr std::size_t kRelayMailboxCapacity = 64;
+
 /// How long a stopping host still accepts connections: until callers are routed
 /// to other hosts, which takes two failed readiness probes, one a second, plus
 /// the network delay. Then it closes idle connections immediately and the
@@ -104,6 +116,7 @@
   return secret;
 }
 
+using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
 
@@ -174,11 +187,14 @@
     this->peers = TakeValue(std::move(links));
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
-        this->settings.store,
+        this->RelayInterval(), this->settings.store,
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
-                            .operator_resync = this->operator_resync});
+                            .operator_resync = this->operator_resync,
+                            .registry_resync = this->registry_resync,
+                            .operator_relay = this->operator_relay,
+                            .registry_relay = this->registry_relay});
     return Done{};
   }
 
@@ -250,29 +266,44 @@
     const auto run = [](auto follower) -> asio::awaitable<void> {
       co_await follower->Run();
     };
-    auto operator_follower = std::make_shared<
-        KeyedFollower<platform::StoreClient,
-                      decltype(&platform::DecodeKeyedRecord), OperatorFeed>>(
-        platform::StoreClient(this->executor, this->settings.store),
+    auto operator_follower = std::make_shared<KeyedFollower<
+        HostStore, decltype(&platform::DecodeKeyedRecord), OperatorFeed>>(
+        this->MakeStore(this->operator_relay, Duration::zero()),
         FollowerSettings{.topic = platform::kOperatorTopic,
                          .jitter_seed = seed},
         this->operator_resync, &platform::DecodeKeyedRecord,
         OperatorFeed(this->control_mailbox));
-    auto registry_follower = std::make_shared<
-        KeyedFollower<platform::StoreClient,
-                      decltype(&platform::DecodeKeyedRecord), RegistryFeed>>(
-        platform::StoreClient(this->executor, this->settings.store),
+    auto registry_follower = std::make_shared<KeyedFollower<
+        HostStore, decltype(&platform::DecodeKeyedRecord), RegistryFeed>>(
+        this->MakeStore(this->registry_relay, this->settings.drain_time *
+                                                  kRegistryIntervalNumerator /
+                                                  kRegistryIntervalDenominator),
         FollowerSettings{.topic = platform::kRegistryTopic,
-                         .min_read_interval = this->settings.drain_time *
-                                              kRegistryIntervalNumerator /
-                                              kRegistryIntervalDenominator,
                          .jitter_seed = seed + 1},
-        std::make_shared<Mailbox<ResyncRequest>>(this->executor, 1),
-        &platform::DecodeKeyedRecord, RegistryFeed(this->control_mailbox));
+        this->registry_resync, &platform::DecodeKeyedRecord,
+        RegistryFeed(this->control_mailbox));
     this->Spawn(run(operator_follower));
     this->Spawn(run(registry_follower));
   }
 
+  Duration RelayInterval() const {
+    return this->settings.drain_time / kRelayIntervalDenominator;
+  }
+
+  HostStore MakeStore(const std::shared_ptr<RelayMailbox>& relay,
+                      Duration min_read_interval) {
+    return HostStore(
+        platform::StoreClient(this->executor, this->settings.store),
+        RelayedStoreSettings{
+            .min_read_interval = min_read_interval,
+            .reader_interval =
+                this->settings.drain_time / kReaderIntervalDenominator,
+            .reader_wait = this->RelayInterval(),
+            .max_relay_age = this->settings.drain_time * kMaxRelayAgeNumerator /
+                             kMaxRelayAgeDenominator},
+        relay, BootClock{}, StoreReadFeed(this->control_mailbox));
+  }
+
   asio::awaitable<void> SendControlTicks() {
     while (true) {
       co_await this->Sleep(kControlTickInterval);
@@ -318,6 +349,12 @@
   const std::shared_ptr<DrainedMailbox> drained;
   const std::shared_ptr<Mailbox<ResyncRequest>> operator_resync =
       std::make_shared<Mailbox<ResyncRequest>>(this->executor, 1);
+  const std::shared_ptr<Mailbox<ResyncRequest>> registry_resync =
+      std::make_shared<Mailbox<ResyncRequest>>(this->executor, 1);
+  const std::shared_ptr<RelayMailbox> operator_relay =
+      std::make_shared<RelayMailbox>(this->executor, kRelayMailboxCapacity);
+  const std::shared_ptr<RelayMailbox> registry_relay =
+      std::make_shared<RelayMailbox>(this->executor, kRelayMailboxCapacity);
   const std::shared_ptr<StopMailbox> caller_stop =
       std::make_shared<StopMailbox>(this->executor, 1);
   const std::shared_ptr<StopMailbox> native_caller_stop =
--- a/host/peer_links.cc
+++ b/host/peer_links.cc
@@ -1,9 +1,11 @@
 #include "peer_links.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <cstddef>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -95,9 +97,15 @@
 }
 
 void PeerLinks::Execute(const SendToAllHosts& effect) {
-  for (const LinkPeer& peer : this->connected_peers) {
-    this->server.Send(peer, effect.message);
-  }
+  this->server.SendToAll(this->connected_peers, effect.message);
+}
+
+void PeerLinks::Execute(const SendToHosts& effect) {
+  std::set<LinkPeer> peers;
+  std::ranges::transform(
+      effect.hosts, std::inserter(peers, peers.end()),
+      [](const HostId& host) { return LinkPeer{.host = host}; });
+  this->server.SendToAll(peers, effect.message);
 }
 
 boost::asio::awaitable<void> PeerLinks::Run() {
--- a/host/peer_links.h
+++ b/host/peer_links.h
@@ -30,6 +30,7 @@
   void Execute(const SendToHolder& effect);
   void Execute(const SendToHost& effect);
   void Execute(const SendToAllHosts& effect);
+  void Execute(const SendToHosts& effect);
 
   /// Forwards the events of the links to the control task; runs as long as the
   /// process.
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -1,5 +1,7 @@
 #include "topic_feeds.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -112,6 +114,20 @@
       event);
 }
 
+void StoreReadFeed::operator()(const StoreRead& read) const {
+  if (read.topic != platform::kRegistryTopic) {
+    SendToControl(*this->control_mailbox, read);
+    return;
+  }
+  std::vector<std::string> compact;
+  std::ranges::transform(read.records, std::back_inserter(compact),
+                         &platform::CompactRegistryRecord);
+  SendToControl(*this->control_mailbox, StoreRead{.topic = read.topic,
+                                                  .from = read.from,
+                                                  .records = std::move(compact),
+                                                  .sent_at = read.sent_at});
+}
+
 void RegistryFeed::operator()(const FollowerEvent& event) const {
   ControlMailbox& mailbox = *this->control_mailbox;
   std::visit(Overloaded{[&](const TopicSnapshot& snapshot) {
--- a/host/topic_feeds.h
+++ b/host/topic_feeds.h
@@ -20,6 +20,18 @@
   std::shared_ptr<ControlMailbox> control_mailbox;
 };
 
+/// Reports reads of a topic to the control task, which relays them to other
+/// hosts.
+class StoreReadFeed {
+ public:
+  explicit StoreReadFeed(std::shared_ptr<ControlMailbox> control_mailbox)
+      : control_mailbox(std::move(control_mailbox)) {}
+  void operator()(const StoreRead& read) const;
+
+ private:
+  std::shared_ptr<ControlMailbox> control_mailbox;
+};
+
 /// Converts events of the registry topic's follower to events of the control
 /// task.
 class RegistryFeed {
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -88,6 +88,7 @@
   TimePoint LastLeaseExpiry() const;
   TimePoint OrdersAllowedFrom() const;
   bool IsReadDue() const;
+  bool IsWatcher() const;
   bool IsRenewalDue() const;
   void LoseLeaseIfExpired();
   void LoseLease(const char* reason);
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -12,7 +12,12 @@
 /// Time between two reads of the log while the link to the holder is up.
 /// Messages on the link show that the holder is alive, so reading only guards
 /// against a link that outlives the lease.
-constexpr Duration kSlowReadInterval = std::chrono::seconds(5);
+constexpr Duration kSlowReadInterval = std::chrono::seconds(20);
+/// The same for watchers: the later a host has read the last renewal, the later
+/// it may claim an expired lease.
+constexpr Duration kWatcherReadInterval = std::chrono::seconds(5);
+/// Number of watchers among all hosts, on average.
+constexpr std::uint32_t kWatcherCount = 12;
 /// A holder whose link is up but silent for this long is treated as if its link
 /// were down.
 constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(1800);
@@ -205,8 +210,21 @@
   const bool is_holder_alive =
       this->is_holder_connected &&
       this->now - this->last_heartbeat_at < kHeartbeatTimeout;
+  const Duration slow_interval =
+      this->IsWatcher() ? kWatcherReadInterval : kSlowReadInterval;
   return this->now - this->last_read_at >=
-         (is_holder_alive ? kSlowReadInterval : kLeaseReadInterval);
+         (is_holder_alive ? slow_interval : kLeaseReadInterval);
+}
+
+// Whether this host is one of the few that keep up with the log, so that one of
+// them can soon claim a lease that has expired.
+bool LeaseState::IsWatcher() const {
+  const std::uint32_t hosts =
+      this->newest_entry ? this->newest_entry->record.host_count : 1;
+  const std::uint32_t hosts_per_watcher = std::max(1U, hosts / kWatcherCount);
+  return StableHash("watcher " + this->settings.self.value()) %
+             hosts_per_watcher ==
+         0;
 }
 
 bool LeaseState::IsRenewalDue() const {
--- a/peering/include/cicadaloft/peering/link_server.h
+++ b/peering/include/cicadaloft/peering/link_server.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "cicadaloft/core/result.h"
@@ -31,6 +32,8 @@
   /// @return false if there is none, or if it was closed because more than
   /// LinkSettings::max_queued_bytes were unsent.
   bool Send(const LinkPeer& peer, const PeerMessage& message);
+  /// Queues a message on the links from these peers; it is encoded once.
+  void SendToAll(const std::set<LinkPeer>& peers, const PeerMessage& message);
   /// @return the port that the server listens on.
   std::uint16_t port() const;
 
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -9,6 +9,7 @@
 #include "cicadaloft/admission/share_messages.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/placement/messages.h"
+#include "cicadaloft/relay/messages.h"
 #include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
@@ -24,7 +25,10 @@
                                  QuotaReply,
                                  WarmupRequest,
                                  WarmupGrant,
-                                 TargetLeavingReport>;
+                                 TargetLeavingReport,
+                                 RelayRequest,
+                                 RelayWelcome,
+                                 StoreRelay>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -110,13 +110,35 @@
     std::tuple(Required("target", &TargetLeavingReport::target),
                Required("instance", &TargetLeavingReport::instance));
 
+template <>
+inline constexpr auto kJsonFields<RelayRequest> =
+    std::tuple(Required("host", &RelayRequest::host),
+               Required("number", &RelayRequest::number));
+
+template <>
+inline constexpr auto kJsonFields<RelayWelcome> =
+    std::tuple(Required("number", &RelayWelcome::request_number),
+               Required("time", &RelayWelcome::holder_time));
+
+template <>
+inline constexpr auto kJsonFields<RelayedTopic> =
+    std::tuple(Required("topic", &RelayedTopic::topic),
+               Required("from", &RelayedTopic::from),
+               Required("records", &RelayedTopic::records),
+               Required("complete_at", &RelayedTopic::complete_at));
+
+template <>
+inline constexpr auto kJsonFields<StoreRelay> =
+    std::tuple(Required("topics", &StoreRelay::topics));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
     std::to_array<std::string_view>(
         {"use_reported", "demand_reported", "model_wanted", "placement_change",
          "shares_granted", "death_noticed", "limit_draw_asked", "limit_drawn",
-         "warmup_asked", "warmup_granted", "target_leaving"});
+         "warmup_asked", "warmup_granted", "target_leaving", "relay_request",
+         "relay_welcome", "store_relay"});
 
 }  // namespace cicadaloft
 
--- a/peering/link_server.cc
+++ b/peering/link_server.cc
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <utility>
 
+#include "cicadaloft/peering/link_codec.h"
 #include "cicadaloft/settings/socket_address.h"
 #include "cicadaloft/telemetry/log.h"
 #include "link_session.h"
@@ -59,6 +60,16 @@
     return found != this->links.end() && found->second->Send(message);
   }
 
+  void SendToAll(const std::set<LinkPeer>& peers, const PeerMessage& message) {
+    const std::vector<std::uint8_t> encoded = EncodePeerMessage(message);
+    for (const LinkPeer& peer : peers) {
+      const auto found = this->links.find(peer);
+      if (found != this->links.end()) {
+        found->second->SendEncoded(encoded);
+      }
+    }
+  }
+
   std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
  private:
@@ -175,6 +186,11 @@
   return this->task->Send(peer, message);
 }
 
+void LinkServer::SendToAll(const std::set<LinkPeer>& peers,
+                           const PeerMessage& message) {
+  this->task->SendToAll(peers, message);
+}
+
 std::uint16_t LinkServer::port() const {
   return this->task->port();
 }
--- a/peering/link_session.cc
+++ b/peering/link_session.cc
@@ -194,8 +194,10 @@
     this->write_signal.try_send(boost::system::error_code());
     Result<PeerMessage> decoded = DecodePeerMessage(*message);
     if (!IsOk(decoded)) {
-      this->Close(ErrorOf(decoded).message);
-      co_return;
+      // A newer version may send messages that this one doesn't know.
+      this->log.Warn("link message skipped peer=" + peer.host.value() +
+                     " reason=" + ErrorOf(decoded).message);
+      continue;
     }
     LinkEvent event(LinkMessageReceived{
         .peer = peer, .message = TakeValue(std::move(decoded))});
@@ -239,11 +241,15 @@
 }
 
 bool LinkSession::Send(const PeerMessage& message) {
+  return this->SendEncoded(EncodePeerMessage(message));
+}
+
+bool LinkSession::SendEncoded(const std::vector<std::uint8_t>& message) {
   if (this->is_closed ||
       this->engine.state() != WebSocketEngine::State::kOpen) {
     return false;
   }
-  this->engine.Send(EncodePeerMessage(message));
+  this->engine.Send(message);
   if (this->engine.PendingOutputBytes() + this->bytes_in_flight >
       this->settings.max_queued_bytes) {
     this->Close("more unsent bytes than max_queued_bytes");
--- a/peering/link_session.h
+++ b/peering/link_session.h
@@ -16,6 +16,7 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/peering/link_channel.h"
 #include "cicadaloft/peering/link_messages.h"
+#include "cicadaloft/telemetry/log.h"
 #include "cicadaloft/websocket/websocket_engine.h"
 #include "link_auth.h"
 
@@ -45,6 +46,8 @@
   /// @return false if the session is closed, or was closed because more than
   /// LinkSettings::max_queued_bytes were unsent.
   bool Send(const PeerMessage& message);
+  /// As Send(), for a message that is encoded already.
+  bool SendEncoded(const std::vector<std::uint8_t>& message);
   void Close(const std::string& reason);
 
  private:
@@ -69,6 +72,7 @@
   Socket socket;
   LinkRole role;
   const LinkSettings settings;
+  const Log log{"peering"};
   WebSocketEngine engine;
   std::deque<Bytes> inbox;
   std::array<std::uint8_t, kReadBufferBytes> read_buffer{};
--- /dev/null
+++ b/relay/include/cicadaloft/relay/relay_buffer.h
@@ -0,0 +1,52 @@
+#ifndef CICADALOFT_RELAY_RELAY_BUFFER_H_
+#define CICADALOFT_RELAY_RELAY_BUFFER_H_
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/relay/messages.h"
+
+namespace cicadaloft {
+
+/// The newest records of one topic that other hosts have relayed to this one.
+class RelayBuffer {
+ public:
+  static constexpr std::size_t kMaxRecords = 4096;
+
+  /// @param max_age how old relayed knowledge may be.
+  explicit RelayBuffer(Duration max_age) : max_age(max_age) {}
+
+  /// Adds records that are newer than those in the buffer. Records between
+  /// them that were not relayed leave a gap: the buffer starts again after it.
+  void Add(const RelayReceived& received);
+
+  /// @return whether the relayed records are complete up to a recent time.
+  bool IsFresh(TimePoint now) const { return now < this->FreshUntil(); }
+  TimePoint FreshUntil() const {
+    return this->complete_at ? *this->complete_at + this->max_age : TimePoint{};
+  }
+
+  /// @return whether no record from `offset` on is missing.
+  bool Covers(LogOffset offset) const { return offset >= this->first; }
+  /// @return the records from `offset` on, which must be covered.
+  std::vector<std::string> RecordsFrom(LogOffset offset) const;
+
+ private:
+  LogOffset End() const {
+    return LogOffset(this->first.value() + this->records.size());
+  }
+
+  Duration max_age;
+  LogOffset first;
+  std::deque<std::string> records;
+  std::optional<TimePoint> complete_at;
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_RELAY_RELAY_BUFFER_H_
--- /dev/null
+++ b/relay/relay_buffer.cc
@@ -0,0 +1,36 @@
+#include "cicadaloft/relay/relay_buffer.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cicadaloft {
+
+void RelayBuffer::Add(const RelayReceived& received) {
+  const RelayedTopic& topic = received.topic;
+  const bool has_gap = !this->complete_at || topic.from > this->End();
+  if (has_gap) {
+    this->first = topic.from;
+    this->records.clear();
+  }
+  const std::uint64_t known =
+      this->End() > topic.from ? this->End().value() - topic.from.value() : 0;
+  if (known < topic.records.size()) {
+    std::copy(topic.records.begin() + static_cast<std::ptrdiff_t>(known),
+              topic.records.end(), std::back_inserter(this->records));
+  }
+  while (this->records.size() > kMaxRecords) {
+    this->records.pop_front();
+    this->first = this->first.Next();
+  }
+  this->complete_at = std::max(this->complete_at.value_or(received.complete_at),
+                               received.complete_at);
+}
+
+std::vector<std::string> RelayBuffer::RecordsFrom(LogOffset offset) const {
+  const std::uint64_t skipped = std::min<std::uint64_t>(
+      offset.value() - this->first.value(), this->records.size());
+  return {this->records.begin() + static_cast<std::ptrdiff_t>(skipped),
+          this->records.end()};
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/relay/tests/relayed_store_test.cc
@@ -0,0 +1,159 @@
+#include "cicadaloft/relay/relayed_store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+
+namespace cicadaloft {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kTopic = "t";
+
+struct SteadyTime {
+  TimePoint Now() const {
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  }
+};
+
+/// What the fake store was asked and what it holds.
+struct LogState {
+  std::vector<std::string> records;
+  int reads = 0;
+  Duration last_wait{};
+};
+
+/// A store whose reads return at once.
+struct FakeStore {
+  std::shared_ptr<LogState> log;
+
+  boost::asio::awaitable<Result<NewestRecords>> ReadNewest(std::string) {
+    ++this->log->reads;
+    co_return NewestRecords{.records = {},
+                            .end_offset = LogOffset(this->log->records.size())};
+  }
+  boost::asio::awaitable<Result<LogReadOutcome>> Read(std::string,
+                                                      LogOffset from,
+                                                      Duration wait) {
+    ++this->log->reads;
+    this->log->last_wait = wait;
+    const LogOffset end(this->log->records.size());
+    const auto first =
+        this->log->records.begin() + static_cast<std::ptrdiff_t>(from.value());
+    co_return LogReadOutcome(
+        LogRecords{.records = {first, this->log->records.end()},
+                   .next_offset = end,
+                   .end_offset = end});
+  }
+  boost::asio::awaitable<Result<AppendOutcome>> AppendAt(std::string,
+                                                         LogOffset offset,
+                                                         std::string) {
+    co_return AppendOutcome(Appended{.offset = offset});
+  }
+};
+
+struct ReadSink {
+  std::shared_ptr<std::vector<StoreRead>> reads;
+  void operator()(const StoreRead& read) const { this->reads->push_back(read); }
+};
+
+class Fixture {
+ public:
+  using Tested = RelayedStore<FakeStore, SteadyTime, ReadSink>;
+
+  Fixture()
+      : inbox(std::make_shared<RelayMailbox>(this->context.get_executor(), 8)),
+        store(FakeStore{this->log},
+              {.min_read_interval = milliseconds(50),
+               .reader_interval = milliseconds(10),
+               .reader_wait = milliseconds(7),
+               .max_relay_age = milliseconds(200)},
+              this->inbox,
+              SteadyTime{},
+              ReadSink{this->reads}) {}
+
+  LogRecords Read(std::uint64_t from, Duration wait = milliseconds(100)) {
+    this->context.restart();
+    auto future = boost::asio::co_spawn(
+        this->context, this->store.Read(kTopic, LogOffset(from), wait),
+        boost::asio::use_future);
+    this->context.run();
+    return std::get<LogRecords>(ValueOf(future.get()));
+  }
+
+  void Relay(std::uint64_t from, std::vector<std::string> records) {
+    TrySend(*this->inbox,
+            RelayInput(RelayReceived{.topic = {.topic = kTopic,
+                                               .from = LogOffset(from),
+                                               .records = std::move(records)},
+                                     .complete_at = SteadyTime{}.Now()}));
+  }
+
+  boost::asio::io_context context;
+  std::shared_ptr<LogState> log = std::make_shared<LogState>();
+  std::shared_ptr<std::vector<StoreRead>> reads =
+      std::make_shared<std::vector<StoreRead>>();
+  std::shared_ptr<RelayMailbox> inbox;
+  Tested store;
+};
+
+BOOST_AUTO_TEST_SUITE(relayed_store)
+
+BOOST_AUTO_TEST_CASE(RelayedRecordsReplaceReadsOfTheStore) {
+  Fixture fixture;
+  fixture.Relay(2, {"2", "3"});
+  const LogRecords records = fixture.Read(2);
+  BOOST_TEST((records.records == std::vector<std::string>{"2", "3"}));
+  BOOST_TEST((records.next_offset == LogOffset(4)));
+  BOOST_TEST(fixture.Read(4).records.empty());
+  BOOST_TEST(fixture.log->reads == 0);
+}
+
+BOOST_AUTO_TEST_CASE(StoreIsReadAcrossGapsAndWhenRelaysStop) {
+  Fixture fixture;
+  fixture.log->records = {"0", "1", "2", "3"};
+  fixture.Relay(2, {"2"});
+  BOOST_TEST(fixture.Read(0).records.size() == 4U);
+  BOOST_TEST(fixture.log->reads == 1);
+  // Waits for a relay until what is known is too old, then reads.
+  const TimePoint began = SteadyTime{}.Now();
+  fixture.Read(4, seconds(10));
+  BOOST_TEST(fixture.log->reads == 2);
+  BOOST_TEST((SteadyTime{}.Now() - began < seconds(1)));
+}
+
+// Guards against calls without pause while many records are written.
+BOOST_AUTO_TEST_CASE(ReadsOfTheStoreKeepTheirInterval) {
+  Fixture fixture;
+  fixture.log->records = {"0"};
+  const TimePoint began = SteadyTime{}.Now();
+  for (int i = 0; i < 5; ++i) {
+    fixture.Read(0);
+  }
+  BOOST_TEST(fixture.log->reads == 5);
+  BOOST_TEST((SteadyTime{}.Now() - began >= 4 * milliseconds(50)));
+}
+
+// What a host reads for others is its own: a relay doesn't count, so that two
+// hosts never wait for each other.
+BOOST_AUTO_TEST_CASE(ReaderReadsTheStoreItselfAtShortIntervals) {
+  Fixture fixture;
+  fixture.log->records = {"0", "1"};
+  TrySend(*fixture.inbox, RelayInput(RelayRole{.is_reader = true}));
+  fixture.Relay(2, {"x"});
+  BOOST_TEST(fixture.Read(0).records.size() == 2U);
+  BOOST_TEST((fixture.log->last_wait == milliseconds(7)));
+  BOOST_REQUIRE(fixture.reads->size() == 1);
+  BOOST_TEST(fixture.reads->at(0).records.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cicadaloft
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -58,9 +58,6 @@
   /// How long a read waits for a record. A dead connection is detected sooner,
   /// by TCP keep-alive probes.
   Duration long_poll_timeout = std::chrono::milliseconds(3500);
-  /// Minimum time between two reads. Calls to the store are charged and rate
-  /// limited, and changes that are written close together are read in one call.
-  Duration min_read_interval{};
   std::uint64_t jitter_seed = 0;
 };
 
@@ -143,7 +140,6 @@
                      std::get_if<LogRecords>(&ValueOf(outcome))) {
         this->HandleSuccess();
         this->HandleRecords(*records);
-        co_await this->Sleep(this->settings.min_read_interval);
       } else {
         is_following = false;
       }
