Tell a new lease holder when its predecessors granted quota

Cause: a pool's memory ended with its holder, and the lease's record states only the sum of a window. So a new holder withheld for 9 s all that had been used in the last 8, and the next one withheld it again. And hosts that could learn nothing of the others assumed 16 hosts, so that 360 together took 3.4 times a limit.

Change: each host remembers what it was granted of pools, and when, and tells a new holder once, with its usage report, when the holder has welcomed it. The holder charges that to its pool at its time and withholds for a window only what the record lists and no host explains (hosts that are gone or cut off). Until the log or a holder has told the number of hosts, 1,024 are assumed, the most that a holder accepts links from.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -44,6 +44,13 @@
   return true;
 }
 
+void CustomerShare::AddPastCharge(double cost, TimePoint at) {
+  const auto later =
+      std::ranges::upper_bound(this->charges, at, {}, &Charge::at);
+  this->charges.insert(later, Charge{.at = at, .cost = cost});
+  this->used += cost;
+}
+
 void CustomerShare::Refund(double cost, TimePoint acquired_at) {
   const auto same_time =
       std::ranges::equal_range(this->charges, acquired_at, {}, &Charge::at);
--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -55,6 +55,8 @@
   /// is allowed if the share is unused, so that large requests are not refused
   /// forever.
   bool TryAcquire(double cost, TimePoint now);
+  /// Adds a cost that was granted before this object existed.
+  void AddPastCharge(double cost, TimePoint at);
   /// Refunds the cost of a request that has not run.
   /// @param acquired_at when the cost was acquired.
   void Refund(double cost, TimePoint acquired_at);
--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -55,6 +55,9 @@
                  LimitUsage usage,
                  TimePoint now);
   void OnReport(const DemandReport& report, TimePoint now);
+  /// A host tells what earlier holders have granted it of their pools. Only the
+  /// first such message of a host in a term counts.
+  void OnHistory(const QuotaHistory& history, TimePoint now);
   /// The link to the host is down: it may connect to another lease holder.
   void OnLinkDown(const HostId& host);
 
@@ -121,6 +124,7 @@
                    double usable_fraction,
                    TimePoint now);
   CustomerShare& PoolOf(const CustomerId& customer);
+  double UnexplainedUsage(const LimitedCustomer& customer) const;
 
   Duration limit_window;
   std::map<HostId, Host> hosts;
@@ -129,6 +133,11 @@
   TimePoint term_began_at{};
   LimitUsage usage_before_term;
   std::map<CustomerId, CustomerShare> pools;
+  /// Hosts whose history is known in this term.
+  std::set<HostId> hosts_with_history;
+  /// Costs granted before this term, by the hosts' histories, in the window
+  /// that ended when the term began.
+  std::map<CustomerId, double> charged_before_term;
   /// When all grants of an earlier lease holder have expired.
   TimePoint previous_grants_expire_at{};
 };
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -99,6 +99,36 @@
   friend bool operator==(const QuotaReply&, const QuotaReply&) = default;
 };
 
+/// A cost that was granted some time ago.
+struct PastCharge {
+  Duration age{};
+  double cost = 0;  ///< In the customer's unit.
+
+  friend auto operator<=>(const PastCharge&, const PastCharge&) = default;
+  friend bool operator==(const PastCharge&, const PastCharge&) = default;
+};
+
+/// What one host was granted of a customer's pool.
+struct CustomerCharges {
+  CustomerId customer;
+  std::vector<PastCharge> charges;  ///< Oldest first.
+
+  friend auto operator<=>(const CustomerCharges&,
+                          const CustomerCharges&) = default;
+  friend bool operator==(const CustomerCharges&,
+                         const CustomerCharges&) = default;
+};
+
+/// A host tells a new lease holder what earlier ones have granted it of their
+/// pools, and when, as the pools' own memory ended with their holders.
+struct QuotaHistory {
+  HostId host;
+  std::vector<CustomerCharges> customers;
+
+  friend auto operator<=>(const QuotaHistory&, const QuotaHistory&) = default;
+  friend bool operator==(const QuotaHistory&, const QuotaHistory&) = default;
+};
+
 /// @param host_count hosts that take requests.
 /// @return the fraction of each limit that is permanently divided evenly, so
 /// that a host without links to others can still serve requests. It shrinks
@@ -116,9 +146,10 @@
 /// than a change of the lease holder takes, so that shares outlive that.
 inline constexpr Duration kShareGrantTtl = std::chrono::seconds(14);
 
-/// Number of hosts to assume until the lease holder has reported how many there
-/// are.
-inline constexpr std::uint32_t kDefaultHostCount = 16;
+/// Number of hosts to assume until the lease's log or its holder has told how
+/// many there are: the most that a holder accepts links from. With a lower
+/// number, hosts that can reach neither would together exceed the limits.
+inline constexpr std::uint32_t kMaxHostCount = 1024;
 
 }  // namespace cicadaloft
 
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -55,6 +55,8 @@
   this->hosts.clear();
   this->pools.clear();
   this->usage_before_term = std::move(usage);
+  this->hosts_with_history.clear();
+  this->charged_before_term.clear();
   this->term_began_at = now;
   this->expected_host_count = previous_host_count;
   this->previous_grants_expire_at = now + kShareGrantTtl + kGrantExpiryMargin;
@@ -98,6 +100,39 @@
   }
 }
 
+void ShareLedger::OnHistory(const QuotaHistory& history, TimePoint now) {
+  if (!this->hosts_with_history.insert(history.host).second) {
+    return;
+  }
+  for (const CustomerCharges& customer : history.customers) {
+    CustomerShare& pool = this->PoolOf(customer.customer);
+    for (const PastCharge& charge : customer.charges) {
+      const TimePoint at = now - charge.age;
+      pool.AddPastCharge(charge.cost, at);
+      if (this->term_began_at - at < this->limit_window) {
+        this->charged_before_term[customer.customer] += charge.cost;
+      }
+    }
+  }
+}
+
+// What the record of the previous holder lists as used, and no host has told
+// when it was used: hosts that are gone or cut off have used it.
+// @return a fraction of the limit.
+double ShareLedger::UnexplainedUsage(const LimitedCustomer& customer) const {
+  const double max_cost = customer.limit.MaxCostPerWindow();
+  const auto charged = this->charged_before_term.find(customer.id);
+  double explained = charged == this->charged_before_term.end() || max_cost <= 0
+                         ? 0
+                         : charged->second / max_cost;
+  for (const auto& [id, host] : this->hosts) {
+    const auto used = host.used_fractions.find(customer.id);
+    explained += used == host.used_fractions.end() ? 0 : used->second;
+  }
+  return std::max(
+      0.0, this->usage_before_term.UsedFraction(customer.id) - explained);
+}
+
 bool ShareLedger::TakesRequests(const Host& host, TimePoint now) const {
   return now - host.last_report_at <= kHostTimeout;
 }
@@ -151,6 +186,7 @@
   const double grantable = 1 - ReservedFraction(this->HostCount(now));
   const double grantable_now = grantable * usable_fraction;
   CustomerShare& pool = this->PoolOf(customer.id);
+  pool.SetUsedBeforeStart(this->UnexplainedUsage(customer));
   const double pool_used = pool.UsedFraction(now);
   std::map<HostId, double> predicted;
   double total_predicted = 0;
@@ -252,7 +288,10 @@
   std::map<CustomerId, double> sums;
   if (now - this->term_began_at < this->limit_window) {
     for (const GrantedShare& item : this->usage_before_term.listed) {
-      sums[item.customer] = item.share;
+      // A pool includes what is not explained otherwise.
+      if (!this->pools.contains(item.customer)) {
+        sums[item.customer] = item.share;
+      }
     }
   }
   std::map<CustomerId, double> reported;
--- a/control/control_load_monitor.cc
+++ b/control/control_load_monitor.cc
@@ -14,9 +14,10 @@
      "record_refused",     "operator_reachable", "fleet_event",
      "store_read",         "model_wanted",       "usage_measured",
      "limit_draw_asked",   "warmup_asked",       "death_noticed",
-     "target_leaving",     "lease_event",        "order_ended",
-     "report_read",        "report_failed",      "peer_changed",
-     "peer_received",      "control_stop",       "control_tick"});
+     "target_leaving",     "quota_history",      "lease_event",
+     "order_ended",        "report_read",        "report_failed",
+     "peer_changed",       "peer_received",      "control_stop",
+     "control_tick"});
 static_assert(kEventKindNames.size() == std::variant_size_v<ControlEvent>);
 
 }  // namespace
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -67,6 +67,7 @@
   if (!std::exchange(this->is_limit_coordinator, true)) {
     this->ledger.BeginTerm(this->known_host_count, this->previous_holder_usage,
                            this->now);
+    this->NotifyEntry(QuotaHistoryRequest{});
   }
   this->BeginPlacementIfDue();
   this->DivideShares();
@@ -255,6 +256,16 @@
   }
 }
 
+void ControlState::Handle(const QuotaHistory& history) {
+  this->ReportToHolder(history);
+}
+
+void ControlState::OnPeerMessage(const HostId&, const QuotaHistory& history) {
+  if (this->is_limit_coordinator) {
+    this->ledger.OnHistory(history, this->now);
+  }
+}
+
 void ControlState::DivideSharesIfDue() {
   // By then the grants that a successor still counts as used by this host have
   // expired.
@@ -299,7 +310,7 @@
   // yet.
   return this->known_host_count > 1 || this->last_grant.grant_number != 0
              ? std::max(1U, this->known_host_count)
-             : kDefaultHostCount;
+             : kMaxHostCount;
 }
 
 // The newest record at the first read of the log describes the time before this
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -52,6 +52,7 @@
   void Handle(const WarmupRequest& request);
   void Handle(const TargetCrashReport& report);
   void Handle(const TargetLeavingReport& report);
+  void Handle(const QuotaHistory& history);
   void MarkLeaving(const TargetLeavingReport& report);
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
@@ -78,6 +79,7 @@
   void OnPeerMessage(const HostId& host, const WarmupGrant& grant);
   void OnPeerMessage(const HostId& host, const TargetCrashReport& report);
   void OnPeerMessage(const HostId& host, const TargetLeavingReport& report);
+  void OnPeerMessage(const HostId& host, const QuotaHistory& history);
   void OnPeerMessage(const HostId& host, const RelayRequest& request);
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -53,7 +53,11 @@
   if (this->connected_holder != host) {
     return;
   }
+  const bool is_first = !this->relay_clock.IsRelaying();
   this->relay_clock.OnWelcome(welcome);
+  if (is_first && this->relay_clock.IsRelaying()) {
+    this->NotifyEntry(QuotaHistoryRequest{});
+  }
 }
 
 void ControlState::OnPeerMessage(const HostId& host, const StoreRelay& relay) {
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -17,6 +17,10 @@
 /// instead and their callers can retry elsewhere.
 constexpr Duration kMinRunTimeAtStop = std::chrono::seconds(1);
 
+/// Upper bound of the time from the last grant of a lease holder until this
+/// host is asked for its history by the next one.
+constexpr Duration kMaxHolderChangeTime = std::chrono::seconds(6);
+
 }  // namespace
 
 bool OpenRequest::IsBatch() const {
@@ -63,7 +67,9 @@
   return "unknown";
 }
 
-EntryCore::EntryCore(const EntrySettings& settings) : settings(settings) {}
+EntryCore::EntryCore(const EntrySettings& settings)
+    : settings(settings),
+      quota_charges(settings.limit_window + kMaxHolderChangeTime) {}
 
 std::size_t EntryCore::WaitingRequestCount() const {
   return std::accumulate(this->queues.begin(), this->queues.end(),
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -14,6 +14,7 @@
 
 #include "cicadaloft/admission/customer_share.h"
 #include "cicadaloft/admission/fair_queue.h"
+#include "cicadaloft/admission/quota_charges.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
@@ -45,6 +46,7 @@
   void Handle(const QuotaReply& reply);
   void Handle(const WarmupGrant& grant);
   void Handle(const TargetCrashReport& report);
+  void Handle(const QuotaHistoryRequest& request);
   void Handle(const EntryTick& tick);
   void Handle(const EntryStopRequested& stop);
 
@@ -186,6 +188,7 @@
   SharesChanged shares;
   std::map<CustomerId, CustomerShare> customer_shares;
   std::map<CustomerId, DeniedQuota> denied_quotas;
+  QuotaCharges quota_charges;
   std::map<ServiceId, RetryBudget> retry_budgets;
   PoisonRequestDetector poison_detector;
   WarmupPermits permits;
--- a/entry/entry_limits.cc
+++ b/entry/entry_limits.cc
@@ -95,6 +95,7 @@
   request.quota_deadline.reset();
   if (reply.is_granted) {
     request.is_charged_to_pool = true;
+    this->quota_charges.Add(request.customer->id, request.cost, this->now);
     this->EnqueueAdmitted(request);
     return;
   }
@@ -105,6 +106,15 @@
   this->RefuseWithoutQuota(request, reply.retry_after, kQuotaDenied);
 }
 
+// The usage report goes with it: until then a new holder must assume that this
+// host uses an equal share.
+void EntryCore::Handle(const QuotaHistoryRequest&) {
+  this->effects.emplace_back(
+      this->quota_charges.History(this->settings.host, this->now));
+  this->usage_reported_at = this->now;
+  this->ReportUsage();
+}
+
 // Ends a request whose quota was denied or whose QuotaRequest had no reply in
 // time.
 void EntryCore::RefuseWithoutQuota(const OpenRequest& request,
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -177,6 +177,14 @@
                          const TargetCrashReport&) = default;
 };
 
+/// Asks for a QuotaHistory, for a new lease holder.
+struct QuotaHistoryRequest {
+  friend auto operator<=>(const QuotaHistoryRequest&,
+                          const QuotaHistoryRequest&) = default;
+  friend bool operator==(const QuotaHistoryRequest&,
+                         const QuotaHistoryRequest&) = default;
+};
+
 /// Sent every kEntryTickInterval.
 struct EntryTick {
   friend auto operator<=>(const EntryTick&, const EntryTick&) = default;
@@ -205,6 +213,7 @@
                                 QuotaReply,
                                 WarmupGrant,
                                 TargetCrashReport,
+                                QuotaHistoryRequest,
                                 EntryTick,
                                 EntryStopRequested>;
 
@@ -291,6 +300,7 @@
                                  WarmupRequest,
                                  TargetCrashReport,
                                  TargetLeavingReport,
+                                 QuotaHistory,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -53,7 +53,8 @@
                                        QuotaRequest,
                                        WarmupRequest,
                                        TargetCrashReport,
-                                       TargetLeavingReport>;
+                                       TargetLeavingReport,
+                                       QuotaHistory>;
 using EntryNotificationMailbox = Mailbox<EntryNotification>;
 /// No request is open, or the grace period has expired. Sent only after a
 /// DrainRequest: until then requests may arrive, also after a moment with none
@@ -220,6 +221,7 @@
   void Execute(const TargetLeavingReport& report) {
     this->NotifyControl(report);
   }
+  void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
 
   void NotifyControl(EntryNotification notification) {
     if (!TrySend(*this->mailboxes.notifications, std::move(notification))) {
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -28,7 +28,8 @@
                                  TargetLeavingReport,
                                  RelayRequest,
                                  RelayWelcome,
-                                 StoreRelay>;
+                                 StoreRelay,
+                                 QuotaHistory>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -138,7 +138,7 @@
         {"use_reported", "demand_reported", "model_wanted", "placement_change",
          "shares_granted", "death_noticed", "limit_draw_asked", "limit_drawn",
          "warmup_asked", "warmup_granted", "target_leaving", "relay_request",
-         "relay_welcome", "store_relay"});
+         "relay_welcome", "store_relay", "quota_history"});
 
 }  // namespace cicadaloft
 
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -83,7 +83,11 @@
                      .topic = DrawName(),
                      .from = LogOffset(DrawCount()),
                      .records = {DrawName(), std::string("\x03") + "k\xff{}"},
-                     .complete_at = Duration(DrawCount())}}}};
+                     .complete_at = Duration(DrawCount())}}},
+      QuotaHistory{.host = HostId(DrawName()),
+                   .customers = {{.customer = CustomerId(DrawName()),
+                                  .charges = {{.age = Duration(DrawCount()),
+                                               .cost = 0.5 * DrawCount()}}}}}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
