Spread the usage reports that follow a new holder's welcome

Cause: every host sends its usage report when a new holder welcomes it, and its next one an interval later: all reports of 360 hosts came in the same moment, every 3.6 s. Between them predicted demand decayed on all hosts at once, shares swung, and what had been shrunk stayed counted as used for a window.

Change: the next report follows after a part of the interval that differs from host to host.

--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -177,15 +177,17 @@
 void EntryCore::Handle(const EntryTick&) {
   this->HandleExpired();
   this->DispatchFromAllQueues();
-  const Duration interval =
-      std::max(kUsageReportInterval,
-               kUsageReportIntervalPerHost * this->shares.host_count);
-  if (this->now - this->usage_reported_at >= interval) {
+  if (this->now - this->usage_reported_at >= this->UsageReportInterval()) {
     this->usage_reported_at = this->now;
     this->ReportUsage();
   }
 }
 
+Duration EntryCore::UsageReportInterval() const {
+  return std::max(kUsageReportInterval,
+                  kUsageReportIntervalPerHost * this->shares.host_count);
+}
+
 void EntryCore::RecordUsage(const OpenRequest& request) {
   if (!request.queue_key.model) {
     return;
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -149,6 +149,7 @@
 
   void RecordUsage(const OpenRequest& request);
   void ReportUsage();
+  Duration UsageReportInterval() const;
 
   // Ends of attempts and requests.
   void HandleFailure(OpenRequest& request, const AttemptEnded& ended);
--- a/entry/entry_limits.cc
+++ b/entry/entry_limits.cc
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <string>
 
+#include "cicadaloft/core/rendezvous.h"
 #include "entry_core.h"
 
 namespace cicadaloft {
@@ -107,12 +108,16 @@
 }
 
 // The usage report goes with it: until then a new holder must assume that this
-// host uses an equal share.
+// host uses an equal share. All hosts do so at the same time, so the next
+// report follows after a part of the interval that differs from host to host.
 void EntryCore::Handle(const QuotaHistoryRequest&) {
   this->effects.emplace_back(
       this->quota_charges.History(this->settings.host, this->now));
-  this->usage_reported_at = this->now;
   this->ReportUsage();
+  const Duration interval = this->UsageReportInterval();
+  this->usage_reported_at =
+      this->now - Duration(StableHash(this->settings.host.value()) %
+                           static_cast<std::uint64_t>(interval.count()));
 }
 
 // Ends a request whose quota was denied or whose QuotaRequest had no reply in
