--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -2,14 +2,11 @@
 #define CICADALOFT_CONTROL_TESTS_HOSTS_SIMULATION_H_
 
 #include <algorithm>
-#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -20,6 +17,7 @@
 #include "cicadaloft/entry/entry_state.h"
 #include "sent_requests.h"
 #include "simulated_host.h"
+#include "simulated_surroundings.h"
 
 namespace cicadaloft {
 
@@ -90,27 +88,21 @@
     }
   }
 
-  /// Crashes all processes and starts them again, with the registry read.
-  void RestartAll() {
+  /// Crashes processes and starts them again, with the registry read.
+  /// @param keeps_holder whether the lease holder's process goes on.
+  void RestartAll(bool keeps_holder = false) {
     for (const auto& host : this->hosts) {
+      if (keeps_holder && host->id == this->Holder()) {
+        continue;
+      }
+      if (keeps_holder) {
+        this->Feed(this->Holder(), PeerLinkChanged{.host = host->id});
+      }
       host->Restart(this->limit);
       this->Start(*host);
     }
   }
 
-  /// Crashes all processes but the lease holder's and starts them again.
-  void RestartFollowers() {
-    const HostId holder = this->lease_log.back().record.holder;
-    for (const auto& host : this->hosts) {
-      if (host->id != holder) {
-        this->FeedControl(*this->Find(holder),
-                          PeerLinkChanged{.host = host->id});
-        host->Restart(this->limit);
-        this->Start(*host);
-      }
-    }
-  }
-
   /// Cuts the links of the first hosts; they can't make new ones.
   /// @param fraction of the hosts that are cut off.
   void CutLinks(double fraction) {
@@ -130,7 +122,7 @@
   /// Cuts the holder off from the lease's log; its links stay up.
   void CutHolderFromLog() {
     for (const auto& host : this->hosts) {
-      host->is_cut_from_log |= host->id == this->lease_log.back().record.holder;
+      host->is_cut_from_log |= host->id == this->lease_log.Holder();
     }
   }
 
@@ -141,29 +133,17 @@
     }
   }
 
-  /// The holder has read records of a topic from the store.
-  void ReadStore(const std::string& topic,
-                 LogOffset from,
-                 std::vector<std::string> records) {
-    this->FeedControl(*this->Find(this->lease_log.back().record.holder),
-                      StoreRead{.topic = topic,
-                                .from = from,
-                                .records = std::move(records),
-                                .sent_at = this->now});
-  }
-
-  /// One host has seen in a response that the target leaves.
-  void ReportLeavingTarget(std::size_t host) {
-    this->FeedControl(*this->hosts.at(host),
-                      TargetLeavingReport{.target = this->target.id,
-                                          .instance = this->target.instance});
+  /// Feeds an event to the control of one host.
+  void Feed(const HostId& host, const ControlEvent& event) {
+    this->FeedControl(*this->Find(host), event);
   }
+  HostId Holder() const { return this->lease_log.Holder(); }
 
   /// @return the hosts that live and don't hold the lease.
   std::vector<const SimulatedHost*> Followers() const {
     std::vector<const SimulatedHost*> followers;
     for (const auto& host : this->hosts) {
-      if (host->is_alive && host->id != this->lease_log.back().record.holder) {
+      if (host->is_alive && host->id != this->lease_log.Holder()) {
         followers.push_back(host.get());
       }
     }
@@ -175,8 +155,7 @@
   /// Crashes the process that holds the lease.
   void CrashHolder() {
     for (const auto& host : this->hosts) {
-      if (!this->lease_log.empty() &&
-          host->id == this->lease_log.back().record.holder) {
+      if (host->id == this->lease_log.Holder()) {
         host->is_alive = false;
         for (const auto& other : this->hosts) {
           this->FeedControl(*other, PeerLinkChanged{.host = host->id});
@@ -206,7 +185,8 @@
 
   void Start(Host& host) {
     this->FeedControl(
-        host, ConfigurationRead{.configuration = this->MakeConfiguration()});
+        host, ConfigurationRead{.configuration = MakeSimulatedConfiguration(
+                                    this->limit, this->cold_rate_limit)});
     this->FeedControl(host, FleetEvent(RegistryReachability{true}));
     this->SendTargetRecord(host);
     // Spreads the ticks of the hosts over one interval.
@@ -226,26 +206,6 @@
             .record = std::make_shared<const TargetRecord>(this->target)}));
   }
 
-  ActiveConfigurationPtr MakeConfiguration() const {
-    return std::make_shared<const ActiveConfiguration>(Configuration{
-        .version = ConfigurationVersion(1),
-        .routes = {Route{.id = RouteId("r"),
-                         .hostname = "h",
-                         .path_prefix = "/",
-                         .timeout = seconds(10),
-                         .latency_objective = milliseconds(300),
-                         .caller_timeout = seconds(8),
-                         .services = {{.service = ServiceId("s")}}}},
-        .services = {{.id = ServiceId("s"),
-                      .cold_requests_per_second =
-                          this->cold_rate_limit.rate_per_second}},
-        .customers = {{.id = CustomerId("c"),
-                       .keys = {"key"},
-                       .is_limited_by_tokens = true,
-                       .rate_per_second = this->limit.rate_per_second,
-                       .burst = this->limit.burst}}});
-  }
-
   void Schedule(Duration delay, std::function<void()> action) {
     this->events.emplace(this->now + delay, std::move(action));
   }
@@ -388,24 +348,14 @@
       });
       return;
     }
-    std::vector<LeaseLogEntry> records;
-    std::ranges::copy_if(
-        this->lease_log, std::back_inserter(records),
-        [&](const auto& entry) { return entry.offset >= read.from; });
-    const LogOffset end(this->lease_log.size());
-    this->Schedule(kLinkDelay, [this, &host, records, end] {
-      this->FeedControl(host, LeaseEvent(LeaseLogRead{.entries = records,
-                                                      .next_offset = end}));
+    const LeaseLogRead outcome = this->lease_log.Read(read.from);
+    this->Schedule(kLinkDelay, [this, &host, outcome] {
+      this->FeedControl(host, LeaseEvent(outcome));
     });
   }
   void Execute(Host& host, const AppendLeaseRecord& append) {
     const bool is_written =
-        !host.is_cut_from_log &&
-        append.expected_end == LogOffset(this->lease_log.size());
-    if (is_written) {
-      this->lease_log.push_back(
-          {.offset = append.expected_end, .record = append.record});
-    }
+        !host.is_cut_from_log && this->lease_log.Append(append);
     const TimePoint sent_at = this->now;
     const LogOffset offset = append.expected_end;
     this->Schedule(kLinkDelay, [this, &host, is_written, offset, sent_at] {
@@ -437,15 +387,10 @@
         ->get();
   }
 
-  TargetRecord target{.id = TargetId("t"),
-                      .service = ServiceId("s"),
-                      .address = "10.0.0.1:1",
-                      .data_centre = DataCentreId("dc"),
-                      .slots = 1'000'000,
-                      .instance = TargetInstance(1)};
+  TargetRecord target = MakeSimulatedTarget();
   TimePoint now{seconds(1000)};
   std::vector<std::unique_ptr<Host>> hosts;
-  std::vector<LeaseLogEntry> lease_log;
+  SimulatedLeaseLog lease_log;
   std::multimap<TimePoint, std::function<void()>> events;
   std::size_t last_request_number = 0;
 };
--- a/control/tests/store_relay_test.cc
+++ b/control/tests/store_relay_test.cc
@@ -25,7 +25,11 @@
   const TimePoint end = simulation.Now() + time;
   LogOffset next = from;
   while (simulation.Now() < end) {
-    simulation.ReadStore(kTopic, next, {"record"});
+    simulation.Feed(simulation.Holder(),
+                    StoreRead{.topic = kTopic,
+                              .from = next,
+                              .records = {"record"},
+                              .sent_at = simulation.Now()});
     next = next.Next();
     simulation.RunFor(kReadInterval);
   }
@@ -86,14 +90,16 @@
   for (const std::size_t hosts : {6, 76, 360}) {
     HostsSimulation simulation(hosts);
     simulation.RunFor(seconds(10));
-    simulation.ReportLeavingTarget(hosts / 2);
+    simulation.Feed(HostId("h" + std::to_string(hosts / 2)),
+                    TargetLeavingReport{.target = TargetId("t"),
+                                        .instance = TargetInstance(1)});
     simulation.RunFor(seconds(1));
     BOOST_TEST_CONTEXT(hosts << " hosts") {
       const auto followers = simulation.Followers();
       BOOST_TEST(
           std::ranges::all_of(followers, &SimulatedHost::sees_draining_target));
     }
-    simulation.RestartFollowers();
+    simulation.RestartAll(/*keeps_holder=*/true);
     simulation.RunFor(seconds(3));
     BOOST_TEST_CONTEXT(hosts << " hosts, restarted") {
       const auto followers = simulation.Followers();
