--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -150,6 +150,9 @@
 /// many there are: the most that a holder accepts links from. With a lower
 /// number, hosts that can reach neither would together exceed the limits.
 inline constexpr std::uint32_t kMaxHostCount = 1024;
+/// The same while the log can be read and no holder has told yet, as in the
+/// first second of a new system.
+inline constexpr std::uint32_t kDefaultHostCount = 16;
 
 }  // namespace cicadaloft
 
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -310,7 +310,8 @@
   // yet.
   return this->known_host_count > 1 || this->last_grant.grant_number != 0
              ? std::max(1U, this->known_host_count)
-             : kMaxHostCount;
+         : this->lease.has_read_log() ? kDefaultHostCount
+                                      : kMaxHostCount;
 }
 
 // The newest record at the first read of the log describes the time before this
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -56,6 +56,8 @@
   explicit LeaseState(LeaseSettings settings);
 
   /// @return whether this host may send orders now.
+  /// @return whether the log has been read, even if it was empty.
+  bool has_read_log() const { return this->has_read; }
   bool MaySendOrders(TimePoint now) const;
   /// @return the token of the current term; 0 if this host is not the holder.
   FencingToken token() const { return this->current_token; }
