Bound what peers can make a host hold

The host had kept 139 MB of the answer and was killed for its memory.

Cause: the parser needs the line before a chunk, and the trailer, as a whole, and the buffer before it had no maximum. The same held for chunked requests of callers, replies to control calls and the metrics port. Bounds that were there held one connection, not all of them.

Change: a fixed buffer for each reader, and one MemoryBudget of the host for bodies, long heads and messages of links, so that the sum fits the smallest host. A target that oversteps costs its own request, oversized_response, which counts against it. Callers over the budget get 503 memory_limit.

exchange_test/EndlessResponseHeadsEndTheAttempt asked for the outcome broken-before-response of a head over the limit; it now asks for oversized_response there, and for the old outcome of endless informational heads.

--- a/core/error_kind.cc
+++ b/core/error_kind.cc
@@ -28,6 +28,8 @@
               "Send the complete request within the time limit."},
     ErrorInfo{kTooManyConnections, "too_many_connections", 503, kNotRun, true,
               "Try again later or through another host."},
+    ErrorInfo{kMemoryLimit, "memory_limit", 503, kNotRun, true,
+              "Try again later or through another host."},
     ErrorInfo{kRateLimited, "rate_limited", 429, kNotRun, true,
               "Try again after the time in Retry-After."},
     ErrorInfo{kQueueFull, "queue_full", 503, kNotRun, true,
--- a/core/include/cicadaloft/core/error_kind.h
+++ b/core/include/cicadaloft/core/error_kind.h
@@ -18,6 +18,7 @@
   kHeaderTooLarge,
   kSlowCaller,
   kTooManyConnections,
+  kMemoryLimit,
   kRateLimited,
   kQueueFull,
   kNoCapacity,
--- a/core/tests/core_test.cc
+++ b/core/tests/core_test.cc
@@ -2,11 +2,14 @@
 #include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/memory_budget.h"
 #include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/rendezvous.h"
 
@@ -28,6 +31,22 @@
   BOOST_TEST(!ErrorKindFromToken("no such token").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(HoldsOfABudgetNeverExceedIt) {
+  const auto budget = std::make_shared<MemoryBudget>(100);
+  {
+    MemoryHold first(budget);
+    MemoryHold second(budget);
+    BOOST_TEST(first.Resize(60));
+    BOOST_TEST(!second.Resize(41));
+    BOOST_TEST(second.Resize(40));
+    BOOST_TEST(first.Resize(10));
+    BOOST_TEST(!second.Resize(91));
+    const MemoryHold moved(std::move(second));
+    BOOST_TEST(budget->held_bytes() == 50U);
+  }
+  BOOST_TEST(budget->held_bytes() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RendezvousHashingMovesOnlyKeysOfRemovedMember) {
   const std::array<std::string, 4> all = {"a", "b", "c", "d"};
   const auto pick = [&](const std::string& key, std::size_t members) {
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -22,6 +22,8 @@
     case AttemptOutcome::kBrokenBeforeResponse:
     case AttemptOutcome::kBrokenDuringResponse:
     case AttemptOutcome::kTimedOut:
+    case AttemptOutcome::kOversizedResponse:
+    case AttemptOutcome::kMemoryLimit:
     case AttemptOutcome::kCancelled:
       return true;
   }
@@ -128,6 +130,7 @@
     case AttemptOutcome::kNotSent:
       target.OnFailure(this->now);
       break;
+    case AttemptOutcome::kMemoryLimit:
     case AttemptOutcome::kCancelled:
       break;
     default:
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -61,6 +61,10 @@
       return "died_started";
     case AttemptOutcome::kTimedOut:
       return "timed_out";
+    case AttemptOutcome::kOversizedResponse:
+      return "oversized_response";
+    case AttemptOutcome::kMemoryLimit:
+      return "memory_limit";
     case AttemptOutcome::kCancelled:
       return "cancelled";
   }
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -86,6 +86,8 @@
   kBrokenBeforeResponse,  ///< The connection broke before the first byte.
   kBrokenDuringResponse,  ///< The caller has part of the response.
   kTimedOut,              ///< The target did not respond in time.
+  kOversizedResponse,     ///< A head or framing is longer than the limit.
+  kMemoryLimit,           ///< The host has no memory left for the response.
   kCancelled,             ///< Ended by CancelAttempt.
 };
 
--- a/forwarding/admin_listener.cc
+++ b/forwarding/admin_listener.cc
@@ -34,6 +34,8 @@
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxBodyBytes = 1024;
+/// Also bounds the framing of a body.
+constexpr std::size_t kMaxHeaderBytes = std::size_t{8} * 1024;
 constexpr std::string_view kExplainPath = "/v1/explain/";
 
 std::optional<AdminRequest> ParseAdminRequest(std::string_view path,
@@ -108,7 +110,7 @@
     tcp::socket socket,
     AdminSettings settings,
     std::shared_ptr<EntryTaskMailbox> entry_inbox) {
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer(kMaxHeaderBytes);
   bool is_open = true;
   while (is_open) {
     http::request_parser<http::string_body> parser;
--- a/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
+++ b/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <compare>
 #include <cstddef>
+#include <memory>
 
+#include "cicadaloft/core/memory_budget.h"
 #include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
@@ -19,6 +21,8 @@
   const Duration idle_timeout = std::chrono::seconds(60);
   /// Longest time without the caller accepting a byte of the response.
   const Duration write_stall_timeout = std::chrono::seconds(30);
+  /// For requests; shared by all connections of the host.
+  const std::shared_ptr<MemoryBudget> memory = MakePeerMemoryBudget();
 
   friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
   friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
@@ -32,6 +36,8 @@
   /// For targets that don't state how long they keep a connection.
   const Duration idle_timeout = std::chrono::seconds(2);
   const std::size_t max_idle_connections = 32;  ///< Per address.
+  /// For heads of responses; shared by all connections of the host.
+  const std::shared_ptr<MemoryBudget> memory = MakePeerMemoryBudget();
 
   friend auto operator<=>(const TargetLimits&, const TargetLimits&) = default;
   friend bool operator==(const TargetLimits&, const TargetLimits&) = default;
--- a/forwarding/include/cicadaloft/forwarding/request_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/request_reader.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_FORWARDING_REQUEST_READER_H_
 #define CICADALOFT_FORWARDING_REQUEST_READER_H_
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/system/errc.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -21,6 +23,7 @@
 #include <utility>
 #include <vector>
 
+#include "cicadaloft/core/memory_budget.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/forwarding/caller_connection.h"
 #include "cicadaloft/forwarding/forwarding_settings.h"
@@ -38,6 +41,8 @@
 Error ErrorFromHttp(const boost::system::error_code& error);
 
 std::vector<HeaderField> HeaderFieldsOf(const HttpRequest& head);
+/// @return the bytes of the target and of the header fields.
+std::size_t HeadBytesOf(const HttpRequest& head);
 
 /// @return an error for a head that the parser accepts, but that two HTTP
 /// implementations could interpret differently.
@@ -72,6 +77,9 @@
       boost::asio::as_tuple(boost::asio::use_awaitable);
   static constexpr std::size_t kReadSizeBytes = 4096;
   static constexpr unsigned kHttp10 = 10;
+  /// Of each byte of a request's head: the parser's field, the field for the
+  /// target, and the identities of the parts of its prompt.
+  static constexpr std::size_t kHeadCopies = 12;
 
   // @return whether another request may follow.
   boost::asio::awaitable<bool> ReadAndSubmit() {
@@ -121,13 +129,12 @@
   // @return an error if the input is invalid or late, else none.
   boost::asio::awaitable<std::optional<Error>> ReadRequest() {
     this->parser.emplace();
+    this->memory.emplace(this->limits.memory);
     this->parser->header_limit(
         static_cast<std::uint32_t>(this->limits.max_header_bytes));
     this->parser->body_limit(this->limits.max_body_bytes);
-    const auto header = co_await WithTimeout(
-        this->limits.read_timeout,
-        boost::beast::http::async_read_header(
-            this->connection->socket, this->buffer, *this->parser, kAsTuple));
+    const auto header =
+        co_await WithTimeout(this->limits.read_timeout, this->ReadHeader());
     if (const auto error = this->CheckReadResult(header)) {
       co_return error;
     }
@@ -140,21 +147,59 @@
       const auto message = ContinueExpected{};
       co_await Send(*this->connection->to_session, message);
     }
-    const auto body = co_await WithTimeout(
-        this->limits.read_timeout,
-        boost::beast::http::async_read(this->connection->socket, this->buffer,
-                                       *this->parser, kAsTuple));
+    const auto body =
+        co_await WithTimeout(this->limits.read_timeout, this->ReadBody());
     co_return this->CheckReadResult(body);
   }
 
+  boost::asio::awaitable<boost::system::error_code> ReadHeader() {
+    const auto without_memory =
+        make_error_code(boost::system::errc::not_enough_memory);
+    if (!this->memory->Resize(this->limits.max_header_bytes)) {
+      co_return without_memory;
+    }
+    this->buffer.max_size(std::max(kReadSizeBytes, this->buffer.size()));
+    auto [error, size] = co_await boost::beast::http::async_read_header(
+        this->connection->socket, this->buffer, *this->parser, kAsTuple);
+    if (error != boost::beast::http::error::buffer_overflow) {
+      co_return error;
+    }
+    // A line is longer than the buffer.
+    if (!this->memory->Resize(2 * this->limits.max_header_bytes)) {
+      co_return without_memory;
+    }
+    this->buffer.max_size(this->limits.max_header_bytes + kReadSizeBytes);
+    std::tie(error, size) = co_await boost::beast::http::async_read_header(
+        this->connection->socket, this->buffer, *this->parser, kAsTuple);
+    co_return error;
+  }
+
+  boost::asio::awaitable<boost::system::error_code> ReadBody() {
+    const std::size_t head_bytes = HeadBytesOf(this->parser->get());
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t held =
+          kHeadCopies * head_bytes + this->parser->get().body().size();
+      if (!this->memory->Resize(held)) {
+        co_return make_error_code(boost::system::errc::not_enough_memory);
+      }
+      if (this->parser->is_done()) {
+        break;
+      }
+      std::tie(error, std::ignore) =
+          co_await boost::beast::http::async_read_some(
+              this->connection->socket, this->buffer, *this->parser, kAsTuple);
+    }
+    co_return error;
+  }
+
   std::optional<Error> CheckReadResult(
-      const std::optional<std::tuple<boost::system::error_code, std::size_t>>&
-          result) {
+      const std::optional<boost::system::error_code>& result) {
     if (!result) {
       return MakeError(ErrorKind::kSlowCaller,
                        "request: incomplete after the read timeout");
     }
-    const boost::system::error_code error = std::get<0>(*result);
+    const boost::system::error_code error = *result;
     if (!error) {
       return std::nullopt;
     }
@@ -183,11 +228,11 @@
     bool is_sent = false;
     if (IsOk(parsed)) {
       const auto message =
-          RequestRead{.request = std::make_shared<const CallerRequest>(
-                          TakeValue(std::move(parsed))),
+          RequestRead{.request = this->ShareRequest(std::move(parsed)),
                       .response_format = *this->response_format};
       is_sent = co_await Send(*this->connection->to_session, message);
     } else {
+      this->ReleaseRequest();
       const auto message =
           RequestRejected{.request = id,
                           .error = ErrorOf(parsed),
@@ -201,6 +246,26 @@
     co_return co_await this->WaitUntilServed();
   }
 
+  // The memory is held as long as the request.
+  std::shared_ptr<const CallerRequest> ShareRequest(
+      Result<CallerRequest> parsed) {
+    struct HeldRequest {
+      CallerRequest request;
+      MemoryHold memory;
+    };
+    const auto held = std::make_shared<HeldRequest>(
+        HeldRequest{.request = TakeValue(std::move(parsed)),
+                    .memory = std::move(*this->memory)});
+    this->ReleaseRequest();
+    return std::shared_ptr<const CallerRequest>(held, &held->request);
+  }
+
+  void ReleaseRequest() {
+    this->memory.reset();
+    this->parser.reset();
+    this->buffer.shrink_to_fit();
+  }
+
   // Waits until at most one submitted request is not yet served: of pipelined
   // requests, only one is read ahead.
   boost::asio::awaitable<bool> WaitUntilServed() {
@@ -234,8 +299,10 @@
 
   const std::shared_ptr<CallerConnection> connection;
   const CallerLimits limits;
-  boost::beast::flat_buffer buffer;
+  /// Holds a head, or the framing within a chunked body.
+  boost::beast::flat_buffer buffer{kReadSizeBytes};
   std::optional<Parser> parser;
+  std::optional<MemoryHold> memory;  // Of the request that is being read.
   std::optional<ResponseFormat> response_format;
   bool has_input_ended = false;  // Nothing more can be read.
   std::uint64_t last_id = 0;
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -163,7 +163,8 @@
   // earlier requests on the connection.
   boost::asio::awaitable<std::optional<AttemptOutcome>> ReadMatchingHead() {
     const CallerRequest& request = *this->params->request;
-    this->response.emplace(this->connection, request.method == "HEAD");
+    this->response.emplace(this->connection, request.method == "HEAD",
+                           this->limits.memory);
     for (int skipped = 0; skipped <= kMaxStaleResponses; ++skipped) {
       if (const auto failure =
               co_await this->response->ReadHead(this->RemainingTime())) {
--- a/forwarding/include/cicadaloft/forwarding/target_response_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/target_response_reader.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -13,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/core/memory_budget.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/forwarding/event_stream_end.h"
@@ -30,8 +32,10 @@
 
   /// @param is_head whether the request's method is HEAD, so that the response
   /// has no body.
+  /// @param memory budget for long heads.
   TargetResponseReader(std::shared_ptr<TargetConnection> connection,
-                       bool is_head);
+                       bool is_head,
+                       std::shared_ptr<MemoryBudget> memory);
 
   /// Reads the next head; informational responses (status 1xx) before it are
   /// skipped.
@@ -65,11 +69,20 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  static constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
-  static constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
+  /// Reads a head into `parser`, with memory from the budget.
+  boost::asio::awaitable<boost::system::error_code> ReadIntoParser();
+  /// @return whether there is memory for it.
+  bool TakeHead();
+
+  static constexpr std::uint32_t kMaxHeadBytes = 16 * 1024;
+  /// Of a head: the buffer's, the parser's, the reader's, the session's, and
+  /// the text for the caller.
+  static constexpr std::size_t kHeadCopies = 5;
+  static constexpr std::size_t kPieceBytes = std::size_t{4} * 1024;
 
   const std::shared_ptr<TargetConnection> connection;
   const bool is_head;
+  MemoryHold memory;
   std::optional<Parser> parser;
   int head_status = 0;
   std::vector<HeaderField> head_fields;
--- a/forwarding/request_reader.cc
+++ b/forwarding/request_reader.cc
@@ -1,6 +1,8 @@
 #include "cicadaloft/forwarding/request_reader.h"
 
 #include <boost/beast/http/field.hpp>
+#include <cstddef>
+#include <numeric>
 
 namespace cicadaloft {
 namespace {
@@ -22,6 +24,10 @@
   if (error == http::error::body_limit) {
     return MakeError(ErrorKind::kBodyTooLarge, "body: larger than the limit");
   }
+  if (error == boost::system::errc::not_enough_memory) {
+    return MakeError(ErrorKind::kMemoryLimit,
+                     "request: the host has no memory left for it");
+  }
   return MakeError(ErrorKind::kMalformedRequest, "HTTP: " + error.message());
 }
 
@@ -34,6 +40,14 @@
   return fields;
 }
 
+std::size_t HeadBytesOf(const HttpRequest& head) {
+  return std::accumulate(head.begin(), head.end(), head.target().size(),
+                         [](std::size_t sum, const auto& field) {
+                           return sum + field.name_string().size() +
+                                  field.value().size();
+                         });
+}
+
 std::optional<Error> CheckRequestHead(const HttpRequest& head) {
   const HttpRequest& request = head;
   const auto fail = [](std::string message) {
--- a/forwarding/target_response_reader.cc
+++ b/forwarding/target_response_reader.cc
@@ -5,8 +5,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/system/errc.hpp>
 #include <chrono>
 #include <cstddef>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -32,14 +34,25 @@
 constexpr Duration kMaxSkipTime = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxSkippedBytes = std::size_t{64} * 1024;
 
+bool IsOversized(const boost::system::error_code& error) {
+  return error == http::error::header_limit ||
+         error == http::error::buffer_overflow;
+}
+
 constexpr std::string_view kEventStream = "text/event-stream";
 
 }  // namespace
 
 TargetResponseReader::TargetResponseReader(
     std::shared_ptr<TargetConnection> connection,
-    bool is_head)
-    : connection(std::move(connection)), is_head(is_head) {}
+    bool is_head,
+    std::shared_ptr<MemoryBudget> memory)
+    : connection(std::move(connection)),
+      is_head(is_head),
+      memory(std::move(memory)) {
+  this->connection->buffer.shrink_to_fit();
+  this->connection->buffer.max_size(TargetConnection::kBufferBytes);
+}
 
 asio::awaitable<std::optional<AttemptOutcome>> TargetResponseReader::ReadHead(
     Duration timeout) {
@@ -49,23 +62,62 @@
       co_return AttemptOutcome::kBrokenBeforeResponse;
     }
     this->parser.emplace();
-    this->parser->header_limit(kMaxHeaderBytes);
+    this->parser->header_limit(kMaxHeadBytes);
     this->parser->body_limit(boost::none);
     this->parser->skip(this->is_head);
-    const auto result = co_await WithTimeout(
-        timeout, http::async_read_header(this->connection->socket,
-                                         this->connection->buffer,
-                                         *this->parser, kAsTuple));
+    const auto result = co_await WithTimeout(timeout, this->ReadIntoParser());
     if (!result) {
       co_return AttemptOutcome::kTimedOut;
     }
+    const boost::system::error_code error = *result;
+    if (error == boost::system::errc::not_enough_memory) {
+      co_return AttemptOutcome::kMemoryLimit;
+    }
+    if (IsOversized(error)) {
+      co_return AttemptOutcome::kOversizedResponse;
+    }
     const bool is_protocol_switch =
         this->parser->get().result() == http::status::switching_protocols;
-    if (std::get<0>(*result) || is_protocol_switch) {
+    if (error || is_protocol_switch) {
       co_return AttemptOutcome::kBrokenBeforeResponse;
     }
   } while (http::to_status_class(this->parser->get().result()) ==
            http::status_class::informational);
+  if (!this->TakeHead()) {
+    co_return AttemptOutcome::kMemoryLimit;
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<boost::system::error_code>
+TargetResponseReader::ReadIntoParser() {
+  const auto without_memory =
+      make_error_code(boost::system::errc::not_enough_memory);
+  auto& [socket, buffer, refused] = *this->connection;
+  // No memory is held for a target that has not begun to respond.
+  if (buffer.size() == 0) {
+    co_await socket.async_wait(asio::ip::tcp::socket::wait_read, kAsTuple);
+  }
+  if (!this->memory.Resize(kMaxHeadBytes)) {
+    co_return without_memory;
+  }
+  auto [error, size] =
+      co_await http::async_read_header(socket, buffer, *this->parser, kAsTuple);
+  const bool has_long_line = error == http::error::buffer_overflow &&
+                             buffer.max_size() < kMaxHeadBytes;
+  if (!has_long_line) {
+    co_return error;
+  }
+  if (!this->memory.Resize(2 * std::size_t{kMaxHeadBytes})) {
+    co_return without_memory;
+  }
+  buffer.max_size(kMaxHeadBytes);
+  std::tie(error, size) =
+      co_await http::async_read_header(socket, buffer, *this->parser, kAsTuple);
+  co_return error;
+}
+
+bool TargetResponseReader::TakeHead() {
   this->head_status = static_cast<int>(this->parser->get().result_int());
   this->head_fields.clear();
   for (const auto& field : this->parser->get()) {
@@ -78,7 +130,12 @@
       type != nullptr &&
       EqualsIgnoreCase(type->substr(0, kEventStream.size()), kEventStream);
   this->event_stream_end = EventStreamEnd();
-  co_return std::nullopt;
+  const std::size_t bytes = std::accumulate(
+      this->head_fields.begin(), this->head_fields.end(), std::size_t{0},
+      [](std::size_t sum, const HeaderField& field) {
+        return sum + field.name.size() + field.value.size();
+      });
+  return this->memory.Resize(kHeadCopies * bytes);
 }
 
 asio::awaitable<TargetResponseReader::Piece> TargetResponseReader::ReadPiece(
@@ -95,6 +152,9 @@
     co_return AttemptOutcome::kTimedOut;
   }
   const boost::system::error_code error = std::get<0>(*result);
+  if (IsOversized(error)) {
+    co_return AttemptOutcome::kOversizedResponse;
+  }
   if (error && error != http::error::need_buffer) {
     co_return AttemptOutcome::kBrokenDuringResponse;
   }
--- a/forwarding/tests/exchange_test.cc
+++ b/forwarding/tests/exchange_test.cc
@@ -148,10 +148,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(EndlessResponseHeadsEndTheAttempt) {
-  const std::vector<std::vector<std::string>> heads = {
-      {"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
-      {"HTTP/1.1 100 Continue\r\n\r\n"}};
-  for (const std::vector<std::string>& head : heads) {
+  const std::vector<std::pair<std::vector<std::string>, AttemptOutcome>> heads =
+      {{{"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"}, kOversizedResponse},
+       {{"HTTP/1.1 100 Continue\r\n\r\n"}, kBrokenBeforeResponse}};
+  for (const auto& [head, outcome] : heads) {
     EntryFixture entry;
     entry.plan->response_timeout = std::chrono::seconds(4);
     entry.target.scripts.push_back(
@@ -161,7 +161,7 @@
     BOOST_TEST((std::chrono::steady_clock::now() - start_time <
                 std::chrono::seconds(1)));
     BOOST_TEST(response.result_int() == 502);
-    BOOST_TEST((entry.Outcomes() == Outcomes{kBrokenBeforeResponse}));
+    BOOST_TEST((entry.Outcomes() == Outcomes{outcome}));
   }
 }
 
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -46,12 +46,13 @@
               Duration limit_window,
               Duration relay_interval,
               const std::string& store,
+              const std::shared_ptr<MemoryBudget>& memory,
               ControlTaskChannels channels)
       : executor(std::move(executor)),
         state(settings, limit_window, relay_interval),
         channels(std::move(channels)),
-        lease_log(platform::StoreClient(this->executor, store)),
-        runners(this->executor, settings.self) {}
+        lease_log(platform::StoreClient(this->executor, store, memory)),
+        runners(this->executor, settings.self, memory) {}
 
   /// Runs until the inbox is closed.
   boost::asio::awaitable<void> Run() {
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -155,7 +155,7 @@
             EntryTaskMailboxes{.inbox = this->entry_mailbox,
                                .notifications = this->entry_notifications,
                                .drained = this->drained},
-            TargetLimits{},
+            TargetLimits{.memory = this->memory},
             BootClock{},
             DecisionLog()) {}
 
@@ -180,14 +180,15 @@
                               .secret = MakeSecret(),
                               .cores = this->settings.cores,
                               .handover_delay = this->settings.handover_delay};
-    auto links = PeerLinks::Open(this->executor, lease, this->control_mailbox);
+    auto links = PeerLinks::Open(this->executor, lease, this->control_mailbox,
+                                 this->memory);
     if (!IsOk(links)) {
       return ErrorOf(links);
     }
     this->peers = TakeValue(std::move(links));
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
-        this->RelayInterval(), this->settings.store,
+        this->RelayInterval(), this->settings.store, this->memory,
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
@@ -209,12 +210,13 @@
     this->SpawnFollowers();
     this->Spawn(RunCallerListener<platform::ClientProtocol>(
         this->caller_acceptor, RequestIdPrefix(this->settings.host),
-        this->entry_mailbox, this->caller_stop, CallerLimits{}));
+        this->entry_mailbox, this->caller_stop,
+        CallerLimits{.memory = this->memory}));
     if (this->native_caller_acceptor != nullptr) {
       this->Spawn(RunCallerListener<NativeProtocol>(
           this->native_caller_acceptor,
           RequestIdPrefix(this->settings.host) + "-own", this->entry_mailbox,
-          this->native_caller_stop, CallerLimits{}));
+          this->native_caller_stop, CallerLimits{.memory = this->memory}));
     }
     this->Spawn(
         RunAdminListener(this->readiness_acceptor,
@@ -293,7 +295,8 @@
   HostStore MakeStore(const std::shared_ptr<RelayMailbox>& relay,
                       Duration min_read_interval) {
     return HostStore(
-        platform::StoreClient(this->executor, this->settings.store),
+        platform::StoreClient(this->executor, this->settings.store,
+                              this->memory),
         RelayedStoreSettings{
             .min_read_interval = min_read_interval,
             .reader_interval =
@@ -341,6 +344,8 @@
 
   asio::io_context& context;
   const HostSettings settings;
+  /// Of all connections of this host.
+  const std::shared_ptr<MemoryBudget> memory = MakePeerMemoryBudget();
   const std::shared_ptr<OutputBuffer> output;
   const asio::any_io_executor executor;
   const std::shared_ptr<EntryTaskMailbox> entry_mailbox;
--- a/host/peer_links.cc
+++ b/host/peer_links.cc
@@ -21,13 +21,15 @@
 // received for longer than receive_timeout has lost the lease or is about to
 // lose it.
 LinkSettings MakeLinkSettings(const LeaseSettings& lease_settings,
-                              const std::string& secret) {
+                              const std::string& secret,
+                              const std::shared_ptr<MemoryBudget>& memory) {
   return LinkSettings{.self = LinkPeer{.host = lease_settings.self},
                       .secret = secret,
                       .ping_interval = std::chrono::milliseconds(700),
                       .receive_timeout = std::chrono::milliseconds(2200),
                       .handshake_timeout = std::chrono::seconds(1),
-                      .max_backoff = std::chrono::milliseconds(600)};
+                      .max_backoff = std::chrono::milliseconds(600),
+                      .memory = memory};
 }
 
 }  // namespace
@@ -35,30 +37,33 @@
 Result<std::unique_ptr<PeerLinks>> PeerLinks::Open(
     const boost::asio::any_io_executor& executor,
     const LeaseSettings& lease_settings,
-    std::shared_ptr<ControlMailbox> control_mailbox) {
+    std::shared_ptr<ControlMailbox> control_mailbox,
+    const std::shared_ptr<MemoryBudget>& memory) {
   const auto sink =
       std::make_shared<LinkEventChannel>(executor, kLinkEventChannelCapacity);
   Result<LinkServer> server = LinkServer::Open(
-      executor, MakeLinkSettings(lease_settings, lease_settings.secret),
+      executor, MakeLinkSettings(lease_settings, lease_settings.secret, memory),
       lease_settings.address, sink);
   if (!IsOk(server)) {
     return ErrorOf(server);
   }
   return std::unique_ptr<PeerLinks>(
       new PeerLinks(executor, lease_settings, std::move(control_mailbox), sink,
-                    TakeValue(std::move(server))));
+                    TakeValue(std::move(server)), memory));
 }
 
 PeerLinks::PeerLinks(const boost::asio::any_io_executor& executor,
                      const LeaseSettings& lease_settings,
                      std::shared_ptr<ControlMailbox> control_mailbox,
                      LinkEventSink sink,
-                     LinkServer server)
+                     LinkServer server,
+                     std::shared_ptr<MemoryBudget> memory)
     : executor(executor),
       lease_settings(lease_settings),
       control_mailbox(std::move(control_mailbox)),
       sink(std::move(sink)),
-      server(std::move(server)) {}
+      server(std::move(server)),
+      memory(std::move(memory)) {}
 
 void PeerLinks::Execute(const ConnectToHolder& effect) {
   const bool is_same_holder =
@@ -76,8 +81,8 @@
   this->client.emplace(
       this->executor,
       LinkClient::Options{
-          .settings =
-              MakeLinkSettings(this->lease_settings, effect.record.secret),
+          .settings = MakeLinkSettings(this->lease_settings,
+                                       effect.record.secret, this->memory),
           .address = effect.record.address,
           .expected_peer = LinkPeer{.host = effect.record.holder},
           .jitter_seed = StableHash(this->lease_settings.self.value())},
--- a/host/peer_links.h
+++ b/host/peer_links.h
@@ -20,11 +20,13 @@
 /// holder, one from each other host.
 class PeerLinks {
  public:
+  /// @param memory budget for messages.
   /// @return the links, or kSettingsInvalid if the address can't be opened.
   static Result<std::unique_ptr<PeerLinks>> Open(
       const boost::asio::any_io_executor& executor,
       const LeaseSettings& lease_settings,
-      std::shared_ptr<ControlMailbox> control_mailbox);
+      std::shared_ptr<ControlMailbox> control_mailbox,
+      const std::shared_ptr<MemoryBudget>& memory);
 
   void Execute(const ConnectToHolder& effect);
   void Execute(const SendToHolder& effect);
@@ -41,7 +43,8 @@
             const LeaseSettings& lease_settings,
             std::shared_ptr<ControlMailbox> control_mailbox,
             LinkEventSink sink,
-            LinkServer server);
+            LinkServer server,
+            std::shared_ptr<MemoryBudget> memory);
   void Handle(const LinkEvent& event);
 
   const boost::asio::any_io_executor executor;
@@ -49,6 +52,7 @@
   const std::shared_ptr<ControlMailbox> control_mailbox;
   const LinkEventSink sink;
   LinkServer server;
+  const std::shared_ptr<MemoryBudget> memory;
   std::optional<LeaseRecord> holder_record;
   std::optional<LinkClient> client;
   std::set<LinkPeer> connected_peers;
--- a/peering/include/cicadaloft/peering/link_messages.h
+++ b/peering/include/cicadaloft/peering/link_messages.h
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <compare>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
 
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/memory_budget.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/peering/messages.h"
 
@@ -65,9 +67,11 @@
   const Duration handshake_timeout = std::chrono::seconds(3);
   const Duration min_backoff = std::chrono::milliseconds(50);
   const Duration max_backoff = std::chrono::seconds(2);
-  const std::size_t max_message_bytes = std::size_t{16} << 20;
+  const std::size_t max_message_bytes = std::size_t{2} << 20;
   /// A link with more unsent bytes is closed.
-  const std::size_t max_queued_bytes = std::size_t{32} << 20;
+  const std::size_t max_queued_bytes = std::size_t{4} << 20;
+  /// For incomplete and unsent messages; shared by all connections of the host.
+  const std::shared_ptr<MemoryBudget> memory = MakePeerMemoryBudget();
   const std::size_t max_links = 1024;  ///< Of a server; more are refused.
 
   friend auto operator<=>(const LinkSettings&, const LinkSettings&) = default;
--- a/peering/link_codec.cc
+++ b/peering/link_codec.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr JsonLimits kLinkLimits{.max_bytes = std::size_t{64} << 20,
+constexpr JsonLimits kLinkLimits{.max_bytes = std::size_t{2} << 20,
                                  .max_depth = 32,
                                  .max_values = 4'000'000};
 
--- a/peering/link_session.cc
+++ b/peering/link_session.cc
@@ -1,12 +1,16 @@
 #include "link_session.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cstddef>
+#include <iterator>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "cicadaloft/peering/link_codec.h"
 
@@ -157,9 +161,17 @@
   }
   this->last_received = std::chrono::steady_clock::now();
   this->engine.Feed(this->read_buffer.data(), count);
-  for (Bytes& message : this->engine.TakeMessages()) {
-    this->inbox.push_back(std::move(message));
+  std::vector<Bytes> messages = this->engine.TakeMessages();
+  // Control frames count as well, which never complete a message.
+  this->incomplete_bytes = messages.empty()
+                               ? std::min(this->incomplete_bytes + count,
+                                          this->settings.max_message_bytes)
+                               : 0;
+  if (!this->received_memory.Resize(this->incomplete_bytes)) {
+    this->Close("memory_limit: no memory left for the peer's message");
+    co_return false;
   }
+  std::ranges::move(messages, std::back_inserter(this->inbox));
   co_return this->engine.state() != WebSocketEngine::State::kClosed ||
       !this->inbox.empty();
 }
@@ -172,6 +184,7 @@
     const auto [error, count] =
         co_await asio::async_write(this->socket, asio::buffer(bytes), kNoThrow);
     this->bytes_in_flight = 0;
+    this->unsent_memory.Resize(this->engine.PendingOutputBytes());
     if (error || this->is_closed) {
       co_return false;
     }
@@ -250,8 +263,13 @@
     return false;
   }
   this->engine.Send(message);
-  if (this->engine.PendingOutputBytes() + this->bytes_in_flight >
-      this->settings.max_queued_bytes) {
+  const std::size_t unsent =
+      this->engine.PendingOutputBytes() + this->bytes_in_flight;
+  if (!this->unsent_memory.Resize(unsent)) {
+    this->Close("memory_limit: no memory left for unsent messages");
+    return false;
+  }
+  if (unsent > this->settings.max_queued_bytes) {
     this->Close("more unsent bytes than max_queued_bytes");
     return false;
   }
--- a/peering/link_session.h
+++ b/peering/link_session.h
@@ -77,6 +77,9 @@
   std::deque<Bytes> inbox;
   std::array<std::uint8_t, kReadBufferBytes> read_buffer{};
   std::size_t bytes_in_flight = 0;
+  std::size_t incomplete_bytes = 0;  ///< Received since the last message.
+  MemoryHold received_memory{this->settings.memory};
+  MemoryHold unsent_memory{this->settings.memory};
   /// Wakes WriteOutput().
   boost::asio::experimental::channel<void(boost::system::error_code)>
       write_signal;
--- a/peering/tests/links_test.cc
+++ b/peering/tests/links_test.cc
@@ -25,7 +25,9 @@
   return LinkPeer{.host = HostId(host)};
 }
 
-LinkSettings MakeSettings(const LinkPeer& self, const std::string& secret) {
+LinkSettings MakeSettings(const LinkPeer& self,
+                          const std::string& secret,
+                          std::shared_ptr<MemoryBudget> memory) {
   return LinkSettings{.self = self,
                       .secret = secret,
                       .ping_interval = std::chrono::milliseconds(50),
@@ -34,7 +36,8 @@
                       .min_backoff = std::chrono::milliseconds(5),
                       .max_backoff = std::chrono::milliseconds(20),
                       .max_message_bytes = 4096,
-                      .max_queued_bytes = 1 << 20};
+                      .max_queued_bytes = 1 << 20,
+                      .memory = std::move(memory)};
 }
 
 PeerMessage MakeMessage(std::uint64_t number, const std::string& name = "b") {
@@ -75,13 +78,15 @@
   asio::io_context context;
   EventCollector server_collector{context};
   EventCollector client_collector{context};
+  std::shared_ptr<MemoryBudget> memory = MakePeerMemoryBudget();
   std::optional<LinkServer> server;
   std::optional<LinkClient> client;
 
   void Serve(const std::string& address = "127.0.0.1:0") {
-    this->server.emplace(TakeValue(LinkServer::Open(
-        this->context.get_executor(), MakeSettings(Peer("b"), kSecret), address,
-        this->server_collector.channel)));
+    this->server.emplace(TakeValue(
+        LinkServer::Open(this->context.get_executor(),
+                         MakeSettings(Peer("b"), kSecret, this->memory),
+                         address, this->server_collector.channel)));
   }
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(this->server->port());
@@ -89,12 +94,12 @@
   void Connect(const std::string& address,
                const LinkPeer& self = Peer("a"),
                const std::string& secret = kSecret) {
-    this->client.emplace(
-        this->context.get_executor(),
-        LinkClient::Options{.settings = MakeSettings(self, secret),
-                            .address = address,
-                            .expected_peer = Peer("b")},
-        this->client_collector.channel);
+    this->client.emplace(this->context.get_executor(),
+                         LinkClient::Options{.settings = MakeSettings(
+                                                 self, secret, this->memory),
+                                             .address = address,
+                                             .expected_peer = Peer("b")},
+                         this->client_collector.channel);
   }
   template <typename Condition>
   bool RunUntil(Condition condition) {
@@ -181,6 +186,26 @@
       [&] { return fixture.client_collector.CountOf<LinkDown>() == 1; }));
 }
 
+// Guards against messages that fill the host's memory on many links at once.
+BOOST_AUTO_TEST_CASE(LinkWithoutMemoryForItsMessagesIsClosed) {
+  LinkFixture fixture;
+  fixture.memory = std::make_shared<MemoryBudget>(100'000);
+  fixture.Serve();
+  fixture.Connect(fixture.Address());
+  BOOST_REQUIRE(fixture.RunUntil([&] { return fixture.IsUp(); }));
+  const PeerMessage message = MakeMessage(1, std::string(4000, 'x'));
+  int sent = 0;
+  while (sent < 1000 && fixture.client->Send(message)) {
+    ++sent;
+  }
+  BOOST_TEST(sent > 15);
+  BOOST_TEST(sent < 30);
+  BOOST_TEST(fixture.RunUntil(
+      [&] { return fixture.client_collector.CountOf<LinkDown>() == 1; }));
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.IsUp(); }));
+  BOOST_TEST(fixture.memory->held_bytes() < 1000U);
+}
+
 BOOST_AUTO_TEST_CASE(SilentPeerIsDisconnected) {
   // A relay between the ends stops forwarding bytes but keeps its sockets open.
   LinkFixture fixture;
