Take only complete responses as proof against a crash

Cause: an attempt that had brought a byte of the body counted as a sound response. It gave no evidence, and refuted the suspicion of its own part. Attempts that timed out, were cancelled or got an error status refuted too.

Change: each broken attempt is evidence, with the bytes it had brought, and only a complete successful response refutes. More sound requests are among the evidence now; what broke earlier is the better explanation, as requests that crash targets break early. Evidence is kept by request. Blocks name a list of fingerprints, of one here.

poison_guard_test/AttemptWithResponseBytesIsEvidenceAgainstItsContentOnly asked for the fault itself; ResponseThatHasOnlyBegunIsEvidenceAndRefutesNothing takes its place.

--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -173,6 +173,7 @@
   PoisonLedger poison_ledger;  ///< Decides while this host divides limits.
   /// This host's evidence, and when its attempts broke.
   std::deque<std::pair<TimePoint, CrashEvidence>> recent_evidence;
+  std::size_t recent_fingerprints = 0;  ///< In all of `recent_evidence`.
 
   RelayPublisher relay_publisher;  ///< Used while this host divides limits.
   RelayClock relay_clock;          ///< Of the connected holder.
--- a/control/poison_duties.cc
+++ b/control/poison_duties.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include "cicadaloft/control/control_state.h"
@@ -10,16 +11,30 @@
 
 /// Evidence that is kept for the next holder.
 constexpr std::size_t kMaxRecentEvidence = 64;
+constexpr std::size_t kMaxRecentFingerprints = 32'768;
+
+std::size_t CountFingerprints(const CrashEvidence& evidence) {
+  return std::accumulate(evidence.requests.begin(), evidence.requests.end(),
+                         std::size_t{0},
+                         [](std::size_t sum, const BrokenRequest& request) {
+                           return sum + request.fingerprints.size();
+                         });
+}
 
 }  // namespace
 
 void ControlState::Handle(const CrashEvidence& evidence) {
+  const std::size_t added = CountFingerprints(evidence);
   while (!this->recent_evidence.empty() &&
          (this->recent_evidence.size() >= kMaxRecentEvidence ||
+          this->recent_fingerprints + added > kMaxRecentFingerprints ||
           this->now - this->recent_evidence.front().first >=
               PoisonLedger::kCrashTtl)) {
+    this->recent_fingerprints -=
+        CountFingerprints(this->recent_evidence.front().second);
     this->recent_evidence.pop_front();
   }
+  this->recent_fingerprints += added;
   this->recent_evidence.emplace_back(this->now - evidence.age, evidence);
   this->ReportToHolder(evidence);
 }
@@ -34,7 +49,7 @@
         CrashEvidence{.target = evidence.target,
                       .instance = evidence.instance,
                       .is_unreachable = evidence.is_unreachable,
-                      .fingerprints = evidence.fingerprints,
+                      .requests = evidence.requests,
                       .age = this->now - at});
   }
   for (const PoisonBlock& block : this->poison_ledger.Blocks(this->now)) {
@@ -89,8 +104,7 @@
 void ControlState::PublishBlock(const PoisonBlock& block) {
   this->effects.emplace_back(
       DecisionRecord{.event = "poison.block",
-                     .fields = {{"kind", ToString(block.fingerprint.kind)},
-                                {"fingerprint", block.fingerprint.hash},
+                     .fields = {{"fingerprints", Describe(block.fingerprints)},
                                 {"remaining_ms", block.remaining}}});
   this->effects.emplace_back(SendToAllHosts{.message = block});
   this->NotifyEntry(block);
--- a/control/tests/poisoned_segment_test.cc
+++ b/control/tests/poisoned_segment_test.cc
@@ -1,7 +1,11 @@
 #define BOOST_TEST_MODULE poisoned_segment
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 #include "hosts_simulation.h"
 #include "simulated_targets.h"
@@ -67,5 +71,50 @@
   }
 }
 
+/// Hosts with targets that have served requests for some seconds.
+struct WarmTargets {
+  explicit WarmTargets(std::size_t hosts)
+      : simulation(hosts, SharedLimit{.rate_per_second = 4e6, .burst = 4e6}) {
+    this->simulation.RunFor(seconds(10));
+    this->targets.emplace(this->simulation, kTargetCount);
+    this->simulation.RunFor(seconds(1));
+    this->targets->SendRequestsFor(seconds(5), kRequestsPerSecond, 0);
+  }
+
+  HostsSimulation simulation;
+  std::optional<SimulatedTargets> targets;
+};
+
+// Guards against a segment that crashes targets after the first bytes of the
+// response, which was taken for a sound one.
+BOOST_AUTO_TEST_CASE(SegmentThatCrashesTargetsAfterTheFirstBytesIsBlocked) {
+  for (const std::size_t hosts : kHostCounts) {
+    BOOST_TEST_CONTEXT(hosts << " hosts") {
+      WarmTargets warm(hosts);
+      warm.targets->is_deadly_after_bytes = true;
+      warm.targets->SendRequestsFor(seconds(20), kRequestsPerSecond,
+                                    kDeadlyFraction);
+      BOOST_TEST(warm.targets->DeadlyArrivalsAfterFifthCrash(
+                     kStabilityWindow) <= kMaxDeadlyArrivals);
+      BOOST_TEST(warm.targets->SoundRequestsBlocked() == 0U);
+    }
+  }
+}
+
+// Guards against blocking what targets with a fault of their own happen to run.
+BOOST_AUTO_TEST_CASE(FaultyTargetsAloneGetNothingBlocked) {
+  for (const std::size_t hosts : kHostCounts) {
+    BOOST_TEST_CONTEXT(hosts << " hosts") {
+      WarmTargets warm(hosts);
+      SimulatedTargets& targets = *warm.targets;
+      for (int i = 0; i < 10; ++i) {
+        targets.CrashTogether(1 + static_cast<std::size_t>(i % 3));
+        targets.SendRequestsFor(milliseconds(3300), kRequestsPerSecond, 0);
+      }
+      BOOST_TEST(targets.SoundRequestsBlocked() == 0U);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/control/tests/simulated_targets.h
+++ b/control/tests/simulated_targets.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <ranges>
 #include <set>
 #include <string>
 #include <utility>
@@ -64,17 +65,42 @@
       if (is_deadly(random)) {
         segments.push_back(kDeadlySegment);
       }
-      const RequestId id("p" + std::to_string(++this->last_request));
-      (segments.size() == 3 ? this->deadly : this->sound)
-          .emplace(id, this->simulation.Now());
-      this->simulation.SendRequest(
-          host(random), SimulatedRequest{.id = id,
-                                         .cost = 1,
-                                         .prompt_segments = segments,
-                                         .fingerprint = this->last_request});
+      this->SendRequest(host(random), segments);
     }
   }
 
+  /// Sends a request now.
+  /// @param segments it crashes targets if the deadly one is among them.
+  /// @return its id.
+  RequestId SendRequest(std::size_t host,
+                        const std::vector<std::uint64_t>& segments) {
+    const RequestId id("p" + std::to_string(++this->last_request));
+    const bool is_deadly =
+        std::ranges::find(segments, kDeadlySegment) != segments.end();
+    (is_deadly ? this->deadly : this->sound)
+        .emplace(id, this->simulation.Now());
+    this->simulation.SendRequest(
+        host, SimulatedRequest{.id = id,
+                               .cost = 1,
+                               .prompt_segments = segments,
+                               .fingerprint = this->last_request});
+    return id;
+  }
+
+  /// Crashes targets at the same moment, for a reason of their own.
+  /// @param count the first ones, by their ids.
+  void CrashTogether(std::size_t count) {
+    for (Target& target :
+         this->targets | std::views::values | std::views::take(count)) {
+      if (target.is_up) {
+        this->Crash(target);
+      }
+    }
+  }
+
+  /// @return whether a target has begun to answer the sound request.
+  bool HasBegun(const RequestId& id) const { return this->begun.contains(id); }
+
   /// @return the deadly requests that reached a target later than `delay` after
   /// the fifth crash.
   std::size_t DeadlyArrivalsAfterFifthCrash(Duration delay) const {
@@ -109,13 +135,16 @@
   }
 
   std::vector<TimePoint> crashes;
+  /// Deadly requests crash targets after the first bytes of the response.
+  bool is_deadly_after_bytes = false;
 
  private:
   struct Attempt {
     HostId host;
     RequestId request;
     AttemptNumber attempt;
-    bool has_bytes = false;
+    std::uint64_t response_bytes = 0;
+    TimePoint begun_at{};
   };
   struct Target {
     TargetRecord record;
@@ -165,11 +194,15 @@
     this->simulation.FeedEntry(attempt.host,
                                ResponseStarted{.request = attempt.request,
                                                .attempt = attempt.attempt});
-    if (this->deadly.contains(attempt.request)) {
+    const bool is_deadly = this->deadly.contains(attempt.request);
+    if (!is_deadly || this->is_deadly_after_bytes) {
+      attempt.response_bytes = kFirstBytes;
+      attempt.begun_at = this->simulation.Now();
+    }
+    if (is_deadly) {
       this->Crash(target);
       return;
     }
-    attempt.has_bytes = true;
     this->begun.insert(attempt.request);
   }
 
@@ -177,10 +210,10 @@
     this->crashes.push_back(this->simulation.Now());
     target.is_up = false;
     for (const auto& [number, attempt] : std::exchange(target.running, {})) {
-      this->End(attempt,
-                attempt.has_bytes || this->deadly.contains(attempt.request)
-                    ? AttemptOutcome::kBrokenDuringResponse
-                    : AttemptOutcome::kBrokenBeforeResponse);
+      this->End(attempt, attempt.response_bytes != 0 ||
+                                 this->deadly.contains(attempt.request)
+                             ? AttemptOutcome::kBrokenDuringResponse
+                             : AttemptOutcome::kBrokenBeforeResponse);
     }
     this->simulation.Schedule(kDownTime, [this, &target] {
       target.is_up = true;
@@ -191,15 +224,25 @@
   }
 
   void End(const Attempt& attempt, AttemptOutcome outcome) {
-    constexpr std::uint64_t kBytes = 100;
     this->simulation.FeedEntry(
-        attempt.host,
-        AttemptEnded{.request = attempt.request,
-                     .attempt = attempt.attempt,
-                     .outcome = outcome,
-                     .response_bytes = attempt.has_bytes ? kBytes : 0});
+        attempt.host, AttemptEnded{.request = attempt.request,
+                                   .attempt = attempt.attempt,
+                                   .outcome = outcome,
+                                   .response_bytes = this->BytesOf(attempt)});
   }
 
+  // One byte each millisecond.
+  std::uint64_t BytesOf(const Attempt& attempt) const {
+    const auto streaming = std::chrono::duration_cast<milliseconds>(
+        this->simulation.Now() - attempt.begun_at);
+    return attempt.response_bytes == 0
+               ? 0
+               : attempt.response_bytes +
+                     static_cast<std::uint64_t>(streaming.count());
+  }
+
+  static constexpr std::uint64_t kFirstBytes = 50;
+
   HostsSimulation& simulation;
   std::map<TargetId, Target> targets;
   std::map<RequestId, TimePoint> sound;   ///< By the time they were sent.
--- a/entry/entry_poison.cc
+++ b/entry/entry_poison.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <numeric>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,13 +12,17 @@
 namespace cicadaloft {
 namespace {
 
+/// Bounds the length of a log line.
+constexpr std::size_t kMaxLoggedHashes = 32;
+
 bool IsConnectionBroken(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kBrokenBeforeResponse ||
          outcome == AttemptOutcome::kBrokenDuringResponse;
 }
 
 std::string JoinHashes(const std::vector<std::uint64_t>& hashes) {
-  return std::accumulate(hashes.begin(), hashes.end(), std::string(),
+  const auto first = hashes | std::views::take(kMaxLoggedHashes);
+  return std::accumulate(first.begin(), first.end(), std::string(),
                          [](std::string text, std::uint64_t hash) {
                            text +=
                                (text.empty() ? "" : ",") + std::to_string(hash);
@@ -25,6 +30,12 @@
                          });
 }
 
+// @return the fingerprints of the request that broke earliest.
+Fingerprints EarliestBroken(const CrashEvidence& evidence) {
+  return evidence.requests.empty() ? Fingerprints()
+                                   : evidence.requests.front().fingerprints;
+}
+
 }  // namespace
 
 void EntryCore::RecordPoisonEvidence(const OpenRequest& request,
@@ -35,6 +46,7 @@
         {{"target", request.target.value()},
          {"model", request.ModelText()},
          {"content", request.arrival.fingerprint},
+         {"segments", request.arrival.prompt_segments.size()},
          {"prompt_segments", JoinHashes(request.arrival.prompt_segments)}});
     this->poison_guard.OnBroken(
         request.fingerprints,
@@ -49,10 +61,11 @@
                                      this->now);
     return;
   }
-  const bool is_complete = ended.outcome == AttemptOutcome::kCompleted ||
-                           ended.outcome == AttemptOutcome::kErrorResponse;
-  if (is_complete || ended.response_bytes > 0) {
-    this->poison_guard.OnResponse(request.fingerprints, is_complete, this->now);
+  // A target may send an error without having run the request.
+  constexpr int kRedirection = 300;
+  if (ended.outcome == AttemptOutcome::kCompleted &&
+      ended.http_status < kRedirection) {
+    this->poison_guard.OnResponse(request.fingerprints, this->now);
   }
 }
 
@@ -62,13 +75,14 @@
               {{"target", evidence.target.value()},
                {"instance", evidence.instance.value()},
                {"unreachable", evidence.is_unreachable ? "yes" : "no"},
-               {"count", evidence.fingerprints.size()},
-               {"fingerprints", Describe(evidence.fingerprints)}});
+               {"requests", evidence.requests.size()},
+               {"fingerprints", Describe(EarliestBroken(evidence))}});
     this->effects.emplace_back(std::move(evidence));
   }
   if (auto refutation = this->poison_guard.TakeRefutation()) {
     this->Log(event_names::kPoisonRefuted, RequestId(),
-              {{"fingerprints", Describe(refutation->fingerprints)}});
+              {{"fingerprints", Describe(refutation->fingerprints)},
+               {"served_before", Describe(refutation->served_before)}});
     this->effects.emplace_back(std::move(*refutation));
   }
 }
@@ -81,9 +95,8 @@
   }
   return MakeError(ErrorKind::kPoisonRequest,
                    "several targets have crashed while they ran requests with "
-                   "this " +
-                       std::string(ToString(blocked->kind)) + ", fingerprint " +
-                       std::to_string(blocked->hash));
+                   "the fingerprints " +
+                       Describe(*blocked));
 }
 
 void EntryCore::Handle(const PoisonSuspects& suspects) {
@@ -95,8 +108,7 @@
     return;
   }
   this->Log(event_names::kPoisonBlock, RequestId(),
-            {{"kind", ToString(block.fingerprint.kind)},
-             {"fingerprint", block.fingerprint.hash},
+            {{"fingerprints", Describe(block.fingerprints)},
              {"remaining_ms", block.remaining}});
   std::vector<std::pair<RequestId, Error>> blocked;
   for (const auto& [id, request] : this->requests) {
--- a/entry/request_fingerprints.cc
+++ b/entry/request_fingerprints.cc
@@ -30,6 +30,9 @@
     add(FingerprintKind::kPath,
         StableHash(location->host + '\n' + location->path));
   }
+  std::ranges::sort(fingerprints);
+  const auto repeated = std::ranges::unique(fingerprints);
+  fingerprints.erase(repeated.begin(), repeated.end());
   return fingerprints;
 }
 
--- a/entry/tests/entry_test.cc
+++ b/entry/tests/entry_test.cc
@@ -280,10 +280,10 @@
   const Fingerprint content{.kind = FingerprintKind::kContent, .hash = 7};
   entry.SendRequest("any");
   BOOST_TEST(entry.EffectsOf<Dispatch>().size() == 1);
-  entry.Feed(PoisonBlock{.fingerprint = content, .remaining = seconds(60)});
+  entry.Feed(PoisonBlock{.fingerprints = {content}, .remaining = seconds(60)});
   entry.SendRequest("any");
   BOOST_TEST((entry.RefusalKind() == ErrorKind::kPoisonRequest));
-  entry.Feed(PoisonBlock{.fingerprint = content});
+  entry.Feed(PoisonBlock{.fingerprints = {content}});
   entry.SendRequest("any");
   BOOST_TEST(entry.EffectsOf<Dispatch>().size() == 2);
 }
@@ -300,7 +300,7 @@
     entry.SendRequest("chat", adapter);
     entry.SendRequest("any");
     entry.Feed(
-        PoisonBlock{.fingerprint = fingerprint, .remaining = seconds(60)});
+        PoisonBlock{.fingerprints = {fingerprint}, .remaining = seconds(60)});
     BOOST_TEST((entry.RefusalKind() == ErrorKind::kPoisonRequest));
     BOOST_TEST(entry.EffectsOf<Refuse>()[0].request.value() == "r1");
   }
@@ -322,10 +322,10 @@
   BOOST_REQUIRE(evidence.size() == 2);
   BOOST_TEST((evidence[0].target != evidence[1].target));
   for (const CrashEvidence& item : evidence) {
-    BOOST_TEST(
-        (std::ranges::find(item.fingerprints,
-                           Fingerprint{.kind = FingerprintKind::kContent,
-                                       .hash = 7}) != item.fingerprints.end()));
+    BOOST_REQUIRE(item.requests.size() == 1);
+    BOOST_TEST(std::ranges::binary_search(
+        item.requests[0].fingerprints,
+        Fingerprint{.kind = FingerprintKind::kContent, .hash = 7}));
   }
 }
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -87,12 +87,19 @@
 template <>
 inline constexpr bool kIsJsonRow<Fingerprint> = true;
 
+template <>
+inline constexpr auto kJsonFields<BrokenRequest> =
+    std::tuple(Required("fingerprints", &BrokenRequest::fingerprints),
+               Required("response_bytes", &BrokenRequest::response_bytes));
+template <>
+inline constexpr bool kIsJsonRow<BrokenRequest> = true;
+
 template <>
 inline constexpr auto kJsonFields<CrashEvidence> =
     std::tuple(Required("target", &CrashEvidence::target),
                Required("instance", &CrashEvidence::instance),
                Required("unreachable", &CrashEvidence::is_unreachable),
-               Required("fingerprints", &CrashEvidence::fingerprints),
+               Required("requests", &CrashEvidence::requests),
                Required("age", &CrashEvidence::age));
 
 template <>
@@ -108,11 +115,12 @@
 
 template <>
 inline constexpr auto kJsonFields<PoisonRefutation> =
-    std::tuple(Required("fingerprints", &PoisonRefutation::fingerprints));
+    std::tuple(Required("fingerprints", &PoisonRefutation::fingerprints),
+               Required("served_before", &PoisonRefutation::served_before));
 
 template <>
 inline constexpr auto kJsonFields<PoisonBlock> =
-    std::tuple(Required("fingerprint", &PoisonBlock::fingerprint),
+    std::tuple(Required("fingerprints", &PoisonBlock::fingerprints),
                Required("remaining", &PoisonBlock::remaining));
 
 template <>
--- a/poison/include/cicadaloft/poison/fingerprint.h
+++ b/poison/include/cicadaloft/poison/fingerprint.h
@@ -13,7 +13,7 @@
 /// share a kind, the later it comes.
 enum class FingerprintKind {
   kContent,         ///< Customer key, method, path and body.
-  kStartedContent,  ///< The same, for crashes in the middle of a response.
+  kStartedContent,  ///< The same, also for crashes in the middle of a response.
   kPromptSegment,
   kAdapter,
   kModel,
@@ -38,6 +38,7 @@
   friend bool operator==(const Fingerprint&, const Fingerprint&) = default;
 };
 
+/// Those of a request, or of a block, are in order and differ from each other.
 using Fingerprints = std::vector<Fingerprint>;
 
 /// @return the first fingerprints, such as "prompt_segment:12,model:34", for
--- a/poison/include/cicadaloft/poison/poison_blocks.h
+++ b/poison/include/cicadaloft/poison/poison_blocks.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_POISON_POISON_BLOCKS_H_
 #define CICADALOFT_POISON_POISON_BLOCKS_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
@@ -13,17 +14,19 @@
 /// The fingerprints whose requests are refused at present.
 class PoisonBlocks {
  public:
+  static constexpr std::size_t kMaxBlocks = 256;
+
   /// @return whether this changes which requests are refused.
   bool Apply(const PoisonBlock& block, TimePoint now);
-  bool Contains(const Fingerprint& fingerprint, TimePoint now) const;
-  /// @return the first of the fingerprints that is blocked, or none.
-  std::optional<Fingerprint> Find(const Fingerprints& fingerprints,
-                                  TimePoint now) const;
+  /// @return the first block whose fingerprints are all among those of the
+  /// request, or none.
+  std::optional<Fingerprints> Find(const Fingerprints& request,
+                                   TimePoint now) const;
   /// @return the blocks with their remaining time.
   std::vector<PoisonBlock> List(TimePoint now) const;
 
  private:
-  std::map<Fingerprint, TimePoint> blocked_until;
+  std::map<Fingerprints, TimePoint> blocked_until;
 };
 
 }  // namespace cicadaloft
--- a/poison/include/cicadaloft/poison/poison_guard.h
+++ b/poison/include/cicadaloft/poison/poison_guard.h
@@ -32,6 +32,9 @@
  public:
   /// Suspicions that the lease holder doesn't repeat end after this time.
   static constexpr Duration kSuspicionTtl = std::chrono::seconds(60);
+  /// Fingerprints in one report, so that a link carries it. Requests that broke
+  /// early come first.
+  static constexpr std::size_t kMaxFingerprintsPerReport = 8192;
   /// An unreachable target is reported again after this time.
   static constexpr Duration kUnreachableInterval = std::chrono::seconds(2);
 
@@ -41,21 +44,19 @@
   void OnUnreachable(const TargetId& target,
                      TargetInstance instance,
                      TimePoint now);
-  /// A target has sent part of a response body.
-  /// @param is_complete whether the response is complete.
-  void OnResponse(const Fingerprints& fingerprints,
-                  bool is_complete,
-                  TimePoint now);
+  /// A target has responded successfully and completely. One that has only
+  /// begun to respond may still crash.
+  void OnResponse(const Fingerprints& fingerprints, TimePoint now);
   void OnSuspects(const PoisonSuspects& suspects, TimePoint now);
   /// @return whether this changes which requests are refused.
   bool OnBlock(const PoisonBlock& block, TimePoint now) {
     return this->blocks.Apply(block, now);
   }
 
-  /// @return the first of the fingerprints that is blocked, or none.
-  std::optional<Fingerprint> FindBlocked(const Fingerprints& fingerprints,
-                                         TimePoint now) const {
-    return this->blocks.Find(fingerprints, now);
+  /// @return a block that applies to the request, or none.
+  std::optional<Fingerprints> FindBlocked(const Fingerprints& request,
+                                          TimePoint now) const {
+    return this->blocks.Find(request, now);
   }
 
   /// @return what the lease holder must be told since the last call.
@@ -66,7 +67,7 @@
   using Process = std::pair<TargetId, TargetInstance>;
   struct Loss {
     bool is_unreachable = false;
-    std::set<Fingerprint> fingerprints;
+    std::vector<BrokenRequest> requests;
   };
 
   void RemoveExpired(TimePoint now);
@@ -79,6 +80,7 @@
   ResponseMemory shared_responses;  ///< Of what several requests share.
   std::map<Fingerprint, TimePoint> suspects;  ///< With their first crashes.
   std::set<Fingerprint> refuted;              ///< Not reported yet.
+  std::set<Fingerprint> served_before;        ///< Not reported yet.
   TimePoint last_cleanup_at{};
 };
 
--- a/poison/include/cicadaloft/poison/poison_messages.h
+++ b/poison/include/cicadaloft/poison/poison_messages.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstdint>
 #include <vector>
 
 #include "cicadaloft/core/id.h"
@@ -11,8 +12,19 @@
 
 namespace cicadaloft {
 
-/// How long requests with a fingerprint that crashes targets are refused.
+/// How long requests with fingerprints that crash targets are refused.
 inline constexpr Duration kPoisonBlockDuration = std::chrono::minutes(10);
+/// The same if others explain the crashes as well, and are blocked with them.
+inline constexpr Duration kAmbiguousBlockDuration = std::chrono::minutes(1);
+
+/// A request that was running on a target process when its connection broke.
+struct BrokenRequest {
+  const Fingerprints fingerprints;
+  const std::uint64_t response_bytes = 0;  ///< Of the body, as they arrived.
+
+  friend auto operator<=>(const BrokenRequest&, const BrokenRequest&) = default;
+  friend bool operator==(const BrokenRequest&, const BrokenRequest&) = default;
+};
 
 /// A host lost connections to a target process, or can't connect to it. Sent to
 /// the lease holder, which compares what hosts have lost at the same time.
@@ -20,8 +32,7 @@
   const TargetId target;
   const TargetInstance instance;
   const bool is_unreachable = false;  ///< The target accepts no connection.
-  /// Of the attempts that broke before any byte of a response body had arrived.
-  const Fingerprints fingerprints;
+  const std::vector<BrokenRequest> requests;
   const Duration age{};  ///< Time since then.
 
   friend auto operator<=>(const CrashEvidence&, const CrashEvidence&) = default;
@@ -38,8 +49,8 @@
                          const SuspectFingerprint&) = default;
 };
 
-/// The lease holder asks whether any host has seen a target respond to a
-/// request with one of these fingerprints since its first crash.
+/// The lease holder asks whether any host has got a complete response to a
+/// request with one of these fingerprints, and whether since its first crash.
 struct PoisonSuspects {
   const std::vector<SuspectFingerprint> suspects;
 
@@ -49,9 +60,10 @@
                          const PoisonSuspects&) = default;
 };
 
-/// A host has seen targets respond to requests with these fingerprints.
+/// A host has got complete responses to requests with these fingerprints.
 struct PoisonRefutation {
-  const Fingerprints fingerprints;
+  const Fingerprints fingerprints;   ///< Since the first crash.
+  const Fingerprints served_before;  ///< Only before it.
 
   friend auto operator<=>(const PoisonRefutation&,
                           const PoisonRefutation&) = default;
@@ -59,10 +71,10 @@
                          const PoisonRefutation&) = default;
 };
 
-/// Requests with the fingerprint must be refused. The lease holder tells all
-/// hosts; hosts tell a new holder.
+/// Requests that have all of the fingerprints must be refused. The lease holder
+/// tells all hosts; hosts tell a new holder.
 struct PoisonBlock {
-  const Fingerprint fingerprint;
+  const Fingerprints fingerprints;
   const Duration remaining{};  ///< 0: the block has been lifted.
 
   friend auto operator<=>(const PoisonBlock&, const PoisonBlock&) = default;
--- a/poison/include/cicadaloft/poison/response_memory.h
+++ b/poison/include/cicadaloft/poison/response_memory.h
@@ -11,11 +11,11 @@
 
 namespace cicadaloft {
 
-/// When targets last responded to requests with a fingerprint. Keeps the most
-/// recent fingerprints, at least kCapacity of them.
+/// When a request with a fingerprint last got a complete response. Keeps the
+/// most recent fingerprints, at least kCapacity of them.
 class ResponseMemory {
  public:
-  static constexpr std::size_t kCapacity = 4096;
+  static constexpr std::size_t kCapacity = 8192;
 
   void Add(const Fingerprint& fingerprint, TimePoint now) {
     if (this->recent.size() >= kCapacity) {
--- a/poison/poison_blocks.cc
+++ b/poison/poison_blocks.cc
@@ -8,40 +8,43 @@
 bool PoisonBlocks::Apply(const PoisonBlock& block, TimePoint now) {
   std::erase_if(this->blocked_until,
                 [&](const auto& entry) { return entry.second <= now; });
+  if (block.fingerprints.empty()) {
+    return false;
+  }
   if (block.remaining <= Duration::zero()) {
-    return this->blocked_until.erase(block.fingerprint) != 0;
+    return this->blocked_until.erase(block.fingerprints) != 0;
   }
-  return this->blocked_until
-      .insert_or_assign(
-          block.fingerprint,
-          now + std::min<Duration>(block.remaining, kPoisonBlockDuration))
-      .second;
-}
-
-bool PoisonBlocks::Contains(const Fingerprint& fingerprint,
-                            TimePoint now) const {
-  const auto found = this->blocked_until.find(fingerprint);
-  return found != this->blocked_until.end() && now < found->second;
+  const bool is_new =
+      this->blocked_until
+          .insert_or_assign(
+              block.fingerprints,
+              now + std::min<Duration>(block.remaining, kPoisonBlockDuration))
+          .second;
+  if (this->blocked_until.size() > kMaxBlocks) {
+    this->blocked_until.erase(std::ranges::min_element(
+        this->blocked_until, {},
+        [](const auto& entry) { return entry.second; }));
+  }
+  return is_new;
 }
 
-std::optional<Fingerprint> PoisonBlocks::Find(const Fingerprints& fingerprints,
-                                              TimePoint now) const {
-  if (this->blocked_until.empty()) {
-    return std::nullopt;
-  }
+std::optional<Fingerprints> PoisonBlocks::Find(const Fingerprints& request,
+                                               TimePoint now) const {
   const auto found =
-      std::ranges::find_if(fingerprints, [&](const Fingerprint& fingerprint) {
-        return this->Contains(fingerprint, now);
+      std::ranges::find_if(this->blocked_until, [&](const auto& entry) {
+        return now < entry.second &&
+               std::ranges::includes(request, entry.first);
       });
-  return found == fingerprints.end() ? std::nullopt : std::optional(*found);
+  return found == this->blocked_until.end() ? std::nullopt
+                                            : std::optional(found->first);
 }
 
 std::vector<PoisonBlock> PoisonBlocks::List(TimePoint now) const {
   std::vector<PoisonBlock> blocks;
-  for (const auto& [fingerprint, until] : this->blocked_until) {
+  for (const auto& [fingerprints, until] : this->blocked_until) {
     if (now < until) {
       blocks.push_back(
-          PoisonBlock{.fingerprint = fingerprint, .remaining = until - now});
+          PoisonBlock{.fingerprints = fingerprints, .remaining = until - now});
     }
   }
   return blocks;
--- a/poison/poison_guard.cc
+++ b/poison/poison_guard.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <iterator>
+#include <utility>
+#include <vector>
 
 namespace cicadaloft {
 namespace {
@@ -13,23 +16,41 @@
 /// crash also breaks responses that have begun before.
 constexpr Duration kMaxReportDelay = std::chrono::seconds(1);
 
+// What crashes targets breaks its own attempts early.
+std::vector<BrokenRequest> WithinReportLimit(
+    const std::vector<BrokenRequest>& requests) {
+  std::vector<const BrokenRequest*> by_progress;
+  std::ranges::transform(requests, std::back_inserter(by_progress),
+                         [](const BrokenRequest& request) { return &request; });
+  std::ranges::sort(by_progress, {}, [](const BrokenRequest* request) {
+    return std::pair(request->response_bytes, request->fingerprints.size());
+  });
+  std::size_t count = 0;
+  std::vector<BrokenRequest> reported;
+  for (const BrokenRequest* request : by_progress) {
+    count += request->fingerprints.size();
+    if (count <= PoisonGuard::kMaxFingerprintsPerReport) {
+      reported.push_back(*request);
+    }
+  }
+  return reported;
+}
+
 }  // namespace
 
 void PoisonGuard::OnBroken(const Fingerprints& fingerprints,
                            const BrokenAttempt& attempt,
                            TimePoint now) {
   this->RemoveExpired(now);
-  Loss& loss = this->losses[Process(attempt.target, attempt.instance)];
-  // A target that has sent part of the body survived the beginning.
-  std::ranges::copy_if(
-      fingerprints, std::inserter(loss.fingerprints, loss.fingerprints.end()),
-      [&](const Fingerprint& fingerprint) {
-        return attempt.response_bytes == 0 ||
-               fingerprint.kind == FingerprintKind::kStartedContent;
-      });
-  if (attempt.response_bytes > 0) {
-    this->OnResponse(fingerprints, false, now);
-  }
+  Fingerprints reported;
+  std::ranges::copy_if(fingerprints, std::back_inserter(reported),
+                       [&](const Fingerprint& fingerprint) {
+                         return attempt.response_bytes == 0 ||
+                                fingerprint.kind != FingerprintKind::kContent;
+                       });
+  this->losses[Process(attempt.target, attempt.instance)].requests.push_back(
+      BrokenRequest{.fingerprints = std::move(reported),
+                    .response_bytes = attempt.response_bytes});
 }
 
 void PoisonGuard::OnUnreachable(const TargetId& target,
@@ -45,13 +66,8 @@
   }
 }
 
-void PoisonGuard::OnResponse(const Fingerprints& fingerprints,
-                             bool is_complete,
-                             TimePoint now) {
+void PoisonGuard::OnResponse(const Fingerprints& fingerprints, TimePoint now) {
   for (const Fingerprint& fingerprint : fingerprints) {
-    if (!is_complete && fingerprint.kind == FingerprintKind::kStartedContent) {
-      continue;
-    }
     (IsContent(fingerprint.kind) ? this->content_responses
                                  : this->shared_responses)
         .Add(fingerprint, now);
@@ -74,6 +90,8 @@
                           .Last(fingerprint);
     if (last && *last >= first_crash_at) {
       this->Refute(fingerprint);
+    } else if (last) {
+      this->served_before.insert(fingerprint);
     }
   }
 }
@@ -86,21 +104,23 @@
 std::vector<CrashEvidence> PoisonGuard::TakeEvidence() {
   std::vector<CrashEvidence> evidence;
   for (const auto& [process, loss] : std::exchange(this->losses, {})) {
-    evidence.push_back(CrashEvidence{
-        .target = process.first,
-        .instance = process.second,
-        .is_unreachable = loss.is_unreachable,
-        .fingerprints = {loss.fingerprints.begin(), loss.fingerprints.end()}});
+    evidence.push_back(
+        CrashEvidence{.target = process.first,
+                      .instance = process.second,
+                      .is_unreachable = loss.is_unreachable,
+                      .requests = WithinReportLimit(loss.requests)});
   }
   return evidence;
 }
 
 std::optional<PoisonRefutation> PoisonGuard::TakeRefutation() {
-  if (this->refuted.empty()) {
+  if (this->refuted.empty() && this->served_before.empty()) {
     return std::nullopt;
   }
   const auto refuted = std::exchange(this->refuted, {});
-  return PoisonRefutation{.fingerprints = {refuted.begin(), refuted.end()}};
+  const auto before = std::exchange(this->served_before, {});
+  return PoisonRefutation{.fingerprints = {refuted.begin(), refuted.end()},
+                          .served_before = {before.begin(), before.end()}};
 }
 
 void PoisonGuard::RemoveExpired(TimePoint now) {
--- a/poison/tests/poison_guard_test.cc
+++ b/poison/tests/poison_guard_test.cc
@@ -33,27 +33,55 @@
   guard.OnBroken({kContent, kStarted, kSegment}, Broken(0), kNow);
   const auto evidence = guard.TakeEvidence();
   BOOST_REQUIRE(evidence.size() == 1U);
-  BOOST_TEST(
-      (evidence[0].fingerprints == Fingerprints{kContent, kStarted, kSegment}));
+  BOOST_REQUIRE(evidence[0].requests.size() == 1U);
+  BOOST_TEST((evidence[0].requests[0].fingerprints ==
+              Fingerprints{kContent, kStarted, kSegment}));
   BOOST_TEST(!evidence[0].is_unreachable);
   BOOST_TEST(guard.TakeEvidence().empty());
 }
 
-BOOST_AUTO_TEST_CASE(AttemptWithResponseBytesIsEvidenceAgainstItsContentOnly) {
+// Guards against a segment that crashes targets after the first bytes of the
+// response, which were taken for a proof that it doesn't.
+BOOST_AUTO_TEST_CASE(ResponseThatHasOnlyBegunIsEvidenceAndRefutesNothing) {
   PoisonGuard guard;
+  guard.OnSuspects(Suspect(seconds(1)), kNow);
   guard.OnBroken({kContent, kStarted, kSegment}, Broken(1), kNow);
   const auto evidence = guard.TakeEvidence();
   BOOST_REQUIRE(evidence.size() == 1U);
-  BOOST_TEST((evidence[0].fingerprints == Fingerprints{kStarted}));
+  BOOST_REQUIRE(evidence[0].requests.size() == 1U);
+  BOOST_TEST((evidence[0].requests[0].fingerprints ==
+              Fingerprints{kStarted, kSegment}));
+  BOOST_TEST(evidence[0].requests[0].response_bytes == 1U);
   guard.OnSuspects(Suspect(seconds(1)), kNow);
-  BOOST_TEST(guard.TakeRefutation().has_value());
+  BOOST_TEST(!guard.TakeRefutation().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReportKeepsTheRequestsThatBrokeEarliest) {
+  PoisonGuard guard;
+  Fingerprints many;
+  for (std::uint64_t hash = 0; hash < 5000; ++hash) {
+    many.push_back(
+        {.kind = FingerprintKind::kPromptSegment, .hash = 100 + hash});
+  }
+  for (const std::uint64_t bytes : {900U, 800U, 700U}) {
+    guard.OnBroken(many, Broken(bytes), kNow);
+  }
+  guard.OnBroken({kSegment}, Broken(20), kNow);
+  const auto evidence = guard.TakeEvidence();
+  BOOST_REQUIRE(evidence.size() == 1U);
+  BOOST_REQUIRE(evidence[0].requests.size() == 2U);
+  BOOST_TEST((evidence[0].requests[0].fingerprints == Fingerprints{kSegment}));
+  BOOST_TEST(evidence[0].requests[1].response_bytes == 700U);
 }
 
 BOOST_AUTO_TEST_CASE(ResponseSinceTheFirstCrashRefutesASuspicion) {
   PoisonGuard guard;
-  guard.OnResponse({kSegment}, true, kNow);
+  guard.OnResponse({kSegment}, kNow);
   guard.OnSuspects(Suspect(seconds(1)), kNow + seconds(5));
-  BOOST_TEST(!guard.TakeRefutation().has_value());
+  const auto before = guard.TakeRefutation();
+  BOOST_REQUIRE(before.has_value());
+  BOOST_TEST(before->fingerprints.empty());
+  BOOST_TEST((before->served_before == Fingerprints{kSegment}));
   // The holder learns of the crash a little later than this host.
   guard.OnSuspects(Suspect(milliseconds(4990)), kNow + seconds(5));
   const auto refutation = guard.TakeRefutation();
@@ -64,18 +92,18 @@
 
 BOOST_AUTO_TEST_CASE(SuspicionWithAnAgeOutOfRangeIsBounded) {
   PoisonGuard guard;
-  guard.OnResponse({kSegment}, true, kNow);
+  guard.OnResponse({kSegment}, kNow);
   guard.OnSuspects(Suspect(Duration::min()), kNow + seconds(5));
-  BOOST_TEST(!guard.TakeRefutation().has_value());
+  BOOST_TEST(guard.TakeRefutation()->fingerprints.empty());
   guard.OnSuspects(Suspect(Duration::max()), kNow + seconds(5));
-  BOOST_TEST(guard.TakeRefutation().has_value());
+  BOOST_TEST(!guard.TakeRefutation()->fingerprints.empty());
 }
 
 BOOST_AUTO_TEST_CASE(LaterResponseRefutesASuspicion) {
   PoisonGuard guard;
   guard.OnSuspects(Suspect(seconds(1)), kNow);
   BOOST_TEST(!guard.TakeRefutation().has_value());
-  guard.OnResponse({kSegment}, false, kNow + seconds(1));
+  guard.OnResponse({kSegment}, kNow + seconds(1));
   BOOST_TEST(guard.TakeRefutation().has_value());
 }
 
@@ -92,16 +120,29 @@
 
 BOOST_AUTO_TEST_CASE(BlockEndsWhenItIsLiftedOrExpires) {
   PoisonGuard guard;
-  const PoisonBlock block{.fingerprint = kSegment, .remaining = seconds(5)};
+  const PoisonBlock block{.fingerprints = {kSegment}, .remaining = seconds(5)};
   BOOST_TEST(guard.OnBlock(block, kNow));
   BOOST_TEST(!guard.OnBlock(block, kNow));
   BOOST_TEST(guard.FindBlocked({kContent, kSegment}, kNow).has_value());
   BOOST_TEST(!guard.FindBlocked({kContent}, kNow).has_value());
   BOOST_TEST(!guard.FindBlocked({kSegment}, kNow + seconds(5)).has_value());
-  BOOST_TEST(guard.OnBlock(PoisonBlock{.fingerprint = kSegment}, kNow));
+  BOOST_TEST(guard.OnBlock(PoisonBlock{.fingerprints = {kSegment}}, kNow));
   BOOST_TEST(!guard.FindBlocked({kSegment}, kNow).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(BlockOfSeveralFingerprintsNeedsAllOfThem) {
+  PoisonGuard guard;
+  guard.OnBlock(PoisonBlock{.fingerprints = {kContent, kSegment},
+                            .remaining = seconds(5)},
+                kNow);
+  BOOST_TEST(!guard.FindBlocked({kContent}, kNow).has_value());
+  BOOST_TEST(!guard.FindBlocked({kSegment}, kNow).has_value());
+  BOOST_TEST(
+      guard.FindBlocked({kContent, kStarted, kSegment}, kNow).has_value());
+  BOOST_TEST(!guard.OnBlock(PoisonBlock{.remaining = seconds(5)}, kNow));
+  BOOST_TEST(!guard.FindBlocked({}, kNow).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/poison/tests/poison_ledger_test.cc
+++ b/poison/tests/poison_ledger_test.cc
@@ -23,10 +23,12 @@
 /// A ledger with two hosts that report to it.
 class LedgerFixture {
  public:
-  /// A target crashes; one host lost these attempts, both see that the target
-  /// is unreachable.
-  void Crash(const std::string& target, const Fingerprints& fingerprints) {
-    this->Lose(target, fingerprints);
+  /// A target crashes; one host lost a request with these fingerprints, both
+  /// see that the target is unreachable.
+  void Crash(const std::string& target,
+             const Fingerprints& fingerprints,
+             std::uint64_t response_bytes = 0) {
+    this->Lose(target, fingerprints, response_bytes);
     for (const char* host : {"h1", "h2"}) {
       this->ledger.OnEvidence(HostId(host),
                               CrashEvidence{.target = TargetId(target),
@@ -46,13 +48,17 @@
   }
 
   /// One host loses its connections to a target.
-  void Lose(const std::string& target, const Fingerprints& fingerprints) {
-    this->ledger.OnEvidence(HostId("h1"),
-                            CrashEvidence{.target = TargetId(target),
-                                          .instance = TargetInstance(1),
-                                          .is_unreachable = true,
-                                          .fingerprints = fingerprints},
-                            this->now);
+  void Lose(const std::string& target,
+            const Fingerprints& fingerprints,
+            std::uint64_t response_bytes = 0) {
+    this->ledger.OnEvidence(
+        HostId("h1"),
+        CrashEvidence{.target = TargetId(target),
+                      .instance = TargetInstance(1),
+                      .is_unreachable = true,
+                      .requests = {{.fingerprints = fingerprints,
+                                    .response_bytes = response_bytes}}},
+        this->now);
   }
 
   void Refute(const Fingerprint& fingerprint) {
@@ -62,6 +68,12 @@
         std::back_inserter(this->lifted));
   }
 
+  /// A host has served it before the first crash.
+  void ServedBefore(const Fingerprint& fingerprint) {
+    this->ledger.OnRefutation(PoisonRefutation{.served_before = {fingerprint}},
+                              this->now);
+  }
+
   void RunFor(Duration time) {
     const TimePoint end = this->now + time;
     while (this->now < end) {
@@ -72,9 +84,11 @@
           },
           this->now);
       std::ranges::copy(decisions.suspects, std::back_inserter(this->suspects));
-      std::ranges::transform(decisions.blocks,
-                             std::back_inserter(this->blocked),
-                             &PoisonBlock::fingerprint);
+      for (const PoisonBlock& block : decisions.blocks) {
+        std::ranges::copy(block.fingerprints,
+                          std::back_inserter(this->blocked));
+        this->blocks.push_back(block);
+      }
     }
   }
 
@@ -82,7 +96,8 @@
   PoisonLedger ledger;
   std::vector<TargetId> ended;  ///< By the registry.
   std::vector<SuspectFingerprint> suspects;
-  std::vector<Fingerprint> blocked;
+  std::vector<PoisonBlock> blocks;
+  Fingerprints blocked;  ///< Of all blocks, one after the other.
   std::vector<PoisonBlock> lifted;
 };
 
@@ -214,6 +229,19 @@
   BOOST_TEST((fixture.blocked == Fingerprints{Segment(1), Segment(9)}));
 }
 
+// A request that crashes targets breaks early; one that is sound breaks at any
+// time.
+BOOST_AUTO_TEST_CASE(RivalWhoseRequestsHadGoneOnIsNotBlocked) {
+  LedgerFixture fixture;
+  for (const char* target : {"a", "b", "c"}) {
+    fixture.Crash(target, {Segment(1)}, 5000);
+    fixture.Crash(target, {Segment(9)}, 30);
+    fixture.RunFor(PoisonLedger::kSameMoment);
+  }
+  fixture.RunFor(seconds(2));
+  BOOST_TEST((fixture.blocked == Fingerprints{Segment(9)}));
+}
+
 BOOST_AUTO_TEST_CASE(RivalsHaveMoreTimeToBeRefuted) {
   LedgerFixture fixture;
   fixture.CrashInTurn({"a", "b", "c"}, {Segment(1), Segment(9)});
@@ -237,16 +265,30 @@
   BOOST_TEST(fixture.blocked.empty());
 }
 
+// Guards against a deadly segment that no host is asked about, because others
+// come before it.
+BOOST_AUTO_TEST_CASE(SuspectsBeyondOneMessageFollow) {
+  LedgerFixture fixture;
+  Fingerprints common;
+  for (std::uint64_t hash = 1; hash <= 600; ++hash) {
+    common.push_back(Segment(hash));
+  }
+  fixture.CrashInTurn({"a", "b", "c"}, common);
+  fixture.RunFor(seconds(2));
+  BOOST_TEST(fixture.suspects.size() == 600U);
+}
+
 // Another host may send any number.
 BOOST_AUTO_TEST_CASE(AgesOutOfRangeAreBounded) {
   LedgerFixture fixture;
   for (const Duration age : {Duration::min(), Duration::max()}) {
-    fixture.ledger.OnEvidence(HostId("h1"),
-                              CrashEvidence{.target = TargetId("a"),
-                                            .instance = TargetInstance(1),
-                                            .fingerprints = {Segment(1)},
-                                            .age = age},
-                              fixture.now);
+    fixture.ledger.OnEvidence(
+        HostId("h1"),
+        CrashEvidence{.target = TargetId("a"),
+                      .instance = TargetInstance(1),
+                      .requests = {{.fingerprints = {Segment(1)}}},
+                      .age = age},
+        fixture.now);
   }
   fixture.CrashInTurn({"b", "c", "d"}, {Segment(1)});
   fixture.RunFor(seconds(1));
