Block only together what crashes don't tell apart

Cause: the sound part and the deadly one were in the same requests, and the lower hash was blocked. That the first had been served before didn't count, and once it was refused no response could refute it.

Evidence: poisoned_segment_test/SegmentThatAccompaniesTheDeadlyOneGoesOnBeingServed on: 0 of 30 begin on 6, 76 and 360 hosts if the companion has the lower hash, all if it has the higher one. Five cases of poison_test fail on the state before.

Change: a block has all fingerprints that are in the same requests, and refuses requests with all of them. Hosts also tell what they served before the first crash; that is blocked last.

--- a/control/tests/poisoned_segment_test.cc
+++ b/control/tests/poisoned_segment_test.cc
@@ -101,6 +101,40 @@
   }
 }
 
+// Guards against refusing the sound segment that all deadly requests begin
+// with, because its hash is the lower one.
+BOOST_AUTO_TEST_CASE(SegmentThatAccompaniesTheDeadlyOneGoesOnBeingServed) {
+  for (const std::size_t hosts : kHostCounts) {
+    for (const std::uint64_t companion :
+         {std::uint64_t{50}, SimulatedTargets::kDeadlySegment + 1}) {
+      BOOST_TEST_CONTEXT(hosts << " hosts, companion " << companion) {
+        WarmTargets warm(hosts);
+        SimulatedTargets& targets = *warm.targets;
+        const auto send_batch = [&] {
+          std::vector<RequestId> batch;
+          for (std::uint64_t i = 0; i < 30; ++i) {
+            batch.push_back(
+                targets.SendRequest(i % hosts, {companion, 500 + i}));
+            targets.SendRequestsFor(milliseconds(200), kRequestsPerSecond, 0);
+          }
+          return std::ranges::count_if(
+              batch, [&](const auto& id) { return targets.HasBegun(id); });
+        };
+        const auto begun_before = send_batch();
+        targets.SendRequestsFor(seconds(3), kRequestsPerSecond, 0);
+        for (std::uint64_t i = 0; i < 10; ++i) {
+          targets.SendRequest(i % hosts,
+                              {companion, SimulatedTargets::kDeadlySegment});
+          targets.SendRequestsFor(seconds(3), kRequestsPerSecond, 0);
+        }
+        BOOST_TEST(targets.crashes.size() <= 4U);
+        BOOST_TEST(2 * send_batch() >= begun_before);
+        BOOST_TEST(targets.SoundRequestsBlocked() == 0U);
+      }
+    }
+  }
+}
+
 // Guards against blocking what targets with a fault of their own happen to run.
 BOOST_AUTO_TEST_CASE(FaultyTargetsAloneGetNothingBlocked) {
   for (const std::size_t hosts : kHostCounts) {
--- a/poison/poison_ledger.cc
+++ b/poison/poison_ledger.cc
@@ -257,7 +257,8 @@
   // narrower block.
   const auto weakness = [](const Candidate& candidate) {
     const Tally& tally = candidate.second;
-    return std::tuple(-static_cast<std::int64_t>(tally.moments),
+    return std::tuple(tally.was_served,
+                      -static_cast<std::int64_t>(tally.moments),
                       -static_cast<std::int64_t>(tally.crashes),
                       tally.max_response_bytes, tally.requests);
   };
@@ -274,7 +275,16 @@
   if (best == candidates.end()) {
     return equal;
   }
-  equal.push_back(&*best);
+  for (const Candidate& candidate : candidates) {
+    const bool is_in_same_requests =
+        candidate.second.requests_digest == best->second.requests_digest &&
+        candidate.second.was_served == best->second.was_served;
+    if (is_in_same_requests ||
+        (weakness(candidate) == weakness(*best) &&
+         Rank(candidate.first.kind) == Rank(best->first.kind))) {
+      equal.push_back(&candidate);
+    }
+  }
   const bool has_enough =
       std::ranges::any_of(equal, [](const Candidate* candidate) {
         const auto& [fingerprint, tally] = *candidate;
