Count crashes at one moment for what was never served

Cause: crashes within 200 ms count as one, so three groups were needed however many runners each had crashed.

Evidence: poisoned_segment_test/DeadlyRequestsThatComeTogetherAreBlocked on: 5, 10 and 10 late requests on 6, 76 and 360 hosts.

Change: what was served before counts by moments, since a power failure takes what is served all the time. What was never served also counts by targets; five at one moment are enough.

--- a/poison/poison_ledger.cc
+++ b/poison/poison_ledger.cc
@@ -208,7 +208,7 @@
                                Decisions& decisions,
                                TimePoint now) {
   for (const auto& [fingerprint, tally] : tallies) {
-    const bool is_new_suspect = tally.moments >= kMinCrashesOfSuspect &&
+    const bool is_new_suspect = tally.crashes >= kMinCrashesOfSuspect &&
                                 tally.unexplained > 0 &&
                                 !this->suspected_at.contains(fingerprint);
     if (is_new_suspect && decisions.suspects.size() == kMaxSuspectsPerMessage) {
@@ -264,7 +264,7 @@
   };
   const auto is_candidate = [](const Candidate& entry) {
     return entry.second.unexplained > 0 &&
-           entry.second.moments >= kMinCrashesOfSuspect;
+           entry.second.crashes >= kMinCrashesOfSuspect;
   };
   auto candidates = tallies | std::views::filter(is_candidate);
   const auto best =
@@ -288,7 +288,9 @@
   const bool has_enough =
       std::ranges::any_of(equal, [](const Candidate* candidate) {
         const auto& [fingerprint, tally] = *candidate;
-        return tally.moments >= MinCrashesToBlock(fingerprint.kind);
+        return tally.moments >= MinCrashesToBlock(fingerprint.kind) ||
+               (tally.crashes >= kMinCrashesAtOneMoment && !tally.was_served &&
+                !IsContent(fingerprint.kind));
       });
   return has_enough ? equal : std::vector<const Candidate*>();
 }
