--- a/entry/tests/entry_test.cc
+++ b/entry/tests/entry_test.cc
@@ -329,6 +329,22 @@
   }
 }
 
+// Guards against taking a connection that this host closed, because the response
+// had no end, for a crash of the target.
+BOOST_AUTO_TEST_CASE(OversizedResponseIsNoEvidenceOfACrash) {
+  for (const auto outcome :
+       {AttemptOutcome::kOversizedResponse, AttemptOutcome::kMemoryLimit}) {
+    EntryFixture entry;
+    entry.Start();
+    entry.SendRequest("once");
+    entry.EndAttempt(entry.EffectsOf<Dispatch>().back(), outcome);
+    entry.Feed(EntryTick{});
+    BOOST_TEST(entry.EffectsOf<CrashEvidence>().empty());
+    BOOST_TEST((entry.RefusalKind() == ErrorKind::kTargetFailed));
+    BOOST_TEST(entry.EffectsOf<Dispatch>().size() == 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(BrokenAttemptIsLoggedWithItsPromptSegments) {
   EntryFixture entry;
   entry.Start();
--- a/poison/include/cicadaloft/poison/poison_ledger.h
+++ b/poison/include/cicadaloft/poison/poison_ledger.h
@@ -128,6 +128,7 @@
   /// @return the fingerprints that explain the crashes best, if there are
   /// enough of them.
   static std::vector<const Candidate*> BestExplanations(const Tallies& tallies);
+  static bool HasEnoughCrashes(const Candidate* candidate);
   /// @return whether another part that requests share explains the crashes as
   /// well, as far as its requests show.
   static bool HasRival(const Candidate& best, const Tallies& tallies);
--- a/poison/poison_ledger.cc
+++ b/poison/poison_ledger.cc
@@ -285,14 +285,16 @@
       equal.push_back(&candidate);
     }
   }
-  const bool has_enough =
-      std::ranges::any_of(equal, [](const Candidate* candidate) {
-        const auto& [fingerprint, tally] = *candidate;
-        return tally.moments >= MinCrashesToBlock(fingerprint.kind) ||
-               (tally.crashes >= kMinCrashesAtOneMoment && !tally.was_served &&
-                !IsContent(fingerprint.kind));
-      });
-  return has_enough ? equal : std::vector<const Candidate*>();
+  return std::ranges::any_of(equal, HasEnoughCrashes)
+             ? equal
+             : std::vector<const Candidate*>();
+}
+
+bool PoisonLedger::HasEnoughCrashes(const Candidate* candidate) {
+  const auto& [fingerprint, tally] = *candidate;
+  return tally.moments >= MinCrashesToBlock(fingerprint.kind) ||
+         (tally.crashes >= kMinCrashesAtOneMoment && !tally.was_served &&
+          !IsContent(fingerprint.kind));
 }
 
 bool PoisonLedger::HasRival(const Candidate& best, const Tallies& tallies) {
--- a/poison/tests/poison_ledger_test.cc
+++ b/poison/tests/poison_ledger_test.cc
@@ -1,11 +1,10 @@
 #define BOOST_TEST_MODULE poison
-#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <string>
 #include <vector>
 
-#include "cicadaloft/poison/poison_ledger.h"
+#include "ledger_fixture.h"
 
 namespace cicadaloft {
 namespace {
@@ -14,93 +13,6 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-constexpr TimePoint kNow(seconds(1000));
-
-Fingerprint Segment(std::uint64_t hash) {
-  return Fingerprint{.kind = FingerprintKind::kPromptSegment, .hash = hash};
-}
-
-/// A ledger with two hosts that report to it.
-class LedgerFixture {
- public:
-  /// A target crashes; one host lost a request with these fingerprints, both
-  /// see that the target is unreachable.
-  void Crash(const std::string& target,
-             const Fingerprints& fingerprints,
-             std::uint64_t response_bytes = 0) {
-    this->Lose(target, fingerprints, response_bytes);
-    for (const char* host : {"h1", "h2"}) {
-      this->ledger.OnEvidence(HostId(host),
-                              CrashEvidence{.target = TargetId(target),
-                                            .instance = TargetInstance(1),
-                                            .is_unreachable = true},
-                              this->now);
-    }
-  }
-
-  /// Crashes one after the other.
-  void CrashInTurn(const std::vector<std::string>& targets,
-                   const Fingerprints& fingerprints) {
-    for (const std::string& target : targets) {
-      this->Crash(target, fingerprints);
-      this->RunFor(PoisonLedger::kSameMoment);
-    }
-  }
-
-  /// One host loses its connections to a target.
-  void Lose(const std::string& target,
-            const Fingerprints& fingerprints,
-            std::uint64_t response_bytes = 0) {
-    this->ledger.OnEvidence(
-        HostId("h1"),
-        CrashEvidence{.target = TargetId(target),
-                      .instance = TargetInstance(1),
-                      .is_unreachable = true,
-                      .requests = {{.fingerprints = fingerprints,
-                                    .response_bytes = response_bytes}}},
-        this->now);
-  }
-
-  void Refute(const Fingerprint& fingerprint) {
-    std::ranges::move(
-        this->ledger.OnRefutation(
-            PoisonRefutation{.fingerprints = {fingerprint}}, this->now),
-        std::back_inserter(this->lifted));
-  }
-
-  /// A host has served it before the first crash.
-  void ServedBefore(const Fingerprint& fingerprint) {
-    this->ledger.OnRefutation(PoisonRefutation{.served_before = {fingerprint}},
-                              this->now);
-  }
-
-  void RunFor(Duration time) {
-    const TimePoint end = this->now + time;
-    while (this->now < end) {
-      this->now += milliseconds(20);
-      const auto decisions = this->ledger.Decide(
-          [this](const TargetId& target, TargetInstance) {
-            return std::ranges::find(this->ended, target) != this->ended.end();
-          },
-          this->now);
-      std::ranges::copy(decisions.suspects, std::back_inserter(this->suspects));
-      for (const PoisonBlock& block : decisions.blocks) {
-        std::ranges::copy(block.fingerprints,
-                          std::back_inserter(this->blocked));
-        this->blocks.push_back(block);
-      }
-    }
-  }
-
-  TimePoint now = kNow;
-  PoisonLedger ledger;
-  std::vector<TargetId> ended;  ///< By the registry.
-  std::vector<SuspectFingerprint> suspects;
-  std::vector<PoisonBlock> blocks;
-  Fingerprints blocked;  ///< Of all blocks, one after the other.
-  std::vector<PoisonBlock> lifted;
-};
-
 // Guards against a shared segment that crashes one target after the other.
 BOOST_AUTO_TEST_CASE(SegmentInThreeCrashesIsBlockedAndItsCompanionsAreNot) {
   LedgerFixture fixture;
@@ -116,21 +28,6 @@
   BOOST_TEST((fixture.blocked == Fingerprints{Segment(9)}));
 }
 
-// Without any refutation, the segment in fewer requests is the narrower block.
-BOOST_AUTO_TEST_CASE(NarrowestOfEqualExplanationsIsBlocked) {
-  LedgerFixture fixture;
-  for (const char* target : {"a", "b", "c"}) {
-    fixture.Crash(target, {Segment(1)});
-    fixture.CrashInTurn({target}, {Segment(1), Segment(9)});
-  }
-  fixture.RunFor(seconds(2));
-  BOOST_TEST((fixture.blocked == Fingerprints{Segment(9)}));
-  // A further crash without the blocked segment shows the other cause.
-  fixture.Crash("d", {Segment(1)});
-  fixture.RunFor(seconds(2));
-  BOOST_TEST((fixture.blocked == Fingerprints{Segment(9), Segment(1)}));
-}
-
 BOOST_AUTO_TEST_CASE(PathModelOrAdapterThatCrashesTargetsIsBlocked) {
   for (const auto kind : {FingerprintKind::kAdapter, FingerprintKind::kModel,
                           FingerprintKind::kPath}) {
@@ -217,106 +114,6 @@
   BOOST_TEST(fixture.ledger.Blocks(fixture.now).empty());
 }
 
-// Guards against a sound segment that is blocked because its hash is lower, and
-// against another three crashes until the true cause is blocked.
-BOOST_AUTO_TEST_CASE(RivalsAreBlockedTogetherUntilOneIsRefuted) {
-  for (const std::uint64_t sound : {1U, 9U}) {
-    const std::uint64_t deadly = sound == 1 ? 9 : 1;
-    LedgerFixture fixture;
-    fixture.CrashInTurn({"a", "b", "c"}, {Segment(1), Segment(9)});
-    fixture.RunFor(seconds(2));
-    BOOST_REQUIRE(fixture.blocks.size() == 1U);
-    BOOST_TEST((fixture.blocks[0].fingerprints ==
-                Fingerprints{Segment(1), Segment(9)}));
-    fixture.Refute(Segment(sound));
-    BOOST_TEST(fixture.lifted.size() == 1U);
-    fixture.RunFor(milliseconds(200));
-    BOOST_REQUIRE(fixture.blocks.size() == 2U);
-    BOOST_TEST(
-        (fixture.blocks[1].fingerprints == Fingerprints{Segment(deadly)}));
-  }
-}
-
-BOOST_AUTO_TEST_CASE(OneCrashWithoutItsRivalShowsTheDeadlySegment) {
-  for (const std::uint64_t deadly : {1U, 9U}) {
-    LedgerFixture fixture;
-    fixture.CrashInTurn({"a", "b", "c"}, {Segment(1), Segment(9)});
-    fixture.RunFor(seconds(2));
-    fixture.Crash("d", {Segment(deadly), Segment(20)});
-    fixture.RunFor(milliseconds(200));
-    BOOST_REQUIRE(fixture.blocks.size() == 2U);
-    BOOST_TEST(
-        (fixture.blocks[1].fingerprints == Fingerprints{Segment(deadly)}));
-  }
-}
-
-// Guards against refusing a sound first segment in place of the one that
-// crashes targets: an earlier complete response counts, whatever the hashes
-// are.
-BOOST_AUTO_TEST_CASE(RivalThatWasServedBeforeIsNotBlocked) {
-  for (const std::uint64_t sound : {1U, 9U}) {
-    const std::uint64_t deadly = sound == 1 ? 9 : 1;
-    LedgerFixture fixture;
-    fixture.CrashInTurn({"a", "b"}, {Segment(1), Segment(9)});
-    fixture.RunFor(milliseconds(100));
-    fixture.ServedBefore(Segment(sound));
-    fixture.CrashInTurn({"c"}, {Segment(1), Segment(9)});
-    fixture.RunFor(seconds(2));
-    BOOST_TEST((fixture.blocked == Fingerprints{Segment(deadly)}));
-  }
-}
-
-// What was served may crash a newer version of the targets.
-BOOST_AUTO_TEST_CASE(SegmentThatWasServedBeforeIsBlockedIfNothingElseIsLeft) {
-  LedgerFixture fixture;
-  for (const char* target : {"a", "b", "c"}) {
-    fixture.CrashInTurn(
-        {target},
-        {Segment(1), Segment(static_cast<std::uint64_t>(100 + target[0]))});
-    fixture.ServedBefore(Segment(1));
-  }
-  fixture.RunFor(seconds(2));
-  BOOST_TEST((fixture.blocked == Fingerprints{Segment(1)}));
-}
-
-// A request that crashes targets breaks early; one that is sound breaks at any
-// time.
-BOOST_AUTO_TEST_CASE(RivalWhoseRequestsHadGoneOnIsNotBlocked) {
-  LedgerFixture fixture;
-  for (const char* target : {"a", "b", "c"}) {
-    fixture.Crash(target, {Segment(1)}, 5000);
-    fixture.Crash(target, {Segment(9)}, 30);
-    fixture.RunFor(PoisonLedger::kSameMoment);
-  }
-  fixture.RunFor(seconds(2));
-  BOOST_TEST((fixture.blocked == Fingerprints{Segment(9)}));
-}
-
-BOOST_AUTO_TEST_CASE(RivalsOfOtherRequestsAreBlockedForAShortTime) {
-  LedgerFixture fixture;
-  for (const char* target : {"a", "b", "c"}) {
-    fixture.Crash(target, {Segment(1)});
-    fixture.Crash(target, {Segment(9)});
-    fixture.RunFor(PoisonLedger::kSameMoment);
-  }
-  fixture.RunFor(seconds(2));
-  BOOST_REQUIRE(fixture.blocks.size() == 2U);
-  for (const PoisonBlock& block : fixture.blocks) {
-    BOOST_TEST(block.fingerprints.size() == 1U);
-    BOOST_TEST((block.remaining == kAmbiguousBlockDuration));
-  }
-}
-
-BOOST_AUTO_TEST_CASE(RivalsHaveMoreTimeToBeRefuted) {
-  LedgerFixture fixture;
-  fixture.CrashInTurn({"a", "b", "c"}, {Segment(1), Segment(9)});
-  fixture.RunFor(PoisonLedger::kRefutationTime + milliseconds(100));
-  BOOST_TEST(fixture.blocked.empty());
-  fixture.Refute(Segment(1));
-  fixture.RunFor(milliseconds(200));
-  BOOST_TEST((fixture.blocked == Fingerprints{Segment(9)}));
-}
-
 // Guards against blocking sound requests after a power failure, while no target
 // is left that could respond to them.
 BOOST_AUTO_TEST_CASE(PowerFailureCountsAsOneCrashOfWhatWasServed) {
