--- a/entry/tests/entry_test.cc
+++ b/entry/tests/entry_test.cc
@@ -329,8 +329,8 @@
   }
 }
 
-// Guards against taking a connection that this host closed, because the response
-// had no end, for a crash of the target.
+// Guards against taking a connection that this host closed, because the
+// response had no end, for a crash of the target.
 BOOST_AUTO_TEST_CASE(OversizedResponseIsNoEvidenceOfACrash) {
   for (const auto outcome :
        {AttemptOutcome::kOversizedResponse, AttemptOutcome::kMemoryLimit}) {
