--- a/poison/tests/poison_ledger_test.cc
+++ b/poison/tests/poison_ledger_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE poison
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -176,11 +177,43 @@
   for (std::uint64_t hash = 1; hash <= 600; ++hash) {
     common.push_back(Segment(hash));
   }
-  fixture.CrashInTurn({"a", "b", "c"}, common);
-  fixture.RunFor(seconds(2));
+  fixture.Crash("a", common);
+  fixture.Crash("b", common);
+  fixture.RunFor(3 * PoisonLedger::kDecisionInterval);
   BOOST_TEST(fixture.suspects.size() == 600U);
 }
 
+// Guards against blocking a content that a host loses on all targets at once.
+BOOST_AUTO_TEST_CASE(ContentAtOneMomentCountsAsOneCrash) {
+  LedgerFixture fixture;
+  const Fingerprint content{.kind = FingerprintKind::kContent, .hash = 5};
+  for (const char* target : {"a", "b", "c", "d", "e", "f"}) {
+    fixture.Crash(target, {content});
+  }
+  fixture.RunFor(seconds(2));
+  BOOST_TEST(fixture.blocked.empty());
+}
+
+// Guards against evidence that fills the lease holder's memory.
+BOOST_AUTO_TEST_CASE(OldestCrashesMakeRoomForNewOnes) {
+  LedgerFixture fixture;
+  for (const char* target : {"a", "b", "c"}) {
+    fixture.Crash(target, {Segment(9)});
+    fixture.now += PoisonLedger::kSameMoment;
+  }
+  constexpr std::uint64_t kSegments = 8000;
+  for (std::uint64_t crash = 1; crash <= 9; ++crash) {
+    Fingerprints fingerprints;
+    for (std::uint64_t i = 0; i < kSegments; ++i) {
+      fingerprints.push_back(Segment(crash * kSegments + i));
+    }
+    fixture.Crash("x" + std::to_string(crash), fingerprints);
+    fixture.now += milliseconds(1);
+  }
+  fixture.RunFor(seconds(2));
+  BOOST_TEST(fixture.suspects.empty());
+}
+
 // Another host may send any number.
 BOOST_AUTO_TEST_CASE(AgesOutOfRangeAreBounded) {
   LedgerFixture fixture;
