Log the start of the process and the reason of each end

A process that had ended by itself left nothing that told why: a failed start had a line without time on standard error only, an exception out of a handler or std::terminate had none, and only a finished stop was logged.

ProcessLog logs from before the settings are read, with the default level until they are. `process starts` is its first line, `process ends` with code, reason and details its last: stopped (0), start_failed with the error kind (2, also on standard error as before), exception (3, was an abort without a line).

tests/process_start_test.sh, new; on the code before: stopped.log: no line "process starts.*pid=" The line for exceptions has no test here: nothing in the program lets one be thrown from outside.

--- a/host/main.cc
+++ b/host/main.cc
@@ -1,5 +1,4 @@
 #include <docopt/docopt.h>
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -11,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -20,6 +20,8 @@
 #include "cicadaloft/telemetry/log.h"
 #include "host_runtime.h"
 #include "host_settings.h"
+#include "process_end.h"
+#include "process_log.h"
 
 namespace cicadaloft {
 namespace {
@@ -44,11 +46,10 @@
   -h --help        Show this text.
   --version        Show the version.
 
-Exit codes: 0 stopped as asked, 2 wrong settings or arguments.
+Exit codes: 0 stopped as asked; 2 the start failed: wrong settings, or no
+address; 3 ended by a fault of the program. The last line of the log says why.
 )";
 
-constexpr int kExitSettings = 2;
-
 std::string SettingsPath(const docopt::value& option) {
   if (option.isString()) {
     return option.asString();
@@ -102,50 +103,55 @@
   context.stop();
 }
 
-// A slow reader of standard output must never block the process.
-void SetNonBlocking(int descriptor) {
-  const int flags = fcntl(descriptor, F_GETFL);
-  if (flags >= 0) {
-    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
-  }
-}
-
-int Run(const HostSettings& settings, const std::string& path) {
-  SetNonBlocking(STDOUT_FILENO);
-  const auto output = std::make_shared<OutputBuffer>();
-  const LogSession session(settings.log_level, output);
+ProcessEnd Serve(const HostSettings& settings,
+                 const std::string& path,
+                 ProcessLog& log) {
+  log.SetLevel(settings.log_level);
   asio::io_context context(1);
-  const auto runtime = HostRuntime::Start(context, settings, output);
+  const auto runtime = HostRuntime::Start(context, settings, log.output());
   if (!IsOk(runtime)) {
-    std::cerr << ErrorOf(runtime).message << "\n";
-    return kExitSettings;
+    return MakeStartFailed(ErrorOf(runtime));
   }
   Log("host").Info("started " + settings.host.value() + " in " +
                    settings.data_centre.value());
   asio::co_spawn(context, RunUntilStopped(context, *ValueOf(runtime), path),
                  asio::detached);
-  context.run();
-  output->Flush(STDOUT_FILENO);
-  // Ends without running destructors: the requests are answered, and the
-  // teardown of tasks and libraries has made stopped hosts hang until they were
-  // killed.
-  std::_Exit(0);
+  try {
+    context.run();
+  } catch (const std::exception& exception) {
+    // Ends here: the tasks of `runtime` must not be destroyed half run.
+    log.End(MakeFault(std::string("a handler: ") + exception.what()));
+  }
+  log.End(MakeStopped("as asked"));
 }
 
-int Main(const std::vector<std::string>& arguments) {
-  std::signal(SIGPIPE, SIG_IGN);
-  auto values = docopt::docopt(kUsage, arguments, true, kVersion);
-  const std::string path = SettingsPath(values["--settings"]);
+int Run(const std::string& path) {
+  ProcessLog log;
+  Log("process").Info("process starts version=" + std::string(kVersion) +
+                      " pid=" + std::to_string(getpid()) + " settings=" + path);
+  log.Flush();
+  const auto settings = ReadHostSettings(SettingsReader::FromFile(path));
+  const ProcessEnd end = IsOk(settings) ? Serve(ValueOf(settings), path, log)
+                                        : MakeStartFailed(ErrorOf(settings));
+  std::cerr << end.details << "\n";
+  log.End(end);
+}
+
+int CheckSettings(const std::string& path) {
   const auto settings = ReadHostSettings(SettingsReader::FromFile(path));
   if (!IsOk(settings)) {
     std::cerr << ErrorOf(settings).message << "\n";
-    return kExitSettings;
-  }
-  if (values["--check"].asBool()) {
-    std::cout << path << ": ok\n";
-    return 0;
+    return static_cast<int>(ExitCode::kStartFailed);
   }
-  return Run(ValueOf(settings), path);
+  std::cout << path << ": ok\n";
+  return static_cast<int>(ExitCode::kStopped);
+}
+
+int Main(const std::vector<std::string>& arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  auto values = docopt::docopt(kUsage, arguments, true, kVersion);
+  const std::string path = SettingsPath(values["--settings"]);
+  return values["--check"].asBool() ? CheckSettings(path) : Run(path);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/process_start_test.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Starts and ends host processes in the ways in which machines do: the log names
+# each end, and ordinary events in the start end no process.
+# Usage: process_start_test.sh BUILD_DIR
+set -euo pipefail
+cd "$(dirname "$0")/.."
+host=$1/host/cicadaloft-host
+dir=$(mktemp -d)
+pids=()
+on_exit() {
+  local code=$? pid
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  [ "$code" = 0 ] || tail -n 15 "$dir"/*.log >&2
+  rm -rf "$dir"
+  exit "$code"
+}
+trap on_exit EXIT
+
+base=${CICADALOFT_START_TEST_PORT:-27000}
+is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+ports_free() { for p in $(seq "$1" $(($1 + 9))); do is_free "$p" || return 1; done; }
+while ! ports_free "$base"; do base=$((base + 100)); done
+
+wait_ms=10000  # for anything that the test waits for
+
+now_ms() { echo $((${EPOCHREALTIME/[.,]/} / 1000)); }
+until_ok() {  # COMMAND ...
+  local start
+  start=$(now_ms)
+  until "$@" >/dev/null 2>&1; do
+    [ $(($(now_ms) - start)) -lt $wait_ms ] ||
+      { echo "not within $wait_ms ms: $*" >&2; return 1; }
+    sleep 0.02
+  done
+}
+write_settings() {  # FILE [MEMBER, ...]
+  cat >"$1" <<JSON
+{"host": "h1", "data_centre": "a", "listen": "127.0.0.1:$base",
+ "ready_listen": "127.0.0.1:$((base + 1))", "admin_listen": "127.0.0.1:$((base + 2))",
+ "peer_listen": "127.0.0.1:$((base + 3))", ${2-} "store": "127.0.0.1:$((base + 4))",
+ "stop_time": "1200ms"}
+JSON
+}
+start() {  # LOG FILE
+  "$host" --settings "$2" >"$dir/$1.log" 2>"$dir/$1.err" &
+  pid=$!
+  pids+=("$pid")
+}
+expect_exit() {  # CODE
+  local code=0
+  wait "$pid" || code=$?
+  [ "$code" = "$1" ] || { echo "exit code $code, expected $1" >&2; return 1; }
+}
+serves() { (exec 3<>"/dev/tcp/127.0.0.1/$((base + 1))") 2>/dev/null; }
+logged() { grep -q "$2" "$dir/$1.log" || { echo "$1.log: no line \"$2\"" >&2; return 1; }; }
+check() { echo "- $*"; }
+write_settings "$dir/h1.json"
+
+# Guards against ends of a process that its log can't tell from one another.
+check "the log has the start and the reason of the end: stopped"
+start stopped "$dir/h1.json"
+until_ok serves
+logged stopped 'process starts.*pid='
+kill -TERM "$pid"
+expect_exit 0
+logged stopped '"component":"process".*process ends code=0 reason=stopped'
+
+check "the log has the reason of the end: wrong settings"
+write_settings "$dir/wrong.json" '"cores": -1,'
+start wrong "$dir/wrong.json"
+expect_exit 2
+logged wrong '"unix_ms":.*process ends code=2 reason=start_failed details=settings_invalid: .*cores'
+grep -q cores "$dir/wrong.err"
+
+echo "all checks passed"
