Handle signals from the first instant of main

A SIGHUP or SIGTERM before the host served ended its process by the signal: handlers were installed once the tasks ran, after settings and sockets.

SignalTask owns the signals for the whole life of the process. Its constructor, first in main, installs the handlers and then takes the signals from the inherited mask, so that one that was blocked when the process was started isn't lost either. RunHost, the task of the process, learns of the stop by a mailbox that stays closed, so that a request before it looked isn't lost. A stop before the host serves ends with 0 without serving.

What remains: exec to main, some milliseconds of loading libraries, which only the mask that the process inherits can cover. The window that this change closes is what lies behind main; it's long where the settings are read slowly.

--- /dev/null
+++ b/host/host_process.cc
@@ -0,0 +1,41 @@
+#include "host_process.h"
+
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/settings/settings_reader.h"
+#include "cicadaloft/telemetry/log.h"
+#include "host_runtime.h"
+#include "host_settings.h"
+
+namespace cicadaloft {
+namespace {
+
+constexpr char kStoppedInStart[] = "before the host served";
+
+}  // namespace
+
+boost::asio::awaitable<ProcessEnd> RunHost(boost::asio::io_context& context,
+                                           std::string settings_path,
+                                           ProcessLog& log,
+                                           std::shared_ptr<StopSignal> stop) {
+  const auto settings =
+      ReadHostSettings(SettingsReader::FromFile(settings_path));
+  if (!IsOk(settings)) {
+    co_return MakeStartFailed(ErrorOf(settings));
+  }
+  log.SetLevel(ValueOf(settings).log_level);
+  if (IsStopRequested(*stop)) {
+    co_return MakeStopped(kStoppedInStart);
+  }
+  const auto runtime =
+      HostRuntime::Start(context, ValueOf(settings), log.output());
+  if (!IsOk(runtime)) {
+    co_return MakeStartFailed(ErrorOf(runtime));
+  }
+  Log("host").Info("started " + ValueOf(settings).host.value() + " in " +
+                   ValueOf(settings).data_centre.value());
+  co_await Receive(*stop);
+  co_await ValueOf(runtime)->Stop();
+  co_return MakeStopped("as asked");
+}
+
+}  // namespace cicadaloft
--- a/tests/process_start_test.sh
+++ b/tests/process_start_test.sh
@@ -73,4 +73,41 @@
 logged wrong '"unix_ms":.*process ends code=2 reason=start_failed details=settings_invalid: .*cores'
 grep -q cores "$dir/wrong.err"
 
+# Guards against processes that a signal in their start ends, or that lose it.
+# The host reads its settings from a pipe, so that it is held there.
+mkfifo "$dir/pipe"
+start_held() {  # LOG
+  exec 3<>"$dir/pipe"
+  start "$1" "$dir/pipe" 3>&-
+  until_ok logged "$1" 'process starts'
+  sleep 0.1
+}
+release() { cat "$dir/h1.json" >&3; exec 3>&-; }
+
+check "SIGHUP in the start is harmless"
+start_held hup
+kill -HUP "$pid"
+kill -HUP "$pid"
+release
+until_ok serves
+kill -TERM "$pid"
+expect_exit 0
+
+for signal in TERM INT; do
+  check "SIG$signal in the start stops the process in the ordinary way"
+  start_held "$signal"
+  kill "-$signal" "$pid"
+  release
+  expect_exit 0
+  logged "$signal" 'process ends code=0 reason=stopped'
+done
+
+check "a signal that was blocked when the process was started isn't lost"
+env --block-signal=TERM bash -c 'kill -TERM $$; exec "$@"' - \
+  "$host" --settings "$dir/h1.json" >"$dir/blocked.log" 2>&1 &
+pid=$!
+pids+=("$pid")
+expect_exit 0
+logged blocked 'process ends code=0 reason=stopped details=before the host served'
+
 echo "all checks passed"
