Wait for a whole settings file at the start

A host whose settings file was absent, empty or half written at the start, as while it is replaced, ended with 2 at once, and nothing starts it again on some platforms.

AwaitHostSettings reads such a file again by a timer for at most 5 s, and logs once that it waits. A whole JSON document is decided at once, right or wrong: no part of an object parses as one, so that wrong content doesn't cost the wait. The task that flushes the log moved from HostRuntime to ProcessLog, since lines are written before the runtime exists now.

--- a/host/host_process.cc
+++ b/host/host_process.cc
@@ -1,10 +1,12 @@
 #include "host_process.h"
 
+#include <utility>
+
 #include "cicadaloft/core/result.h"
-#include "cicadaloft/settings/settings_reader.h"
 #include "cicadaloft/telemetry/log.h"
 #include "host_runtime.h"
 #include "host_settings.h"
+#include "settings_wait.h"
 
 namespace cicadaloft {
 namespace {
@@ -18,14 +20,14 @@
                                            ProcessLog& log,
                                            std::shared_ptr<StopSignal> stop) {
   const auto settings =
-      ReadHostSettings(SettingsReader::FromFile(settings_path));
+      co_await AwaitHostSettings(std::move(settings_path), stop);
+  if (IsStopRequested(*stop)) {
+    co_return MakeStopped(kStoppedInStart);
+  }
   if (!IsOk(settings)) {
     co_return MakeStartFailed(ErrorOf(settings));
   }
   log.SetLevel(ValueOf(settings).log_level);
-  if (IsStopRequested(*stop)) {
-    co_return MakeStopped(kStoppedInStart);
-  }
   const auto runtime =
       HostRuntime::Start(context, ValueOf(settings), log.output());
   if (!IsOk(runtime)) {
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -45,9 +45,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// Interval at which buffered log lines are written to standard output.
-constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
-
 /// The minimum interval between two reads of the registry is 7/20 of
 /// drain_time, the time for which a leaving target still serves. Changes of
 /// targets within the interval are read together. The remaining 13/20 allow for
@@ -206,7 +203,6 @@
     this->Spawn(this->control_task->Run());
     this->Spawn(this->SendControlTicks());
     this->Spawn(this->ForwardEntryNotifications());
-    this->Spawn(this->FlushLog());
     this->SpawnFollowers();
     this->Spawn(RunCallerListener<platform::ClientProtocol>(
         this->caller_acceptor, RequestIdPrefix(this->settings.host),
@@ -324,19 +320,6 @@
     }
   }
 
-  asio::awaitable<void> FlushLog() {
-    const Log log("log");
-    while (true) {
-      co_await this->Sleep(kLogFlushInterval);
-      const std::uint64_t dropped = this->output->TakeDroppedCount();
-      if (dropped > 0) {
-        log.Warn("log lines dropped because the output buffer was full: " +
-                 std::to_string(dropped));
-      }
-      this->output->Flush(STDOUT_FILENO);
-    }
-  }
-
   asio::awaitable<void> Sleep(Duration time) {
     asio::steady_timer timer(this->executor, time);
     co_await timer.async_wait(kNoThrow);
--- a/host/main.cc
+++ b/host/main.cc
@@ -68,6 +68,7 @@
   Log("process").Info("process starts version=" + std::string(kVersion) +
                       " pid=" + std::to_string(getpid()) + " settings=" + path);
   log.Flush();
+  asio::co_spawn(context, log.RunFlush(), asio::detached);
   asio::co_spawn(context, signal_task.Run(path), asio::detached);
   try {
     // Handles the signals that have come before the tasks of the host.
--- a/host/process_log.h
+++ b/host/process_log.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_HOST_PROCESS_LOG_H_
 #define CICADALOFT_HOST_PROCESS_LOG_H_
 
+#include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -21,6 +22,8 @@
   void SetLevel(std::string_view level);
   const std::shared_ptr<OutputBuffer>& output() const { return this->buffer; }
   void Flush();
+  /// Writes what is buffered at regular intervals, until the process ends.
+  boost::asio::awaitable<void> RunFlush();
 
   /// Logs the end, writes what is buffered and ends the process without
   /// running destructors: the requests are answered, and the teardown of tasks
--- a/settings/include/cicadaloft/settings/settings_reader.h
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -52,6 +52,10 @@
   /// @return an "IPv4:port" that no other field has.
   std::string Address(std::string_view field);
 
+  /// @return whether the file could be read and held one JSON document to its
+  /// end; a file that is being written doesn't.
+  bool is_whole() const;
+
   /// Must be called after all fields have been read.
   /// @return kSettingsInvalid with the first error as one line that names the
   /// file, the field and what was expected; also for a field that was not read.
--- a/settings/settings_reader.cc
+++ b/settings/settings_reader.cc
@@ -102,6 +102,7 @@
   std::set<std::string> read_fields;
   std::map<std::string, std::string> fields_by_address;
   std::optional<std::string> error;
+  bool is_whole = false;
 
   void SetError(std::string text) {
     if (!this->error) {
@@ -156,6 +157,7 @@
           return true;
         },
         true, true);
+    document->is_whole = true;
   } catch (const json::exception& exception) {
     document->SetError("expected JSON with comments: " +
                        std::string(exception.what()));
@@ -297,6 +299,10 @@
   return text;
 }
 
+bool SettingsReader::is_whole() const {
+  return this->document->is_whole;
+}
+
 Result<Done> SettingsReader::Finish() {
   const auto unknown =
       FindUnknownField(this->document->root, "", this->document->read_fields);
--- a/settings/tests/settings_test.cc
+++ b/settings/tests/settings_test.cc
@@ -84,5 +84,16 @@
   BOOST_TEST(ErrorOrOk(list) == "s.json: expected one JSON object");
 }
 
+// Guards against starts that fail because the file is just being replaced.
+BOOST_AUTO_TEST_CASE(AFileThatIsBeingWrittenIsNotWhole) {
+  const std::string whole = R"({"a": {"b": "}"}} // end)";
+  BOOST_TEST(Read(whole).is_whole());
+  const std::size_t end = whole.rfind('}');
+  for (std::size_t size = 0; size <= end; ++size) {
+    BOOST_TEST(!Read(whole.substr(0, size)).is_whole());
+  }
+  BOOST_TEST(!SettingsReader::FromFile("no/such.json").is_whole());
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/tests/process_start_test.sh
+++ b/tests/process_start_test.sh
@@ -69,7 +69,9 @@
 check "the log has the reason of the end: wrong settings"
 write_settings "$dir/wrong.json" '"cores": -1,'
 start wrong "$dir/wrong.json"
+begin=$(now_ms)
 expect_exit 2
+[ $(($(now_ms) - begin)) -lt 3000 ]  # a whole document isn't waited for
 logged wrong '"unix_ms":.*process ends code=2 reason=start_failed details=settings_invalid: .*cores'
 grep -q cores "$dir/wrong.err"
 
@@ -110,4 +112,39 @@
 expect_exit 0
 logged blocked 'process ends code=0 reason=stopped details=before the host served'
 
+# Guards against starts that fail because the settings file is just being
+# written or replaced.
+half() { head -c 150 "$dir/h1.json"; }
+for state in absent empty half; do
+  check "the settings file is $state at the start, then whole: the host serves"
+  case $state in
+    empty) : >"$dir/$state.json" ;;
+    half) half >"$dir/$state.json" ;;
+  esac
+  start "$state" "$dir/$state.json"
+  until_ok logged "$state" 'waits for a whole settings file'
+  sleep 0.3
+  cp "$dir/h1.json" "$dir/$state.json.new"
+  mv "$dir/$state.json.new" "$dir/$state.json"
+  until_ok serves
+  kill -TERM "$pid"
+  expect_exit 0
+  [ "$(grep -c 'waits for a whole' "$dir/$state.log")" = 1 ]
+done
+
+check "SIGTERM while the host waits for its settings file"
+start no_file "$dir/no_file.json"
+until_ok logged no_file 'waits for a whole settings file'
+kill -TERM "$pid"
+expect_exit 0
+
+check "the settings file stays half written: the start fails, --check doesn't wait"
+half >"$dir/half.json"
+begin=$(now_ms)
+"$host" --settings "$dir/half.json" --check 2>/dev/null && exit 1
+[ $(($(now_ms) - begin)) -lt 3000 ]
+start never "$dir/half.json"
+expect_exit 2
+logged never 'process ends code=2 reason=start_failed details=settings_invalid: .*JSON'
+
 echo "all checks passed"
