--- a/tests/stand_ins/fake_runner.cc
+++ b/tests/stand_ins/fake_runner.cc
@@ -4,12 +4,14 @@
 
 #include <docopt/docopt.h>
 
+#include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -30,6 +32,8 @@
 Usage:
   fake_runner --listen ADDRESS --id ID --service NAME --zone NAME --store ADDRESS
               [--models NAMES] [--disk NAMES] [--load-ms N] [--event-ms N]
+              [--work-ms N] [--slots N] [--event-tokens N]
+              [--runs FILE]
 
 Options:
   --listen ADDRESS  Address to listen on, "IP:port".
@@ -41,6 +45,12 @@
   --disk NAMES    Models on the disk, separated by commas [default: ].
   --load-ms N     Duration of a load in ms [default: 400].
   --event-ms N    Interval between two events of a stream in ms [default: 20].
+  --work-ms N     Time until a plain response in ms [default: 0].
+  --slots N       Number of slots that it registers [default: 8].
+  --event-tokens N  Tokens of Token-Counts per event of a stream; 0: a stream
+                  has 8 events [default: 0].
+  --runs FILE     Appends the time of the steady clock in ms and the id of each
+                  request that it executes; kept when the process ends.
 
   GET /seen           returns the ids of all requests that were executed
   GET /turned_away    returns those that were turned away during a rest
@@ -66,6 +76,10 @@
   std::string store;
   milliseconds load_time{};
   milliseconds event_interval{};
+  milliseconds work_time{};
+  long slots = 0;
+  long event_tokens = 0;
+  std::string runs_file;
 };
 
 class FakeRunner {
@@ -78,7 +92,11 @@
         disk(disk.begin(), disk.end()),
         started_unix_ms(std::chrono::duration_cast<milliseconds>(
                             std::chrono::system_clock::now().time_since_epoch())
-                            .count()) {}
+                            .count()) {
+    if (!this->settings.runs_file.empty()) {
+      this->runs.open(this->settings.runs_file, std::ios::app);
+    }
+  }
 
   /// Writes this runner's record to the registry.
   void Register() const {
@@ -166,7 +184,7 @@
         {"address", this->settings.address},
         {"zone", this->settings.zone},
         {"version", "v1"},
-        {"slots", 8},
+        {"slots", this->settings.slots},
         {"state", "ready"},
         {"cold_remaining_ms", 0},
         {"born", this->started_unix_ms},
@@ -244,14 +262,22 @@
     }
     const std::string id(request["Request-Id"]);
     this->executed_requests.push_back(id);
+    if (this->runs.is_open()) {
+      this->runs << std::chrono::duration_cast<milliseconds>(
+                        Clock::now().time_since_epoch())
+                        .count()
+                 << " " << id << std::endl;
+    }
     if (model.empty()) {
+      asio::steady_timer timer(socket.get_executor(), this->settings.work_time);
+      co_await timer.async_wait(asio::use_awaitable);
       Response response = MakeResponse(
           200,
           json{{"ran", id}, {"tenant", std::string(request["Tenant"])}}.dump());
       this->SetCommonHeaders(response, id);
       co_return co_await this->Write(socket, std::move(response));
     }
-    co_return co_await this->WriteStream(id, socket);
+    co_return co_await this->WriteStream(request, id, socket);
   }
 
   void SetCommonHeaders(Response& response, const std::string& id) const {
@@ -261,8 +287,25 @@
     response.set("Instance-Load", "1,0,8");
   }
 
-  asio::awaitable<bool> WriteStream(std::string id, Socket& socket) {
-    constexpr int kEventCount = 8;
+  // The number of events of a stream, from "PROMPT,OUTPUT" tokens.
+  long EventCount(const Request& request) const {
+    constexpr long kDefault = 8;
+    const std::string counts(request["Token-Counts"]);
+    const std::size_t comma = counts.find(',');
+    if (this->settings.event_tokens == 0 || comma == std::string::npos) {
+      return kDefault;
+    }
+    return std::max(
+        1L, std::stol(counts.substr(comma + 1)) / this->settings.event_tokens);
+  }
+
+  asio::awaitable<bool> WriteStream(const Request& request,
+                                    std::string id,
+                                    Socket& socket) {
+    const long event_count = this->EventCount(request);
+    // A resumed stream goes on after the last event that was delivered.
+    const std::string last(request["Last-Event-Id"]);
+    const long first = last.empty() ? 1 : std::stol(last) + 1;
     std::string head =
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\nRequest-Id: " +
@@ -274,10 +317,10 @@
       co_return !error;
     };
     bool is_open = co_await write(head);
-    for (int i = 1; is_open && i <= kEventCount; ++i) {
+    for (long i = first; is_open && i <= event_count; ++i) {
       const std::string event =
           "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) +
-          (i == kEventCount ? "\n\ndata: [DONE]" : "") + "\n\n";
+          (i == event_count ? "\n\ndata: [DONE]" : "") + "\n\n";
       std::ostringstream chunk;
       chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
       is_open = co_await write(chunk.str());
@@ -297,6 +340,7 @@
   std::string loading;
   std::vector<std::string> executed_requests;  ///< Their ids.
   std::vector<std::string> turned_away;
+  std::ofstream runs;
   bool is_leaving = false;
   int rest_seconds = 0;
   Clock::time_point rests_until{};
@@ -315,7 +359,12 @@
       .zone = options["--zone"].asString(),
       .store = options["--store"].asString(),
       .load_time = milliseconds(options["--load-ms"].asLong()),
-      .event_interval = milliseconds(options["--event-ms"].asLong())};
+      .event_interval = milliseconds(options["--event-ms"].asLong()),
+      .work_time = milliseconds(options["--work-ms"].asLong()),
+      .slots = options["--slots"].asLong(),
+      .event_tokens = options["--event-tokens"].asLong(),
+      .runs_file = options["--runs"].isString() ? options["--runs"].asString()
+                                                : std::string()};
   FakeRunner runner(settings, Split(options["--models"].asString()),
                     Split(options["--disk"].asString()));
   runner.Register();
