--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -119,6 +119,7 @@
     co_await Sleep(kRecovery + kTail);
     // One more planned stop, of all hosts, with requests on their way.
     this->CollectSpans();
+    this->evidence.stopped_at = Now();
     co_await this->hosts.StopAll();
     for (const auto& group : this->callers) {
       group->Stop();
@@ -218,6 +219,19 @@
             << " MB" << std::endl;
 }
 
+void PrintViolations(const std::vector<Violation>& violations) {
+  constexpr int kMaxOfRule = 10;
+  std::map<std::string, int> counts;
+  for (const Violation& violation : violations) {
+    if (++counts[violation.rule] <= kMaxOfRule) {
+      std::cout << violation.rule << ": " << violation.text << std::endl;
+    }
+  }
+  for (const auto& [rule, count] : counts) {
+    std::cout << rule << ": " << count << " violations" << std::endl;
+  }
+}
+
 int Main(int argc, char** argv) {
   auto values = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
   const Options options = ReadOptions(values);
@@ -250,9 +264,7 @@
   const Evidence evidence = soak.Collect();
   PrintSummary(evidence);
   const std::vector<Violation> violations = CheckAll(evidence);
-  for (const Violation& violation : violations) {
-    std::cout << violation.rule << ": " << violation.text << std::endl;
-  }
+  PrintViolations(violations);
   if (violations.empty()) {
     std::filesystem::remove_all(options.paths.logs);
     std::cout << "all checks passed" << std::endl;
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -73,6 +73,7 @@
   std::vector<Run> runs;
   std::vector<Span> spans;
   std::vector<Life> lives;
+  Millis stopped_at = 0;  ///< When the last planned stop of all hosts began.
   Millis ended_at = 0;
 
   bool operator==(const Evidence&) const = default;
