Wait for an address that is in use or isn't there yet

A host whose address another process held, or was the local port of another host's connection up to 60 s ago, or wasn't on the machine yet, ended with 2 at once, and stayed away where nothing starts it again.

AwaitHostListeners tries all addresses together, by a timer with backoff, for at most 75 s, longer than TIME_WAIT. It listens once all are bound, so that no caller is accepted by a host that then lacks another address. Other errors fail at once; a stop request ends the wait with 0. It logs one line when it begins to wait and one when it has the addresses or gives up. LinkServer gets an acceptor that is open, beside Open() with an address.

OpenForConnect sets SO_REUSEADDR on connections to targets, the store, runners and other hosts before they connect, with which Linux lets a listener have their local port, open or in TIME_WAIT.

--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -113,6 +113,7 @@
     this->connection = std::make_shared<TargetConnection>(
         co_await boost::asio::this_coro::executor);
     Tcp::socket& socket = this->connection->socket;
+    OpenForConnect(socket, *endpoint);
     const Duration timeout =
         std::min(this->limits.connect_timeout, this->RemainingTime());
     const auto result = co_await WithTimeout(
--- a/host/host_process.cc
+++ b/host/host_process.cc
@@ -4,6 +4,7 @@
 
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/telemetry/log.h"
+#include "host_listeners.h"
 #include "host_runtime.h"
 #include "host_settings.h"
 #include "settings_wait.h"
@@ -28,15 +29,19 @@
     co_return MakeStartFailed(ErrorOf(settings));
   }
   log.SetLevel(ValueOf(settings).log_level);
-  const auto runtime =
-      HostRuntime::Start(context, ValueOf(settings), log.output());
-  if (!IsOk(runtime)) {
-    co_return MakeStartFailed(ErrorOf(runtime));
+  const auto listeners = co_await AwaitHostListeners(ValueOf(settings), stop);
+  if (IsStopRequested(*stop)) {
+    co_return MakeStopped(kStoppedInStart);
+  }
+  if (!IsOk(listeners)) {
+    co_return MakeStartFailed(ErrorOf(listeners));
   }
+  const auto runtime = HostRuntime::Start(context, ValueOf(settings),
+                                          ValueOf(listeners), log.output());
   Log("host").Info("started " + ValueOf(settings).host.value() + " in " +
                    ValueOf(settings).data_centre.value());
   co_await Receive(*stop);
-  co_await ValueOf(runtime)->Stop();
+  co_await runtime->Stop();
   co_return MakeStopped("as asked");
 }
 
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -41,7 +41,6 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
-using Acceptor = std::shared_ptr<tcp::acceptor>;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
@@ -80,20 +79,6 @@
 /// callers.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 
-Result<Acceptor> Listen(asio::io_context& context, const std::string& address) {
-  const auto endpoint = ParseEndpoint(address);
-  if (!endpoint) {
-    return MakeError(ErrorKind::kSettingsInvalid,
-                     "address " + address + ": expected IP:port");
-  }
-  try {
-    return std::make_shared<tcp::acceptor>(context, *endpoint);
-  } catch (const boost::system::system_error& error) {
-    return MakeError(ErrorKind::kSettingsInvalid,
-                     "address " + address + ": can't listen: " + error.what());
-  }
-}
-
 /// @return the prefix of the request ids that this process assigns.
 std::string RequestIdPrefix(const HostId& host) {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -123,9 +108,10 @@
  public:
   Tasks(asio::io_context& context,
         const HostSettings& settings,
+        HostListeners listeners,
         std::shared_ptr<OutputBuffer> output)
-      : context(context),
-        settings(settings),
+      : settings(settings),
+        listeners(std::move(listeners)),
         output(std::move(output)),
         executor(context.get_executor()),
         entry_mailbox(
@@ -156,33 +142,14 @@
             BootClock{},
             DecisionLog()) {}
 
-  Result<Done> Open() {
-    std::vector<std::pair<std::string, Acceptor*>> addresses = {
-        {this->settings.listen, &this->caller_acceptor},
-        {this->settings.ready_listen, &this->readiness_acceptor},
-        {this->settings.admin_listen, &this->admin_acceptor}};
-    if (!this->settings.own_listen.empty()) {
-      addresses.emplace_back(this->settings.own_listen,
-                             &this->native_caller_acceptor);
-    }
-    for (const auto& [address, acceptor] : addresses) {
-      Result<Acceptor> opened = Listen(this->context, address);
-      if (!IsOk(opened)) {
-        return ErrorOf(opened);
-      }
-      *acceptor = TakeValue(std::move(opened));
-    }
+  void Open() {
     const LeaseSettings lease{.self = this->settings.host,
                               .address = this->settings.peer_listen,
                               .secret = MakeSecret(),
                               .cores = this->settings.cores,
                               .handover_delay = this->settings.handover_delay};
-    auto links = PeerLinks::Open(this->executor, lease, this->control_mailbox,
-                                 this->memory);
-    if (!IsOk(links)) {
-      return ErrorOf(links);
-    }
-    this->peers = TakeValue(std::move(links));
+    this->peers = PeerLinks::Open(std::move(*this->listeners.peer), lease,
+                                  this->control_mailbox, this->memory);
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
         this->RelayInterval(), this->settings.store, this->memory,
@@ -193,7 +160,6 @@
                             .registry_resync = this->registry_resync,
                             .operator_relay = this->operator_relay,
                             .registry_relay = this->registry_relay});
-    return Done{};
   }
 
   void Start() {
@@ -205,22 +171,22 @@
     this->Spawn(this->ForwardEntryNotifications());
     this->SpawnFollowers();
     this->Spawn(RunCallerListener<platform::ClientProtocol>(
-        this->caller_acceptor, RequestIdPrefix(this->settings.host),
+        this->listeners.caller, RequestIdPrefix(this->settings.host),
         this->entry_mailbox, this->caller_stop,
         CallerLimits{.memory = this->memory}));
-    if (this->native_caller_acceptor != nullptr) {
+    if (this->listeners.native_caller != nullptr) {
       this->Spawn(RunCallerListener<NativeProtocol>(
-          this->native_caller_acceptor,
+          this->listeners.native_caller,
           RequestIdPrefix(this->settings.host) + "-own", this->entry_mailbox,
           this->native_caller_stop, CallerLimits{.memory = this->memory}));
     }
     this->Spawn(
-        RunAdminListener(this->readiness_acceptor,
+        RunAdminListener(this->listeners.readiness,
                          AdminSettings{.host = this->settings.host.value(),
                                        .ready_path = platform::kReadyPath},
                          this->entry_mailbox));
     this->Spawn(
-        RunAdminListener(this->admin_acceptor,
+        RunAdminListener(this->listeners.admin,
                          AdminSettings{.host = this->settings.host.value()},
                          this->entry_mailbox));
   }
@@ -325,8 +291,8 @@
     co_await timer.async_wait(kNoThrow);
   }
 
-  asio::io_context& context;
   const HostSettings settings;
+  const HostListeners listeners;
   /// Of all connections of this host.
   const std::shared_ptr<MemoryBudget> memory = MakePeerMemoryBudget();
   const std::shared_ptr<OutputBuffer> output;
@@ -347,11 +313,6 @@
       std::make_shared<StopMailbox>(this->executor, 1);
   const std::shared_ptr<StopMailbox> native_caller_stop =
       std::make_shared<StopMailbox>(this->executor, 1);
-  Acceptor caller_acceptor;
-  /// Null without own_listen in the settings.
-  Acceptor native_caller_acceptor;
-  Acceptor readiness_acceptor;
-  Acceptor admin_acceptor;
   HostEntryTask entry_task;
   std::shared_ptr<PeerLinks> peers;
   std::optional<ControlTask> control_task;
@@ -361,15 +322,14 @@
     : tasks(std::move(tasks)) {}
 HostRuntime::~HostRuntime() = default;
 
-Result<std::unique_ptr<HostRuntime>> HostRuntime::Start(
+std::unique_ptr<HostRuntime> HostRuntime::Start(
     asio::io_context& context,
     const HostSettings& settings,
+    HostListeners listeners,
     std::shared_ptr<OutputBuffer> output) {
-  auto tasks = std::make_shared<Tasks>(context, settings, std::move(output));
-  const Result<Done> opened = tasks->Open();
-  if (!IsOk(opened)) {
-    return ErrorOf(opened);
-  }
+  auto tasks = std::make_shared<Tasks>(context, settings, std::move(listeners),
+                                       std::move(output));
+  tasks->Open();
   tasks->Start();
   return std::unique_ptr<HostRuntime>(new HostRuntime(std::move(tasks)));
 }
--- a/host/host_runtime.h
+++ b/host/host_runtime.h
@@ -5,8 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
-#include "cicadaloft/core/result.h"
 #include "cicadaloft/telemetry/output_buffer.h"
+#include "host_listeners.h"
 #include "host_settings.h"
 
 namespace cicadaloft {
@@ -14,11 +14,13 @@
 /// Runs all tasks of one host on one thread.
 class HostRuntime {
  public:
-  /// Opens the host's addresses and starts its tasks.
-  /// @return the runtime, or kSettingsInvalid if an address can't be opened.
-  static Result<std::unique_ptr<HostRuntime>> Start(
+  /// Starts the host's tasks.
+  /// @param listeners open; the runtime accepts connections from now on.
+  /// @param output what a stop flushes.
+  static std::unique_ptr<HostRuntime> Start(
       boost::asio::io_context& context,
       const HostSettings& settings,
+      HostListeners listeners,
       std::shared_ptr<OutputBuffer> output);
   ~HostRuntime();
 
--- a/host/peer_links.cc
+++ b/host/peer_links.cc
@@ -34,22 +34,20 @@
 
 }  // namespace
 
-Result<std::unique_ptr<PeerLinks>> PeerLinks::Open(
-    const boost::asio::any_io_executor& executor,
+std::unique_ptr<PeerLinks> PeerLinks::Open(
+    boost::asio::ip::tcp::acceptor acceptor,
     const LeaseSettings& lease_settings,
     std::shared_ptr<ControlMailbox> control_mailbox,
     const std::shared_ptr<MemoryBudget>& memory) {
+  const auto executor = acceptor.get_executor();
   const auto sink =
       std::make_shared<LinkEventChannel>(executor, kLinkEventChannelCapacity);
-  Result<LinkServer> server = LinkServer::Open(
-      executor, MakeLinkSettings(lease_settings, lease_settings.secret, memory),
-      lease_settings.address, sink);
-  if (!IsOk(server)) {
-    return ErrorOf(server);
-  }
+  LinkServer server = LinkServer::Start(
+      std::move(acceptor),
+      MakeLinkSettings(lease_settings, lease_settings.secret, memory), sink);
   return std::unique_ptr<PeerLinks>(
       new PeerLinks(executor, lease_settings, std::move(control_mailbox), sink,
-                    TakeValue(std::move(server)), memory));
+                    std::move(server), memory));
 }
 
 PeerLinks::PeerLinks(const boost::asio::any_io_executor& executor,
--- a/host/peer_links.h
+++ b/host/peer_links.h
@@ -3,12 +3,12 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <optional>
 #include <set>
 
 #include "cicadaloft/control/messages.h"
-#include "cicadaloft/core/result.h"
 #include "cicadaloft/lease/lease_state.h"
 #include "cicadaloft/peering/link_client.h"
 #include "cicadaloft/peering/link_server.h"
@@ -20,10 +20,10 @@
 /// holder, one from each other host.
 class PeerLinks {
  public:
+  /// @param acceptor on which other hosts connect, open.
   /// @param memory budget for messages.
-  /// @return the links, or kSettingsInvalid if the address can't be opened.
-  static Result<std::unique_ptr<PeerLinks>> Open(
-      const boost::asio::any_io_executor& executor,
+  static std::unique_ptr<PeerLinks> Open(
+      boost::asio::ip::tcp::acceptor acceptor,
       const LeaseSettings& lease_settings,
       std::shared_ptr<ControlMailbox> control_mailbox,
       const std::shared_ptr<MemoryBudget>& memory);
--- a/peering/include/cicadaloft/peering/link_server.h
+++ b/peering/include/cicadaloft/peering/link_server.h
@@ -2,6 +2,7 @@
 #define CICADALOFT_PEERING_LINK_SERVER_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -24,6 +25,10 @@
                                  const LinkSettings& settings,
                                  const std::string& address,
                                  LinkEventSink sink);
+  /// As Open(), for a listener that is open already.
+  static LinkServer Start(boost::asio::ip::tcp::acceptor acceptor,
+                          const LinkSettings& settings,
+                          LinkEventSink sink);
   ~LinkServer();
   LinkServer(LinkServer&& other) noexcept;
   LinkServer& operator=(LinkServer&& other) noexcept;
--- a/peering/link_client.cc
+++ b/peering/link_client.cc
@@ -12,6 +12,7 @@
 
 #include "cicadaloft/core/backoff.h"
 #include "cicadaloft/settings/socket_address.h"
+#include "cicadaloft/settings/socket_options.h"
 #include "cicadaloft/telemetry/log.h"
 #include "link_session.h"
 
@@ -86,6 +87,7 @@
     tcp::socket socket(this->executor);
     const tcp::endpoint endpoint(asio::ip::make_address(ValueOf(address).ip),
                                  ValueOf(address).port);
+    OpenForConnect(socket, endpoint);
     this->timer.expires_after(this->options.settings.handshake_timeout);
     const auto outcome = co_await (socket.async_connect(endpoint, kNoThrow) ||
                                    this->timer.async_wait(kNoThrow));
--- a/peering/link_server.cc
+++ b/peering/link_server.cc
@@ -154,19 +154,25 @@
   if (!IsOk(parsed)) {
     return ErrorOf(parsed);
   }
-  const tcp::endpoint endpoint(asio::ip::make_address(ValueOf(parsed).ip),
-                               ValueOf(parsed).port);
   try {
-    auto task = std::make_shared<Task>(tcp::acceptor(executor, endpoint),
-                                       settings, std::move(sink));
-    task->Start();
-    return LinkServer(std::move(task));
+    const tcp::endpoint endpoint(asio::ip::make_address(ValueOf(parsed).ip),
+                                 ValueOf(parsed).port);
+    return Start(tcp::acceptor(executor, endpoint), settings, std::move(sink));
   } catch (const boost::system::system_error& error) {
     return MakeError(ErrorKind::kSettingsInvalid,
                      "can't listen on " + address + ": " + error.what());
   }
 }
 
+LinkServer LinkServer::Start(tcp::acceptor acceptor,
+                             const LinkSettings& settings,
+                             LinkEventSink sink) {
+  auto task =
+      std::make_shared<Task>(std::move(acceptor), settings, std::move(sink));
+  task->Start();
+  return LinkServer(std::move(task));
+}
+
 LinkServer::LinkServer(std::shared_ptr<Task> task) : task(std::move(task)) {}
 
 LinkServer::~LinkServer() {
--- a/settings/include/cicadaloft/settings/socket_options.h
+++ b/settings/include/cicadaloft/settings/socket_options.h
@@ -12,6 +12,13 @@
 /// callers' own deadlines still bound each wait.
 void SetKeepAliveOptions(boost::asio::ip::tcp::socket& socket);
 
+/// Opens a socket that is about to connect, so that its local port, which the
+/// system chooses, keeps no listener from that port: neither while the
+/// connection is open nor in the 60 s of TIME_WAIT after it. After an error the
+/// connect reports it.
+void OpenForConnect(boost::asio::ip::tcp::socket& socket,
+                    const boost::asio::ip::tcp::endpoint& peer);
+
 /// Makes the close of the connection send a reset.
 void EnableResetOnClose(boost::asio::ip::tcp::socket& socket);
 
--- a/settings/socket_options.cc
+++ b/settings/socket_options.cc
@@ -37,6 +37,13 @@
       TcpOption<TCP_USER_TIMEOUT>(kUnacknowledgedTimeoutMs), ignored);
 }
 
+void OpenForConnect(tcp::socket& socket, const tcp::endpoint& peer) {
+  boost::system::error_code ignored;
+  std::ignore = socket.open(peer.protocol(), ignored);
+  std::ignore =
+      socket.set_option(boost::asio::socket_base::reuse_address(true), ignored);
+}
+
 void EnableResetOnClose(tcp::socket& socket) {
   boost::system::error_code ignored;
   std::ignore =
--- a/settings/tests/settings_test.cc
+++ b/settings/tests/settings_test.cc
@@ -1,11 +1,14 @@
 #define BOOST_TEST_MODULE settings
 #include <unistd.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <fstream>
 
 #include "cicadaloft/settings/settings_reader.h"
+#include "cicadaloft/settings/socket_options.h"
 
 namespace cicadaloft {
 namespace {
@@ -84,6 +87,27 @@
   BOOST_TEST(ErrorOrOk(list) == "s.json: expected one JSON object");
 }
 
+// Guards against hosts that can't start because another host's connection has,
+// or had up to 60 s ago, their port as its local port.
+BOOST_AUTO_TEST_CASE(TheLocalPortOfAConnectionKeepsNoListenerFromIt) {
+  using boost::asio::ip::tcp;
+  const auto loopback = boost::asio::ip::address_v4::loopback();
+  boost::asio::io_context context;
+  tcp::acceptor peer(context, tcp::endpoint(loopback, 0));
+  for (const bool is_closed : {false, true}) {
+    tcp::socket outgoing(context);
+    OpenForConnect(outgoing, peer.local_endpoint());
+    outgoing.connect(peer.local_endpoint());
+    tcp::socket accepted = peer.accept();
+    const tcp::endpoint local = outgoing.local_endpoint();
+    if (is_closed) {
+      outgoing.close();  // First, so that its port is in TIME_WAIT.
+      accepted.close();
+    }
+    BOOST_CHECK_NO_THROW(tcp::acceptor(context, local));
+  }
+}
+
 // Guards against starts that fail because the file is just being replaced.
 BOOST_AUTO_TEST_CASE(AFileThatIsBeingWrittenIsNotWhole) {
   const std::string whole = R"({"a": {"b": "}"}} // end)";
--- a/tests/process_start_test.sh
+++ b/tests/process_start_test.sh
@@ -147,4 +147,35 @@
 expect_exit 2
 logged never 'process ends code=2 reason=start_failed details=settings_invalid: .*JSON'
 
+# Guards against starts that fail because an address isn't free for a moment, or
+# isn't there yet.
+check "an address is in use: the host waits, and serves once it is free"
+start holder "$dir/h1.json"
+holder=$pid
+until_ok serves
+start waiter "$dir/h1.json"
+waiter=$pid
+until_ok logged waiter 'waits for an address: address 127.0.0.1:'
+kill -KILL "$holder"
+until_ok logged waiter 'has all addresses now'
+until_ok serves
+[ "$(grep -c 'waits for an address' "$dir/waiter.log")" = 1 ]
+
+check "SIGTERM while the host waits for an address"
+start waiter2 "$dir/h1.json"
+until_ok logged waiter2 'waits for an address'
+kill -TERM "$pid"
+expect_exit 0
+kill -TERM "$waiter"
+pid=$waiter
+expect_exit 0
+
+check "an address that the machine doesn't have: the host waits"
+write_settings "$dir/foreign.json" "\"own_listen\": \"192.0.2.1:$((base + 5))\","
+start foreign "$dir/foreign.json"
+until_ok logged foreign 'waits for an address: address 192.0.2.1:'
+serves && exit 1  # no listener before all addresses are there
+kill -TERM "$pid"
+expect_exit 0
+
 echo "all checks passed"
