Open /dev/null for standard descriptors that are closed

A host that was started with closed standard descriptors gave their numbers to what it opened next, and wrote its log lines there. On the code before, started with 0 to 2 closed, they are an eventfd, the epoll descriptor and the timerfd of the event loop; with another order of opening it would be the sockets of callers. OpenStandardDescriptors, first in main, fills the gaps.

tests/process_start_test.sh; on the code before: descriptor 0: anon_inode:[eventfd]

--- a/host/main.cc
+++ b/host/main.cc
@@ -17,6 +17,7 @@
 #include "process_end.h"
 #include "process_log.h"
 #include "signal_task.h"
+#include "standard_descriptors.h"
 
 namespace cicadaloft {
 namespace {
@@ -99,6 +100,7 @@
 }
 
 int Main(const std::vector<std::string>& arguments) {
+  OpenStandardDescriptors();
   asio::io_context context(1);
   SignalTask signal_task(context);
   auto values = docopt::docopt(kUsage, arguments, true, kVersion);
--- a/tests/process_start_test.sh
+++ b/tests/process_start_test.sh
@@ -178,4 +178,17 @@
 kill -TERM "$pid"
 expect_exit 0
 
+# Guards against log lines that are written into a socket of the host.
+check "closed standard descriptors: no other descriptor gets their numbers"
+"$host" --settings "$dir/h1.json" <&- >&- 2>&- &
+pid=$!
+pids+=("$pid")
+until_ok serves
+for number in 0 1 2; do
+  [ "$(readlink "/proc/$pid/fd/$number")" = /dev/null ] ||
+    { echo "descriptor $number: $(readlink "/proc/$pid/fd/$number")" >&2; exit 1; }
+done
+kill -TERM "$pid"
+expect_exit 0
+
 echo "all checks passed"
