Leave file descriptors to the host when callers take the most

Seen: a host with 1,024 descriptors, the usual soft limit, and 1,500 callers that hold connections answered no readiness probe for as long as they held them, and refused or left waiting what it could not open a connection for. The listener accepted up to 2,000 callers whatever the limit of the process was, so callers took the last descriptor, and readiness, targets, the store and links got none.

Cause: CallerLimits::max_connections is a constant that fits 4,100 descriptors.

Now the bound follows from RLIMIT_NOFILE at the start: after 200 for files and 1,800 for the host's own sockets (shares of that if the process has few) callers get the remainder, including those who are told 503. With 4,100 nothing changes. A lowered bound is logged. The limit itself is left as it is.

--- /dev/null
+++ b/forwarding/include/cicadaloft/forwarding/descriptor_limits.h
@@ -0,0 +1,39 @@
+#ifndef CICADALOFT_FORWARDING_DESCRIPTOR_LIMITS_H_
+#define CICADALOFT_FORWARDING_DESCRIPTOR_LIMITS_H_
+
+#include <algorithm>
+#include <cstddef>
+
+#include "cicadaloft/forwarding/caller_listener.h"
+#include "cicadaloft/forwarding/forwarding_settings.h"
+
+namespace cicadaloft {
+
+/// Descriptors that are left to files; a quarter if the process has few.
+inline constexpr std::size_t kFileDescriptors = 200;
+/// Descriptors that are left to the host's own sockets, which are connections
+/// to targets, the store and other hosts, and probes of its readiness; half of
+/// all sockets if the process has few.
+inline constexpr std::size_t kOwnSockets = 1800;
+/// A host with fewer descriptors than this needs still serves.
+inline constexpr std::size_t kMinCallerConnections = 16;
+
+/// Callers must never take the descriptors that the host itself needs.
+/// @param descriptors the limit of the process; from about 200 on, what callers
+/// don't take suffices for the host.
+/// @param listener_count number of the process's listeners for callers.
+/// @return how many callers each listener serves at the same time, in addition
+/// to the connections that it rejects.
+constexpr std::size_t MaxCallerConnections(std::size_t descriptors,
+                                           std::size_t listener_count) {
+  const std::size_t sockets =
+      descriptors - std::min(kFileDescriptors, descriptors / 4);
+  const std::size_t callers = sockets - std::min(kOwnSockets, sockets / 2);
+  const std::size_t share = callers / listener_count;
+  const std::size_t served = share - std::min(share, kMaxRejectedConnections);
+  return std::clamp(served, kMinCallerConnections, kMaxCallerConnections);
+}
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_FORWARDING_DESCRIPTOR_LIMITS_H_
--- a/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
+++ b/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
@@ -11,11 +11,13 @@
 
 namespace cicadaloft {
 
+inline constexpr std::size_t kMaxCallerConnections = 2000;
+
 /// Limits on one caller, and on all callers together.
 struct CallerLimits {
   const std::size_t max_header_bytes = std::size_t{16} * 1024;
   const std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
-  const std::size_t max_connections = 2000;
+  const std::size_t max_connections = kMaxCallerConnections;
   /// Limit for receiving a request's header, and separately for its body.
   const Duration read_timeout = std::chrono::seconds(10);
   const Duration idle_timeout = std::chrono::seconds(60);
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -1,5 +1,6 @@
 #include "host_runtime.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -22,6 +23,7 @@
 #include "cicadaloft/forwarding/admin_listener.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/caller_listener.h"
+#include "cicadaloft/forwarding/descriptor_limits.h"
 #include "cicadaloft/forwarding/entry_task.h"
 #include "cicadaloft/own_interface/native_protocol.h"
 #include "cicadaloft/platform/configuration_codec.h"
@@ -116,6 +118,24 @@
   return secret;
 }
 
+/// @return the number of callers that a listener may serve with the descriptors
+/// that the process may open.
+std::size_t CallerConnectionLimit(std::size_t listener_count) {
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+    Log("host").Warn("the limit on descriptors can't be read");
+    return kMaxCallerConnections;
+  }
+  const std::size_t limit =
+      MaxCallerConnections(descriptors.rlim_cur, listener_count);
+  if (limit < kMaxCallerConnections) {
+    Log("host").Warn("at most " + std::to_string(limit) +
+                     " callers a listener, as the process has " +
+                     std::to_string(descriptors.rlim_cur) + " descriptors");
+  }
+  return limit;
+}
+
 using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
@@ -208,15 +228,19 @@
     this->Spawn(this->ForwardEntryNotifications());
     this->Spawn(this->FlushLog());
     this->SpawnFollowers();
+    const std::size_t max_callers =
+        CallerConnectionLimit(this->native_caller_acceptor == nullptr ? 1 : 2);
     this->Spawn(RunCallerListener<platform::ClientProtocol>(
         this->caller_acceptor, RequestIdPrefix(this->settings.host),
         this->entry_mailbox, this->caller_stop,
-        CallerLimits{.memory = this->memory}));
+        CallerLimits{.max_connections = max_callers, .memory = this->memory}));
     if (this->native_caller_acceptor != nullptr) {
       this->Spawn(RunCallerListener<NativeProtocol>(
           this->native_caller_acceptor,
           RequestIdPrefix(this->settings.host) + "-own", this->entry_mailbox,
-          this->native_caller_stop, CallerLimits{.memory = this->memory}));
+          this->native_caller_stop,
+          CallerLimits{.max_connections = max_callers,
+                       .memory = this->memory}));
     }
     this->Spawn(
         RunAdminListener(this->readiness_acceptor,
