--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -176,18 +176,15 @@
   Evidence evidence;
 };
 
-std::string TextOr(const docopt::value& value, std::string other) {
-  return value.isString() ? value.asString() : std::move(other);
-}
-
 Options ReadOptions(std::map<std::string, docopt::value>& values) {
   const std::string build = values["--build"].asString();
   const std::string seed = values["--seed"].asString();
   constexpr Millis kMillisPerSecond = 1000;
   return {
       .paths = {.build = build,
-                .host_program = TextOr(values["--host-program"],
-                                       build + "/host/cicadaloft-host"),
+                .host_program = values["--host-program"].isString()
+                                    ? values["--host-program"].asString()
+                                    : build + "/host/cicadaloft-host",
                 .logs = values["--logs"].asString() + "/seed-" + seed},
       .schedule = {.seed = std::stoull(seed),
                    .length = values["--seconds"].asLong() * kMillisPerSecond,
--- a/tests/soak/stream_check.cc
+++ b/tests/soak/stream_check.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 std::string CheckPlain(const std::string& id, const ResponseParts& response) {
-  const std::string fault = CheckOwner(id, response);
+  std::string fault = CheckOwner(id, response);
   if (!fault.empty()) {
     return fault;
   }
@@ -25,7 +25,7 @@
 }
 
 std::string CheckStream(const std::string& id, const ResponseParts& response) {
-  const std::string fault = CheckOwner(id, response);
+  std::string fault = CheckOwner(id, response);
   if (!fault.empty()) {
     return fault;
   }
