--- a/tests/soak/hosts.cc
+++ b/tests/soak/hosts.cc
@@ -172,11 +172,16 @@
   }
 }
 
-void Hosts::MeasureMemory() {
+void Hosts::Measure() {
+  std::ofstream usage(this->deployment.paths().logs + "/usage.txt",
+                      std::ios::app);
   for (const State& state : this->states) {
     if (this->processes.IsAlive(state.pid)) {
       Life& life = this->all_lives.at(state.life);
       life.peak_mb = std::max(life.peak_mb, Processes::PeakMemoryMb(state.pid));
+      const auto [ran, waited] = Processes::ProcessorTimes(state.pid);
+      usage << Now() << " host " << life.host << " pid " << state.pid
+            << " ran_ms " << ran << " waited_ms " << waited << "\n";
     }
   }
 }
--- a/tests/soak/hosts.h
+++ b/tests/soak/hosts.h
@@ -42,8 +42,9 @@
   /// Stops all hosts with SIGTERM at once and waits for their ends.
   boost::asio::awaitable<void> StopAll();
 
-  /// Records the memory that each live host has held.
-  void MeasureMemory();
+  /// Records the memory that each live host has held, and appends the ms for
+  /// which it has run and waited for a processor to usage.txt.
+  void Measure();
 
   const std::vector<Life>& lives() const { return this->all_lives; }
   const std::vector<Span>& spans() const { return this->all_spans; }
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -153,7 +153,7 @@
   asio::awaitable<void> Watch() {
     constexpr Millis kInterval = 500;
     while (true) {
-      this->hosts.MeasureMemory();
+      this->hosts.Measure();
       co_await Sleep(kInterval);
     }
   }
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -136,6 +136,15 @@
   return 0;
 }
 
+std::pair<Millis, Millis> Processes::ProcessorTimes(int pid) {
+  constexpr Millis kNanosPerMilli = 1'000'000;
+  std::ifstream file("/proc/" + std::to_string(pid) + "/schedstat");
+  Millis ran = 0;
+  Millis waited = 0;
+  file >> ran >> waited;
+  return {ran / kNanosPerMilli, waited / kNanosPerMilli};
+}
+
 asio::awaitable<void> Processes::Reap() {
   while (true) {
     const auto [error, number] =
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "records.h"
@@ -60,6 +61,9 @@
   /// @return the most memory that was resident, in MB, or 0 if unknown.
   static int PeakMemoryMb(int pid);
 
+  /// @return the ms that a process has run and waited for a processor.
+  static std::pair<Millis, Millis> ProcessorTimes(int pid);
+
  private:
   struct Child {
     std::unique_ptr<boost::asio::steady_timer>
