--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <exception>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <iterator>
 #include <map>
@@ -152,7 +153,7 @@
   asio::awaitable<void> Watch() {
     constexpr Millis kInterval = 500;
     while (true) {
-      this->hosts.MeasureMemory();
+      this->hosts.Measure();
       co_await Sleep(kInterval);
     }
   }
@@ -176,18 +177,15 @@
   Evidence evidence;
 };
 
-std::string TextOr(const docopt::value& value, std::string other) {
-  return value.isString() ? value.asString() : std::move(other);
-}
-
 Options ReadOptions(std::map<std::string, docopt::value>& values) {
   const std::string build = values["--build"].asString();
   const std::string seed = values["--seed"].asString();
   constexpr Millis kMillisPerSecond = 1000;
   return {
       .paths = {.build = build,
-                .host_program = TextOr(values["--host-program"],
-                                       build + "/host/cicadaloft-host"),
+                .host_program = values["--host-program"].isString()
+                                    ? values["--host-program"].asString()
+                                    : build + "/host/cicadaloft-host",
                 .logs = values["--logs"].asString() + "/seed-" + seed},
       .schedule = {.seed = std::stoull(seed),
                    .length = values["--seconds"].asLong() * kMillisPerSecond,
@@ -232,6 +230,16 @@
   }
 }
 
+// The requests, so that a violation can be traced next to the hosts' logs.
+void WriteCalls(const Evidence& evidence, const std::string& path) {
+  std::ofstream file(path);
+  for (const Call& call : evidence.calls) {
+    file << call.id << " host " << call.host << " sent " << call.sent_at
+         << " ended " << call.ended_at << " outcome "
+         << static_cast<int>(call.outcome) << " status " << call.status << "\n";
+  }
+}
+
 int Main(int argc, char** argv) {
   auto values = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
   const Options options = ReadOptions(values);
@@ -270,6 +278,7 @@
     std::cout << "all checks passed" << std::endl;
     return 0;
   }
+  WriteCalls(evidence, options.paths.logs + "/calls.txt");
   std::cout << "failed, logs in " << options.paths.logs << ":";
   std::copy(argv, argv + argc,
             std::ostream_iterator<const char*>(std::cout, " "));
