Answer requests that cross the close of an idle connection

What callers saw: at a planned stop a host closed each connection that was idle 2.4 s after SIGTERM, while requests were on their way.

Cause: the session closed the connection on its own knowledge. A request that waited in the kernel's buffer, or whose RequestBegun was queued behind HostStopping, was dropped with it; so was the next request on a connection that the response's head had announced as kept. A connection that had just been opened counted as idle, one opened after the stop was never told of it.

Now the session asks its reader (ConfirmIdle), which owns the input and looks at its mailbox, its buffer and the socket before it confirms (InputPaused); after that the session half-closes and the reader drains. The same holds for the idle timeout, whose timer now sends a message: the timeout around Receive() could drop one. A connection of a stopping host is closed once it has been idle for a second, and new connections learn of the stop. What the head of a response announces holds: a request that was read ahead is answered.

--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -1,8 +1,11 @@
 #include "cicadaloft/forwarding/caller_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -21,6 +24,10 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// How long a connection of a stopping host may be idle. Requests follow the
+/// opening of a connection, or one another, more quickly in most cases.
+constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
+
 /// Time for the caller to close the connection after the last response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
@@ -40,19 +47,23 @@
                 CallerLimits limits)
       : connection(std::move(connection)),
         entry_inbox(std::move(entry_inbox)),
-        limits(limits) {}
+        limits(limits),
+        idle_timer(this->connection->socket.get_executor()) {}
 
   asio::awaitable<void> Run() {
     Progress progress = Progress::kServed;
     while (progress == Progress::kServed) {
       const auto message = co_await this->NextRequest();
-      if (message == nullptr) {
+      if (message == nullptr || std::holds_alternative<InputEnded>(*message)) {
         progress = Progress::kBroken;
+      } else if (std::holds_alternative<InputPaused>(*message)) {
+        progress = Progress::kClosing;
       } else if (const auto* read = std::get_if<RequestRead>(message.get())) {
         progress = co_await this->Serve(*read);
       } else {
         progress = co_await this->Reject(std::get<RequestRejected>(*message));
       }
+      ++this->served_count;
       TrySend(this->connection->to_reader, RequestServed{});
     }
     if (progress == Progress::kClosing) {
@@ -62,39 +73,58 @@
   }
 
  private:
-  // @return a RequestRead or RequestRejected, or null if the connection ends.
+  // @return a RequestRead or RequestRejected; an InputPaused if the connection
+  // was idle for too long; an InputEnded or null if it has ended.
   asio::awaitable<std::shared_ptr<const SessionMessage>> NextRequest() {
-    if (this->is_host_stopping && !this->has_request_begun &&
-        this->next_input == nullptr) {
-      co_return nullptr;
-    }
+    this->idle_since = std::chrono::steady_clock::now();
+    this->StartIdleTimer();
     while (this->next_input == nullptr) {
       if (this->is_continue_expected) {
         this->is_continue_expected = false;
         co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
       }
-      const auto message = co_await this->ReceiveInput();
-      if (message == nullptr || std::holds_alternative<InputEnded>(*message)) {
-        co_return nullptr;
+      const auto message = co_await Receive(*this->connection->to_session);
+      if (message == nullptr || std::holds_alternative<InputEnded>(*message) ||
+          std::holds_alternative<InputPaused>(*message)) {
+        co_return message;
       }
       this->RecordInput(message);
-      // A request whose first byte has arrived is still read and served.
-      if (this->is_host_stopping && !this->has_request_begun &&
-          this->next_input == nullptr) {
-        co_return nullptr;
+      if (std::holds_alternative<HostStopping>(*message)) {
+        this->StartIdleTimer();
+      } else if (const auto* expired =
+                     std::get_if<IdleExpired>(message.get())) {
+        this->HandleIdleExpired(*expired);
       }
     }
     co_return std::exchange(this->next_input, nullptr);
   }
 
   // Once a request has begun, the reader applies its read timeout.
-  asio::awaitable<std::shared_ptr<const SessionMessage>> ReceiveInput() {
-    if (this->has_request_begun) {
-      co_return co_await Receive(*this->connection->to_session);
+  void StartIdleTimer() {
+    const Duration limit =
+        this->is_host_stopping
+            ? std::min(kStoppingIdleTimeout, this->limits.idle_timeout)
+            : this->limits.idle_timeout;
+    this->idle_timer.expires_at(this->idle_since + limit);
+    this->idle_timer.async_wait(
+        [inbox = this->connection->to_session,
+         expired = IdleExpired{.served_count = this->served_count}](
+            const error_code& error) {
+          if (!error) {
+            Post(*inbox, expired);
+          }
+        });
+  }
+
+  // Only the reader knows whether the next request has arrived.
+  void HandleIdleExpired(const IdleExpired& expired) {
+    if (this->has_request_begun || expired.served_count != this->served_count) {
+      return;
     }
-    auto message = co_await WithTimeout(this->limits.idle_timeout,
-                                        Receive(*this->connection->to_session));
-    co_return message ? std::move(*message) : nullptr;
+    TrySend(this->connection->to_reader,
+            ConfirmIdle{.served_count = this->served_count});
+    error_code ignored;
+    std::ignore = this->connection->socket.cancel(ignored);
   }
 
   void RecordInput(const std::shared_ptr<const SessionMessage>& message) {
@@ -194,8 +224,9 @@
     if (progress == Progress::kResponding) {
       co_return Progress::kBroken;
     }
-    const bool keep_alive = this->response_format->keep_alive &&
-                            refusal.error.kind != ErrorKind::kStopping;
+    const bool keep_alive =
+        this->response_format->keep_alive &&
+        (refusal.error.kind != ErrorKind::kStopping || this->HasNextRequest());
     const bool is_written = co_await this->Write(
         FormatProblem(refusal, *this->response_format, keep_alive));
     if (!is_written) {
@@ -211,8 +242,9 @@
       co_return progress;
     }
     this->head.emplace(response_head);
+    this->keeps_alive = this->CanKeepAlive();
     const bool is_written = co_await this->Write(FormatResponseHead(
-        response_head, *this->response_format, this->CanKeepAlive()));
+        response_head, *this->response_format, this->keeps_alive));
     if (!is_written) {
       co_return co_await this->HandleDisconnect();
     }
@@ -234,7 +266,7 @@
     if (!is_written) {
       co_return co_await this->HandleDisconnect();
     }
-    co_return this->CanKeepAlive() ? Progress::kServed : Progress::kClosing;
+    co_return this->keeps_alive ? Progress::kServed : Progress::kClosing;
   }
 
   asio::awaitable<Progress> HandleDisconnect() {
@@ -248,13 +280,21 @@
            this->head->attempt == attempt;
   }
 
+  // A connection of a stopping host is closed by a response after which no
+  // further request has been sent yet.
   bool CanKeepAlive() const {
+    const bool is_stopping =
+        this->head->closes_connection || this->is_host_stopping;
     return this->response_format->keep_alive &&
-           !this->head->closes_connection && !this->is_host_stopping &&
+           (!is_stopping || this->HasNextRequest()) &&
            FramingFor(*this->head, *this->response_format) !=
                BodyFraming::kUntilClose;
   }
 
+  bool HasNextRequest() const {
+    return this->has_request_begun || this->next_input != nullptr;
+  }
+
   asio::awaitable<bool> Write(std::string bytes) {
     return WriteAll(this->connection->socket, std::move(bytes),
                     this->limits.write_stall_timeout);
@@ -301,6 +341,10 @@
   std::optional<ResponseHead> head;  // Of the response being written.
   // The next request, if already read.
   std::shared_ptr<const SessionMessage> next_input;
+  std::uint64_t served_count = 0;
+  asio::steady_timer idle_timer;
+  std::chrono::steady_clock::time_point idle_since;
+  bool keeps_alive = false;  // As the response's head has announced.
   bool has_request_begun = false;
   bool is_host_stopping = false;
   bool is_continue_expected = false;
--- a/forwarding/include/cicadaloft/forwarding/caller_connection.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_connection.h
@@ -15,7 +15,7 @@
 namespace cicadaloft {
 
 /// Mailbox capacity of a reader; at most two requests of a connection are read
-/// and not yet responded to.
+/// and not yet responded to, and one question whether it is idle is open.
 inline constexpr std::size_t kReaderMailboxCapacity = 4;
 
 /// A caller's connection: its reader reads from the socket, its session writes
@@ -32,7 +32,7 @@
   /// Capacity 0, so that sending completes when the session receives the
   /// message.
   const std::shared_ptr<SessionMailbox> to_session;
-  Mailbox<RequestServed> to_reader;
+  Mailbox<ReaderMessage> to_reader;
   const std::string id_prefix;  ///< Host, incarnation and connection number.
 };
 
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -43,8 +43,8 @@
 /// tasks of its own.
 /// @tparam Protocol the callers' protocol.
 /// @param id_prefix start of all request ids: host and incarnation.
-/// @param stop a message there closes idle connections immediately, and the
-/// others after their responses.
+/// @param stop a message there closes connections that have been idle for a
+/// second, and the others after their responses.
 template <CallerProtocol Protocol>
 boost::asio::awaitable<void> RunCallerListener(
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
--- a/forwarding/include/cicadaloft/forwarding/messages.h
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -84,6 +84,35 @@
   friend bool operator==(const RequestServed&, const RequestServed&) = default;
 };
 
+/// To the connection's reader: the session would close the connection if no
+/// input follows the first `served_count` requests. The session cancels the
+/// reader's read after sending it. An InputPaused or a RequestBegun follows.
+struct ConfirmIdle {
+  const std::uint64_t served_count = 0;
+
+  friend auto operator<=>(const ConfirmIdle&, const ConfirmIdle&) = default;
+  friend bool operator==(const ConfirmIdle&, const ConfirmIdle&) = default;
+};
+
+/// All messages to a connection's reader.
+using ReaderMessage = std::variant<RequestServed, ConfirmIdle>;
+
+/// From the connection's reader, in reply to ConfirmIdle: nothing has arrived,
+/// neither at the reader nor at the socket. Later input is read and dropped.
+struct InputPaused {
+  friend auto operator<=>(const InputPaused&, const InputPaused&) = default;
+  friend bool operator==(const InputPaused&, const InputPaused&) = default;
+};
+
+/// From the session's own timer: the connection has been idle since
+/// `served_count` requests for as long as it may be.
+struct IdleExpired {
+  const std::uint64_t served_count = 0;
+
+  friend auto operator<=>(const IdleExpired&, const IdleExpired&) = default;
+  friend bool operator==(const IdleExpired&, const IdleExpired&) = default;
+};
+
 /// From the connection's reader: the caller expects "100 Continue" before it
 /// sends the body.
 struct ContinueExpected {
@@ -93,8 +122,9 @@
                          const ContinueExpected&) = default;
 };
 
-/// To the listener, and from it to each session: the host is stopping. An idle
-/// connection is closed immediately, a busy one after its response.
+/// To the listener, and from it to each session: the host is stopping. A
+/// connection is closed once it has been idle for a second, a busy one after
+/// its response.
 struct HostStopping {
   friend auto operator<=>(const HostStopping&, const HostStopping&) = default;
   friend bool operator==(const HostStopping&, const HostStopping&) = default;
@@ -169,7 +199,9 @@
                                     RequestRejected,
                                     RequestBegun,
                                     ContinueExpected,
+                                    InputPaused,
                                     InputEnded,
+                                    IdleExpired,
                                     HostStopping,
                                     Refuse,
                                     ResponseHead,
--- a/forwarding/include/cicadaloft/forwarding/open_connections.h
+++ b/forwarding/include/cicadaloft/forwarding/open_connections.h
@@ -26,10 +26,14 @@
           std::max(kMinCleanupSize, this->connections.size());
     }
     this->connections.push_back(connection);
+    if (this->is_host_stopping) {
+      Post(*connection->to_session, SessionMessage(HostStopping{}));
+    }
   }
 
-  /// Notifies each session that the host is stopping.
-  void NotifyStop() const {
+  /// Notifies each session that the host is stopping, and later each new one.
+  void NotifyStop() {
+    this->is_host_stopping = true;
     for (const auto& item : this->connections) {
       if (const auto connection = item.lock()) {
         Post(*connection->to_session, SessionMessage(HostStopping{}));
@@ -42,6 +46,7 @@
 
   std::vector<std::weak_ptr<CallerConnection>> connections;
   std::size_t size_after_cleanup = kMinCleanupSize;
+  bool is_host_stopping = false;
 };
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/request_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/request_reader.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "cicadaloft/core/memory_budget.h"
@@ -64,6 +65,10 @@
         is_open = co_await this->WaitForRequest();
       }
     }
+    if (this->is_paused) {
+      const auto paused = InputPaused{};
+      co_await Send(*this->connection->to_session, paused);
+    }
     co_await this->DiscardRemainingInput();
     const auto message = InputEnded{};
     co_await Send(*this->connection->to_session, message);
@@ -100,28 +105,64 @@
   // served, the read detects that the caller disconnects; otherwise the session
   // applies its idle timeout.
   boost::asio::awaitable<bool> WaitForRequest() {
-    bool has_input = this->buffer.size() != 0;
-    if (!has_input && this->submitted_count != 0) {
-      has_input = co_await this->ReadSome();
-    } else if (!has_input) {
-      const auto read =
-          co_await WithTimeout(this->limits.read_timeout, this->ReadSome());
-      has_input = read.value_or(false);
+    while (this->buffer.size() == 0 && !this->has_input_ended) {
+      this->TakeMessages();
+      if (this->is_idle_asked && !this->HasUnreadInput()) {
+        this->is_paused = true;
+        co_return false;
+      }
+      this->is_idle_asked = false;
+      if (this->submitted_count != 0) {
+        co_await this->ReadSome();
+      } else if (!co_await WithTimeout(this->limits.read_timeout,
+                                       this->ReadSome()) &&
+                 !this->HasUnreadInput()) {
+        this->has_input_ended = true;
+      }
     }
-    if (!has_input) {
+    if (this->buffer.size() == 0) {
       co_return false;
     }
     const auto message = RequestBegun{};
     co_return co_await Send(*this->connection->to_session, message);
   }
 
+  // Takes what the session has sent, without waiting.
+  void TakeMessages() {
+    while (this->connection->to_reader.channel().try_receive(
+        [this](const auto&, const auto& message) {
+          this->Record(message.get());
+        })) {
+    }
+  }
+
+  // @param message null once the session has closed the connection.
+  void Record(const ReaderMessage* message) {
+    if (message == nullptr) {
+      this->has_input_ended = true;
+    } else if (const auto* asked = std::get_if<ConfirmIdle>(message)) {
+      this->is_idle_asked = asked->served_count == this->submitted_count;
+    } else {
+      ++this->served_count;
+    }
+  }
+
+  bool HasUnreadInput() const {
+    boost::system::error_code error;
+    return this->connection->socket.available(error) != 0 && !error;
+  }
+
+  // Reads until input arrives, the input ends or the session asks whether the
+  // connection is idle.
   // @return whether input was read.
   boost::asio::awaitable<bool> ReadSome() {
     const auto [error, size] =
         co_await this->connection->socket.async_read_some(
             this->buffer.prepare(kReadSizeBytes), kAsTuple);
     this->buffer.commit(size);
-    this->has_input_ended = error.failed();
+    this->has_input_ended =
+        error.failed() && (error != boost::asio::error::operation_aborted ||
+                           !this->connection->socket.is_open());
     co_return !error;
   }
 
@@ -269,13 +310,12 @@
   // Waits until at most one submitted request is not yet served: of pipelined
   // requests, only one is read ahead.
   boost::asio::awaitable<bool> WaitUntilServed() {
-    bool is_open = true;
-    while (is_open && this->served_count + 1 < this->submitted_count) {
+    while (!this->has_input_ended &&
+           this->served_count + 1 < this->submitted_count) {
       const auto message = co_await Receive(this->connection->to_reader);
-      is_open = message != nullptr;
-      ++this->served_count;
+      this->Record(message.get());
     }
-    co_return is_open;
+    co_return !this->has_input_ended;
   }
 
   // Reads and drops the remaining input: closing a socket with unread input
@@ -305,6 +345,8 @@
   std::optional<MemoryHold> memory;  // Of the request that is being read.
   std::optional<ResponseFormat> response_format;
   bool has_input_ended = false;  // Nothing more can be read.
+  bool is_idle_asked = false;    // The session waits for an InputPaused.
+  bool is_paused = false;        // The session was told that nothing arrived.
   std::uint64_t last_id = 0;
   std::uint64_t submitted_count = 0;
   std::uint64_t served_count = 0;
