Let the process end only when its connections have ended

What callers saw: connections in the listening queue, and responses that were written and not read yet, were ended with the process: it left by std::_Exit once no request was open, with the listening sockets open. Nothing in the log told what that cut.

Now a stop closes each listener after the last request (ListenerClose): it accepts what is queued, closes the listening socket, and replies when all connections have ended, at most 2.2 s later, or 0.3 s at the end of the stop time. `host.listeners_closed` tells what was left; requests that are still open get their `caller.cut`.

--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -9,12 +9,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include "cicadaloft/forwarding/caller_connection.h"
 #include "cicadaloft/forwarding/caller_session.h"
@@ -29,22 +33,160 @@
 
 /// After a failed accept, for example when no file descriptors are left.
 inline constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
+/// Between two looks whether all connections have ended, during a stop.
+inline constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(20);
 /// Connections over the limit that still get an error response.
 inline constexpr std::size_t kMaxRejectedConnections = 100;
 
-using StopMailbox = Mailbox<HostStopping>;
+/// A listener's end: what it left behind.
+struct ListenerClosed {
+  std::size_t last_accepted = 0;     ///< Were queued when it closed.
+  std::size_t open_connections = 0;  ///< Had not ended within the time.
+  std::size_t unread_bytes = 0;      ///< Of requests on these.
 
-/// Forwards a stop to the sessions of all open connections.
-boost::asio::awaitable<void> ForwardStop(
-    std::shared_ptr<StopMailbox> stop,
-    std::shared_ptr<OpenConnections> open_connections);
+  friend auto operator<=>(const ListenerClosed&,
+                          const ListenerClosed&) = default;
+  friend bool operator==(const ListenerClosed&,
+                         const ListenerClosed&) = default;
+};
+using ListenerClosedMailbox = Mailbox<ListenerClosed>;
+
+/// To a listener, after HostStopping: accepts what is queued, closes the
+/// listening socket and replies when all connections have ended.
+struct ListenerClose {
+  const Duration timeout{};  ///< After which it replies in any case.
+  const std::shared_ptr<ListenerClosedMailbox> reply_to;
+
+  friend auto operator<=>(const ListenerClose&, const ListenerClose&) = default;
+  friend bool operator==(const ListenerClose&, const ListenerClose&) = default;
+};
+
+/// All messages to a listener.
+using StopMailbox = Mailbox<std::variant<HostStopping, ListenerClose>>;
+
+/// Closes listeners one after another.
+/// @param timeout for all of them.
+/// @return the sum of what they left behind.
+boost::asio::awaitable<ListenerClosed> CloseListeners(
+    std::vector<std::shared_ptr<StopMailbox>> listeners,
+    Duration timeout);
+
+/// Accepts callers, and serves each connection in tasks of its own.
+template <CallerProtocol Protocol>
+class CallerListener
+    : public std::enable_shared_from_this<CallerListener<Protocol>> {
+ public:
+  CallerListener(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
+                 std::string id_prefix,
+                 std::shared_ptr<EntryTaskMailbox> entry_inbox,
+                 CallerLimits limits)
+      : acceptor(std::move(acceptor)),
+        id_prefix(std::move(id_prefix)),
+        entry_inbox(std::move(entry_inbox)),
+        limits(std::move(limits)) {}
+
+  /// Accepts until the acceptor is closed.
+  boost::asio::awaitable<void> Accept() {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    while (this->acceptor->is_open()) {
+      auto [error, socket] = co_await this->acceptor->async_accept(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+      if (!error) {
+        this->Serve(std::move(socket));
+      } else if (this->acceptor->is_open()) {
+        boost::asio::steady_timer pause(executor, kAcceptRetryDelay);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> HandleStops(std::shared_ptr<StopMailbox> stop) {
+    auto message = co_await Receive(*stop);
+    while (message != nullptr) {
+      this->open_connections.NotifyStop();
+      if (const auto* close = std::get_if<ListenerClose>(message.get())) {
+        co_await this->Close(*close);
+        co_return;
+      }
+      message = co_await Receive(*stop);
+    }
+  }
+
+ private:
+  // A caller whose connection the kernel has queued may have sent its request.
+  boost::asio::awaitable<void> Close(ListenerClose close) {
+    const std::uint64_t count_before = this->connection_count;
+    boost::system::error_code error;
+    std::ignore = this->acceptor->non_blocking(true, error);
+    while (!error) {
+      auto socket = this->acceptor->accept(error);
+      if (!error) {
+        this->Serve(std::move(socket));
+      }
+    }
+    std::ignore = this->acceptor->close(error);
+    const auto end = std::chrono::steady_clock::now() + close.timeout;
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    while (this->open_count != 0 && std::chrono::steady_clock::now() < end) {
+      timer.expires_after(kCloseCheckInterval);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    TrySend(*close.reply_to,
+            ListenerClosed{
+                .last_accepted = static_cast<std::size_t>(
+                    this->connection_count - count_before),
+                .open_connections = this->open_count,
+                .unread_bytes = this->open_connections.CountUnreadBytes()});
+  }
+
+  void Serve(boost::asio::ip::tcp::socket socket) {
+    const auto executor = socket.get_executor();
+    ++this->connection_count;
+    const std::string prefix =
+        this->id_prefix + "-" + std::to_string(this->connection_count);
+    if (this->open_count >=
+        this->limits.max_connections + kMaxRejectedConnections) {
+      return;
+    }
+    const bool is_over_limit = this->open_count >= this->limits.max_connections;
+    ++this->open_count;
+    const auto end = [listener = this->shared_from_this()](
+                         const std::exception_ptr&) { --listener->open_count; };
+    if (is_over_limit) {
+      boost::asio::co_spawn(executor,
+                            RejectConnection(std::move(socket), prefix,
+                                             this->entry_inbox, this->limits),
+                            end);
+      return;
+    }
+    SetKeepAliveOptions(socket);
+    const auto connection =
+        std::make_shared<CallerConnection>(std::move(socket), prefix);
+    this->open_connections.Add(connection);
+    boost::asio::co_spawn(executor,
+                          ReadRequests<Protocol>(connection, this->limits),
+                          boost::asio::detached);
+    boost::asio::co_spawn(
+        executor, RunCallerSession(connection, this->entry_inbox, this->limits),
+        end);
+  }
+
+  const std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+  const std::string id_prefix;
+  const std::shared_ptr<EntryTaskMailbox> entry_inbox;
+  const CallerLimits limits;
+  OpenConnections open_connections;
+  std::size_t open_count = 0;
+  std::uint64_t connection_count = 0;
+};
 
 /// Accepts callers until the acceptor is closed, and serves each connection in
 /// tasks of its own.
 /// @tparam Protocol the callers' protocol.
 /// @param id_prefix start of all request ids: host and incarnation.
-/// @param stop a message there closes connections that have been idle for a
-/// second, and the others after their responses.
+/// @param stop HostStopping closes connections that have been idle for a
+/// second, and the others after their responses; ListenerClose ends the
+/// listener.
 template <CallerProtocol Protocol>
 boost::asio::awaitable<void> RunCallerListener(
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
@@ -52,50 +194,17 @@
     std::shared_ptr<EntryTaskMailbox> entry_inbox,
     std::shared_ptr<StopMailbox> stop,
     CallerLimits limits) {
-  const auto executor = co_await boost::asio::this_coro::executor;
-  const auto open_connections = std::make_shared<OpenConnections>();
-  boost::asio::co_spawn(executor,
-                        ForwardStop(std::move(stop), open_connections),
-                        boost::asio::detached);
-  const auto open_count = std::make_shared<std::size_t>(0);
-  const auto decrement_open_count = [open_count](const std::exception_ptr&) {
-    --*open_count;
+  const auto listener = std::make_shared<CallerListener<Protocol>>(
+      std::move(acceptor), std::move(id_prefix), std::move(entry_inbox),
+      std::move(limits));
+  const auto handle_stops = [](auto listener,
+                               auto stop) -> boost::asio::awaitable<void> {
+    co_await listener->HandleStops(std::move(stop));
   };
-  std::uint64_t connection_count = 0;
-  while (acceptor->is_open()) {
-    auto [error, socket] = co_await acceptor->async_accept(
-        boost::asio::as_tuple(boost::asio::use_awaitable));
-    if (error) {
-      boost::asio::steady_timer pause(executor, kAcceptRetryDelay);
-      co_await pause.async_wait(boost::asio::use_awaitable);
-      continue;
-    }
-    ++connection_count;
-    const std::string prefix =
-        id_prefix + "-" + std::to_string(connection_count);
-    if (*open_count >= limits.max_connections + kMaxRejectedConnections) {
-      continue;
-    }
-    const bool is_over_limit = *open_count >= limits.max_connections;
-    ++*open_count;
-    if (is_over_limit) {
-      boost::asio::co_spawn(
-          executor,
-          RejectConnection(std::move(socket), prefix, entry_inbox, limits),
-          decrement_open_count);
-    } else {
-      SetKeepAliveOptions(socket);
-      const auto connection =
-          std::make_shared<CallerConnection>(std::move(socket), prefix);
-      open_connections->Add(connection);
-      boost::asio::co_spawn(executor,
-                            ReadRequests<Protocol>(connection, limits),
-                            boost::asio::detached);
-      boost::asio::co_spawn(executor,
-                            RunCallerSession(connection, entry_inbox, limits),
-                            decrement_open_count);
-    }
-  }
+  boost::asio::co_spawn(co_await boost::asio::this_coro::executor,
+                        handle_stops(listener, std::move(stop)),
+                        boost::asio::detached);
+  co_await listener->Accept();
 }
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/open_connections.h
+++ b/forwarding/include/cicadaloft/forwarding/open_connections.h
@@ -41,6 +41,20 @@
     }
   }
 
+  /// @return the bytes of requests that nobody has read from the sockets.
+  std::size_t CountUnreadBytes() const {
+    std::size_t bytes = 0;
+    for (const auto& item : this->connections) {
+      const auto connection = item.lock();
+      if (connection != nullptr && connection->socket.is_open()) {
+        boost::system::error_code error;
+        const std::size_t unread = connection->socket.available(error);
+        bytes += error ? 0 : unread;
+      }
+    }
+    return bytes;
+  }
+
  private:
   static constexpr std::size_t kMinCleanupSize = 64;
 
--- a/forwarding/tests/host_stop_test.cc
+++ b/forwarding/tests/host_stop_test.cc
@@ -50,6 +50,10 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
 
+  std::vector<std::shared_ptr<StopMailbox>> Listeners() const {
+    return {this->stop};
+  }
+
   /// @return a caller with one served request behind it.
   awaitable<TestCaller> ConnectServedCaller() {
     auto caller = co_await this->ConnectCaller();
@@ -167,6 +171,54 @@
   });
 }
 
+// Guards against a process that ends while callers wait in the queue of its
+// listening socket, with their requests sent.
+BOOST_AUTO_TEST_CASE(QueuedConnectionsAreServedBeforeTheListenerCloses) {
+  constexpr int kCallers = 20;
+  StopFixture entry;
+  entry.Run([&]() -> awaitable<void> {
+    Post(*entry.stop, HostStopping{});
+    co_await entry.Sleep(milliseconds(20));
+    const tcp::endpoint address = entry.acceptor->local_endpoint();
+    std::vector<TestCaller> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      TestCaller& caller = callers.emplace_back(entry.context);
+      caller.socket.connect(address);
+      WriteNow(caller, ServiceGet("/"));
+    }
+    bool has_ended = false;
+    boost::asio::co_spawn(
+        entry.context, CloseListeners(entry.Listeners(), seconds(5)),
+        [&](const std::exception_ptr&, const ListenerClosed& closed) {
+          BOOST_TEST((closed == ListenerClosed{.last_accepted = kCallers}));
+          has_ended = true;
+        });
+    for (TestCaller& caller : callers) {
+      const auto response = co_await caller.Read();
+      BOOST_TEST(!caller.error, caller.error);
+      BOOST_TEST(response["Connection"] == "close");
+      caller.socket.close();
+    }
+    co_await entry.WaitUntil([&] { return has_ended; });
+    boost::system::error_code error;
+    TestCaller(entry.context).socket.connect(address, error);
+    BOOST_TEST((error == boost::asio::error::connection_refused));
+  });
+}
+
+// Guards against stops that don't tell what they cut.
+BOOST_AUTO_TEST_CASE(ConnectionsThatDoNotEndAreReported) {
+  StopFixture entry;
+  entry.Run([&]() -> awaitable<void> {
+    auto caller = co_await entry.ConnectCaller();
+    co_await caller.Write("GET /half");
+    co_await entry.Sleep(milliseconds(50));
+    const ListenerClosed closed =
+        co_await CloseListeners(entry.Listeners(), milliseconds(100));
+    BOOST_TEST(closed.open_connections == 1U);
+  });
+}
+
 // Guards against the same race as at a stop: the next request of an idle
 // connection arrives while its idle timeout is being handled.
 BOOST_AUTO_TEST_CASE(RequestThatArrivesAtTheIdleTimeoutIsAnswered) {
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -79,6 +79,12 @@
 /// part of kStopMargin.
 constexpr Duration kForcedDrainTimeout = std::chrono::milliseconds(100);
 
+/// How long a stopping host waits for its connections to end after the last
+/// request: at the end of the stop time, and at most otherwise. Answers arrive
+/// at their callers in that time, and requests that were queued are answered.
+constexpr Duration kMinCloseTime = std::chrono::milliseconds(300);
+constexpr Duration kMaxCloseTime = std::chrono::milliseconds(2200);
+
 /// Reserved at the end of the stop time, so that the last responses reach their
 /// callers.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
@@ -242,13 +248,20 @@
     co_await this->Sleep(std::min(kDrainDelay, grace_period) -
                          std::min(kConnectionCloseDelay, grace_period));
     co_await Send(*this->entry_mailbox, EntryTaskMessage(DrainRequest{}));
-    const auto elapsed = std::chrono::duration_cast<Duration>(
-        std::chrono::steady_clock::now() - start);
     const Duration remaining =
-        std::max(Duration::zero(), grace_period - elapsed);
+        std::max(Duration::zero(), grace_period - Elapsed(start));
     const auto drained =
         co_await WithTimeout(remaining, Receive(*this->drained));
-    if (!drained) {
+    const ListenerClosed closed = co_await CloseListeners(
+        this->Listeners(), drained ? std::clamp(grace_period - Elapsed(start),
+                                                kMinCloseTime, kMaxCloseTime)
+                                   : kMinCloseTime);
+    Log("host").Event(
+        R"("event":"host.listeners_closed","last_accepted":)" +
+        std::to_string(closed.last_accepted) + R"(,"open_connections":)" +
+        std::to_string(closed.open_connections) + R"(,"unread_bytes":)" +
+        std::to_string(closed.unread_bytes));
+    if (!drained || closed.open_connections != 0) {
       co_await Send(*this->entry_mailbox,
                     EntryTaskMessage(DrainRequest{.is_forced = true}));
       co_await WithTimeout(kForcedDrainTimeout, Receive(*this->drained));
@@ -263,6 +276,19 @@
     asio::co_spawn(this->executor, std::move(task), asio::detached);
   }
 
+  static Duration Elapsed(std::chrono::steady_clock::time_point start) {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - start);
+  }
+
+  std::vector<std::shared_ptr<StopMailbox>> Listeners() const {
+    std::vector<std::shared_ptr<StopMailbox>> listeners = {this->caller_stop};
+    if (this->native_caller_acceptor != nullptr) {
+      listeners.push_back(this->native_caller_stop);
+    }
+    return listeners;
+  }
+
   void SpawnFollowers() {
     const std::uint64_t seed = StableHash(this->settings.host.value());
     const auto run = [](auto follower) -> asio::awaitable<void> {
