--- a/forwarding/include/cicadaloft/forwarding/open_connections.h
+++ b/forwarding/include/cicadaloft/forwarding/open_connections.h
@@ -26,10 +26,14 @@
           std::max(kMinCleanupSize, this->connections.size());
     }
     this->connections.push_back(connection);
+    if (this->is_host_stopping) {
+      Post(*connection->to_session, SessionMessage(HostStopping{}));
+    }
   }
 
-  /// Notifies each session that the host is stopping.
-  void NotifyStop() const {
+  /// Notifies each session that the host is stopping, and later each new one.
+  void NotifyStop() {
+    this->is_host_stopping = true;
     for (const auto& item : this->connections) {
       if (const auto connection = item.lock()) {
         Post(*connection->to_session, SessionMessage(HostStopping{}));
@@ -37,11 +41,26 @@
     }
   }
 
+  /// @return the bytes of requests that nobody has read from the sockets.
+  std::size_t CountUnreadBytes() const {
+    std::size_t bytes = 0;
+    for (const auto& item : this->connections) {
+      const auto connection = item.lock();
+      if (connection != nullptr && connection->socket.is_open()) {
+        boost::system::error_code error;
+        const std::size_t unread = connection->socket.available(error);
+        bytes += error ? 0 : unread;
+      }
+    }
+    return bytes;
+  }
+
  private:
   static constexpr std::size_t kMinCleanupSize = 64;
 
   std::vector<std::weak_ptr<CallerConnection>> connections;
   std::size_t size_after_cleanup = kMinCleanupSize;
+  bool is_host_stopping = false;
 };
 
 }  // namespace cicadaloft
