Let the fair queue end for any cost and weight

Cause: FindServable() credits all customers the rounds that the closest needs and calls itself. With an infinite or NaN cost, a weight near zero or rounding, no deficit ever suffices. Beside it, a removed item left its customer the credit for it, so that this customer was served before all others until it was used up, and items without a cost were served first for ever.

Costs and weights are clamped to bounds in which the arithmetic is exact enough, NaN counting as the lowest. The search credits once, after which the closest customer can be served by construction. Removing an item limits the deficit to its new first item and a round.

Evidence, before: QueueServesAllItemsForAnyCostsAndWeights doesn't end (killed by timeout after 10 s); CreditForARemovedItemIsNotKept: cost 1000000 fraction 1 ItemsWithoutCostDoNotStarveOthers: check count == 2000 has failed [0 != 2000] After: admission_test passes, also with the sanitizers.

--- a/admission/include/cicadaloft/admission/fair_queue.h
+++ b/admission/include/cicadaloft/admission/fair_queue.h
@@ -20,8 +20,17 @@
 /// Scheduling attributes of one queued item.
 struct QueueAttributes {
   const CustomerId customer;  ///< Empty if the request has no customer.
-  const double weight = 1;    ///< Relative to other customers; > 0.
-  const double cost = 1;      ///< Expected work, in the customer's unit; > 0.
+  /// Relative to other customers; clamped to kMinWeight and kMaxWeight.
+  const double weight = 1;
+  /// Expected work, in the customer's unit; clamped to kMinCost and kMaxCost.
+  const double cost = 1;
+
+  /// No item is free, or its customer would be served before all others.
+  static constexpr double kMinCost = 1;
+  /// Credits up to here are precise to far less than kMinCost.
+  static constexpr double kMaxCost = 1e9;
+  static constexpr double kMinWeight = 1e-3;
+  static constexpr double kMaxWeight = 1e3;
 
   friend auto operator<=>(const QueueAttributes&,
                           const QueueAttributes&) = default;
@@ -38,10 +47,10 @@
             std::uint64_t number,
             Item item) {
     const auto flow = this->FindOrAddFlow(attributes);
+    const double cost = ClampNumber(attributes.cost, QueueAttributes::kMinCost,
+                                    QueueAttributes::kMaxCost);
     const bool is_new =
-        flow->waiting
-            .emplace(number, Entry{.item = item, .cost = attributes.cost})
-            .second;
+        flow->waiting.emplace(number, Entry{.item = item, .cost = cost}).second;
     this->count += is_new ? 1 : 0;
   }
 
@@ -53,6 +62,7 @@
       return false;
     }
     --this->count;
+    LimitDeficit(*found->second);
     this->EraseIfEmpty(found->second);
     return true;
   }
@@ -114,18 +124,26 @@
   static constexpr double kQuantum = 1000;
 
   FlowIterator FindOrAddFlow(const QueueAttributes& attributes) {
+    const double weight =
+        ClampNumber(attributes.weight, QueueAttributes::kMinWeight,
+                    QueueAttributes::kMaxWeight);
     const auto found = this->index.find(attributes.customer);
     if (found != this->index.end()) {
-      found->second->weight = attributes.weight;
+      found->second->weight = weight;
       return found->second;
     }
     const FlowIterator added = this->flows.insert(
         this->flows.end(),
-        Flow{.customer = attributes.customer, .weight = attributes.weight});
+        Flow{.customer = attributes.customer, .weight = weight});
     this->index.emplace(attributes.customer, added);
     return added;
   }
 
+  /// @return `number` within the bounds; `min` for NaN.
+  static double ClampNumber(double number, double min, double max) {
+    return number > min ? std::min(number, max) : min;
+  }
+
   static bool IsServable(const Flow& flow) {
     return flow.deficit >= flow.waiting.begin()->second.cost;
   }
@@ -139,18 +157,34 @@
   /// all customers are credited as many rounds as the closest of them needs.
   FlowIterator FindServable() {
     // The first customer is served again as long as its deficit suffices.
-    const auto servable = std::ranges::find_if(this->flows, IsServable);
-    if (servable != this->flows.end()) {
-      this->flows.splice(this->flows.end(), this->flows, this->flows.begin(),
-                         servable);
-      return servable;
+    auto servable = std::ranges::find_if(this->flows, IsServable);
+    if (servable == this->flows.end()) {
+      servable = this->CreditRounds();
     }
-    const double rounds = std::ranges::min(
-        this->flows | std::views::transform(RoundsUntilServable));
+    this->flows.splice(this->flows.end(), this->flows, this->flows.begin(),
+                       servable);
+    return servable;
+  }
+
+  /// @return the first customer whose deficit suffices now.
+  FlowIterator CreditRounds() {
+    const auto closest =
+        std::ranges::min_element(this->flows, {}, RoundsUntilServable);
+    const double rounds = RoundsUntilServable(*closest);
     std::ranges::for_each(this->flows, [&](Flow& flow) {
       flow.deficit += rounds * kQuantum * flow.weight;
     });
-    return this->FindServable();
+    // Rounding must not leave it short of its cost.
+    closest->deficit =
+        std::max(closest->deficit, closest->waiting.begin()->second.cost);
+    return std::ranges::find_if(this->flows, IsServable);
+  }
+
+  /// Credit for an item that is removed must not serve many others at once.
+  static void LimitDeficit(Flow& flow) {
+    const double cost =
+        flow.waiting.empty() ? 0 : flow.waiting.begin()->second.cost;
+    flow.deficit = std::min(flow.deficit, cost + kQuantum * flow.weight);
   }
 
   /// An idle customer keeps no deficit.
--- a/admission/tests/admission_test.cc
+++ b/admission/tests/admission_test.cc
@@ -1,9 +1,11 @@
 #define BOOST_TEST_MODULE admission
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <limits>
 #include <map>
 #include <numeric>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +79,80 @@
   BOOST_TEST(queue.size() == 0);
 }
 
+constexpr double kInfinity = std::numeric_limits<double>::infinity();
+constexpr double kNotANumber = std::numeric_limits<double>::quiet_NaN();
+
+// Guards against a host that freezes: with costs that no deficit can reach the
+// search for the next customer did not end.
+BOOST_AUTO_TEST_CASE(QueueServesAllItemsForAnyCostsAndWeights) {
+  const std::vector<double> numbers = {
+      kInfinity, -kInfinity, kNotANumber, 1e308, 1e300, 1e18, 1e9,
+      1,         1e-9,       5e-324,      0,     -0.0,  -1,   -1e308};
+  for (const double cost : numbers) {
+    for (const double weight : numbers) {
+      DeficitRoundRobinQueue<int> queue;
+      for (int i = 0; i < 10; ++i) {
+        queue.Push(MakeAttributes(i % 2 == 0 ? "a" : "b",
+                                  i % 2 == 0 ? weight : 1, cost),
+                   i, i);
+      }
+      std::set<int> served;
+      while (const auto item = queue.Pop()) {
+        served.insert(*item);
+      }
+      BOOST_TEST(served.size() == 10U, "cost " << cost << " weight " << weight);
+    }
+  }
+}
+
+// Fraction of the next 100 items that are customer "b"'s, each of cost 100,
+// while both customers have many.
+double FractionOfB(DeficitRoundRobinQueue<std::string>& queue) {
+  for (int i = 0; i < 1000; ++i) {
+    queue.Push(MakeAttributes("a", 1, 100), 1000 + i, "a");
+    queue.Push(MakeAttributes("b", 1, 100), 1000 + i, "b");
+  }
+  int count = 0;
+  for (int i = 0; i < 100; ++i) {
+    count += *queue.Pop() == "b" ? 1 : 0;
+  }
+  return count / 100.0;
+}
+
+// Guards against a customer that keeps the credit for an expensive item after
+// the item has been removed, and is then served before all others.
+BOOST_AUTO_TEST_CASE(CreditForARemovedItemIsNotKept) {
+  for (const double cost : {1e6, 1e300}) {
+    DeficitRoundRobinQueue<std::string> queue;
+    queue.Push(MakeAttributes("a", 1, cost), 1, "a");
+    queue.Push(MakeAttributes("b", 1, cost), 1, "b");
+    const std::string first = *queue.Pop();
+    const std::string other = first == "a" ? "b" : "a";
+    queue.Push(MakeAttributes(other, 1, 100), 2, other);
+    BOOST_TEST(queue.Remove(CustomerId(other), 1));
+    const double fraction = FractionOfB(queue);
+    BOOST_TEST(fraction >= 0.3, "cost " << cost << " fraction " << fraction);
+    BOOST_TEST(fraction <= 0.7, "cost " << cost << " fraction " << fraction);
+  }
+}
+
+// Guards against customers that are served before all others since their items
+// cost nothing.
+BOOST_AUTO_TEST_CASE(ItemsWithoutCostDoNotStarveOthers) {
+  for (const double cost : {0.0, -1e300, kNotANumber}) {
+    DeficitRoundRobinQueue<std::string> queue;
+    for (int i = 0; i < 5000; ++i) {
+      queue.Push(MakeAttributes("a", 1, cost), i, "a");
+      queue.Push(MakeAttributes("b", 1, 1), i, "b");
+    }
+    int count = 0;
+    for (int i = 0; i < 4000; ++i) {
+      count += *queue.Pop() == "b" ? 1 : 0;
+    }
+    BOOST_TEST(count == 2000);
+  }
+}
+
 constexpr Duration kWindow = seconds(8);
 
 // 100 per second for 8 s plus a burst of 200: 1,000 in a window.
