--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -51,6 +51,10 @@
 
 using Destination = std::variant<ByHostAndPath, ByModel, ByRoute>;
 
+/// A request that states more tokens is malformed: no model holds as many, and
+/// sums of such costs stay exact.
+inline constexpr double kMaxRequestTokens = 100'000'000;
+
 /// A caller's request has been read completely. It is answered exactly once: by
 /// a Refuse, or by a Dispatch that has ended.
 struct RequestArrived {
@@ -60,7 +64,8 @@
   const Destination destination;
   /// Empty for a service without an engine.
   const std::optional<ModelPath> model;
-  const std::optional<double> tokens;  ///< Prompt plus maximum response.
+  /// Prompt plus maximum response; at most kMaxRequestTokens.
+  const std::optional<double> tokens;
   /// Key of the shared prompt prefix; 0: there is none.
   const std::uint64_t prompt_prefix_key = 0;
   /// Hashes of the prompt segments that other requests may share, in order.
--- a/own_interface/chat_request.cc
+++ b/own_interface/chat_request.cc
@@ -1,6 +1,7 @@
 #include "chat_request.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -9,6 +10,7 @@
 
 #include "cicadaloft/codec/json.h"
 #include "cicadaloft/core/rendezvous.h"
+#include "cicadaloft/entry/messages.h"
 
 namespace cicadaloft {
 namespace {
@@ -106,10 +108,17 @@
   }
   const std::string prompt = PromptOf(root["messages"]);
   const std::size_t prompt_tokens = prompt.size() / kBytesPerToken;
+  const double tokens = static_cast<double>(prompt_tokens) +
+                        static_cast<double>(ValueOf(max_tokens));
+  if (tokens > kMaxRequestTokens) {
+    return MakeError(ErrorKind::kMalformedRequest,
+                     "max_tokens: expected at most " +
+                         std::to_string(std::llround(kMaxRequestTokens)) +
+                         " with the prompt's tokens");
+  }
   return ChatRequest{
       .model = ParseModelPath(root["model"].get<std::string>()),
-      .tokens = static_cast<double>(prompt_tokens) +
-                static_cast<double>(ValueOf(max_tokens)),
+      .tokens = tokens,
       .prompt_prefix_key =
           StableHash(std::string_view(prompt).substr(0, kPromptPrefixBytes))};
 }
--- a/own_interface/tests/native_protocol_test.cc
+++ b/own_interface/tests/native_protocol_test.cc
@@ -75,6 +75,8 @@
        {"", "{", "[]", R"({"model":"m"})", R"({"model":1,"messages":[{}]})",
         R"({"model":"m","messages":[]})", R"({"model":"m","messages":["x"]})",
         R"({"model":"m","messages":[{}],"max_tokens":-1})",
+        R"({"model":"m","messages":[{}],"max_tokens":100000001})",
+        R"({"model":"m","messages":[{}],"max_tokens":18446744073709551615})",
         R"({"model":"m","messages":[{}],"stream":1})", "\xff\xfe"}) {
     BOOST_TEST_CONTEXT(body) {
       BOOST_TEST((ErrorKindOf(ChatPost(body)) == ErrorKind::kMalformedRequest));
