Give up the lease when its release is sent, not when it is answered

Cause: the holder gave up its lease only in ExtendLease(), when it learned that the record had been written.

The lease is lost in the same step that sends the release, before the record leaves, and no renewal that is confirmed later brings it back. A release isn't a claim, so it leaves the time of the first order alone.

Evidence, before: HolderThatHasSentTheReleaseSendsNoOrders: critical check !a.MaySendOrders(now) has failed, fault 1 (answer lost) After: lease_test passes; the successor sends its first order within the documented bound with each fault.

--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -119,7 +119,8 @@
   /// For the current term, or for the pending claim.
   TimePoint orders_allowed_from{};
   bool is_stopping = false;
-  bool has_released = false;
+  bool has_sent_release = false;  ///< It may be in the log or not.
+  bool has_released = false;      ///< The release is in the log.
 };
 
 Step<LeaseState, LeaseEffect> Decide(LeaseState state,
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -134,7 +134,9 @@
   this->has_read = true;
   if (entry.record.is_released) {
     this->has_released = true;
-    this->LoseLease("released");
+    return;
+  }
+  if (this->has_sent_release) {
     return;
   }
   const bool is_new_term = this->current_token == FencingToken();
@@ -297,8 +299,8 @@
 }
 
 void LeaseState::AppendRecord(bool is_release) {
-  const bool is_claim =
-      this->current_token == FencingToken() && !this->pending_append;
+  const bool is_claim = !is_release && !this->pending_append &&
+                        this->current_token == FencingToken();
   if (is_claim) {
     this->orders_allowed_from = this->OrdersAllowedFrom();
   }
@@ -323,6 +325,12 @@
     this->pending_append_sent_at = this->now;
   }
   this->pending_append = append;
+  if (is_release) {
+    // A successor counts its delay from this record, whether or not its answer
+    // arrives here.
+    this->has_sent_release = true;
+    this->LoseLease("released");
+  }
   this->effects.emplace_back(std::move(append));
 }
 
--- a/lease/tests/lease_test.cc
+++ b/lease/tests/lease_test.cc
@@ -180,6 +180,69 @@
   BOOST_TEST((now - released_at <= MaxTakeoverTime(SettingsOf("a"))));
 }
 
+/// What becomes of the record that releases the lease.
+enum class ReleaseFault {
+  kNone,
+  kAnswerLost,
+  kWrittenLate,
+  kAnsweredTwice,
+  kStoreDown,
+  kHostPaused,
+};
+
+void ApplyFault(Host& host, ReleaseFault fault) {
+  host.loses_responses = fault == ReleaseFault::kAnswerLost;
+  host.is_delaying_appends = fault == ReleaseFault::kWrittenLate;
+  host.is_cut_off = fault == ReleaseFault::kStoreDown;
+}
+
+// Guards against two hosts that send orders in the same handover delay: the
+// answer to the record that releases the lease was lost, its writer went on
+// sending orders, and its successor counted the delay from the record.
+BOOST_AUTO_TEST_CASE(HolderThatHasSentTheReleaseSendsNoOrders) {
+  constexpr Duration kWriteDelay = milliseconds(500);
+  for (const ReleaseFault fault :
+       {ReleaseFault::kNone, ReleaseFault::kAnswerLost,
+        ReleaseFault::kWrittenLate, ReleaseFault::kAnsweredTwice,
+        ReleaseFault::kStoreDown, ReleaseFault::kHostPaused}) {
+    BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault)) {
+      HeldLease held;
+      Host& a = held.a;
+      Host b("b", held.log);
+      TimePoint now = RunFor({&a, &b}, held.now, seconds(1));
+      BOOST_REQUIRE(a.MaySendOrders(now));
+      ApplyFault(a, fault);
+      a.Feed(LeaseStop{}, now);
+      const TimePoint stopped_at = now;
+      while (!b.MaySendOrders(now) && now < stopped_at + seconds(20)) {
+        BOOST_REQUIRE(!a.MaySendOrders(now));
+        const bool is_late = now >= stopped_at + kWriteDelay;
+        if (is_late && !a.delayed_appends.empty()) {
+          held.log.Append(a.delayed_appends.front());
+          a.delayed_appends.pop_front();
+        }
+        if (is_late && fault == ReleaseFault::kAnsweredTwice) {
+          a.Feed(LeaseAppendEnded{.outcome = LeaseAppendOutcome::kWritten,
+                                  .sent_at = stopped_at},
+                 now);
+        }
+        if (is_late || fault != ReleaseFault::kHostPaused) {
+          a.Tick(now);
+        }
+        now = RunFor({&b}, now, kTick);
+      }
+      const LeaseSettings settings = SettingsOf("a");
+      BOOST_TEST(!a.MaySendOrders(now));
+      BOOST_TEST((now - stopped_at >= settings.handover_delay));
+      const Duration unreleased =
+          fault == ReleaseFault::kStoreDown     ? settings.ttl
+          : fault == ReleaseFault::kWrittenLate ? kWriteDelay + kTick
+                                                : Duration::zero();
+      BOOST_TEST((now - stopped_at <= unreleased + MaxTakeoverTime(settings)));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RestartedHolderMaySendOrdersWithinOneSecond) {
   FakeLog log;
   Host before("a", log);
