Keep a target's rest while its registry entry is gone

Cause: ObservedNotices are part of TargetView, which ends with the target's registry entry. An entry lapses by a late heartbeat, and the same process came back without its rest.

LapsedNotices keeps what a process has said, for the longest rest that targets are given, and hands it back with the entry of the same process; a new process starts without notices, as before.

--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -132,15 +132,16 @@
     if (is_known && found->second.record_ptr() == record) {
       continue;
     }
-    TargetView& view =
-        is_known ? found->second
-                 : this->targets.emplace(id, TargetView(record)).first->second;
+    TargetView& view = is_known ? found->second : this->AddTarget(id, record);
     view.Update(record, this->now);
     this->model_locations.Update(*record, this->now);
   }
   std::erase_if(this->targets, [this](const auto& entry) {
     const bool is_removed = !this->fleet->targets.contains(entry.first);
     if (is_removed) {
+      const TargetView& view = entry.second;
+      this->lapsed_notices.Keep(entry.first, view.record().instance,
+                                view.notices(), this->now);
       this->model_locations.Remove(entry.first);
     }
     return is_removed;
@@ -148,6 +149,13 @@
   this->DispatchFromAllQueues();
 }
 
+TargetView& EntryCore::AddTarget(const TargetId& id,
+                                 const TargetRecordPtr& record) {
+  const TargetView view(record,
+                        this->lapsed_notices.Take(id, record->instance));
+  return this->targets.emplace(id, view).first->second;
+}
+
 void EntryCore::Handle(const PlacementChange& change) {
   this->model_locations.OnPlacementChange(change, this->now);
   this->DispatchFromAllQueues();
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -19,6 +19,7 @@
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/poison/poison_guard.h"
+#include "cicadaloft/routing/lapsed_notices.h"
 #include "cicadaloft/routing/model_locations.h"
 #include "cicadaloft/routing/retry_budget.h"
 #include "cicadaloft/routing/target_choice.h"
@@ -132,6 +133,8 @@
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
   TargetPreference PreferenceOf(const OpenRequest& request) const;
   Candidates CandidatesFor(const QueueKey& key);
+  /// Adds a target with what its process has said before its entry was gone.
+  TargetView& AddTarget(const TargetId& id, const TargetRecordPtr& record);
   bool CanAccept(const TargetView& target, const OpenRequest& request) const;
   std::vector<TargetId> UnusableTargets(const QueueKey& key,
                                         const Candidates& candidates) const;
@@ -192,6 +195,7 @@
   std::set<DataCentreId> evacuated;
   FleetPtr fleet;
   std::map<TargetId, TargetView> targets;
+  LapsedNotices lapsed_notices;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
   ModelLocations model_locations;
 
--- a/entry/tests/target_notice_test.cc
+++ b/entry/tests/target_notice_test.cc
@@ -118,6 +118,57 @@
   BOOST_TEST(CountDispatchesTo(entry, "p1") == 1U);
 }
 
+// Guards against requests to a target that rests, after its registry entry has
+// lapsed and come back.
+BOOST_AUTO_TEST_CASE(RestOutlivesTheRegistryEntryOfTheProcess) {
+  EntryFixture entry;
+  entry.Start();
+  entry.SendRequest("any");
+  const Dispatch first = entry.EffectsOf<Dispatch>().at(0);
+  BOOST_REQUIRE(first.target.value() == "p1");
+  EndWith(entry, first, AttemptOutcome::kShed, 503, {.rest = seconds(20)});
+  const auto targets = entry.targets;
+  std::erase_if(entry.targets, [](const TargetRecord& target) {
+    return target.id.value() == "p1";
+  });
+  entry.UpdateFleet();
+  entry.RunFor(seconds(2));
+  entry.targets = targets;
+  entry.UpdateFleet();
+  for (int i = 0; i < 8; ++i) {
+    entry.SendRequest("any");
+  }
+  BOOST_TEST(CountDispatchesTo(entry, "p1") == 1U);
+  entry.RunFor(seconds(20));
+  for (int i = 0; i < 8; ++i) {
+    entry.SendRequest("any");
+  }
+  BOOST_TEST(CountDispatchesTo(entry, "p1") > 1U);
+}
+
+// A new process has said nothing yet.
+BOOST_AUTO_TEST_CASE(RestEndsWithTheProcessWhileItsEntryIsGone) {
+  EntryFixture entry;
+  entry.Start();
+  entry.SendRequest("any");
+  EndWith(entry, entry.EffectsOf<Dispatch>().at(0), AttemptOutcome::kShed, 503,
+          {.rest = seconds(20)});
+  auto targets = entry.targets;
+  std::erase_if(entry.targets, [](const TargetRecord& target) {
+    return target.id.value() == "p1";
+  });
+  entry.UpdateFleet();
+  for (TargetRecord& target : targets) {
+    target.instance = TargetInstance(2);
+  }
+  entry.targets = targets;
+  entry.UpdateFleet();
+  for (int i = 0; i < 8; ++i) {
+    entry.SendRequest("any");
+  }
+  BOOST_TEST(CountDispatchesTo(entry, "p1") > 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ShortRestIsWaitedFor) {
   EntryFixture entry;
   entry.Start();
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -17,8 +17,9 @@
 /// seen from this host.
 class TargetView {
  public:
-  explicit TargetView(TargetRecordPtr record)
-      : current_record(std::move(record)) {}
+  /// @param notices what the process has said earlier.
+  explicit TargetView(TargetRecordPtr record, ObservedNotices notices = {})
+      : current_record(std::move(record)), observed_notices(notices) {}
 
   const TargetRecord& record() const { return *this->current_record; }
   const TargetRecordPtr& record_ptr() const { return this->current_record; }
