Ignore a request for no warm-up permits

Cause: GrantFromBucket() decrements the count of a pending request before it compares it with 0. A count of 0 from a peer wrapped around to 2^32-1, and for the TTL of its request the host got a share of the target's rate that it had not asked for.

Requests whose count is 0 are taken out of the queue; such a request also withdraws its host's earlier one.

Evidence, before: RequestForNoPermitsGetsNone: check Sum(ledger.IssueGrants(kNow)) == 0U has failed [2 != 0] After: warmup_test passes.

--- a/warmup/tests/warmup_test.cc
+++ b/warmup/tests/warmup_test.cc
@@ -52,6 +52,17 @@
   BOOST_TEST(sum <= 22);
 }
 
+// Guards against a peer's request for no permits: its count wrapped around, and
+// it took half of the target's rate from the other hosts.
+BOOST_AUTO_TEST_CASE(RequestForNoPermitsGetsNone) {
+  WarmupLedger ledger = MakeLedger();
+  ledger.OnRequest(MakeRequest("idle", 0), kRate, kNow);
+  BOOST_TEST(Sum(ledger.IssueGrants(kNow)) == 0U);
+  ledger.OnRequest(MakeRequest("busy", 2), kRate, kNow);
+  ledger.OnRequest(MakeRequest("busy", 0), kRate, kNow);
+  BOOST_TEST(Sum(ledger.IssueGrants(kNow)) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(HostsAreServedRoundRobin) {
   WarmupLedger ledger = MakeLedger();
   ledger.OnRequest(MakeRequest("greedy", 50), kRate, kNow);
--- a/warmup/warmup_ledger.cc
+++ b/warmup/warmup_ledger.cc
@@ -42,11 +42,13 @@
       .expires_at = now + kWarmupRequestTtl - kMinRemainingTtl};
   const auto earlier =
       std::ranges::find(bucket.queue, request.host, &PendingRequest::host);
-  if (earlier != bucket.queue.end()) {
-    *earlier = pending;
-  } else {
+  if (earlier == bucket.queue.end()) {
     bucket.queue.push_back(pending);
+  } else {
+    *earlier = pending;
   }
+  std::erase_if(bucket.queue,
+                [](const PendingRequest& item) { return item.count == 0; });
 }
 
 std::vector<HostWarmupGrant> WarmupLedger::IssueGrants(TimePoint now) {
