--- a/tests/soak/checks_test.cc
+++ b/tests/soak/checks_test.cc
@@ -111,6 +111,18 @@
   ExpectKept(AddSpan(lost, SpanKind::kHostFault, 2, kSentAt + 50));
 }
 
+// A host that got less than its share of the processor is slowed, which excuses
+// late responses, but not connections that it closes.
+BOOST_AUTO_TEST_CASE(LostIsExcusedByAStarvedHostOnlyIfLate) {
+  Call call = Closed(4500);
+  ExpectBroken("LOST", AddSpan(With({call}, {kRun}), SpanKind::kHostStarved, 2,
+                               kSentAt));
+  call.outcome = Outcome::kTimedOut;
+  ExpectKept(AddSpan(With({call}, {kRun}), SpanKind::kHostStarved, 2, kSentAt));
+  ExpectBroken("LOST", AddSpan(With({call}, {kRun}), SpanKind::kHostStarved, 1,
+                               kSentAt));
+}
+
 BOOST_AUTO_TEST_CASE(LostIsExcusedByAFaultOfItsRunner) {
   const Evidence lost = With({Closed(50)}, {kRun});
   ExpectBroken("LOST", AddSpan(lost, SpanKind::kRunnerFault, 3, kSentAt));
--- a/tests/soak/hosts.h
+++ b/tests/soak/hosts.h
@@ -43,19 +43,28 @@
   boost::asio::awaitable<void> StopAll();
 
   /// Records the memory that each live host has held, and appends the ms for
-  /// which it has run and waited for a processor to usage.txt.
+  /// which it has run and waited for a processor to usage.txt. A host that
+  /// waited and got less than its share since the last call has starved.
   void Measure();
 
   const std::vector<Life>& lives() const { return this->all_lives; }
   const std::vector<Span>& spans() const { return this->all_spans; }
 
  private:
+  struct Usage {
+    int pid = 0;
+    Millis at = 0;
+    Millis ran = 0;
+    Millis waited = 0;
+  };
+
   struct State {
     int pid = 0;
     std::size_t life = 0;  ///< Index of its record.
     int starts = 0;
     int freezes = 0;  ///< Freezes that go on.
     Millis restart_delay = 0;
+    Usage usage;
   };
 
   boost::asio::awaitable<void> Supervise(int host);
@@ -65,6 +74,7 @@
   }
   Life& LifeOf(int host) { return this->all_lives.at(this->At(host).life); }
   std::size_t Open(SpanKind kind, int host);
+  void NoteUsage(State& state, int host, const Usage& now);
   void Close(std::size_t span) { this->all_spans.at(span).to = Now(); }
 
   boost::asio::io_context& context;
