--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -167,7 +167,8 @@
                     this->SettingsPath(host)},
           .log = this->all_paths.logs + "/host-" + std::to_string(host.index) +
                  ".log",
-          .max_descriptors = kMaxDescriptors};
+          .max_descriptors = kMaxDescriptors,
+          .blocks_signals = !this->all_paths.starts_plainly};
 }
 
 std::string Deployment::SettingsPath(const HostPlace& host) const {
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -13,6 +13,7 @@
 struct Paths {
   std::string build;
   std::string host_program;
+  bool starts_plainly = false;  ///< Hosts start with no signal blocked.
   std::string logs;
 
   bool operator==(const Paths&) const = default;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -39,7 +39,7 @@
 Usage:
   cicadaloft_soak --build DIR [--seed N] [--seconds S] [--hosts N] [--spares N]
                   [--runners N] [--rate N] [--logs DIR] [--host-program PATH]
-                  [--planned-only]
+                  [--planned-only] [--plain-start]
 
 Options:
   --build DIR          Build directory with the programs.
@@ -54,6 +54,8 @@
   --host-program PATH  Another build of the host.
   --planned-only       Only stops, reloads, configurations, and runners that
                        rest or leave.
+  --plain-start        Start hosts with no signal blocked. A signal between exec
+                       and main then ends them; hosts before issue 39 need it.
 
 Exit codes: 0 all checks passed, 1 a check failed.
 )";
@@ -186,6 +188,7 @@
                 .host_program = values["--host-program"].isString()
                                     ? values["--host-program"].asString()
                                     : build + "/host/cicadaloft-host",
+                .starts_plainly = values["--plain-start"].asBool(),
                 .logs = values["--logs"].asString() + "/seed-" + seed},
       .schedule = {.seed = std::stoull(seed),
                    .length = values["--seconds"].asLong() * kMillisPerSecond,
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,6 +16,7 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <stdexcept>
 
 namespace cicadaloft::soak {
@@ -46,6 +48,25 @@
   _exit(kCantStart);
 }
 
+/// Blocks the signals of a stop and a reload while it lives; a process that is
+/// forked meanwhile inherits that.
+class SignalBlock {
+ public:
+  SignalBlock() {
+    sigset_t set;
+    sigemptyset(&set);
+    std::ranges::for_each(std::array{SIGTERM, SIGINT, SIGHUP},
+                          [&](int number) { sigaddset(&set, number); });
+    sigprocmask(SIG_BLOCK, &set, &this->before);
+  }
+  ~SignalBlock() { sigprocmask(SIG_SETMASK, &this->before, nullptr); }
+  SignalBlock(const SignalBlock&) = delete;
+  SignalBlock& operator=(const SignalBlock&) = delete;
+
+ private:
+  sigset_t before{};
+};
+
 }  // namespace
 
 Millis Now() {
@@ -89,10 +110,15 @@
     throw std::runtime_error("can't open " + command.log);
   }
   const int parent = getpid();
+  std::optional<SignalBlock> signal_block;
+  if (command.blocks_signals) {
+    signal_block.emplace();
+  }
   const int pid = fork();
   if (pid == 0) {
     Execute(command, log, parent, pointers.data());
   }
+  signal_block.reset();
   close(log);
   if (pid < 0) {
     throw std::runtime_error("can't start " + words.front());
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -25,6 +25,9 @@
   std::vector<std::string> words;
   std::string log;          ///< File that standard output and error append to.
   int max_descriptors = 0;  ///< 0: not limited.
+  /// Whether it starts with the signals of a stop and a reload blocked, until
+  /// it handles them.
+  bool blocks_signals = false;
 
   bool operator==(const Command&) const = default;
 };
