Mend what the review of the stop found

What a caller could see: a connection over the limit was reset after its 503, as the host read 1,024 bytes of the request and closed; a request that arrived in the turn in which the first read timed out was taken and then cancelled; at the end of a stop the queue was reset when no descriptor was free, and a connection that was accepted but not served yet wasn't waited for. The wait for the last connection polled every 20 ms.

Change: the connection is drained for as long as others linger, the reader looks at its own buffer as well, the listener waits for descriptors and for connections in hand, and a timer that the last connection cancels replaces the polling.

ConnectionOverTheLimitIsNotReset guards the first; the others need a turn of the loop that a test can't choose.

--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -350,6 +350,18 @@
   bool is_continue_expected = false;
 };
 
+// A socket that is closed with unread input resets the connection, which can
+// take the response from the caller.
+asio::awaitable<bool> DiscardInput(tcp::socket& socket) {
+  std::array<char, 1024> input{};
+  error_code error;
+  while (!error) {
+    std::tie(error, std::ignore) = co_await socket.async_read_some(
+        asio::buffer(input), asio::as_tuple(asio::use_awaitable));
+  }
+  co_return true;
+}
+
 }  // namespace
 
 asio::awaitable<void> RunCallerSession(
@@ -379,11 +391,7 @@
   }
   error_code ignored;
   std::ignore = socket.shutdown(tcp::socket::shutdown_send, ignored);
-  std::array<char, 1024> input{};
-  co_await WithTimeout(
-      kLingerTimeout,
-      socket.async_read_some(asio::buffer(input),
-                             asio::as_tuple(asio::use_awaitable)));
+  co_await WithTimeout(kLingerTimeout, DiscardInput(socket));
 }
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -5,7 +5,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
@@ -33,8 +35,6 @@
 
 /// After a failed accept, for example when no file descriptors are left.
 inline constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
-/// Between two looks whether all connections have ended, during a stop.
-inline constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(20);
 /// Connections over the limit that still get an error response.
 inline constexpr std::size_t kMaxRejectedConnections = 100;
 
@@ -81,6 +81,7 @@
                  std::shared_ptr<EntryTaskMailbox> entry_inbox,
                  CallerLimits limits)
       : acceptor(std::move(acceptor)),
+        all_ended(this->acceptor->get_executor()),
         id_prefix(std::move(id_prefix)),
         entry_inbox(std::move(entry_inbox)),
         limits(std::move(limits)) {}
@@ -116,20 +117,16 @@
   // A caller whose connection the kernel has queued may have sent its request.
   boost::asio::awaitable<void> Close(ListenerClose close) {
     const std::uint64_t count_before = this->connection_count;
+    const auto end = std::chrono::steady_clock::now() + close.timeout;
+    co_await this->AcceptQueued(end);
     boost::system::error_code error;
-    std::ignore = this->acceptor->non_blocking(true, error);
-    while (!error) {
-      auto socket = this->acceptor->accept(error);
-      if (!error) {
-        this->Serve(std::move(socket));
-      }
-    }
     std::ignore = this->acceptor->close(error);
-    const auto end = std::chrono::steady_clock::now() + close.timeout;
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    // Accept() may have been given a connection that it has not served yet.
+    co_await boost::asio::post(boost::asio::use_awaitable);
     while (this->open_count != 0 && std::chrono::steady_clock::now() < end) {
-      timer.expires_after(kCloseCheckInterval);
-      co_await timer.async_wait(boost::asio::use_awaitable);
+      this->all_ended.expires_at(end);
+      co_await this->all_ended.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
     }
     TrySend(*close.reply_to,
             ListenerClosed{
@@ -139,6 +136,31 @@
                 .unread_bytes = this->open_connections.CountUnreadBytes()});
   }
 
+  // Without descriptors it waits for some until `end`.
+  boost::asio::awaitable<void> AcceptQueued(
+      std::chrono::steady_clock::time_point end) {
+    boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
+    boost::system::error_code error;
+    std::ignore = this->acceptor->non_blocking(true, error);
+    while (error != boost::asio::error::would_block &&
+           std::chrono::steady_clock::now() < end) {
+      auto socket = this->acceptor->accept(error);
+      if (!error) {
+        this->Serve(std::move(socket));
+      } else if (error != boost::asio::error::would_block) {
+        pause.expires_after(kAcceptRetryDelay);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+      }
+    }
+  }
+
+  void CountEnd() {
+    --this->open_count;
+    if (this->open_count == 0) {
+      this->all_ended.cancel();
+    }
+  }
+
   void Serve(boost::asio::ip::tcp::socket socket) {
     const auto executor = socket.get_executor();
     ++this->connection_count;
@@ -151,7 +173,7 @@
     const bool is_over_limit = this->open_count >= this->limits.max_connections;
     ++this->open_count;
     const auto end = [listener = this->shared_from_this()](
-                         const std::exception_ptr&) { --listener->open_count; };
+                         const std::exception_ptr&) { listener->CountEnd(); };
     if (is_over_limit) {
       boost::asio::co_spawn(executor,
                             RejectConnection(std::move(socket), prefix,
@@ -172,6 +194,8 @@
   }
 
   const std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+  /// Cancelled when the last connection ends.
+  boost::asio::steady_timer all_ended;
   const std::string id_prefix;
   const std::shared_ptr<EntryTaskMailbox> entry_inbox;
   const CallerLimits limits;
--- a/forwarding/include/cicadaloft/forwarding/request_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/request_reader.h
@@ -116,7 +116,7 @@
         co_await this->ReadSome();
       } else if (!co_await WithTimeout(this->limits.read_timeout,
                                        this->ReadSome()) &&
-                 !this->HasUnreadInput()) {
+                 this->buffer.size() == 0 && !this->HasUnreadInput()) {
         this->has_input_ended = true;
       }
     }
--- a/forwarding/tests/caller_limits_test.cc
+++ b/forwarding/tests/caller_limits_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE caller_limits
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "entry_fixture.h"
@@ -125,6 +126,29 @@
   });
 }
 
+// Guards against a reset that takes the 503 from a caller whose request is
+// longer than what the host reads of it at once.
+BOOST_AUTO_TEST_CASE(ConnectionOverTheLimitIsNotReset) {
+  EntryFixture entry(CallerLimits{.max_connections = 1});
+  entry.Run([&]() -> awaitable<void> {
+    auto first = co_await entry.ConnectCaller();
+    co_await first.Write(ServiceGet("/"));
+    co_await first.Read();
+    auto second = co_await entry.ConnectCaller();
+    co_await second.Write(
+        "POST /services/c/ HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n"
+        "\r\n" +
+        std::string(20'000, 'x'));
+    BOOST_TEST((co_await second.Read()).result_int() == 503);
+    boost::asio::steady_timer pause(second.socket.get_executor(),
+                                    kShortTimeout);
+    co_await pause.async_wait(boost::asio::use_awaitable);
+    boost::system::error_code error;
+    second.socket.write_some(boost::asio::buffer("x", 1), error);
+    BOOST_TEST(!error, error.message());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(IdleConnectionIsClosed) {
   EntryFixture entry(CallerLimits{.idle_timeout = kShortTimeout});
   entry.Run([&]() -> awaitable<void> {
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -269,7 +269,7 @@
 
   std::vector<std::shared_ptr<StopMailbox>> Listeners() const {
     std::vector<std::shared_ptr<StopMailbox>> listeners = {this->caller_stop};
-    if (this->native_caller_acceptor != nullptr) {
+    if (this->listeners.native_caller != nullptr) {
       listeners.push_back(this->native_caller_stop);
     }
     return listeners;
