Let no task end silently

Every task ran detached: an exception that left one was dropped, and the host went on without its accept loop, follower or ticks while its readiness port answered 200; a caller whose exchange had ended so waited for ever.

Spawn() starts a task with a name and a handler for its failure. Tasks of one connection or call are logged, their connection is closed, and whoever waits gets an error: the caller 500 or a cut connection, the control state the failed outcome of its call.

Ending was weighed against starting the task again in place: the state that the task owns may be half changed by the exception, and a loop that fails again at once would look alive. A new process reads everything anew, and is tried and tested for kills.

In an exchange, operator|| swallowed the exception and waited for a cancel, so that a handler alone changed nothing (the test still hung). TargetExchange keeps the exception and throws it after operator||.

Not run on this commit: forwarding's other tests, host_process_test, lint.

--- a/core/tests/core_test.cc
+++ b/core/tests/core_test.cc
@@ -1,17 +1,21 @@
 #define BOOST_TEST_MODULE core
 #include <algorithm>
 #include <array>
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/memory_budget.h"
 #include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/rendezvous.h"
+#include "cicadaloft/core/spawn.h"
 
 namespace cicadaloft {
 namespace {
@@ -31,6 +35,26 @@
   BOOST_TEST(!ErrorKindFromToken("no such token").has_value());
 }
 
+boost::asio::awaitable<void> Throw(std::string what) {
+  throw std::runtime_error(what);
+  co_return;
+}
+
+// Guards against tasks that end silently while the process lives on.
+BOOST_AUTO_TEST_CASE(AnExceptionThatLeavesATaskReachesItsHandler) {
+  boost::asio::io_context context;
+  std::vector<TaskFailure> failures;
+  Spawn(context.get_executor(), "call", Throw("bad"),
+        [&](const TaskFailure& failure) { failures.push_back(failure); });
+  context.run();
+  BOOST_TEST((failures == std::vector{TaskFailure{"call", "bad"}}));
+  context.restart();
+  Spawn(context.get_executor(), "accept loop", Throw("worse"), EndProcess{});
+  BOOST_CHECK_EXCEPTION(context.run(), TaskFailed, [](const auto& failed) {
+    return std::string(failed.what()) == "task accept loop: worse";
+  });
+}
+
 BOOST_AUTO_TEST_CASE(HoldsOfABudgetNeverExceedIt) {
   const auto budget = std::make_shared<MemoryBudget>(100);
   {
--- a/forwarding/admin_listener.cc
+++ b/forwarding/admin_listener.cc
@@ -1,8 +1,6 @@
 #include "cicadaloft/forwarding/admin_listener.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -18,7 +16,9 @@
 
 #include "admin_format.h"
 #include "cicadaloft/core/result.h"
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/forwarding/with_timeout.h"
+#include "cicadaloft/telemetry/log_task_failure.h"
 
 namespace cicadaloft {
 namespace {
@@ -144,9 +144,9 @@
       co_await pause.async_wait(asio::use_awaitable);
       continue;
     }
-    asio::co_spawn(executor,
-                   ServeConnection(std::move(socket), settings, entry_inbox),
-                   asio::detached);
+    Spawn(executor, "admin connection",
+          ServeConnection(std::move(socket), settings, entry_inbox),
+          LogTaskFailure{});
   }
 }
 
--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cstddef>
 #include <iterator>
 #include <map>
@@ -13,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "cicadaloft/core/result.h"
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
@@ -20,6 +20,7 @@
 #include "cicadaloft/forwarding/protocols.h"
 #include "cicadaloft/forwarding/target_connection_pool.h"
 #include "cicadaloft/forwarding/target_exchange.h"
+#include "cicadaloft/telemetry/log_task_failure.h"
 
 namespace cicadaloft {
 
@@ -80,9 +81,10 @@
         .entry_inbox = this->entry_inbox,
         .session = received.session,
         .cancel = std::move(cancel)});
-    boost::asio::co_spawn(
-        this->executor, RunExchange<Protocol>(std::move(params), this->limits),
-        boost::asio::detached);
+    Spawn(
+        this->executor, "exchange with " + dispatch.address,
+        RunExchange<Protocol>(params, this->limits),
+        [params](const TaskFailure& failure) { EndFailed(*params, failure); });
     return std::nullopt;
   }
 
@@ -128,6 +130,22 @@
   std::size_t running_attempts() const { return this->attempts.size(); }
 
  private:
+  // After an exception in an exchange. Whether the target has run the request
+  // isn't known, and says nothing about the target.
+  static void EndFailed(const ExchangeParams& params,
+                        const TaskFailure& failure) {
+    LogTaskFailure{}(failure);
+    const Dispatch& dispatch = params.dispatch;
+    Post(*params.session,
+         Refuse{.request = dispatch.request,
+                .error = MakeError(ErrorKind::kInternal, "an internal error"),
+                .run_state = RunState::kUnknown});
+    Post(*params.entry_inbox,
+         EntryEvent(AttemptEnded{.request = dispatch.request,
+                                 .attempt = dispatch.attempt,
+                                 .outcome = AttemptOutcome::kCancelled}));
+  }
+
   struct OpenRequest {
     RequestReceived received;
     TimePoint arrival_time;
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,9 @@
     using boost::asio::experimental::awaitable_operators::operator||;
     const auto first =
         co_await (this->RunAttempt() || Receive(*this->params->cancel));
+    if (this->failure) {
+      std::rethrow_exception(this->failure);
+    }
     // Cancelling breaks the attempt's connection; the outcome that follows from
     // the broken connection says nothing about the target.
     const bool is_cancelled =
@@ -61,13 +65,16 @@
   /// Responses to earlier requests that are skipped before the matching one.
   static constexpr int kMaxStaleResponses = 3;
 
-  // Never throws, and stores its result in `outcome`: a cancellation may arrive
-  // at the same time as the end of the attempt.
+  // Never throws, and stores its result in `outcome` or `failure`: a
+  // cancellation may arrive at the same time as the end of the attempt, and
+  // operator|| would wait for the cancellation after an exception.
   boost::asio::awaitable<bool> RunAttempt() {
     try {
       this->outcome = co_await this->Exchange();
     } catch (const boost::system::system_error&) {
       // Cancelled.
+    } catch (...) {
+      this->failure = std::current_exception();
     }
     co_return true;
   }
@@ -319,6 +326,8 @@
   std::uint64_t response_bytes = 0;
   bool has_response_started = false;
   std::optional<AttemptOutcome> outcome;
+  /// An exception that isn't a cancellation.
+  std::exception_ptr failure;
 };
 
 /// Runs one attempt to completion.
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_FORWARDING_TESTS_PLAIN_TARGET_PROTOCOL_H_
 #define CICADALOFT_FORWARDING_TESTS_PLAIN_TARGET_PROTOCOL_H_
 
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -9,11 +10,17 @@
 
 namespace cicadaloft {
 
+/// The request path for which PlainTargetProtocol fails.
+inline constexpr char kFaultyPath[] = "/faulty";
+
 /// Plain HTTP with header fields that report what happened to a request.
 struct PlainTargetProtocol {
   static std::string FormatRequestHead(const CallerRequest& request,
                                        const Dispatch& dispatch,
                                        Duration) {
+    if (request.path.ends_with(kFaultyPath)) {
+      throw std::runtime_error("no request head");
+    }
     std::string text = request.method + " " + request.path + " HTTP/1.1\r\n";
     text += "Host: " + dispatch.address + "\r\n";
     for (const HeaderField& field : request.fields) {
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -3,14 +3,14 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <memory>
+#include <string>
 #include <utility>
 #include <variant>
 
 #include "cicadaloft/control/control_load_monitor.h"
 #include "cicadaloft/control/control_state.h"
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/lease/lease_log_client.h"
@@ -20,6 +20,7 @@
 #include "cicadaloft/relay/relayed_store.h"
 #include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
+#include "cicadaloft/telemetry/log_task_failure.h"
 #include "control_mailbox.h"
 #include "peer_links.h"
 
@@ -119,17 +120,26 @@
 
   // The lease state requests the next call only after the last one has ended.
   void Execute(const ReadLeaseLog& read) {
-    this->Spawn(this->CallLease(this->lease_log.Execute(read)));
+    this->Call("read of the lease log",
+               this->CallLease(this->lease_log.Execute(read)),
+               LeaseEvent(LeaseReadFailed{}));
   }
   void Execute(const AppendLeaseRecord& append) {
-    this->Spawn(
-        this->CallLease(this->lease_log.Execute(append, this->clock.Now())));
+    const TimePoint now = this->clock.Now();
+    this->Call("append to the lease log",
+               this->CallLease(this->lease_log.Execute(append, now)),
+               LeaseEvent(LeaseAppendEnded{
+                   .outcome = LeaseAppendOutcome::kUnknown, .sent_at = now}));
   }
   void Execute(const SendOrder& order) {
-    this->Spawn(this->SubmitOrder(order));
+    this->Call(
+        "order", this->SubmitOrder(order),
+        OrderEnded{.target = order.target, .outcome = OrderOutcome::kNoAnswer});
   }
   void Execute(const RequestTargetReport& request) {
-    this->Spawn(this->FetchReport(request));
+    this->Call(
+        "target report", this->FetchReport(request),
+        TargetReportFailed{.target = request.target, .reason = "an exception"});
   }
 
   boost::asio::awaitable<void> CallLease(
@@ -168,9 +178,17 @@
     }
   }
 
-  void Spawn(boost::asio::awaitable<void> task) {
-    boost::asio::co_spawn(this->executor, std::move(task),
-                          boost::asio::detached);
+  // The state waits for the outcome of each call.
+  // @param failure the outcome if an exception ends the call.
+  void Call(std::string name,
+            boost::asio::awaitable<void> task,
+            ControlEvent failure) {
+    Spawn(this->executor, std::move(name), std::move(task),
+          [inbox = this->channels.inbox,
+           failure = std::move(failure)](const TaskFailure& reason) {
+            LogTaskFailure{}(reason);
+            Post(*inbox, failure);
+          });
   }
 
   const boost::asio::any_io_executor executor;
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,6 +16,7 @@
 #include <vector>
 
 #include "cicadaloft/core/rendezvous.h"
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/entry/entry_state.h"
 #include "cicadaloft/forwarding/admin_listener.h"
 #include "cicadaloft/forwarding/boot_clock.h"
@@ -163,32 +162,36 @@
   }
 
   void Start() {
-    this->Spawn(this->peers->Run());
-    this->Spawn(this->entry_task.Run());
-    this->Spawn(RunTicks(this->entry_mailbox));
-    this->Spawn(this->control_task->Run());
-    this->Spawn(this->SendControlTicks());
-    this->Spawn(this->ForwardEntryNotifications());
+    this->Start("links", this->peers->Run());
+    this->Start("entry", this->entry_task.Run());
+    this->Start("entry ticks", RunTicks(this->entry_mailbox));
+    this->Start("control", this->control_task->Run());
+    this->Start("control ticks", this->SendControlTicks());
+    this->Start("entry notifications", this->ForwardEntryNotifications());
     this->SpawnFollowers();
-    this->Spawn(RunCallerListener<platform::ClientProtocol>(
-        this->listeners.caller, RequestIdPrefix(this->settings.host),
-        this->entry_mailbox, this->caller_stop,
-        CallerLimits{.memory = this->memory}));
+    this->Start("callers",
+                RunCallerListener<platform::ClientProtocol>(
+                    this->listeners.caller,
+                    RequestIdPrefix(this->settings.host), this->entry_mailbox,
+                    this->caller_stop, CallerLimits{.memory = this->memory}));
     if (this->listeners.native_caller != nullptr) {
-      this->Spawn(RunCallerListener<NativeProtocol>(
-          this->listeners.native_caller,
-          RequestIdPrefix(this->settings.host) + "-own", this->entry_mailbox,
-          this->native_caller_stop, CallerLimits{.memory = this->memory}));
+      this->Start("native callers",
+                  RunCallerListener<NativeProtocol>(
+                      this->listeners.native_caller,
+                      RequestIdPrefix(this->settings.host) + "-own",
+                      this->entry_mailbox, this->native_caller_stop,
+                      CallerLimits{.memory = this->memory}));
     }
-    this->Spawn(
+    this->Start(
+        "readiness",
         RunAdminListener(this->listeners.readiness,
                          AdminSettings{.host = this->settings.host.value(),
                                        .ready_path = platform::kReadyPath},
                          this->entry_mailbox));
-    this->Spawn(
-        RunAdminListener(this->listeners.admin,
-                         AdminSettings{.host = this->settings.host.value()},
-                         this->entry_mailbox));
+    this->Start("admin", RunAdminListener(
+                             this->listeners.admin,
+                             AdminSettings{.host = this->settings.host.value()},
+                             this->entry_mailbox));
   }
 
   asio::awaitable<void> Stop() {
@@ -221,8 +224,10 @@
   }
 
  private:
-  void Spawn(asio::awaitable<void> task) {
-    asio::co_spawn(this->executor, std::move(task), asio::detached);
+  // Nothing restarts one of these tasks: without it the host would live on and
+  // not serve.
+  void Start(std::string name, asio::awaitable<void> task) {
+    Spawn(this->executor, std::move(name), std::move(task), EndProcess{});
   }
 
   void SpawnFollowers() {
@@ -246,8 +251,8 @@
                          .jitter_seed = seed + 1},
         this->registry_resync, &platform::DecodeKeyedRecord,
         RegistryFeed(this->control_mailbox));
-    this->Spawn(run(operator_follower));
-    this->Spawn(run(registry_follower));
+    this->Start("operator follower", run(operator_follower));
+    this->Start("registry follower", run(registry_follower));
   }
 
   Duration RelayInterval() const {
--- a/host/main.cc
+++ b/host/main.cc
@@ -2,7 +2,6 @@
 #include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdlib>
 #include <exception>
@@ -10,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/platform/protocols.h"
 #include "cicadaloft/telemetry/log.h"
 #include "host_process.h"
@@ -69,8 +69,8 @@
   Log("process").Info("process starts version=" + std::string(kVersion) +
                       " pid=" + std::to_string(getpid()) + " settings=" + path);
   log.Flush();
-  asio::co_spawn(context, log.RunFlush(), asio::detached);
-  asio::co_spawn(context, signal_task.Run(path), asio::detached);
+  Spawn(context.get_executor(), "log", log.RunFlush(), EndProcess{});
+  Spawn(context.get_executor(), "signals", signal_task.Run(path), EndProcess{});
   try {
     // Handles the signals that have come before the tasks of the host.
     context.poll();
@@ -82,8 +82,10 @@
                      End(log, end);
                    });
     context.run();
-  } catch (const std::exception& exception) {
+  } catch (const TaskFailed& failed) {
     // Ends here: the tasks must not be destroyed half run.
+    End(log, MakeFault(failed.what()));
+  } catch (const std::exception& exception) {
     End(log, MakeFault(std::string("a handler: ") + exception.what()));
   }
   End(log, MakeFault("no task is left"));
--- a/host/process_log.cc
+++ b/host/process_log.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <utility>
 
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
@@ -29,19 +30,6 @@
   }
 }
 
-std::string Describe(const std::exception_ptr& exception) {
-  if (!exception) {
-    return "std::terminate without an exception";
-  }
-  try {
-    std::rethrow_exception(exception);
-  } catch (const std::exception& error) {
-    return error.what();
-  } catch (...) {
-    return "an exception of unknown type";
-  }
-}
-
 /// Of the running process, for the terminate handler, which takes no argument.
 ProcessLog* running_log = nullptr;
 
@@ -50,7 +38,8 @@
   if (log == nullptr) {
     std::abort();
   }
-  log->End(MakeFault("std::terminate: " + Describe(std::current_exception())));
+  log->End(MakeFault("std::terminate: " +
+                     DescribeException(std::current_exception())));
 }
 
 }  // namespace
--- a/peering/link_client.cc
+++ b/peering/link_client.cc
@@ -1,8 +1,6 @@
 #include "cicadaloft/peering/link_client.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +9,7 @@
 #include <utility>
 
 #include "cicadaloft/core/backoff.h"
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/settings/socket_address.h"
 #include "cicadaloft/settings/socket_options.h"
 #include "cicadaloft/telemetry/log.h"
@@ -42,10 +41,8 @@
         log("peering") {}
 
   void Start() {
-    asio::co_spawn(
-        this->executor,
-        [self = this->shared_from_this()] { return self->Run(); },
-        asio::detached);
+    Spawn(this->executor, "link to " + this->options.address,
+          Keep(this->shared_from_this()), EndProcess{});
   }
 
   void Stop() {
@@ -61,6 +58,10 @@
   }
 
  private:
+  static asio::awaitable<void> Keep(std::shared_ptr<Task> self) {
+    co_await self->Run();
+  }
+
   asio::awaitable<void> Run() {
     while (!this->is_stopped) {
       std::optional<tcp::socket> socket = co_await this->Connect();
--- a/peering/link_server.cc
+++ b/peering/link_server.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,9 +11,11 @@
 #include <tuple>
 #include <utility>
 
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/peering/link_codec.h"
 #include "cicadaloft/settings/socket_address.h"
 #include "cicadaloft/telemetry/log.h"
+#include "cicadaloft/telemetry/log_task_failure.h"
 #include "link_session.h"
 
 namespace cicadaloft {
@@ -39,10 +40,8 @@
         log("peering") {}
 
   void Start() {
-    asio::co_spawn(
-        this->acceptor.get_executor(),
-        [self = this->shared_from_this()] { return self->Accept(); },
-        asio::detached);
+    Spawn(this->acceptor.get_executor(), "links from other hosts",
+          Keep(this->shared_from_this()), EndProcess{});
   }
 
   void Stop() {
@@ -89,15 +88,34 @@
       }
       const auto session = std::make_shared<LinkSession>(
           std::move(socket), LinkRole::kServer, this->settings);
-      asio::co_spawn(
-          this->acceptor.get_executor(),
-          [self = this->shared_from_this(), session] {
-            return self->HandleConnection(session);
-          },
-          asio::detached);
+      const auto self = this->shared_from_this();
+      Spawn(this->acceptor.get_executor(), "link",
+            this->HandleConnection(session),
+            [self, session](const TaskFailure& failure) {
+              LogTaskFailure{}(failure);
+              self->Drop(session);
+            });
     }
   }
 
+  static asio::awaitable<void> Keep(std::shared_ptr<Task> self) {
+    co_await self->Accept();
+  }
+
+  // After an exception, which may have come before or after the link was up.
+  void Drop(const SessionPointer& session) {
+    session->Close("failed");
+    this->sessions.erase(session);
+    const auto found = std::ranges::find(
+        this->links, session, [](const auto& entry) { return entry.second; });
+    if (found == this->links.end()) {
+      return;
+    }
+    const LinkEvent down(LinkDown{.peer = found->first});
+    this->links.erase(found);
+    this->sink->async_send(boost::system::error_code(), down, asio::detached);
+  }
+
   asio::awaitable<void> HandleConnection(SessionPointer session) {
     this->sessions.insert(session);
     const Result<LinkPeer> peer = co_await session->Authenticate(std::nullopt);
