Let no task of a caller's connection end silently

What a caller could see: an exception in a reader or a session was dropped; its connection stayed open and was counted, its request stayed open in the entry, and a stop waited for both.

Change: a failed reader ends its session by InputEnded; a failed session tells the entry, closes its connection and is logged; the count of connections ends with the task in any case. Without the task for stops the process ends.

--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <exception>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -72,6 +73,17 @@
     this->Close();
   }
 
+  // Ends the session after an exception, so that its request doesn't stay open
+  // in the entry.
+  asio::awaitable<void> Abandon() {
+    if (this->request != RequestId()) {
+      co_await this->HandleDisconnect();
+      const auto finished = RequestFinished{.request = this->request};
+      co_await Send(*this->entry_inbox, finished);
+    }
+    this->Close();
+  }
+
  private:
   // @return a RequestRead or RequestRejected; an InputPaused if the connection
   // was idle for too long; an InputEnded or null if it has ended.
@@ -370,7 +382,16 @@
     CallerLimits limits) {
   const auto session = std::make_unique<CallerSession>(
       connection, std::move(entry_inbox), limits);
-  co_await session->Run();
+  std::exception_ptr failure;
+  try {
+    co_await session->Run();
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  if (failure) {
+    co_await session->Abandon();
+    std::rethrow_exception(failure);
+  }
 }
 
 asio::awaitable<void> RejectConnection(
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -3,8 +3,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -14,7 +12,6 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <exception>
 #include <memory>
 #include <string>
 #include <tuple>
@@ -22,6 +19,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/core/spawn.h"
 #include "cicadaloft/forwarding/caller_connection.h"
 #include "cicadaloft/forwarding/caller_session.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
@@ -30,6 +28,7 @@
 #include "cicadaloft/forwarding/protocols.h"
 #include "cicadaloft/forwarding/request_reader.h"
 #include "cicadaloft/settings/socket_options.h"
+#include "cicadaloft/telemetry/log_task_failure.h"
 
 namespace cicadaloft {
 
@@ -154,6 +153,18 @@
     }
   }
 
+  // Counts the end also if an exception leaves the task.
+  static boost::asio::awaitable<void> CountEndAfter(
+      std::shared_ptr<CallerListener> listener,
+      boost::asio::awaitable<void> task) {
+    struct EndCount {
+      const std::shared_ptr<CallerListener> listener;
+      ~EndCount() { this->listener->CountEnd(); }
+    };
+    const EndCount count{.listener = std::move(listener)};
+    co_await std::move(task);
+  }
+
   void CountEnd() {
     --this->open_count;
     if (this->open_count == 0) {
@@ -172,25 +183,29 @@
     }
     const bool is_over_limit = this->open_count >= this->limits.max_connections;
     ++this->open_count;
-    const auto end = [listener = this->shared_from_this()](
-                         const std::exception_ptr&) { listener->CountEnd(); };
     if (is_over_limit) {
-      boost::asio::co_spawn(executor,
-                            RejectConnection(std::move(socket), prefix,
-                                             this->entry_inbox, this->limits),
-                            end);
+      Spawn(executor, "rejection of " + prefix,
+            CountEndAfter(this->shared_from_this(),
+                          RejectConnection(std::move(socket), prefix,
+                                           this->entry_inbox, this->limits)),
+            LogTaskFailure{});
       return;
     }
     SetKeepAliveOptions(socket);
     const auto connection =
         std::make_shared<CallerConnection>(std::move(socket), prefix);
     this->open_connections.Add(connection);
-    boost::asio::co_spawn(executor,
-                          ReadRequests<Protocol>(connection, this->limits),
-                          boost::asio::detached);
-    boost::asio::co_spawn(
-        executor, RunCallerSession(connection, this->entry_inbox, this->limits),
-        end);
+    Spawn(executor, "reader of " + prefix,
+          ReadRequests<Protocol>(connection, this->limits),
+          [connection](const TaskFailure& failure) {
+            LogTaskFailure{}(failure);
+            Post(*connection->to_session, SessionMessage(InputEnded{}));
+          });
+    Spawn(executor, "session of " + prefix,
+          CountEndAfter(
+              this->shared_from_this(),
+              RunCallerSession(connection, this->entry_inbox, this->limits)),
+          LogTaskFailure{});
   }
 
   const std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
@@ -225,9 +240,8 @@
                                auto stop) -> boost::asio::awaitable<void> {
     co_await listener->HandleStops(std::move(stop));
   };
-  boost::asio::co_spawn(co_await boost::asio::this_coro::executor,
-                        handle_stops(listener, std::move(stop)),
-                        boost::asio::detached);
+  Spawn(co_await boost::asio::this_coro::executor, "stop of callers",
+        handle_stops(listener, std::move(stop)), EndProcess{});
   co_await listener->Accept();
 }
 
