--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -63,8 +63,8 @@
 /// All messages to a listener.
 using StopMailbox = Mailbox<std::variant<HostStopping, ListenerClose>>;
 
-/// Closes listeners one after another.
-/// @param timeout for all of them.
+/// Closes all listeners at the same time.
+/// @param timeout for each of them.
 /// @return the sum of what they left behind.
 boost::asio::awaitable<ListenerClosed> CloseListeners(
     std::vector<std::shared_ptr<StopMailbox>> listeners,
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -253,8 +253,10 @@
                     EntryTaskMessage(DrainRequest{.is_forced = true}));
       co_await WithTimeout(kForcedDrainTimeout, Receive(*this->drained));
     }
-    Log("host").Info(drained ? "stopped: all requests answered"
-                             : "stopped: the time to stop is over");
+    const bool is_whole = drained && closed.open_connections == 0;
+    Log("host").Info(is_whole  ? "stopped: all requests answered"
+                     : drained ? "stopped: connections were still open"
+                               : "stopped: the time to stop is over");
     this->output->Flush(STDOUT_FILENO);
   }
 
