--- a/forwarding/tests/caller_limits_test.cc
+++ b/forwarding/tests/caller_limits_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE caller_limits
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
+#include <tuple>
 
 #include "entry_fixture.h"
 
@@ -144,7 +145,7 @@
                                     kShortTimeout);
     co_await pause.async_wait(boost::asio::use_awaitable);
     boost::system::error_code error;
-    second.socket.write_some(boost::asio::buffer("x", 1), error);
+    std::ignore = second.socket.write_some(boost::asio::buffer("x", 1), error);
     BOOST_TEST(!error, error.message());
   });
 }
--- a/forwarding/tests/host_stop_test.cc
+++ b/forwarding/tests/host_stop_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 #include "cicadaloft/forwarding/with_timeout.h"
@@ -201,7 +202,7 @@
     }
     co_await entry.WaitUntil([&] { return has_ended; });
     boost::system::error_code error;
-    TestCaller(entry.context).socket.connect(address, error);
+    std::ignore = TestCaller(entry.context).socket.connect(address, error);
     BOOST_TEST((error == boost::asio::error::connection_refused));
   });
 }
--- a/forwarding/tests/task_failure_test.cc
+++ b/forwarding/tests/task_failure_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 #include <stdexcept>
+#include <tuple>
 #include <vector>
 
 #include "entry_fixture.h"
@@ -61,7 +62,7 @@
     co_await other.Write(ServiceGet("/"));
     BOOST_TEST((co_await other.Read()).body() == "ok");
     boost::system::error_code ignored;
-    other.socket.close(ignored);
+    std::ignore = other.socket.close(ignored);
     const std::vector<std::shared_ptr<StopMailbox>> listeners(1, stop);
     const auto closed =
         co_await CloseListeners(listeners, std::chrono::seconds(2));
