--- a/configuration/include/cicadaloft/configuration/configuration.h
+++ b/configuration/include/cicadaloft/configuration/configuration.h
@@ -43,6 +43,9 @@
   Duration timeout{};          ///< For the whole response.
   /// Until the response, or a stream's first event.
   Duration latency_objective{};
+  /// Longest interval between two events of a stream that is on time; 0: none
+  /// is stated.
+  Duration event_interval_objective{};
   /// Callers disconnect after this time without data.
   Duration caller_timeout{};
   std::vector<WeightedService> services;  ///< Never empty.
@@ -69,17 +72,32 @@
   double capacity_mb = 0;  ///< Memory for models and adapters on one target.
   std::uint32_t max_adapters = 0;     ///< Of one target.
   double store_loads_per_second = 0;  ///< Over all targets.
+  std::uint32_t slots = 0;   ///< Requests that one target runs at once; 0: not
+                             ///< stated.
+  double memory_tokens = 0;  ///< Shared by running requests and kept parts of
+                             ///< prompts on one target; 0: not stated.
   std::vector<Model> models;
 
   friend auto operator<=>(const Engine&, const Engine&) = default;
   friend bool operator==(const Engine&, const Engine&) = default;
 };
 
+/// Bounds of the number of targets that the operator's platform runs on order.
+struct Scaling {
+  std::uint32_t min_targets = 0;  ///< In each data centre.
+  std::uint32_t max_targets = 0;  ///< In each data centre.
+  Duration boot_time{};           ///< From the order until a target serves.
+
+  friend auto operator<=>(const Scaling&, const Scaling&) = default;
+  friend bool operator==(const Scaling&, const Scaling&) = default;
+};
+
 struct Service {
   ServiceId id;
   std::uint32_t max_connections_per_target = 0;  ///< From all hosts.
   double cold_requests_per_second = 0;  ///< To one cold target; 0: no limit.
   std::optional<Engine> engine;
+  std::optional<Scaling> scaling;  ///< None: the number isn't ordered.
 
   friend auto operator<=>(const Service&, const Service&) = default;
   friend bool operator==(const Service&, const Service&) = default;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -20,6 +20,7 @@
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/poison/poison_messages.h"
 #include "cicadaloft/routing/model_locations.h"
+#include "cicadaloft/routing/prompt_part.h"
 #include "cicadaloft/routing/target_load.h"
 #include "cicadaloft/routing/target_notice.h"
 #include "cicadaloft/warmup/warmup_messages.h"
@@ -66,10 +67,18 @@
   const std::optional<ModelPath> model;
   /// Prompt plus maximum response; at most kMaxRequestTokens.
   const std::optional<double> tokens;
+  /// The two terms of `tokens`, and the caller's estimate of the response,
+  /// which is right at the median and often far off.
+  const std::optional<double> prompt_tokens;
+  const std::optional<double> max_output_tokens;
+  const std::optional<double> expected_output_tokens;
   /// Key of the shared prompt prefix; 0: there is none.
   const std::uint64_t prompt_prefix_key = 0;
   /// Hashes of the prompt segments that other requests may share, in order.
   const std::vector<std::uint64_t> prompt_segments;
+  /// The first parts of the prompt, in order; the last part of the prompt is
+  /// specific to the request or its session.
+  const std::vector<PromptPart> prompt_parts;
   const Duration timeout{};             ///< How long the caller waits from now.
   const bool is_batch = false;          ///< Marked by the caller as batch work.
   const std::uint64_t fingerprint = 0;  ///< Of customer key, path and body.
