--- a/poison/tests/poison_ledger_test.cc
+++ b/poison/tests/poison_ledger_test.cc
@@ -35,7 +35,7 @@
     LedgerFixture fixture;
     const Fingerprint deadly{.kind = kind, .hash = 5};
     for (const char* target : {"a", "b", "c", "d"}) {
-      const auto content = static_cast<std::uint64_t>(target[0]);
+      const auto content = static_cast<unsigned char>(target[0]);
       fixture.CrashInTurn({target}, {Fingerprint{.hash = content}, deadly});
     }
     fixture.RunFor(seconds(1));
