--- a/host/host_settings.cc
+++ b/host/host_settings.cc
@@ -18,6 +18,31 @@
 constexpr Duration kDefaultLimitWindow = std::chrono::seconds(8);
 constexpr Duration kDefaultDrainTime = std::chrono::seconds(2);
 
+constexpr double kMaxDutyCallsPerSecond = 10'000;
+constexpr Duration kDefaultUsageWindow = std::chrono::seconds(5);
+constexpr Duration kDefaultUsageDelay = std::chrono::seconds(10);
+/// Hosts report their counts once a second, and two calls follow.
+constexpr DurationRange kUsageWindowRange{.min = std::chrono::seconds(1),
+                                          .max = std::chrono::hours(1)};
+constexpr DurationRange kUsageDelayRange{.min = std::chrono::seconds(3),
+                                         .max = std::chrono::hours(1)};
+
+std::optional<DutySettings> ReadDutySettings(SettingsReader& reader) {
+  if (!reader.HasSection("duties")) {
+    return std::nullopt;
+  }
+  return DutySettings{
+      .address = reader.PeerAddress("duties.address"),
+      .calls_per_second = reader.PositiveNumber("duties.calls_per_second",
+                                                kMaxDutyCallsPerSecond),
+      .usage_reports = reader.BoolOr("duties.usage", false),
+      .scaling = reader.BoolOr("duties.scaling", false),
+      .usage_window = reader.DurationIn("duties.usage_window",
+                                        kDefaultUsageWindow, kUsageWindowRange),
+      .usage_delay = reader.DurationIn("duties.usage_delay", kDefaultUsageDelay,
+                                       kUsageDelayRange)};
+}
+
 }  // namespace
 
 Result<HostSettings> ReadHostSettings(SettingsReader reader) {
@@ -42,7 +67,8 @@
       .limit_window = reader.DurationOr("limit_window", kDefaultLimitWindow),
       .drain_time = reader.DurationOr("drain_time", kDefaultDrainTime),
       .handover_delay = reader.DurationOr("holder_gap", kDefaultHandoverDelay),
-      .log_level = reader.Choice("log_level", kLogLevels)};
+      .log_level = reader.Choice("log_level", kLogLevels),
+      .duties = ReadDutySettings(reader)};
   const Result<Done> done = reader.Finish();
   if (!IsOk(done)) {
     return ErrorOf(done);
--- a/host/host_settings.h
+++ b/host/host_settings.h
@@ -2,11 +2,13 @@
 #define CICADALOFT_HOST_HOST_SETTINGS_H_
 
 #include <compare>
+#include <optional>
 #include <string>
 
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/duties/duty_settings.h"
 #include "cicadaloft/settings/settings_reader.h"
 
 namespace cicadaloft {
@@ -39,6 +41,9 @@
   /// the next one.
   Duration handover_delay{};
   std::string log_level;
+  /// Calls to the platform for all hosts; none if the platform has no use for
+  /// them.
+  std::optional<DutySettings> duties;
 
   friend auto operator<=>(const HostSettings&, const HostSettings&) = default;
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
--- a/settings/include/cicadaloft/settings/settings_reader.h
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -1,6 +1,8 @@
 #ifndef CICADALOFT_SETTINGS_SETTINGS_READER_H_
 #define CICADALOFT_SETTINGS_SETTINGS_READER_H_
 
+#include <chrono>
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -21,6 +23,14 @@
   friend auto operator<=>(const IntegerRange&, const IntegerRange&) = default;
 };
 
+/// The range of a duration, both limits included; whole milliseconds.
+struct DurationRange {
+  const std::chrono::milliseconds min{};
+  const std::chrono::milliseconds max{};
+
+  friend auto operator<=>(const DurationRange&, const DurationRange&) = default;
+};
+
 /// Reads one settings file: a JSON object with comments. Fields are named by
 /// their path ("limits.lease_term"). An invalid field yields a placeholder, and
 /// Finish() then reports the first such field. The caller reads all fields and
@@ -43,14 +53,24 @@
                      std::span<const std::string_view> choices);
   /// @return a duration above 0, written with its unit: "250ms", "6s".
   Duration DurationOr(std::string_view field, Duration fallback);
+  /// @return a duration within the range, as in DurationOr().
+  Duration DurationIn(std::string_view field,
+                      Duration fallback,
+                      const DurationRange& range);
   std::uint64_t IntegerOr(std::string_view field,
                           std::uint64_t fallback,
                           const IntegerRange& range);
   /// @return a number from 0 to `max`.
   double NumberOr(std::string_view field, double fallback, double max);
+  /// @return a number above 0 and up to `max`, from a field that must be there.
+  double PositiveNumber(std::string_view field, double max);
   bool BoolOr(std::string_view field, bool fallback);
   /// @return an "IPv4:port" that no other field has.
   std::string Address(std::string_view field);
+  /// @return the "IPv4:port" of another process; other fields may have it too.
+  std::string PeerAddress(std::string_view field);
+  /// @return whether the file has this section, which is an object of fields.
+  bool HasSection(std::string_view section);
 
   /// @return whether the file could be read and held one JSON document to its
   /// end; a file that is being written doesn't.
--- a/settings/settings_reader.cc
+++ b/settings/settings_reader.cc
@@ -113,6 +113,11 @@
   /// @return the field's value, or null if it is left out.
   const json* Find(std::string_view field) {
     this->read_fields.emplace(field);
+    return this->FindNode(field);
+  }
+
+  /// @return as Find(), without counting the field as read.
+  const json* FindNode(std::string_view field) const {
     const json* node = &this->root;
     for (std::string_view remaining_path = field; !remaining_path.empty();) {
       const std::size_t dot =
@@ -234,6 +239,19 @@
   return *duration;
 }
 
+Duration SettingsReader::DurationIn(std::string_view field,
+                                    Duration fallback,
+                                    const DurationRange& range) {
+  const Duration duration = this->DurationOr(field, fallback);
+  if (duration < range.min || duration > range.max) {
+    this->SetFieldError(
+        field, "a duration from " + std::to_string(range.min.count()) +
+                   "ms to " + std::to_string(range.max.count()) + "ms");
+    return fallback;
+  }
+  return duration;
+}
+
 std::uint64_t SettingsReader::IntegerOr(std::string_view field,
                                         std::uint64_t fallback,
                                         const IntegerRange& range) {
@@ -266,6 +284,15 @@
   return number;
 }
 
+double SettingsReader::PositiveNumber(std::string_view field, double max) {
+  const double number = this->NumberOr(field, 0, max);
+  if (!(number > 0)) {
+    this->SetFieldError(field,
+                        "a number above 0 and up to " + std::to_string(max));
+  }
+  return number;
+}
+
 bool SettingsReader::BoolOr(std::string_view field, bool fallback) {
   const json* const value = this->document->Find(field);
   if (value == nullptr) {
@@ -278,12 +305,27 @@
   return value->get<bool>();
 }
 
+std::string SettingsReader::PeerAddress(std::string_view field) {
+  std::string text = this->Text(field);
+  if (!IsOk(ParseSocketAddress(text))) {
+    this->SetFieldError(field,
+                        "an IPv4 address and port such as \"127.0.0.1:7101\"");
+  }
+  return text;
+}
+
+bool SettingsReader::HasSection(std::string_view section) {
+  const json* const value = this->document->FindNode(section);
+  if (value != nullptr && !value->is_object()) {
+    this->SetFieldError(section, "an object");
+  }
+  return value != nullptr;
+}
+
 std::string SettingsReader::Address(std::string_view field) {
-  const std::string text = this->Text(field);
+  std::string text = this->PeerAddress(field);
   const Result<SocketAddress> address = ParseSocketAddress(text);
   if (!IsOk(address)) {
-    this->SetFieldError(field,
-                        "an IPv4 address and port such as \"127.0.0.1:7101\"");
     return text;
   }
   // Port 0 may be repeated: the kernel chooses a different port each time.
