Render the duties settings from any platform that lists duties

Change: the names of the duties are a list, unknown ones are ignored, and what the platform leaves out has a default.

--- a/host/host_settings.cc
+++ b/host/host_settings.cc
@@ -1,5 +1,9 @@
 #include "host_settings.h"
 
+#include <algorithm>
+#include <string_view>
+#include <vector>
+
 #include "cicadaloft/telemetry/log.h"
 
 namespace cicadaloft {
@@ -18,6 +22,7 @@
 constexpr Duration kDefaultLimitWindow = std::chrono::seconds(8);
 constexpr Duration kDefaultDrainTime = std::chrono::seconds(2);
 
+constexpr double kDefaultDutyCallsPerSecond = 10;
 constexpr double kMaxDutyCallsPerSecond = 10'000;
 constexpr Duration kDefaultUsageWindow = std::chrono::seconds(5);
 constexpr Duration kDefaultUsageDelay = std::chrono::seconds(10);
@@ -31,12 +36,18 @@
   if (!reader.HasSection("duties")) {
     return std::nullopt;
   }
+  // The platform may list duties that this version doesn't know.
+  const std::vector<std::string> names = reader.TextList("duties.names");
+  const auto has = [&](std::string_view name) {
+    return std::ranges::find(names, name) != names.end();
+  };
   return DutySettings{
       .address = reader.PeerAddress("duties.address"),
-      .calls_per_second = reader.PositiveNumber("duties.calls_per_second",
-                                                kMaxDutyCallsPerSecond),
-      .usage_reports = reader.BoolOr("duties.usage", false),
-      .scaling = reader.BoolOr("duties.scaling", false),
+      .calls_per_second = reader.PositiveNumberOr("duties.calls_per_second",
+                                                  kDefaultDutyCallsPerSecond,
+                                                  kMaxDutyCallsPerSecond),
+      .usage_reports = has("usage"),
+      .scaling = has("scaling"),
       .usage_window = reader.DurationIn("duties.usage_window",
                                         kDefaultUsageWindow, kUsageWindowRange),
       .usage_delay = reader.DurationIn("duties.usage_delay", kDefaultUsageDelay,
--- a/settings/include/cicadaloft/settings/settings_reader.h
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/time.h"
@@ -51,6 +52,8 @@
   /// @return the string, which must be one of `choices`; the first by default.
   std::string Choice(std::string_view field,
                      std::span<const std::string_view> choices);
+  /// @return the field's list of strings; empty if the field is left out.
+  std::vector<std::string> TextList(std::string_view field);
   /// @return a duration above 0, written with its unit: "250ms", "6s".
   Duration DurationOr(std::string_view field, Duration fallback);
   /// @return a duration within the range, as in DurationOr().
@@ -62,8 +65,8 @@
                           const IntegerRange& range);
   /// @return a number from 0 to `max`.
   double NumberOr(std::string_view field, double fallback, double max);
-  /// @return a number above 0 and up to `max`, from a field that must be there.
-  double PositiveNumber(std::string_view field, double max);
+  /// @return a number above 0 and up to `max`.
+  double PositiveNumberOr(std::string_view field, double fallback, double max);
   bool BoolOr(std::string_view field, bool fallback);
   /// @return an "IPv4:port" that no other field has.
   std::string Address(std::string_view field);
--- a/settings/settings_reader.cc
+++ b/settings/settings_reader.cc
@@ -223,6 +223,22 @@
   return std::string(choices.front());
 }
 
+std::vector<std::string> SettingsReader::TextList(std::string_view field) {
+  const json* const value = this->document->Find(field);
+  if (value == nullptr) {
+    return {};
+  }
+  const bool is_list =
+      value->is_array() && std::ranges::all_of(*value, [](const json& item) {
+        return item.is_string();
+      });
+  if (!is_list) {
+    this->SetFieldError(field, "a list of strings");
+    return {};
+  }
+  return value->get<std::vector<std::string>>();
+}
+
 Duration SettingsReader::DurationOr(std::string_view field, Duration fallback) {
   const json* const value = this->document->Find(field);
   if (value == nullptr) {
@@ -284,8 +300,10 @@
   return number;
 }
 
-double SettingsReader::PositiveNumber(std::string_view field, double max) {
-  const double number = this->NumberOr(field, 0, max);
+double SettingsReader::PositiveNumberOr(std::string_view field,
+                                        double fallback,
+                                        double max) {
+  const double number = this->NumberOr(field, fallback, max);
   if (!(number > 0)) {
     this->SetFieldError(field,
                         "a number above 0 and up to " + std::to_string(max));
