Serve by rank where ranks contradict objectives or customers differ

Cause: a request with a latency objective of 1 s or more counted as batch whatever its rank. Under overload such kinds waited behind lower ranks with short objectives, and their streams were preempted at targets by requests of a higher Request-Priority.

Change: a service whose routes' ranks contradict their objectives, or whose customers differ in rank, is served by rank with a minimum for each rank and for the largest tenth of requests. Within a rank, customers share by weight and tokens, and each customer's requests go by slack. Ranks from the first one that can wait on get the same urgency at targets.

--- a/admission/include/cicadaloft/admission/fair_queue.h
+++ b/admission/include/cicadaloft/admission/fair_queue.h
@@ -39,13 +39,12 @@
 /// Deficit round robin over customers: each is served in proportion to its
 /// weight, measured by cost, and its own items in order of their numbers.
 /// @tparam Item the queued item; cheap to copy.
-template <typename Item>
+/// @tparam Number orders a customer's items.
+template <typename Item, typename Number = std::uint64_t>
 class DeficitRoundRobinQueue {
  public:
   /// @param number orders a customer's items; unique in this queue.
-  void Push(const QueueAttributes& attributes,
-            std::uint64_t number,
-            Item item) {
+  void Push(const QueueAttributes& attributes, Number number, Item item) {
     const auto flow = this->FindOrAddFlow(attributes);
     const double cost = ClampNumber(attributes.cost, QueueAttributes::kMinCost,
                                     QueueAttributes::kMaxCost);
@@ -55,7 +54,7 @@
   }
 
   /// @return whether the item was queued.
-  bool Remove(const CustomerId& customer, std::uint64_t number) {
+  bool Remove(const CustomerId& customer, const Number& number) {
     const auto found = this->index.find(customer);
     if (found == this->index.end() ||
         found->second->waiting.erase(number) == 0) {
@@ -68,18 +67,28 @@
   }
 
   /// Removes and returns the next item to be served.
-  std::optional<Item> Pop() {
+  /// @param first customers' items with lower numbers are served after the
+  /// others.
+  std::optional<Item> Pop(const Number& first = Number()) {
     if (this->count == 0) {
       return std::nullopt;
     }
-    const auto flow = this->FindServable();
-    const auto first = flow->waiting.begin();
-    Item item = first->second.item;
-    flow->deficit -= first->second.cost;
-    flow->waiting.erase(first);
-    --this->count;
-    this->EraseIfEmpty(flow);
-    return item;
+    const auto flow = this->FindServable(first);
+    return this->Serve(flow, NextOf(*flow, first));
+  }
+
+  /// Removes and returns an item out of turn, at the customer's cost.
+  /// @return none if the item isn't queued.
+  std::optional<Item> Take(const CustomerId& customer, const Number& number) {
+    const auto found = this->index.find(customer);
+    if (found == this->index.end()) {
+      return std::nullopt;
+    }
+    const auto entry = found->second->waiting.find(number);
+    if (entry == found->second->waiting.end()) {
+      return std::nullopt;
+    }
+    return this->Serve(found->second, entry);
   }
 
   /// @return all items, customer by customer.
@@ -94,8 +103,8 @@
   }
 
   /// @return the lowest number and its item.
-  std::optional<std::pair<std::uint64_t, Item>> Oldest() const {
-    std::optional<std::pair<std::uint64_t, Item>> oldest;
+  std::optional<std::pair<Number, Item>> Oldest() const {
+    std::optional<std::pair<Number, Item>> oldest;
     std::ranges::for_each(this->flows, [&](const Flow& flow) {
       const auto& [number, entry] = *flow.waiting.begin();
       if (!oldest.has_value() || number < oldest->first) {
@@ -116,13 +125,23 @@
     CustomerId customer;
     double weight = 1;
     double deficit = 0;
-    std::map<std::uint64_t, Entry> waiting;
+    std::map<Number, Entry> waiting;
   };
   using FlowIterator = typename std::list<Flow>::iterator;
+  using EntryIterator = typename std::map<Number, Entry>::iterator;
 
   /// Cost that a customer of weight 1 is credited in a round.
   static constexpr double kQuantum = 1000;
 
+  Item Serve(FlowIterator flow, EntryIterator entry) {
+    Item item = entry->second.item;
+    flow->deficit -= entry->second.cost;
+    flow->waiting.erase(entry);
+    --this->count;
+    this->EraseIfEmpty(flow);
+    return item;
+  }
+
   FlowIterator FindOrAddFlow(const QueueAttributes& attributes) {
     const double weight =
         ClampNumber(attributes.weight, QueueAttributes::kMinWeight,
@@ -144,22 +163,28 @@
     return number > min ? std::min(number, max) : min;
   }
 
-  static bool IsServable(const Flow& flow) {
-    return flow.deficit >= flow.waiting.begin()->second.cost;
+  template <typename SomeFlow>
+  static auto NextOf(SomeFlow& flow, const Number& first) {
+    const auto found = flow.waiting.lower_bound(first);
+    return found == flow.waiting.end() ? flow.waiting.begin() : found;
+  }
+
+  static bool IsServable(const Flow& flow, const Number& first) {
+    return flow.deficit >= NextOf(flow, first)->second.cost;
   }
 
-  static double RoundsUntilServable(const Flow& flow) {
-    const double missing = flow.waiting.begin()->second.cost - flow.deficit;
+  static double RoundsUntilServable(const Flow& flow, const Number& first) {
+    const double missing = NextOf(flow, first)->second.cost - flow.deficit;
     return std::max(0.0, std::ceil(missing / (kQuantum * flow.weight)));
   }
 
   /// Searches from the customer that was served last. If no deficit suffices,
   /// all customers are credited as many rounds as the closest of them needs.
-  FlowIterator FindServable() {
+  FlowIterator FindServable(const Number& first) {
     // The first customer is served again as long as its deficit suffices.
-    auto servable = std::ranges::find_if(this->flows, IsServable);
+    auto servable = this->FindSufficient(first);
     if (servable == this->flows.end()) {
-      servable = this->CreditRounds();
+      servable = this->CreditRounds(first);
     }
     this->flows.splice(this->flows.end(), this->flows, this->flows.begin(),
                        servable);
@@ -167,17 +192,27 @@
   }
 
   /// @return the first customer whose deficit suffices now.
-  FlowIterator CreditRounds() {
+  FlowIterator FindSufficient(const Number& first) {
+    return std::ranges::find_if(this->flows, [&first](const Flow& flow) {
+      return IsServable(flow, first);
+    });
+  }
+
+  /// @return the first customer whose deficit suffices afterwards.
+  FlowIterator CreditRounds(const Number& first) {
+    const auto rounds_until_servable = [&first](const Flow& flow) {
+      return RoundsUntilServable(flow, first);
+    };
     const auto closest =
-        std::ranges::min_element(this->flows, {}, RoundsUntilServable);
-    const double rounds = RoundsUntilServable(*closest);
+        std::ranges::min_element(this->flows, {}, rounds_until_servable);
+    const double rounds = rounds_until_servable(*closest);
     std::ranges::for_each(this->flows, [&](Flow& flow) {
       flow.deficit += rounds * kQuantum * flow.weight;
     });
     // Rounding must not leave it short of its cost.
     closest->deficit =
-        std::max(closest->deficit, closest->waiting.begin()->second.cost);
-    return std::ranges::find_if(this->flows, IsServable);
+        std::max(closest->deficit, NextOf(*closest, first)->second.cost);
+    return this->FindSufficient(first);
   }
 
   /// Credit for an item that is removed must not serve many others at once.
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -54,6 +54,7 @@
   const QueueKey queue_key = request.queue_key;
   const RequestId id = request.arrival.request;
   this->RetryBudgetOf(queue_key.service).OnRequest();
+  this->AssignPlace(request);
   this->RecordUsage(request);
   this->Enqueue(request);
   this->DispatchFromQueue(queue_key);
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -241,6 +241,7 @@
        {"message", reported.message},
        {"model",
         request.queue_key.model ? request.queue_key.model->ToString() : "-"},
+       {"rank", request.RankText()},
        {"waited_ms", this->now - request.arrived_at},
        {"runs", request.run_count}});
   this->effects.emplace_back(
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -23,24 +23,6 @@
 
 }  // namespace
 
-bool OpenRequest::IsBatch() const {
-  // With a latency objective of at least this, no user waits interactively for
-  // the response.
-  constexpr Duration kMinBatchLatencyObjective = std::chrono::seconds(1);
-  return this->arrival.is_batch ||
-         this->route->latency_objective >= kMinBatchLatencyObjective;
-}
-
-int OpenRequest::Priority() const {
-  // Batch work yields to interactive requests, since its latency objective
-  // leaves it enough time.
-  constexpr int kBatchPriority = 7;
-  constexpr int kLowestPriority = 9;
-  return this->IsBatch()
-             ? kBatchPriority
-             : std::clamp(this->route->priority, 0, kLowestPriority);
-}
-
 std::string_view ToString(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kCompleted:
@@ -95,6 +77,7 @@
   }
   this->configuration = change.configuration;
   this->configured_at = this->now;
+  this->UpdateRankedServices();
   this->UpdateAllShares();
   const Configuration& value = this->configuration->value();
   this->Log(event_names::kConfigurationAdopted, RequestId(),
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -13,8 +13,11 @@
 #include <vector>
 
 #include "cicadaloft/admission/customer_share.h"
-#include "cicadaloft/admission/fair_queue.h"
+#include "cicadaloft/admission/large_size_threshold.h"
 #include "cicadaloft/admission/quota_charges.h"
+#include "cicadaloft/admission/rank_floors.h"
+#include "cicadaloft/admission/request_queue.h"
+#include "cicadaloft/admission/service_ranks.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
@@ -70,9 +73,15 @@
   /// Targets that have loaded what the requests of a queue need.
   using Candidates = std::vector<TargetView*>;
   struct WaitQueue {
-    FairQueue<RequestId> requests;
+    RequestQueue<RequestId> requests;
     std::optional<TimePoint> model_requested_at;  ///< The last time.
   };
+  /// A service whose requests are served by rank.
+  struct RankedService {
+    ServiceRanks ranks;
+    RankFloors floors;
+    std::map<RouteId, LargeSizeThreshold> large_sizes;
+  };
 
   /// Why a request is not admitted.
   struct Refusal {
@@ -124,6 +133,14 @@
   void UpdateShare(const Customer& customer, CustomerShare& share) const;
   void UpdateAllShares();
 
+  // Order by rank.
+  void UpdateRankedServices();
+  void AssignPlace(OpenRequest& request);
+  const RankFloors& FloorsOf(const ServiceId& service) const;
+  /// @param contenders the ranks that waited in its queue before.
+  void RecordServed(const OpenRequest& request,
+                    const std::vector<RankContender>& contenders);
+
   // Queues and dispatch.
   void Enqueue(const OpenRequest& request);
   void RemoveFromQueue(const OpenRequest& request);
@@ -213,6 +230,7 @@
 
   Requests requests;
   std::map<QueueKey, WaitQueue> queues;
+  std::map<ServiceId, RankedService> ranked_services;
   std::set<std::pair<TimePoint, RequestId>> expiries;
   std::uint64_t last_sequence_number = 0;
   bool is_stopping = false;
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -25,10 +25,10 @@
 
 void EntryCore::Enqueue(const OpenRequest& request) {
   this->queues[request.queue_key].requests.Push(
-      request.IsBatch(),
+      request.Place(),
       QueueAttributes{.customer = request.CustomerIdOrEmpty(),
-                      .cost = std::max(1.0, request.cost)},
-      request.sequence_number, request.arrival.request);
+                      .cost = request.QueueCost()},
+      request.arrival.request);
   this->expiries.emplace(request.wait_deadline, request.arrival.request);
 }
 
@@ -37,8 +37,7 @@
   if (queue == this->queues.end()) {
     return;
   }
-  queue->second.requests.Remove(request.IsBatch(), request.CustomerIdOrEmpty(),
-                                request.sequence_number);
+  queue->second.requests.Remove(request.Place(), request.CustomerIdOrEmpty());
   if (queue->second.requests.size() == 0) {
     this->queues.erase(queue);
   }
@@ -61,9 +60,13 @@
   std::vector<RequestId> undispatched;
   bool should_continue = this->HasCapacity(candidates);
   while (should_continue && queue.requests.size() > 0) {
-    const RequestId id = *queue.requests.Pop();
+    const auto contenders = queue.requests.Contenders();
+    const RequestId id =
+        *queue.requests.Pop(this->FloorsOf(key.service), this->now);
     OpenRequest& request = this->requests.at(id);
-    if (!this->TryDispatch(request, candidates)) {
+    if (this->TryDispatch(request, candidates)) {
+      this->RecordServed(request, contenders);
+    } else {
       undispatched.push_back(id);
       // If a request that avoids some targets can't be dispatched, the requests
       // behind it may still be.
@@ -281,6 +284,7 @@
       event_names::kWait, request.arrival.caller_request_id,
       {{"model", key.model ? key.model->ToString() : "-"},
        {"service", key.service.value()},
+       {"rank", request.RankText()},
        {"holders", candidates.size()},
        {"leaving", count([](const TargetView* target) {
           return target->record().is_draining || target->notices().is_leaving();
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "cicadaloft/admission/queue_place.h"
 #include "cicadaloft/entry/messages.h"
 
 namespace cicadaloft {
@@ -33,6 +34,9 @@
   /// Null on public routes and where no customer is configured.
   const Customer* customer = nullptr;
   QueueKey queue_key;
+  /// None if its service isn't served by rank.
+  std::optional<RankedPlace> ranked_place;
+  int urgency = 0;                ///< Sent to targets, with a ranked place.
   double cost = 1;                ///< In the customer's unit.
   TimePoint response_deadline{};  ///< For the complete response.
   TimePoint wait_deadline{};      ///< For the start of an attempt.
@@ -66,6 +70,14 @@
     return this->queue_key.model ? this->queue_key.model->ToString() : "-";
   }
   bool IsBatch() const;
+  QueuePlace Place() const;
+  /// @return the work that its customer is charged for when the queue divides
+  /// capacity among customers.
+  double QueueCost() const;
+  /// @return its rank for logs; "-" if its service isn't served by rank.
+  std::string RankText() const {
+    return this->ranked_place ? ToString(this->ranked_place->rank) : "-";
+  }
   /// @return the priority that is sent to targets.
   int Priority() const;
 };
