Count the store calls of each host by call, topic and outcome

Cause: the platform charges each call of the store, also refused ones, and no metric showed who makes them. The one repetition of a GET that fails on a kept connection isn't counted.

--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -32,6 +32,14 @@
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
 }
 
+void EntryMetrics::CountStoreCall(const StoreCallEnded& ended) {
+  this->metrics.AddToCounter(
+      MetricKey{.name = "cicadaloft_store_calls_total",
+                .labels = {{"call", std::string(Name(ended.call))},
+                           {"topic", ended.topic},
+                           {"outcome", std::string(Name(ended.outcome))}}});
+}
+
 MetricsReply EntryMetrics::Render(const StatusReply& status) {
   const auto set = [this](const char* name, double value) {
     this->metrics.SetGauge(MetricKey{.name = name}, value);
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -6,6 +6,7 @@
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/forwarding/admin_messages.h"
+#include "cicadaloft/store/store_call.h"
 #include "cicadaloft/telemetry/metrics.h"
 
 namespace cicadaloft {
@@ -21,6 +22,8 @@
   void RecordResponse(int http_status, Duration since_arrival);
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
+  /// Counts a call of the store by this host.
+  void CountStoreCall(const StoreCallEnded& ended);
 
   MetricsReply Render(const StatusReply& status);
 
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -155,6 +155,10 @@
     }
   }
 
+  void Handle(const StoreCallEnded& ended) {
+    this->metrics.CountStoreCall(ended);
+  }
+
   void Handle(const AdminCall& call) {
     const AdminReply reply =
         std::visit([this](const auto& request) { return this->Reply(request); },
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -8,6 +8,7 @@
 #include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/forwarding/admin_messages.h"
 #include "cicadaloft/forwarding/messages.h"
+#include "cicadaloft/store/store_call.h"
 
 namespace cicadaloft {
 
@@ -88,7 +89,8 @@
                                       CallerRejected,
                                       ConnectionReleased,
                                       AdminCall,
-                                      DrainRequest>;
+                                      DrainRequest,
+                                      StoreCallEnded>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
 
--- a/forwarding/tests/admin_test.cc
+++ b/forwarding/tests/admin_test.cc
@@ -78,6 +78,33 @@
   });
 }
 
+// Guards against calls of the store, which the platform charges, that an
+// operator can't tell apart.
+BOOST_AUTO_TEST_CASE(MetricsCountStoreCallsByKind) {
+  AdminFixture entry;
+  entry.Run([&]() -> awaitable<void> {
+    const StoreCallEnded refused{.call = StoreCallKind::kAppend,
+                                 .topic = "lease",
+                                 .outcome = StoreCallOutcome::kRefused};
+    Post(*entry.inbox, EntryTaskMessage(refused));
+    Post(*entry.inbox, EntryTaskMessage(refused));
+    Post(*entry.inbox,
+         EntryTaskMessage(StoreCallEnded{.call = StoreCallKind::kRead,
+                                         .topic = "lease",
+                                         .outcome = StoreCallOutcome::kEmpty}));
+    const std::string text = (co_await entry.Get("/metrics")).body();
+    for (const std::string_view line :
+         {"cicadaloft_store_calls_total{call=\"append\",topic=\"lease\","
+          "outcome=\"refused\"} 2",
+          "cicadaloft_store_calls_total{call=\"read\",topic=\"lease\","
+          "outcome=\"empty\"} 1"}) {
+      BOOST_TEST_CONTEXT(line) {
+        BOOST_TEST(text.find(line) != std::string::npos);
+      }
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(UnknownPathsAreNotFound) {
   AdminFixture entry;
   entry.Run([&]() -> awaitable<void> {
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -48,11 +48,15 @@
               Duration relay_interval,
               const std::string& store,
               const std::shared_ptr<MemoryBudget>& memory,
+              StoreCallSink report_store_call,
               ControlTaskChannels channels)
       : executor(std::move(executor)),
         state(settings, limit_window, relay_interval),
         channels(std::move(channels)),
-        lease_log(platform::StoreClient(this->executor, store, memory)),
+        lease_log(platform::StoreClient(this->executor,
+                                        store,
+                                        memory,
+                                        std::move(report_store_call))),
         runners(this->executor, settings.self, memory) {}
 
   /// Runs until the inbox is closed.
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -178,6 +178,7 @@
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
         this->RelayInterval(), this->settings.store, this->memory,
+        this->CountStoreCalls(),
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
@@ -313,7 +314,7 @@
                       Duration min_read_interval) {
     return HostStore(
         platform::StoreClient(this->executor, this->settings.store,
-                              this->memory),
+                              this->memory, this->CountStoreCalls()),
         RelayedStoreSettings{
             .min_read_interval = min_read_interval,
             .reader_interval =
@@ -324,6 +325,13 @@
         relay, BootClock{}, StoreReadFeed(this->control_mailbox));
   }
 
+  // The entry task renders the metrics.
+  StoreCallSink CountStoreCalls() const {
+    return [inbox = this->entry_mailbox](const StoreCallEnded& ended) {
+      Post(*inbox, EntryTaskMessage(ended));
+    };
+  }
+
   asio::awaitable<void> SendControlTicks() {
     while (true) {
       co_await this->Sleep(kControlTickInterval);
