Relay heartbeats without their content, so that hosts seldom read the store

Cause: targets write their whole record every 1.2 s. With 60 to 90 hosts and 90 targets these records exceed what the lease holder may relay; it left them out, and each host read the registry itself about once a second. Hosts also called a store that refuses several times a second each. The decision where a read is answered moves from RelayedStore to RelayReader, so that it runs on the virtual clock. Changes are known within half of the drain time with the holder killed, frozen, cut off from the store, or a third of the links cut. store_calls, relay, lease, control, store_relay, limits, limits_takeover and limits_unknown_hosts tests pass on x86-64; cicadaloft-host builds. Not run against real processes.

--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -91,6 +91,7 @@
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
   void UpdateRelay();
+  void LogLeftOutRecords();
   void DecidePoison();
   /// Sends the block to the other hosts and to this host's entry.
   void PublishBlock(const PoisonBlock& block);
@@ -178,6 +179,7 @@
   RelayPublisher relay_publisher;  ///< Used while this host divides limits.
   RelayClock relay_clock;          ///< Of the connected holder.
   bool is_relay_reader = false;    ///< As last announced by a RelayRole.
+  TimePoint left_out_logged_at{};
 
   ShareGrant last_grant;  ///< The newest grant for this host.
   TimePoint last_grant_at{};
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -1,6 +1,15 @@
+#include <chrono>
+#include <cstddef>
+
 #include "cicadaloft/control/control_state.h"
 
 namespace cicadaloft {
+namespace {
+
+/// Interval of the log records about what the relays leave out.
+constexpr Duration kLeftOutLogInterval = std::chrono::seconds(5);
+
+}  // namespace
 
 void ControlState::Handle(const StoreRead& read) {
   this->relay_publisher.OnRead(read);
@@ -23,6 +32,7 @@
           SendToHosts{.hosts = this->relay_publisher.subscribers(),
                       .message = std::move(*relay)});
     }
+    this->LogLeftOutRecords();
   }
   if (this->connected_holder &&
       *this->connected_holder != this->lease_settings.self) {
@@ -33,6 +43,20 @@
   }
 }
 
+// Each host reads these records by itself.
+void ControlState::LogLeftOutRecords() {
+  if (this->now - this->left_out_logged_at < kLeftOutLogInterval) {
+    return;
+  }
+  this->left_out_logged_at = this->now;
+  if (const std::size_t records = this->relay_publisher.TakeLeftOut()) {
+    this->effects.emplace_back(DecisionRecord{
+        .event = "relay.left_out",
+        .fields = {{"records", records},
+                   {"hosts", this->relay_publisher.subscribers().size()}}});
+  }
+}
+
 void ControlState::OnPeerMessage(const HostId& host,
                                  const RelayRequest& request) {
   if (!this->is_limit_coordinator || host == this->lease_settings.self) {
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -16,15 +16,14 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_state.h"
 #include "sent_requests.h"
-#include "simulated_host.h"
+#include "simulated_hosts.h"
 #include "simulated_surroundings.h"
-#include "simulated_time.h"
 
 namespace cicadaloft {
 
 /// Simulates entry and control of many hosts, with the links and the lease log
 /// between them, one customer, and one target that answers all requests.
-class HostsSimulation : public SimulatedTime {
+class HostsSimulation : public SimulatedHosts {
  public:
   static constexpr Duration kLinkDelay = milliseconds(2);
   static constexpr Duration kResponseTime = milliseconds(200);
@@ -106,39 +105,10 @@
     }
   }
 
-  /// Cuts the holder off from the lease's log; its links stay up.
-  void CutHolderFromLog() {
-    for (const auto& host : this->hosts) {
-      host->is_cut_from_log |= host->id == this->lease_log.Holder();
-    }
-  }
-
-  /// Cuts all hosts off from the lease's log.
-  void CutAllFromLog() {
-    for (const auto& host : this->hosts) {
-      host->is_cut_from_log = true;
-    }
-  }
-
   /// Feeds an event to the control of one host.
   void Feed(const HostId& host, const ControlEvent& event) {
     this->FeedControl(*this->Find(host), event);
   }
-  HostId Holder() const { return this->lease_log.Holder(); }
-
-  /// @return the hosts that live and don't hold the lease.
-  std::vector<const SimulatedHost*> Followers() const {
-    std::vector<const SimulatedHost*> followers;
-    for (const auto& host : this->hosts) {
-      if (host->is_alive && host->id != this->lease_log.Holder()) {
-        followers.push_back(host.get());
-      }
-    }
-    return followers;
-  }
-
-  std::size_t HostCount() const { return this->hosts.size(); }
-
   void SendRequest(std::size_t index, const SimulatedRequest& request) {
     Host& host = *this->hosts.at(index);
     if (host.is_alive) {
@@ -180,6 +150,8 @@
   std::size_t refused_count = 0;
   std::map<RequestId, ErrorKind> refusals;
   SentRequests sent;
+  /// Sees the effects of each host's control, if set.
+  std::function<void(const HostId&, const ControlEffect&)> on_effect;
   /// Runs attempts in place of the target that answers all requests, if set.
   std::function<void(const HostId&, const Dispatch&)> run_attempt;
   std::mt19937 random{1};
@@ -188,8 +160,6 @@
   static constexpr double kMinCost = 300;
   static constexpr double kMaxCost = 2'500;
 
-  using Host = SimulatedHost;
-
   void Start(Host& host) {
     this->FeedControl(
         host, ConfigurationRead{.configuration = MakeSimulatedConfiguration(
@@ -237,18 +207,23 @@
   }
 
   void FeedControl(Host& host, const ControlEvent& event) {
-    if (!host.is_alive) {
+    if (!host.is_alive ||
+        host.Defers([=, this, &host] { this->FeedControl(host, event); })) {
       return;
     }
     auto step = Decide(std::move(*host.control), event, this->now);
     host.control = std::move(step.state);
     for (const ControlEffect& effect : step.effects) {
+      if (this->on_effect) {
+        this->on_effect(host.id, effect);
+      }
       std::visit([&](const auto& item) { this->Execute(host, item); }, effect);
     }
   }
 
   void FeedEntry(Host& host, const EntryEvent& event) {
-    if (!host.is_alive) {
+    if (!host.is_alive ||
+        host.Defers([=, this, &host] { this->FeedEntry(host, event); })) {
       return;
     }
     auto step = Decide(std::move(*host.entry), event, this->now);
@@ -379,15 +354,7 @@
     });
   }
 
-  Host* Find(const HostId& id) {
-    return std::ranges::find_if(
-               this->hosts, [&](const auto& host) { return host->id == id; })
-        ->get();
-  }
-
   TargetRecord target = MakeSimulatedTarget();
-  std::vector<std::unique_ptr<Host>> hosts;
-  SimulatedLeaseLog lease_log;
   std::size_t last_request_number = 0;
 };
 
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -4,9 +4,11 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cicadaloft/control/control_state.h"
@@ -64,6 +66,23 @@
     this->sees_draining_target = false;
   }
 
+  /// @return whether the process is frozen; then the action runs when it
+  /// resumes.
+  bool Defers(std::function<void()> action) {
+    if (this->is_frozen) {
+      this->deferred.push_back(std::move(action));
+    }
+    return this->is_frozen;
+  }
+
+  /// Ends the freeze.
+  void Resume() {
+    this->is_frozen = false;
+    for (const auto& action : std::exchange(this->deferred, {})) {
+      action();
+    }
+  }
+
   std::size_t index;
   HostId id;
   int process = 0;  ///< Number of starts so far.
@@ -71,6 +90,8 @@
   std::optional<EntryState> entry;
   std::optional<HostId> holder;
   bool is_alive = true;
+  bool is_frozen = false;
+  std::vector<std::function<void()>> deferred;  ///< Until it resumes.
   bool is_cut_from_log = false;  ///< Cut off from the lease's log.
   bool has_links = true;
   std::map<RequestId, double> costs;
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -29,6 +29,7 @@
 #include "cicadaloft/platform/protocols.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/store_client.h"
+#include "cicadaloft/relay/relay_intervals.h"
 #include "cicadaloft/relay/relayed_store.h"
 #include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
@@ -45,21 +46,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// The minimum interval between two reads of the registry is 7/20 of
-/// drain_time, the time for which a leaving target still serves. Changes of
-/// targets within the interval are read together. The remaining 13/20 allow for
-/// slow hosts and for requests that are on their way to the target.
-constexpr int kRegistryIntervalNumerator = 7;
-constexpr int kRegistryIntervalDenominator = 20;
-
-/// The lease holder relays what it reads every 1/10 of drain_time, and its
-/// reads wait as long for a record. So what other hosts know is 2/10 to 3/10
-/// old; at 9/20 they read by themselves, which leaves 11/20 for that and for
-/// requests that are on their way.
-constexpr int kRelayIntervalDenominator = 10;
-constexpr int kReaderIntervalDenominator = 20;
-constexpr int kMaxRelayAgeNumerator = 9;
-constexpr int kMaxRelayAgeDenominator = 20;
 /// Relayed messages that may wait for a follower.
 constexpr std::size_t kRelayMailboxCapacity = 64;
 
@@ -177,8 +163,8 @@
                                   this->control_mailbox, this->memory);
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
-        this->RelayInterval(), this->settings.store, this->memory,
-        this->CountStoreCalls(),
+        RelayInterval(this->settings.drain_time), this->settings.store,
+        this->memory, this->CountStoreCalls(),
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
@@ -288,16 +274,18 @@
     };
     auto operator_follower = std::make_shared<KeyedFollower<
         HostStore, decltype(&platform::DecodeKeyedRecord), OperatorFeed>>(
-        this->MakeStore(this->operator_relay, Duration::zero()),
+        this->MakeStore(this->operator_relay,
+                        OperatorReadSettings(this->settings.drain_time,
+                                             this->settings.host)),
         FollowerSettings{.topic = platform::kOperatorTopic,
                          .jitter_seed = seed},
         this->operator_resync, &platform::DecodeKeyedRecord,
         OperatorFeed(this->control_mailbox));
     auto registry_follower = std::make_shared<KeyedFollower<
         HostStore, decltype(&platform::DecodeKeyedRecord), RegistryFeed>>(
-        this->MakeStore(this->registry_relay, this->settings.drain_time *
-                                                  kRegistryIntervalNumerator /
-                                                  kRegistryIntervalDenominator),
+        this->MakeStore(this->registry_relay,
+                        RegistryReadSettings(this->settings.drain_time,
+                                             this->settings.host)),
         FollowerSettings{.topic = platform::kRegistryTopic,
                          .jitter_seed = seed + 1},
         this->registry_resync, &platform::DecodeKeyedRecord,
@@ -306,23 +294,13 @@
     this->Start("registry follower", run(registry_follower));
   }
 
-  Duration RelayInterval() const {
-    return this->settings.drain_time / kRelayIntervalDenominator;
-  }
-
   HostStore MakeStore(const std::shared_ptr<RelayMailbox>& relay,
-                      Duration min_read_interval) {
+                      const RelayedStoreSettings& store_settings) {
     return HostStore(
         platform::StoreClient(this->executor, this->settings.store,
                               this->memory, this->CountStoreCalls()),
-        RelayedStoreSettings{
-            .min_read_interval = min_read_interval,
-            .reader_interval =
-                this->settings.drain_time / kReaderIntervalDenominator,
-            .reader_wait = this->RelayInterval(),
-            .max_relay_age = this->settings.drain_time * kMaxRelayAgeNumerator /
-                             kMaxRelayAgeDenominator},
-        relay, BootClock{}, StoreReadFeed(this->control_mailbox));
+        store_settings, relay, BootClock{},
+        StoreReadFeed(this->control_mailbox));
   }
 
   // The entry task renders the metrics.
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -11,6 +11,7 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/platform/configuration_codec.h"
 #include "cicadaloft/platform/registry_codec.h"
+#include "cicadaloft/platform/store_client.h"
 #include "cicadaloft/platform/topic_codec.h"
 
 namespace cicadaloft {
@@ -114,20 +115,31 @@
       event);
 }
 
-void StoreReadFeed::operator()(const StoreRead& read) const {
+void StoreReadFeed::operator()(const StoreRead& read) {
   if (read.topic != platform::kRegistryTopic) {
     SendToControl(*this->control_mailbox, read);
     return;
   }
+  this->registry_records.OnRead(read.from, read.records.size());
   std::vector<std::string> compact;
-  std::ranges::transform(read.records, std::back_inserter(compact),
-                         &platform::CompactRegistryRecord);
+  std::ranges::transform(
+      read.records, std::back_inserter(compact),
+      [this](const std::string& record) { return this->Compact(record); });
   SendToControl(*this->control_mailbox, StoreRead{.topic = read.topic,
                                                   .from = read.from,
                                                   .records = std::move(compact),
                                                   .sent_at = read.sent_at});
 }
 
+std::string StoreReadFeed::Compact(const std::string& record) {
+  std::string compact = platform::CompactRegistryRecord(record);
+  const Result<KeyedRecord> keyed = platform::DecodeKeyedRecord(compact);
+  const bool is_repeated =
+      IsOk(keyed) && this->registry_records.IsRepeated(ValueOf(keyed).key,
+                                                       ValueOf(keyed).value);
+  return is_repeated ? platform::RegistryRecordWithoutChange() : compact;
+}
+
 void RegistryFeed::operator()(const FollowerEvent& event) const {
   ControlMailbox& mailbox = *this->control_mailbox;
   std::visit(Overloaded{[&](const TopicSnapshot& snapshot) {
--- a/host/topic_feeds.h
+++ b/host/topic_feeds.h
@@ -2,7 +2,10 @@
 #define CICADALOFT_HOST_TOPIC_FEEDS_H_
 
 #include <memory>
+#include <string>
 
+#include "cicadaloft/relay/messages.h"
+#include "cicadaloft/relay/repeated_records.h"
 #include "cicadaloft/store/keyed_follower.h"
 #include "control_mailbox.h"
 
@@ -21,15 +24,19 @@
 };
 
 /// Reports reads of a topic to the control task, which relays them to other
-/// hosts.
+/// hosts. Most records of the registry are heartbeats that change nothing; they
+/// are reported without their content.
 class StoreReadFeed {
  public:
   explicit StoreReadFeed(std::shared_ptr<ControlMailbox> control_mailbox)
       : control_mailbox(std::move(control_mailbox)) {}
-  void operator()(const StoreRead& read) const;
+  void operator()(const StoreRead& read);
 
  private:
+  std::string Compact(const std::string& record);
+
   std::shared_ptr<ControlMailbox> control_mailbox;
+  RepeatedRecords registry_records;
 };
 
 /// Converts events of the registry topic's follower to events of the control
--- a/relay/include/cicadaloft/relay/relay_publisher.h
+++ b/relay/include/cicadaloft/relay/relay_publisher.h
@@ -1,12 +1,15 @@
 #ifndef CICADALOFT_RELAY_RELAY_PUBLISHER_H_
 #define CICADALOFT_RELAY_RELAY_PUBLISHER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
@@ -17,7 +20,8 @@
 /// At the lease holder: what it has read from the store, for the hosts that
 /// have asked for it. All messages leave by one link, where replies to other
 /// requests wait behind them, so their size is bounded: records that don't fit
-/// are left out, and the hosts read those from the store.
+/// follow with the next message, or are left out if they don't fit there
+/// either, and the hosts read those from the store.
 class RelayPublisher {
  public:
   /// Larger records are left out.
@@ -35,20 +39,40 @@
   /// than `interval` has passed.
   std::optional<StoreRelay> Publish(Duration interval, TimePoint now);
 
+  /// @return the number of records that were left out since the last call, and
+  /// that each host therefore reads from the store.
+  std::size_t TakeLeftOut() { return std::exchange(this->left_out, 0); }
+
   const std::set<HostId>& subscribers() const { return this->subscribed; }
 
  private:
+  /// A read that returned all records before `end`.
+  struct CompleteRead {
+    LogOffset end;
+    Duration sent_at{};
+  };
   struct Pending {
     RelayedTopic topic;
     std::size_t bytes = 0;  ///< Of the records.
     bool is_new = false;    ///< Read since the last Publish().
+    /// Reads that are not published completely, oldest first.
+    std::deque<CompleteRead> reads;
+    Duration complete_at{};  ///< Of what is published.
   };
 
+  std::size_t MaxPendingBytes(const Pending& item, const StoreRead& read) const;
   static void StartAt(Pending& item, LogOffset offset);
+  static RelayedTopic TakeMessage(Pending& item, std::size_t max_bytes);
+  /// Of the records of one topic in one message to one host.
+  std::size_t MaxMessageBytes() const {
+    return kMaxPublishedBytes /
+           std::max<std::size_t>(1, this->subscribed.size());
+  }
 
   std::set<HostId> subscribed;
   std::map<std::string, Pending> pending;
   TimePoint published_at{};
+  std::size_t left_out = 0;
 };
 
 /// At the other hosts: relates the times in the holder's messages to this
--- /dev/null
+++ b/relay/include/cicadaloft/relay/relay_reader.h
@@ -0,0 +1,81 @@
+#ifndef CICADALOFT_RELAY_RELAY_READER_H_
+#define CICADALOFT_RELAY_RELAY_READER_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
+#include "cicadaloft/relay/messages.h"
+#include "cicadaloft/relay/relay_buffer.h"
+
+namespace cicadaloft {
+
+/// Intervals at which a host reads a topic of the store.
+struct RelayedStoreSettings {
+  /// Minimum time from the end of a read to the next one. Calls to the store
+  /// are charged and rate limited, and changes that are written close together
+  /// are read in one call.
+  Duration min_read_interval{};
+  /// Minimum time between the sending of two reads while this host reads for
+  /// others.
+  Duration reader_interval{};
+  /// How long a read waits for a record while this host reads for others. The
+  /// age of what they know counts from the sending of a read.
+  Duration reader_wait{};
+  /// Relayed knowledge of this age is no longer used.
+  Duration max_relay_age{};
+};
+
+/// The read is answered with relayed records; there may be none.
+struct AnswerFromRelay {
+  std::vector<std::string> records;
+};
+
+/// Nothing is due before this time unless a relayed message arrives.
+struct WaitForRelay {
+  TimePoint until{};
+};
+
+/// The store is read now.
+struct ReadFromStore {
+  Duration wait{};  ///< How long the store may wait for a record.
+};
+
+using RelayReadStep =
+    std::variant<AnswerFromRelay, WaitForRelay, ReadFromStore>;
+
+/// Decides for each read of one topic whether what another host relays answers
+/// it, or the store has to be called.
+class RelayReader {
+ public:
+  explicit RelayReader(const RelayedStoreSettings& settings)
+      : settings(settings), buffer(settings.max_relay_age) {}
+
+  void OnInput(const RelayInput& input);
+  /// A call of the store has ended.
+  void OnStoreCall(TimePoint sent_at, TimePoint ended_at) {
+    this->last_call_sent_at = sent_at;
+    this->last_call_ended_at = ended_at;
+  }
+
+  /// @param from first record to read.
+  /// @param wait how long the read may wait for a record.
+  /// @param deadline the end of that wait.
+  RelayReadStep Next(LogOffset from,
+                     Duration wait,
+                     TimePoint deadline,
+                     TimePoint now) const;
+
+ private:
+  RelayedStoreSettings settings;
+  RelayBuffer buffer;
+  bool is_reader = false;
+  TimePoint last_call_sent_at{};
+  TimePoint last_call_ended_at{};
+};
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_RELAY_RELAY_READER_H_
--- a/relay/relay_publisher.cc
+++ b/relay/relay_publisher.cc
@@ -1,6 +1,8 @@
 #include "cicadaloft/relay/relay_publisher.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace cicadaloft {
@@ -19,14 +21,26 @@
   item.bytes = 0;
 }
 
+// What the next two messages can carry may wait. If there is more, hosts have
+// to call the store in any case.
+std::size_t RelayPublisher::MaxPendingBytes(const Pending& item,
+                                            const StoreRead& read) const {
+  const std::size_t bytes =
+      std::accumulate(read.records.begin(), read.records.end(), item.bytes,
+                      [](std::size_t sum, const std::string& record) {
+                        return sum + record.size();
+                      });
+  const std::size_t message_bytes = this->MaxMessageBytes();
+  return bytes > 2 * message_bytes ? message_bytes : 2 * message_bytes;
+}
+
 void RelayPublisher::OnRead(const StoreRead& read) {
   Pending& item = this->pending[read.topic];
   item.topic.topic = read.topic;
   if (item.topic.End() != read.from) {
     StartAt(item, read.from);
   }
-  const std::size_t max_bytes =
-      kMaxPublishedBytes / std::max<std::size_t>(1, this->subscribed.size());
+  const std::size_t max_bytes = this->MaxPendingBytes(item, read);
   for (const std::string& record : read.records) {
     item.topic.records.push_back(record);
     item.bytes += record.size();
@@ -34,13 +48,50 @@
                              record.size() > kMaxRecordBytes ||
                              item.bytes > max_bytes;
     if (is_left_out) {
+      this->left_out +=
+          this->subscribed.empty() ? 0 : item.topic.records.size();
       StartAt(item, item.topic.End());
     }
   }
-  item.topic.complete_at = read.sent_at.time_since_epoch();
+  if (this->subscribed.empty()) {
+    item.reads.clear();
+  }
+  item.reads.push_back(
+      {.end = item.topic.End(), .sent_at = read.sent_at.time_since_epoch()});
   item.is_new = true;
 }
 
+// @return the oldest records that fit into one message.
+RelayedTopic RelayPublisher::TakeMessage(Pending& item, std::size_t max_bytes) {
+  RelayedTopic& topic = item.topic;
+  std::size_t bytes = 0;
+  const auto end =
+      std::ranges::find_if(topic.records, [&](const std::string& record) {
+        bytes += record.size();
+        return bytes > max_bytes;
+      });
+  item.is_new = end != topic.records.end();
+  RelayedTopic message{
+      .topic = topic.topic,
+      .from = topic.from,
+      .records = {std::make_move_iterator(topic.records.begin()),
+                  std::make_move_iterator(end)},
+  };
+  topic.records.erase(topic.records.begin(), end);
+  topic.from = message.End();
+  while (!item.reads.empty() && item.reads.front().end <= message.End()) {
+    item.complete_at = item.reads.front().sent_at;
+    item.reads.pop_front();
+  }
+  message.complete_at = item.complete_at;
+  item.bytes -= std::accumulate(message.records.begin(), message.records.end(),
+                                std::size_t{0},
+                                [](std::size_t sum, const std::string& record) {
+                                  return sum + record.size();
+                                });
+  return message;
+}
+
 std::optional<StoreRelay> RelayPublisher::Publish(Duration interval,
                                                   TimePoint now) {
   if (this->subscribed.empty() || now - this->published_at < interval) {
@@ -48,9 +99,8 @@
   }
   StoreRelay relay;
   for (auto& [name, item] : this->pending) {
-    if (std::exchange(item.is_new, false)) {
-      relay.topics.push_back(item.topic);
-      StartAt(item, item.topic.End());
+    if (item.is_new) {
+      relay.topics.push_back(TakeMessage(item, this->MaxMessageBytes()));
     }
   }
   if (relay.topics.empty()) {
--- /dev/null
+++ b/relay/relay_reader.cc
@@ -0,0 +1,42 @@
+#include "cicadaloft/relay/relay_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cicadaloft/core/result.h"
+
+namespace cicadaloft {
+
+void RelayReader::OnInput(const RelayInput& input) {
+  std::visit(
+      Overloaded{
+          [this](const RelayReceived& received) { this->buffer.Add(received); },
+          [this](const RelayRole& role) { this->is_reader = role.is_reader; }},
+      input);
+}
+
+RelayReadStep RelayReader::Next(LogOffset from,
+                                Duration wait,
+                                TimePoint deadline,
+                                TimePoint now) const {
+  const bool is_relayed = !this->is_reader && this->buffer.IsFresh(now) &&
+                          this->buffer.Covers(from);
+  if (is_relayed) {
+    std::vector<std::string> records = this->buffer.RecordsFrom(from);
+    if (!records.empty() || now >= deadline) {
+      return AnswerFromRelay{.records = std::move(records)};
+    }
+    return WaitForRelay{.until = std::min(deadline, this->buffer.FreshUntil())};
+  }
+  const TimePoint due =
+      this->is_reader
+          ? this->last_call_sent_at + this->settings.reader_interval
+          : this->last_call_ended_at + this->settings.min_read_interval;
+  if (now < due) {
+    return WaitForRelay{.until = due};
+  }
+  return ReadFromStore{.wait =
+                           this->is_reader ? this->settings.reader_wait : wait};
+}
+
+}  // namespace cicadaloft
--- a/relay/tests/relay_test.cc
+++ b/relay/tests/relay_test.cc
@@ -4,6 +4,8 @@
 
 #include "cicadaloft/relay/relay_buffer.h"
 #include "cicadaloft/relay/relay_publisher.h"
+#include "cicadaloft/relay/relay_reader.h"
+#include "cicadaloft/relay/repeated_records.h"
 
 namespace cicadaloft {
 namespace {
@@ -135,6 +137,35 @@
   }
 }
 
+// Guards against reads by all hosts because of a moment with many changes.
+BOOST_AUTO_TEST_CASE(RecordsThatDoNotFitFollowWithTheNextMessage) {
+  RelayPublisher publisher;
+  constexpr std::size_t kHosts = 400;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    publisher.OnRequest({.host = HostId("h" + std::to_string(i)), .number = 1},
+                        kNow);
+  }
+  publisher.OnRead(ReadOf(0, {}));
+  publisher.Publish(kInterval, kNow + kInterval);
+  // 2,000 bytes fit into a message.
+  const Records records(5, std::string(600, 'r'));
+  StoreRead read = ReadOf(0, records);
+  read.sent_at = kNow + kInterval;
+  publisher.OnRead(read);
+  const auto first = publisher.Publish(kInterval, kNow + 2 * kInterval);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(first->topics.at(0).records.size() == 3U);
+  // Not all that the read returned.
+  BOOST_TEST((first->topics.at(0).complete_at == kNow.time_since_epoch()));
+  const auto second = publisher.Publish(kInterval, kNow + 3 * kInterval);
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST((second->topics.at(0).from == LogOffset(3)));
+  BOOST_TEST(second->topics.at(0).records.size() == 2U);
+  BOOST_TEST((second->topics.at(0).complete_at ==
+              (kNow + kInterval).time_since_epoch()));
+  BOOST_TEST(publisher.TakeLeftOut() == 0U);
+}
+
 // After a new snapshot the records before it are unknown to the publisher.
 BOOST_AUTO_TEST_CASE(PublisherStartsAgainAfterSnapshot) {
   RelayPublisher publisher;
@@ -197,5 +228,42 @@
   BOOST_TEST(clock.Request(kHost, kNow + seconds(62)).has_value());
 }
 
+// Guards against a host that takes a record for known that it has never seen:
+// it was compared with one that isn't the previous one of its key.
+BOOST_AUTO_TEST_CASE(OnlyRepetitionsOfThePreviousRecordCountAsRepeated) {
+  RepeatedRecords records;
+  records.OnRead(LogOffset(5), 4);
+  BOOST_TEST(!records.IsRepeated("a", "1"));
+  BOOST_TEST(records.IsRepeated("a", "1"));
+  BOOST_TEST(!records.IsRepeated("b", "1"));
+  BOOST_TEST(!records.IsRepeated("a", "2"));
+  records.OnRead(LogOffset(9), 4);
+  BOOST_TEST(records.IsRepeated("a", "2"));
+  BOOST_TEST(!records.IsRepeated("a", "1"));
+  BOOST_TEST(!records.IsRepeated("a", std::nullopt));
+  BOOST_TEST(!records.IsRepeated("a", "1"));
+  // A gap: the records between may have changed the key.
+  records.OnRead(LogOffset(14), 1);
+  BOOST_TEST(!records.IsRepeated("a", "1"));
+}
+
+BOOST_AUTO_TEST_CASE(ReaderCountsItsIntervalFromTheSendingOfReads) {
+  RelayReader reader({.min_read_interval = milliseconds(900),
+                      .reader_interval = milliseconds(300),
+                      .reader_wait = milliseconds(200),
+                      .max_relay_age = kMaxAge});
+  const TimePoint ended_at = kNow + milliseconds(250);
+  reader.OnStoreCall(kNow, ended_at);
+  const auto next = [&] {
+    return reader.Next(LogOffset(0), seconds(3), ended_at + seconds(3),
+                       ended_at);
+  };
+  BOOST_TEST(
+      (std::get<WaitForRelay>(next()).until == ended_at + milliseconds(900)));
+  reader.OnInput(RelayRole{.is_reader = true});
+  BOOST_TEST(
+      (std::get<WaitForRelay>(next()).until == kNow + milliseconds(300)));
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -70,7 +70,7 @@
 
 /// Task that reports the content of a keyed topic: first a snapshot, then each
 /// change. It takes a new snapshot when the log has been trimmed beyond its
-/// position, when a call to the store has failed, and on request.
+/// position, when several reads in a row have failed, and on request.
 template <Store S, KeyedDecoder Decode, std::invocable<FollowerEvent> Sink>
 class KeyedFollower {
  public:
@@ -117,12 +117,17 @@
   // recover within the time that is allowed once the store answers again; long
   // enough to keep refused calls few, because they are charged too.
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
-  static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
+  static constexpr Duration kMaxBackoff = std::chrono::milliseconds(1600);
+  /// Failed reads after which a new snapshot is read. What is written during a
+  /// shorter outage is read in one call where a snapshot needs one more, or is
+  /// relayed without any.
+  static constexpr int kMaxFailedReads = 4;
 
   // Returns when a new snapshot is needed.
   boost::asio::awaitable<void> FollowChanges() {
     using boost::asio::experimental::awaitable_operators::operator||;
     bool is_following = true;
+    int failed_reads = 0;
     while (is_following) {
       auto first_completed =
           co_await (this->store.Read(this->settings.topic, this->next_offset,
@@ -135,9 +140,10 @@
           std::get<0>(std::move(first_completed));
       if (!IsOk(outcome)) {
         co_await this->HandleFailure(ErrorOf(outcome));
-        is_following = false;
+        is_following = ++failed_reads < kMaxFailedReads;
       } else if (const auto* records =
                      std::get_if<LogRecords>(&ValueOf(outcome))) {
+        failed_reads = 0;
         this->HandleSuccess();
         this->HandleRecords(*records);
       } else {
