Let other tasks of a host replace the series of a gauge

Cause: a duty of the lease holder has metrics that must end when another host takes the duty over, and gauges could only be set. Change: Metrics::ReplaceGauge(), and the message GaugeReplaced to the entry task, which owns the metrics. Result: telemetry_test passes with a test of replaced series.

--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -32,6 +32,10 @@
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
 }
 
+void EntryMetrics::Replace(const GaugeReplaced& gauge) {
+  this->metrics.ReplaceGauge(gauge.name, gauge.series);
+}
+
 MetricsReply EntryMetrics::Render(const StatusReply& status) {
   const auto set = [this](const char* name, double value) {
     this->metrics.SetGauge(MetricKey{.name = name}, value);
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -6,6 +6,7 @@
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/forwarding/admin_messages.h"
+#include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/telemetry/metrics.h"
 
 namespace cicadaloft {
@@ -22,6 +23,8 @@
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
 
+  void Replace(const GaugeReplaced& gauge);
+
   MetricsReply Render(const StatusReply& status);
 
  private:
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -145,6 +145,8 @@
     this->ReportIfDrained();
   }
 
+  void Handle(const GaugeReplaced& gauge) { this->metrics.Replace(gauge); }
+
   void LogCutRequests() {
     for (const RequestId& caller_request_id :
          this->effect_executor.OpenCallerRequestIds()) {
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -4,10 +4,12 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/forwarding/admin_messages.h"
 #include "cicadaloft/forwarding/messages.h"
+#include "cicadaloft/telemetry/metrics.h"
 
 namespace cicadaloft {
 
@@ -81,6 +83,16 @@
   friend bool operator==(const DrainRequest&, const DrainRequest&) = default;
 };
 
+/// Another task of this host has new values of a gauge; they replace all
+/// earlier ones.
+struct GaugeReplaced {
+  const std::string name;
+  const std::vector<GaugeSeries> series;
+
+  friend auto operator<=>(const GaugeReplaced&, const GaugeReplaced&) = default;
+  friend bool operator==(const GaugeReplaced&, const GaugeReplaced&) = default;
+};
+
 /// All messages to the entry task.
 using EntryTaskMessage = std::variant<EntryEvent,
                                       RequestReceived,
@@ -88,7 +100,8 @@
                                       CallerRejected,
                                       ConnectionReleased,
                                       AdminCall,
-                                      DrainRequest>;
+                                      DrainRequest,
+                                      GaugeReplaced>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
 
--- a/telemetry/include/cicadaloft/telemetry/metrics.h
+++ b/telemetry/include/cicadaloft/telemetry/metrics.h
@@ -30,6 +30,15 @@
   friend bool operator==(const MetricKey&, const MetricKey&) = default;
 };
 
+/// One time series of a gauge.
+struct GaugeSeries {
+  std::vector<MetricLabel> labels;
+  double value = 0;
+
+  friend auto operator<=>(const GaugeSeries&, const GaugeSeries&) = default;
+  friend bool operator==(const GaugeSeries&, const GaugeSeries&) = default;
+};
+
 /// Counters, gauges and distributions of times. Used by one thread only.
 class Metrics {
  public:
@@ -40,6 +49,9 @@
   /// Adds to a counter, whose name should end in "_total".
   void AddToCounter(const MetricKey& key, std::uint64_t amount = 1);
   void SetGauge(const MetricKey& key, double value);
+  /// Replaces all time series of a gauge.
+  void ReplaceGauge(const std::string& name,
+                    const std::vector<GaugeSeries>& series);
   /// Adds a time to a distribution, whose name should end in "_seconds".
   void Observe(const MetricKey& key, Duration time);
 
--- a/telemetry/metrics.cc
+++ b/telemetry/metrics.cc
@@ -116,6 +116,15 @@
   this->gauges[key] = value;
 }
 
+void Metrics::ReplaceGauge(const std::string& name,
+                           const std::vector<GaugeSeries>& series) {
+  std::erase_if(this->gauges,
+                [&](const auto& entry) { return entry.first.name == name; });
+  for (const GaugeSeries& item : series) {
+    this->SetGauge(MetricKey{.name = name, .labels = item.labels}, item.value);
+  }
+}
+
 void Metrics::Observe(const MetricKey& key, Duration time) {
   auto& distribution = this->distributions[key];
   if (!distribution) {
--- a/telemetry/tests/telemetry_test.cc
+++ b/telemetry/tests/telemetry_test.cc
@@ -106,6 +106,21 @@
   BOOST_TEST(log_capture.output->TakeDroppedCount() > 0U);
 }
 
+// Guards against values that a host still shows when another one has taken the
+// duty over that they belong to.
+BOOST_AUTO_TEST_CASE(ReplacedGaugeLosesItsOtherSeries) {
+  Metrics metrics;
+  metrics.SetGauge({.name = "links_up"}, 4);
+  metrics.ReplaceGauge("targets", {{.labels = {{"zone", "a"}}, .value = 1},
+                                   {.labels = {{"zone", "b"}}, .value = 2}});
+  metrics.ReplaceGauge("targets", {{.labels = {{"zone", "b"}}, .value = 3}});
+  BOOST_TEST(metrics.Render() ==
+             "# TYPE links_up gauge\nlinks_up 4\n"
+             "# TYPE targets gauge\ntargets{zone=\"b\"} 3\n");
+  metrics.ReplaceGauge("targets", {});
+  BOOST_TEST(metrics.Render() == "# TYPE links_up gauge\nlinks_up 4\n");
+}
+
 BOOST_AUTO_TEST_CASE(CountersAndGaugesAreRenderedAsPrometheusText) {
   Metrics metrics;
   const MetricKey key{.name = "orders_total",
