--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -196,6 +196,7 @@
 }
 
 void EntryCore::RecordUsage(const OpenRequest& request) {
+  ++this->service_counts[request.queue_key.service].arrivals;
   if (!request.queue_key.model) {
     return;
   }
@@ -232,11 +233,53 @@
                        });
   this->effects.emplace_back(
       UsageReport{.usages = {model_usages.begin(), model_usages.end()},
-                  .demands = std::move(reported)});
+                  .demands = std::move(reported),
+                  .service_loads = this->TakeServiceLoads()});
   this->model_usages.clear();
   this->demands.clear();
 }
 
+// Only the services whose number of targets is ordered are reported.
+std::vector<ServiceLoad> EntryCore::TakeServiceLoads() {
+  const auto counts = std::exchange(this->service_counts, {});
+  std::map<ServiceId, ServiceLoad> loads;
+  if (this->configuration) {
+    for (const Service& service : this->configuration->value().services) {
+      if (service.scaling) {
+        const auto found = counts.find(service.id);
+        const ServiceCounts count =
+            found == counts.end() ? ServiceCounts{} : found->second;
+        loads.emplace(service.id, ServiceLoad{.service = service.id,
+                                              .arrivals = count.arrivals,
+                                              .started = count.started,
+                                              .running = {}});
+      }
+    }
+  }
+  if (loads.empty()) {
+    return {};
+  }
+  std::map<std::pair<ServiceId, DataCentreId>, std::uint32_t> running;
+  for (const OpenRequest& request : this->requests | std::views::values) {
+    const auto load = loads.find(request.queue_key.service);
+    if (load == loads.end()) {
+      continue;
+    }
+    const auto target = this->targets.find(request.target);
+    if (!request.is_running) {
+      ++load->second.waiting;
+    } else if (target != this->targets.end()) {
+      ++running[{load->first, target->second.record().data_centre}];
+    }
+  }
+  for (const auto& [key, count] : running) {
+    loads.at(key.first).running.push_back(
+        DataCentreLoad{.data_centre = key.second, .running = count});
+  }
+  const auto values = loads | std::views::values;
+  return {values.begin(), values.end()};
+}
+
 void EntryCore::Handle(const EntryStopRequested& stop) {
   this->is_stopping = true;
   this->stop_requested_at = this->now;
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -96,6 +96,10 @@
     double cost = 0;
     std::uint32_t requests = 0;
   };
+  struct ServiceCounts {
+    std::uint32_t arrivals = 0;
+    std::uint32_t started = 0;
+  };
 
   // Admission.
   Admission Admit(const RequestArrived& arrived);
@@ -155,6 +159,7 @@
 
   void RecordUsage(const OpenRequest& request);
   void ReportUsage();
+  std::vector<ServiceLoad> TakeServiceLoads();
   Duration UsageReportInterval() const;
 
   // Ends of attempts and requests.
@@ -208,6 +213,7 @@
   WarmupPermits permits;
 
   std::map<ModelPath, ModelUsage> model_usages;  ///< Since the last report.
+  std::map<ServiceId, ServiceCounts> service_counts;  ///< Also since then.
   std::map<CustomerId, Demand> demands;
   TimePoint usage_reported_at{};
 
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -151,6 +151,7 @@
     this->permits.OnSend(request.target);
   }
   target->OnDispatch();
+  ++this->service_counts[request.queue_key.service].started;
   this->Log(event_names::kDispatch, request.arrival.caller_request_id,
             {{"target", request.target.value()},
              {"attempt", request.attempt.value()},
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -291,10 +291,35 @@
   friend bool operator==(const ModelUsage&, const ModelUsage&) = default;
 };
 
+/// Requests of one host that run on the targets of one data centre.
+struct DataCentreLoad {
+  DataCentreId data_centre;
+  std::uint32_t running = 0;
+
+  friend auto operator<=>(const DataCentreLoad&,
+                          const DataCentreLoad&) = default;
+  friend bool operator==(const DataCentreLoad&,
+                         const DataCentreLoad&) = default;
+};
+
+/// Load of a service on one host.
+struct ServiceLoad {
+  ServiceId service;
+  std::uint32_t arrivals = 0;           ///< Admitted since the last report.
+  std::uint32_t started = 0;            ///< Attempts since the last report.
+  std::uint32_t waiting = 0;            ///< At the time of the report.
+  std::vector<DataCentreLoad> running;  ///< At the time of the report.
+
+  friend auto operator<=>(const ServiceLoad&, const ServiceLoad&) = default;
+  friend bool operator==(const ServiceLoad&, const ServiceLoad&) = default;
+};
+
 /// What callers have requested since the last report.
 struct UsageReport {
   const std::vector<ModelUsage> usages;
   const std::vector<CustomerDemand> demands;
+  /// Of the services with `scaling`.
+  const std::vector<ServiceLoad> service_loads;
 
   friend auto operator<=>(const UsageReport&, const UsageReport&) = default;
   friend bool operator==(const UsageReport&, const UsageReport&) = default;
