Order numbers of targets as the lease holder

Cause: the decisions of the slice scaling were not executed. Change: control feeds the slice like placement, the new link message service_load carries the hosts' load, and the control task sends the orders. The message is sent only where duties.scaling is set and a service has scaling, so hosts of an earlier version never get it elsewhere. Two gauges show running and ordered targets.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -18,10 +18,12 @@
 
 ControlState::ControlState(const LeaseSettings& settings,
                            Duration limit_window,
-                           Duration relay_interval)
+                           Duration relay_interval,
+                           bool orders_target_counts)
     : lease_settings(settings),
       limit_window(limit_window),
       relay_interval(relay_interval),
+      orders_target_counts(orders_target_counts),
       lease(settings),
       ledger(limit_window) {}
 
@@ -44,6 +46,7 @@
   }
   const ConfigurationChanged change{.configuration = read.configuration};
   this->FeedPlacement(change);
+  this->FeedScaling(change);
   this->NotifyEntry(change);
 }
 
@@ -95,6 +98,11 @@
         ModelUsageReport{.host = self, .usages = report.usages});
   }
   this->has_reported_usage = !report.usages.empty();
+  // Hosts of an earlier version don't know the message.
+  if (this->orders_target_counts && !report.service_loads.empty()) {
+    this->ReportToHolder(
+        ServiceLoadReport{.host = self, .loads = report.service_loads});
+  }
   this->ReportToHolder(DemandReport{
       .host = self,
       .grant_number = this->HasValidGrant() ? this->last_grant.grant_number : 0,
@@ -219,6 +227,8 @@
   this->FeedLease(LeaseTick{});
   this->BeginPlacementIfDue();
   this->FeedPlacement(PlacementTick{});
+  this->FeedScaling(
+      ScalingTick{.host_count = this->ledger.HostCount(this->now)});
   this->DivideSharesIfDue();
   this->SendWarmupGrants();
   this->PublishShares();
@@ -258,6 +268,7 @@
 void ControlState::PublishFleet() {
   const FleetChanged change{.fleet = this->fleet_tracker.fleet()};
   this->FeedPlacement(change);
+  this->FeedScaling(change);
   this->NotifyEntry(change);
   for (DecisionRecord& record : this->fleet_tracker.TakeDecisionRecords()) {
     this->effects.emplace_back(std::move(record));
@@ -267,6 +278,7 @@
 void ControlState::PublishEvacuations() {
   const EvacuationsChanged change{.data_centres = this->evacuated};
   this->FeedPlacement(change);
+  this->FeedScaling(change);
   this->NotifyEntry(change);
 }
 
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -35,6 +35,7 @@
               this->is_lease_valid = false;
               this->pending_token = FencingToken();
               this->FeedPlacement(PlacementStopped{});
+              this->FeedScaling(ScalingStopped{});
               this->DivideShares();
             },
             [this](const AppendLeaseRecord& append) {
@@ -77,9 +78,14 @@
 void ControlState::BeginPlacementIfDue() {
   if (this->pending_token != FencingToken() &&
       this->now >= this->orders_allowed_from) {
-    this->FeedPlacement(PlacementStarted{
-        .token = std::exchange(this->pending_token, FencingToken()),
-        .is_state_current = std::exchange(this->has_begun_placement, true)});
+    const FencingToken token =
+        std::exchange(this->pending_token, FencingToken());
+    const bool is_state_current =
+        std::exchange(this->has_begun_placement, true);
+    this->FeedPlacement(
+        PlacementStarted{.token = token, .is_state_current = is_state_current});
+    this->FeedScaling(
+        ScalingStarted{.token = token, .is_state_current = is_state_current});
   }
 }
 
@@ -141,6 +147,7 @@
 void ControlState::OnPeerMessage(const HostId&,
                                  const ModelUsageReport& report) {
   this->FeedPlacement(report);
+  this->FeedScaling(report);
 }
 
 void ControlState::OnPeerMessage(const HostId&, const DemandReport& report) {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -18,22 +18,27 @@
 #include "cicadaloft/placement/placement_state.h"
 #include "cicadaloft/poison/poison_ledger.h"
 #include "cicadaloft/relay/relay_publisher.h"
+#include "cicadaloft/scaling/scaling_state.h"
 #include "cicadaloft/warmup/warmup_ledger.h"
 
 namespace cicadaloft {
 
 /// One host's view of the whole system, and the duties that the lease holder
-/// does for all hosts: it places models, divides customers' limits and grants
-/// warm-up requests. Changes only through Decide().
+/// does for all hosts: it places models, orders numbers of targets, divides
+/// customers' limits and grants warm-up requests. Changes only through
+/// Decide().
 class ControlState {
  public:
   /// @param lease_settings identity of this host and times of the lease.
   /// @param limit_window the window over which customers' limits hold.
   /// @param relay_interval at which the lease holder relays what it reads from
   /// the store.
+  /// @param orders_target_counts whether the lease holder orders the number of
+  /// targets of services with `scaling`.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
-               Duration relay_interval = kDefaultRelayInterval);
+               Duration relay_interval = kDefaultRelayInterval,
+               bool orders_target_counts = false);
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
@@ -64,6 +69,7 @@
   void Handle(const OrderEnded& ended);
   void Handle(const TargetReportReceived& received);
   void Handle(const TargetReportFailed& failed);
+  void Handle(const TargetCountOrderEnded& ended);
   // Links to other hosts, shutdown and the periodic tick.
   void Handle(const PeerLinkChanged& change);
   void Handle(const PeerReceived& received);
@@ -72,6 +78,7 @@
 
   void FeedLease(const LeaseEvent& event);
   void FeedPlacement(const PlacementEvent& event);
+  void FeedScaling(const ScalingEvent& event);
   void OnPeerMessage(const HostId& host, const ModelUsageReport& report);
   void OnPeerMessage(const HostId& host, const DemandReport& report);
   void OnPeerMessage(const HostId& host, const ModelLoadRequest& request);
@@ -87,6 +94,7 @@
   void OnPeerMessage(const HostId& host, const PoisonBlock& block);
   void OnPeerMessage(const HostId& host, const TargetLeavingReport& report);
   void OnPeerMessage(const HostId& host, const QuotaHistory& history);
+  void OnPeerMessage(const HostId& host, const ServiceLoadReport& report);
   void OnPeerMessage(const HostId& host, const RelayRequest& request);
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
@@ -132,6 +140,7 @@
   LeaseSettings lease_settings;
   Duration limit_window;
   Duration relay_interval;
+  bool orders_target_counts;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
@@ -167,6 +176,7 @@
   TimePoint orders_allowed_from{};
   PlacementState placement;
   ShareLedger ledger;
+  ScalingState scaling;
   WarmupLedger warmup;
   TimePoint last_division_at{};
 
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -13,6 +13,7 @@
 #include "cicadaloft/peering/messages.h"
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
+#include "cicadaloft/scaling/messages.h"
 
 namespace cicadaloft {
 
@@ -122,6 +123,7 @@
                                   OrderEnded,
                                   TargetReportReceived,
                                   TargetReportFailed,
+                                  TargetCountOrderEnded,
                                   PeerLinkChanged,
                                   PeerReceived,
                                   ControlStop,
@@ -202,6 +204,8 @@
                                    AppendLeaseRecord,
                                    SendOrder,
                                    RequestTargetReport,
+                                   OrderTargetCount,
+                                   TargetCountsChanged,
                                    DecisionRecord>;
 
 inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -11,9 +12,11 @@
 #include "cicadaloft/control/control_load_monitor.h"
 #include "cicadaloft/control/control_state.h"
 #include "cicadaloft/core/spawn.h"
+#include "cicadaloft/duties/duty_settings.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/lease/lease_log_client.h"
+#include "cicadaloft/platform/duty_client.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/runner_client.h"
 #include "cicadaloft/platform/store_client.h"
@@ -23,6 +26,7 @@
 #include "cicadaloft/telemetry/log_task_failure.h"
 #include "control_mailbox.h"
 #include "peer_links.h"
+#include "target_count_gauges.h"
 
 namespace cicadaloft {
 
@@ -47,13 +51,22 @@
               Duration limit_window,
               Duration relay_interval,
               const std::string& store,
+              const std::optional<DutySettings>& duties,
               const std::shared_ptr<MemoryBudget>& memory,
               ControlTaskChannels channels)
       : executor(std::move(executor)),
-        state(settings, limit_window, relay_interval),
+        state(settings,
+              limit_window,
+              relay_interval,
+              duties && duties->scaling),
         channels(std::move(channels)),
         lease_log(platform::StoreClient(this->executor, store, memory)),
-        runners(this->executor, settings.self, memory) {}
+        runners(this->executor, settings.self, memory) {
+    if (duties) {
+      this->duty_client.emplace(this->executor, duties->address, settings.self,
+                                memory);
+    }
+  }
 
   /// Runs until the inbox is closed.
   boost::asio::awaitable<void> Run() {
@@ -142,6 +155,25 @@
         TargetReportFailed{.target = request.target, .reason = "an exception"});
   }
 
+  // The scaling state orders nothing without the settings for these calls.
+  void Execute(const OrderTargetCount& order) {
+    this->Call("order of a target count", this->SubmitTargetCount(order),
+               TargetCountOrderEnded{.call = order,
+                                     .outcome = DutyCallOutcome::kNoAnswer});
+  }
+  void Execute(const TargetCountsChanged& change) {
+    for (const GaugeReplaced& gauge : MakeTargetCountGauges(change)) {
+      Post(*this->channels.entry, gauge);
+    }
+  }
+
+  boost::asio::awaitable<void> SubmitTargetCount(OrderTargetCount order) {
+    const DutyCallOutcome outcome =
+        co_await this->duty_client->SubmitTargetCount(order);
+    Post(*this->channels.inbox, ControlEvent(TargetCountOrderEnded{
+                                    .call = order, .outcome = outcome}));
+  }
+
   boost::asio::awaitable<void> CallLease(
       boost::asio::awaitable<LeaseEvent> call) {
     const ControlEvent event = co_await std::move(call);
@@ -196,6 +228,8 @@
   const ControlTaskChannels channels;
   LeaseLogClient<platform::StoreClient> lease_log;
   platform::RunnerClient runners;
+  /// None without the settings for it.
+  std::optional<platform::DutyClient> duty_client;
   const DecisionLog log;
   ControlLoadMonitor load_monitor;
   const BootClock clock{};
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -177,7 +177,8 @@
                                   this->control_mailbox, this->memory);
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
-        this->RelayInterval(), this->settings.store, this->memory,
+        this->RelayInterval(), this->settings.store, this->settings.duties,
+        this->memory,
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -10,6 +10,7 @@
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
+#include "cicadaloft/scaling/messages.h"
 #include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
@@ -32,7 +33,8 @@
                                  CrashEvidence,
                                  PoisonSuspects,
                                  PoisonRefutation,
-                                 PoisonBlock>;
+                                 PoisonBlock,
+                                 ServiceLoadReport>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -175,6 +175,28 @@
 inline constexpr auto kJsonFields<StoreRelay> =
     std::tuple(Required("topics", &StoreRelay::topics));
 
+template <>
+inline constexpr auto kJsonFields<DataCentreLoad> =
+    std::tuple(Required("data_centre", &DataCentreLoad::data_centre),
+               Required("running", &DataCentreLoad::running));
+template <>
+inline constexpr bool kIsJsonRow<DataCentreLoad> = true;
+
+template <>
+inline constexpr auto kJsonFields<ServiceLoad> =
+    std::tuple(Required("service", &ServiceLoad::service),
+               Required("arrivals", &ServiceLoad::arrivals),
+               Required("started", &ServiceLoad::started),
+               Required("waiting", &ServiceLoad::waiting),
+               Required("running", &ServiceLoad::running));
+template <>
+inline constexpr bool kIsJsonRow<ServiceLoad> = true;
+
+template <>
+inline constexpr auto kJsonFields<ServiceLoadReport> =
+    std::tuple(Required("host", &ServiceLoadReport::host),
+               Required("loads", &ServiceLoadReport::loads));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
@@ -183,7 +205,7 @@
          "shares_granted", "limit_draw_asked", "limit_drawn", "warmup_asked",
          "warmup_granted", "target_leaving", "relay_request", "relay_welcome",
          "store_relay", "quota_history", "crash_evidence", "poison_suspects",
-         "poison_refutation", "poison_block"});
+         "poison_refutation", "poison_block", "service_load"});
 
 }  // namespace cicadaloft
 
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -104,7 +104,15 @@
       QuotaHistory{.host = HostId(DrawName()),
                    .customers = {{.customer = CustomerId(DrawName()),
                                   .charges = {{.age = Duration(DrawCount()),
-                                               .cost = 0.5 * DrawCount()}}}}}};
+                                               .cost = 0.5 * DrawCount()}}}}},
+      ServiceLoadReport{
+          .host = HostId(DrawName()),
+          .loads = {{.service = ServiceId(DrawName()),
+                     .arrivals = DrawCount(),
+                     .started = DrawCount(),
+                     .waiting = DrawCount(),
+                     .running = {{.data_centre = DataCentreId(DrawName()),
+                                  .running = DrawCount()}}}}}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
