Wait for reports of linked hosts before numbers of targets are ordered

Cause: the ledger counts hosts for 60 s after their last report, so a successor on a small site ordered nothing for a minute after its predecessor was killed or a data centre was lost with its hosts. Change: a term begins to order when nine tenths of the linked hosts have reported, and half of all that were there within the last minute. Fewer targets are ordered only if nine tenths of all have. Result: scaling_orders_test/LostHostsAreNotWaitedFor fails on the code before and passes; scaling_test passes.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -180,7 +180,10 @@
   this->effects.emplace_back(
       DecisionRecord{.event = change.is_up ? "peer.up" : "peer.down",
                      .fields = {{"host", change.host.value()}}});
-  if (!change.is_up) {
+  if (change.is_up) {
+    this->linked_hosts.insert(change.host);
+  } else {
+    this->linked_hosts.erase(change.host);
     this->ledger.OnLinkDown(change.host);
     this->relay_publisher.OnLinkDown(change.host);
   }
@@ -227,8 +230,10 @@
   this->FeedLease(LeaseTick{});
   this->BeginPlacementIfDue();
   this->FeedPlacement(PlacementTick{});
-  this->FeedScaling(
-      ScalingTick{.host_count = this->ledger.HostCount(this->now)});
+  this->FeedScaling(ScalingTick{
+      .host_count = this->ledger.HostCount(this->now),
+      .linked_host_count =
+          static_cast<std::uint32_t>(this->linked_hosts.size()) + 1});
   this->DivideSharesIfDue();
   this->SendWarmupGrants();
   this->PublishShares();
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -155,6 +155,7 @@
 
   LeaseState lease;
   std::optional<HostId> holder;            ///< By the lease's log.
+  std::set<HostId> linked_hosts;           ///< Their links are up.
   std::optional<HostId> connected_holder;  ///< The holder, if its link is up.
   /// Offset of the newest record that another process wrote.
   std::optional<LogOffset> previous_holder_offset;
--- a/scaling/include/cicadaloft/scaling/messages.h
+++ b/scaling/include/cicadaloft/scaling/messages.h
@@ -50,7 +50,10 @@
 };
 
 struct ScalingTick {
-  const std::uint32_t host_count = 1;  ///< Hosts that should report.
+  /// Hosts that have been there within the last minute.
+  const std::uint32_t host_count = 1;
+  /// Hosts with a link to this one, and this one.
+  const std::uint32_t linked_host_count = 1;
 
   friend auto operator<=>(const ScalingTick&, const ScalingTick&) = default;
   friend bool operator==(const ScalingTick&, const ScalingTick&) = default;
--- a/scaling/scaling_core.cc
+++ b/scaling/scaling_core.cc
@@ -8,8 +8,11 @@
 namespace cicadaloft {
 namespace {
 
-/// Fraction of the known hosts that must have reported.
+/// Fraction of the hosts that must have reported.
 constexpr double kMinReportedFraction = 0.9;
+/// The same of the hosts that were there within the last minute, among them
+/// those that were lost with their data centre.
+constexpr double kMinReportedFractionOfKnown = 0.5;
 
 /// A data centre without targets counts as lost for this long. After that it
 /// counts as given up.
@@ -147,6 +150,7 @@
 
 void ScalingCore::Handle(const ScalingTick& tick) {
   this->host_count = tick.host_count;
+  this->linked_host_count = tick.linked_host_count;
   if (this->now - this->last_tick_at < kSampleInterval) {
     return;
   }
@@ -154,7 +158,7 @@
   std::erase_if(this->reported_at, [this](const auto& entry) {
     return this->now - entry.second >= LoadHistory::kReportTtl;
   });
-  this->has_complete_reports |= this->HaveHostsReported();
+  this->has_complete_reports |= this->HaveLinkedHostsReported();
   for (ScaledService& scaled : this->services | std::views::values) {
     scaled.load.Sample(this->now);
   }
@@ -174,7 +178,13 @@
          this->fleet != nullptr && this->has_complete_reports;
 }
 
-bool ScalingCore::HaveHostsReported() const {
+bool ScalingCore::HaveLinkedHostsReported() const {
+  const auto reported = static_cast<double>(this->reported_at.size());
+  return reported >= kMinReportedFraction * this->linked_host_count &&
+         reported >= kMinReportedFractionOfKnown * this->host_count;
+}
+
+bool ScalingCore::HaveAllHostsReported() const {
   return static_cast<double>(this->reported_at.size()) >=
          kMinReportedFraction * this->host_count;
 }
--- a/scaling/scaling_core.h
+++ b/scaling/scaling_core.h
@@ -62,7 +62,10 @@
   };
 
   bool MayOrder() const;
-  bool HaveHostsReported() const;
+  /// @return whether the hosts that are there have reported.
+  bool HaveLinkedHostsReported() const;
+  /// @return the same with those that were there a short time ago.
+  bool HaveAllHostsReported() const;
   void UpdateZones();
   void Plan(const Service& service, ScaledService& scaled);
   Need NeedOf(const ScaledService& scaled) const;
@@ -97,6 +100,7 @@
   TimePoint started_at{};
   bool has_complete_reports = false;  ///< Once since this host began to order.
   std::uint32_t host_count = 1;
+  std::uint32_t linked_host_count = 1;
   std::map<HostId, TimePoint> reported_at;
   TimePoint last_tick_at{};
   ActiveConfigurationPtr configuration;
--- a/scaling/scaling_plan.cc
+++ b/scaling/scaling_plan.cc
@@ -109,7 +109,7 @@
 // The whole window of the last waves must show that fewer are enough.
 bool ScalingCore::MayOrderDown(const ScaledService& scaled,
                                const Need& need) const {
-  return !need.is_any_lost && this->HaveHostsReported() &&
+  return !need.is_any_lost && this->HaveAllHostsReported() &&
          this->now - this->started_at >= LoadHistory::kPeakWindow &&
          this->now - scaled.last_down_at >= kDownInterval;
 }
--- a/scaling/tests/scaling_orders_test.cc
+++ b/scaling/tests/scaling_orders_test.cc
@@ -19,6 +19,19 @@
   }
 }
 
+// Guards against a successor that orders nothing for a minute, since hosts were
+// lost with its predecessor or with their data centre.
+BOOST_AUTO_TEST_CASE(LostHostsAreNotWaitedFor) {
+  for (const std::size_t hosts : kHostCounts) {
+    SimulatedScaling simulation(hosts, 20);
+    simulation.demand = [](Duration) { return 1200; };
+    simulation.reporting_fraction = 0.67;
+    simulation.linked_fraction = 0.67;
+    simulation.RunFor(seconds(12));
+    BOOST_TEST(simulation.orders.size() > 0U);
+  }
+}
+
 // Guards against ending targets when hosts are cut off from the holder.
 BOOST_AUTO_TEST_CASE(NothingIsOrderedDownWhileHostsAreMissing) {
   SimulatedScaling simulation(30, 30);
--- a/scaling/tests/simulated_scaling.h
+++ b/scaling/tests/simulated_scaling.h
@@ -83,8 +83,10 @@
       this->now += kStep;
       this->RunDueActions();
       this->Report();
-      this->Feed(ScalingTick{.host_count =
-                                 static_cast<std::uint32_t>(this->host_count)});
+      const auto hosts = static_cast<std::uint32_t>(this->host_count);
+      this->Feed(ScalingTick{.host_count = hosts,
+                             .linked_host_count = static_cast<std::uint32_t>(
+                                 hosts * this->linked_fraction)});
     }
   }
 
@@ -139,6 +141,7 @@
   std::function<DutyCallOutcome(const OrderTargetCount&)> answer =
       [](const OrderTargetCount&) { return DutyCallOutcome::kAccepted; };
   double reporting_fraction = 1;  ///< Of the hosts.
+  double linked_fraction = 1;     ///< Of the hosts.
   TimePoint now{seconds(1000)};
   std::vector<Order> orders;
   std::vector<DecisionRecord> records;
