Test orders of target counts over many hosts

Cause: nothing tested that calls of two holders keep the handover delay. Change: HostsSimulation executes orders of target counts and can freeze the holder; its lease log makes the outcome of an append itself. The expectations of the other tests are unchanged.

--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -29,10 +30,13 @@
   static constexpr Duration kLinkDelay = milliseconds(2);
   static constexpr Duration kResponseTime = milliseconds(200);
 
-  explicit HostsSimulation(std::size_t count, const SharedLimit& limit = {})
-      : limit(limit) {
+  explicit HostsSimulation(std::size_t count,
+                           const SharedLimit& limit = {},
+                           const std::optional<Scaling>& scaling = {})
+      : limit(limit), scaling(scaling) {
     for (std::size_t i = 0; i < count; ++i) {
-      this->hosts.push_back(std::make_unique<Host>(i, this->limit));
+      this->hosts.push_back(
+          std::make_unique<Host>(i, this->limit, scaling.has_value()));
       this->Start(*this->hosts.back());
     }
   }
@@ -108,9 +112,7 @@
 
   /// Cuts the holder off from the lease's log; its links stay up.
   void CutHolderFromLog() {
-    for (const auto& host : this->hosts) {
-      host->is_cut_from_log |= host->id == this->lease_log.Holder();
-    }
+    this->Find(this->lease_log.Holder())->is_cut_from_log = true;
   }
 
   /// Cuts all hosts off from the lease's log.
@@ -160,12 +162,20 @@
 
   /// Crashes the process that holds the lease.
   void CrashHolder() {
-    for (const auto& host : this->hosts) {
-      if (host->id == this->lease_log.Holder()) {
-        host->is_alive = false;
-        this->FeedAll(PeerLinkChanged{.host = host->id});
-      }
-    }
+    Host& holder = *this->Find(this->lease_log.Holder());
+    holder.is_alive = false;
+    this->FeedAll(PeerLinkChanged{.host = holder.id});
+  }
+
+  /// Stops the holder's process; what arrives meanwhile is lost.
+  void FreezeHolder(Duration time) {
+    Host& holder = *this->Find(this->lease_log.Holder());
+    holder.is_alive = false;
+    this->Schedule(time, [this, &holder] {
+      holder.is_alive = true;
+      this->TickControl(holder, holder.process);
+      this->TickEntry(holder, holder.process);
+    });
   }
 
   void ResetCounts() {
@@ -183,6 +193,8 @@
   /// Runs attempts in place of the target that answers all requests, if set.
   std::function<void(const HostId&, const Dispatch&)> run_attempt;
   std::mt19937 random{1};
+  /// Executes orders of target counts and ends them, if set.
+  std::function<void(const HostId&, const OrderTargetCount&)> order_targets;
 
  private:
   static constexpr double kMinCost = 300;
@@ -192,8 +204,9 @@
 
   void Start(Host& host) {
     this->FeedControl(
-        host, ConfigurationRead{.configuration = MakeSimulatedConfiguration(
-                                    this->limit, this->cold_rate_limit)});
+        host, ConfigurationRead{
+                  .configuration = MakeSimulatedConfiguration(
+                      this->limit, this->cold_rate_limit, this->scaling)});
     this->FeedControl(host, FleetEvent(RegistryReachability{true}));
     this->SendTargetRecord(host);
     // Spreads the ticks of the hosts over one interval.
@@ -340,32 +353,22 @@
     }
   }
   void Execute(Host& host, const ReadLeaseLog& read) {
-    if (host.is_cut_from_log) {
-      this->Schedule(kLinkDelay, [this, &host] {
-        this->FeedControl(host, LeaseEvent(LeaseReadFailed{}));
-      });
-      return;
-    }
-    const LeaseLogRead outcome = this->lease_log.Read(read.from);
-    this->Schedule(kLinkDelay, [this, &host, outcome] {
-      this->FeedControl(host, LeaseEvent(outcome));
-    });
+    this->Reply(host, host.is_cut_from_log
+                          ? LeaseEvent(LeaseReadFailed{})
+                          : LeaseEvent(this->lease_log.Read(read.from)));
   }
   void Execute(Host& host, const AppendLeaseRecord& append) {
-    const bool is_written =
-        !host.is_cut_from_log && this->lease_log.Append(append);
-    const TimePoint sent_at = this->now;
-    const LogOffset offset = append.expected_end;
-    this->Schedule(kLinkDelay, [this, &host, is_written, offset, sent_at] {
-      this->FeedControl(
-          host,
-          LeaseEvent(LeaseAppendEnded{
-              .outcome = is_written             ? LeaseAppendOutcome::kWritten
-                         : host.is_cut_from_log ? LeaseAppendOutcome::kRefused
-                                                : LeaseAppendOutcome::kConflict,
-              .offset = offset,
-              .sent_at = sent_at}));
-    });
+    this->Reply(
+        host, this->lease_log.Append(append, host.is_cut_from_log, this->now));
+  }
+  void Reply(Host& host, const LeaseEvent& event) {
+    this->Schedule(kLinkDelay,
+                   [this, &host, event] { this->FeedControl(host, event); });
+  }
+  void Execute(Host& host, const OrderTargetCount& order) {
+    if (this->order_targets) {
+      this->order_targets(host.id, order);
+    }
   }
   template <typename Other>
   void Execute(Host&, const Other&) {}
@@ -386,6 +389,7 @@
   }
 
   TargetRecord target = MakeSimulatedTarget();
+  std::optional<Scaling> scaling;
   std::vector<std::unique_ptr<Host>> hosts;
   SimulatedLeaseLog lease_log;
   std::size_t last_request_number = 0;
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -38,8 +38,12 @@
 
 /// Entry and control of one simulated host, over all its processes.
 struct SimulatedHost {
-  SimulatedHost(std::size_t index, const SharedLimit& limit)
-      : index(index), id("h" + std::to_string(index)) {
+  SimulatedHost(std::size_t index,
+                const SharedLimit& limit,
+                bool orders_target_counts = false)
+      : index(index),
+        id("h" + std::to_string(index)),
+        orders_target_counts(orders_target_counts) {
     this->Restart(limit);
   }
 
@@ -51,7 +55,7 @@
             .self = this->id,
             .address = "10.0.0.1:1",
             .secret = this->id.value() + "." + std::to_string(this->process)},
-        kLimitWindow);
+        kLimitWindow, kDefaultRelayInterval, this->orders_target_counts);
     this->entry.emplace(EntrySettings{.host = this->id,
                                       .data_centre = DataCentreId("dc"),
                                       .limit_overshoot = limit.overshoot,
@@ -66,6 +70,7 @@
 
   std::size_t index;
   HostId id;
+  bool orders_target_counts;
   int process = 0;  ///< Number of starts so far.
   std::optional<ControlState> control;
   std::optional<EntryState> entry;
--- a/control/tests/simulated_surroundings.h
+++ b/control/tests/simulated_surroundings.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <iterator>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "cicadaloft/configuration/active_configuration.h"
@@ -26,7 +27,8 @@
 /// One route to that target, and one customer with a limit.
 inline ActiveConfigurationPtr MakeSimulatedConfiguration(
     const SharedLimit& limit,
-    const ColdRateLimit& cold_rate_limit) {
+    const ColdRateLimit& cold_rate_limit,
+    const std::optional<Scaling>& scaling = std::nullopt) {
   return std::make_shared<const ActiveConfiguration>(Configuration{
       .version = ConfigurationVersion(1),
       .routes = {Route{.id = RouteId("r"),
@@ -37,8 +39,8 @@
                        .caller_timeout = seconds(8),
                        .services = {{.service = ServiceId("s")}}}},
       .services = {{.id = ServiceId("s"),
-                    .cold_requests_per_second =
-                        cold_rate_limit.rate_per_second}},
+                    .cold_requests_per_second = cold_rate_limit.rate_per_second,
+                    .scaling = scaling}},
       .customers = {{.id = CustomerId("c"),
                      .keys = {"key"},
                      .is_limited_by_tokens = true,
@@ -55,14 +57,22 @@
                                  : this->entries.back().record.holder;
   }
 
-  /// @return whether the log ended where the append expects it.
-  bool Append(const AppendLeaseRecord& append) {
-    if (append.expected_end != LogOffset(this->entries.size())) {
-      return false;
+  /// Writes the record if the log ends where the append expects it.
+  /// @param is_cut whether the host can't reach the log.
+  LeaseAppendEnded Append(const AppendLeaseRecord& append,
+                          bool is_cut,
+                          TimePoint sent_at) {
+    const bool is_written =
+        !is_cut && append.expected_end == LogOffset(this->entries.size());
+    if (is_written) {
+      this->entries.push_back(
+          {.offset = append.expected_end, .record = append.record});
     }
-    this->entries.push_back(
-        {.offset = append.expected_end, .record = append.record});
-    return true;
+    return LeaseAppendEnded{.outcome = is_written ? LeaseAppendOutcome::kWritten
+                                       : is_cut   ? LeaseAppendOutcome::kRefused
+                                                : LeaseAppendOutcome::kConflict,
+                            .offset = append.expected_end,
+                            .sent_at = sent_at};
   }
 
   LeaseLogRead Read(LogOffset from) const {
--- a/entry/tests/entry_test.cc
+++ b/entry/tests/entry_test.cc
@@ -383,5 +383,39 @@
   BOOST_TEST(found->usages.at(0).interactive == 1U);
 }
 
+// Guards against a lease holder that orders numbers of targets without knowing
+// what runs, waits and arrives.
+BOOST_AUTO_TEST_CASE(UsageReportHasLoadOfServicesWithScaling) {
+  for (const bool is_scaled : {true, false}) {
+    EntryFixture entry;
+    entry.targets[2].loaded = {kModel};
+    entry.Start();
+    if (is_scaled) {
+      Configuration configuration = MakeConfiguration(2)->value();
+      configuration.services[1].scaling = Scaling{.max_targets = 1};
+      entry.Feed(ConfigurationChanged{
+          .configuration =
+              std::make_shared<const ActiveConfiguration>(configuration)});
+    }
+    entry.SendRequest("chat", kModel);
+    entry.SendRequest(
+        "chat", ModelPath{.model = kModel.model, .adapter = AdapterId("a")});
+    entry.RunFor(kUsageReportInterval + milliseconds(20));
+    const auto reports = entry.EffectsOf<UsageReport>();
+    const auto found = std::ranges::find_if(
+        reports, [](const auto& item) { return !item.demands.empty(); });
+    BOOST_REQUIRE((found != reports.end()));
+    BOOST_REQUIRE(found->service_loads.size() == (is_scaled ? 1U : 0U));
+    if (is_scaled) {
+      const ServiceLoad& load = found->service_loads[0];
+      BOOST_TEST(load.arrivals == 2U);
+      BOOST_TEST(load.started == 1U);
+      BOOST_TEST(load.waiting == 1U);
+      BOOST_REQUIRE(load.running.size() == 1U);
+      BOOST_TEST(load.running[0].running == 1U);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cicadaloft
