--- a/admission/include/cicadaloft/admission/service_ranks.h
+++ b/admission/include/cicadaloft/admission/service_ranks.h
@@ -37,8 +37,9 @@
 };
 
 /// @return the services that are served by rank: those with a route that has a
-/// long latency objective and a higher rank than one with a shorter objective,
-/// and those whose customers have different ranks.
+/// long latency objective and a higher rank than one with a shorter objective.
+/// Ranks of customers alone don't count: interactive requests would wait behind
+/// delay-tolerant ones of other customers.
 std::map<ServiceId, ServiceRanks> FindRankedServices(
     const Configuration& configuration);
 
--- a/admission/service_ranks.cc
+++ b/admission/service_ranks.cc
@@ -100,9 +100,7 @@
   std::map<ServiceId, ServiceRanks> ranked;
   for (const Service& service : configuration.services) {
     const Routes routes = RoutesTo(configuration, service.id);
-    const bool has_customers = std::ranges::any_of(
-        routes, [](const Route* route) { return !route->is_public; });
-    if (HaveContradiction(routes) || (has_customers && priorities.size() > 1)) {
+    if (HaveContradiction(routes)) {
       ranked.emplace(service.id, MakeServiceRanks(routes, priorities));
     }
   }
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -40,6 +40,10 @@
                            {"outcome", std::string(Name(ended.outcome))}}});
 }
 
+void EntryMetrics::Replace(const GaugeReplaced& gauge) {
+  this->metrics.ReplaceGauge(gauge.name, gauge.series);
+}
+
 MetricsReply EntryMetrics::Render(const StatusReply& status) {
   const auto set = [this](const char* name, double value) {
     this->metrics.SetGauge(MetricKey{.name = name}, value);
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -6,6 +6,7 @@
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/forwarding/admin_messages.h"
+#include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/store/store_call.h"
 #include "cicadaloft/telemetry/metrics.h"
 
@@ -25,6 +26,8 @@
   /// Counts a call of the store by this host.
   void CountStoreCall(const StoreCallEnded& ended);
 
+  void Replace(const GaugeReplaced& gauge);
+
   MetricsReply Render(const StatusReply& status);
 
  private:
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -4,11 +4,13 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/forwarding/admin_messages.h"
 #include "cicadaloft/forwarding/messages.h"
 #include "cicadaloft/store/store_call.h"
+#include "cicadaloft/telemetry/metrics.h"
 
 namespace cicadaloft {
 
@@ -82,6 +84,16 @@
   friend bool operator==(const DrainRequest&, const DrainRequest&) = default;
 };
 
+/// Another task of this host has new values of a gauge; they replace all
+/// earlier ones.
+struct GaugeReplaced {
+  const std::string name;
+  const std::vector<GaugeSeries> series;
+
+  friend auto operator<=>(const GaugeReplaced&, const GaugeReplaced&) = default;
+  friend bool operator==(const GaugeReplaced&, const GaugeReplaced&) = default;
+};
+
 /// All messages to the entry task.
 using EntryTaskMessage = std::variant<EntryEvent,
                                       RequestReceived,
@@ -90,7 +102,9 @@
                                       ConnectionReleased,
                                       AdminCall,
                                       DrainRequest,
-                                      StoreCallEnded>;
+                                      StoreCallEnded,
+
+                                      GaugeReplaced>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
 
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -164,7 +164,7 @@
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
         RelayInterval(this->settings.drain_time), this->settings.store,
-        this->memory, this->CountStoreCalls(),
+        this->settings.duties, this->memory, this->CountStoreCalls(),
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
