--- a/control/tests/target_count_orders_test.cc
+++ b/control/tests/target_count_orders_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t kHosts[] = {6, 30, 88, 360};
-constexpr Duration kHandoverDelay = LeaseSettings{}.handover_delay;
+const Duration kHandoverDelay = LeaseSettings{}.handover_delay;
 /// One target runs, so that three are ordered.
 constexpr Scaling kScaling{.min_targets = 3,
                            .max_targets = 40,
@@ -113,7 +113,7 @@
   scaled.simulation.RunFor(seconds(3));
   scaled.orders.clear();
   scaled.simulation.RunFor(seconds(60));
-  BOOST_TEST(scaled.orders.size() == 0U);
+  BOOST_TEST(scaled.orders.empty());
 }
 
 // Guards against a successor that orders for hosts that it can't hear.
@@ -123,14 +123,14 @@
   scaled.simulation.CrashHolder();
   scaled.simulation.CutLinks(0.6);
   scaled.simulation.RunFor(seconds(30));
-  BOOST_TEST(scaled.orders.size() == 0U);
+  BOOST_TEST(scaled.orders.empty());
 }
 
 // Guards against messages that hosts of an earlier version don't know.
 BOOST_AUTO_TEST_CASE(ServiceWithoutScalingChangesNothing) {
   ScaledHosts scaled(30, std::nullopt);
   scaled.simulation.RunFor(seconds(40));
-  BOOST_TEST(scaled.orders.size() == 0U);
+  BOOST_TEST(scaled.orders.empty());
 }
 
 /// @return the load reports that a host sends to the holder for this usage.
--- a/scaling/tests/scaling_orders_test.cc
+++ b/scaling/tests/scaling_orders_test.cc
@@ -15,7 +15,7 @@
     simulation.demand = [](Duration) { return 900; };
     simulation.reporting_fraction = 0.5;
     simulation.RunFor(seconds(90));
-    BOOST_TEST(simulation.orders.size() == 0U);
+    BOOST_TEST(simulation.orders.empty());
   }
 }
 
@@ -28,7 +28,7 @@
     simulation.reporting_fraction = 0.67;
     simulation.linked_fraction = 0.67;
     simulation.RunFor(seconds(12));
-    BOOST_TEST(simulation.orders.size() > 0U);
+    BOOST_TEST(!simulation.orders.empty());
   }
 }
 
@@ -40,7 +40,7 @@
   simulation.orders.clear();
   simulation.reporting_fraction = 0.3;
   simulation.RunFor(seconds(90));
-  BOOST_TEST(simulation.orders.size() == 0U);
+  BOOST_TEST(simulation.orders.empty());
 }
 
 // Guards against a successor that takes targets that still boot for missing.
@@ -48,14 +48,14 @@
   SimulatedScaling simulation(88, 20);
   simulation.demand = [](Duration) { return 900; };
   simulation.RunFor(seconds(12));
-  BOOST_REQUIRE(simulation.orders.size() > 0U);
+  BOOST_REQUIRE(!simulation.orders.empty());
   const auto ordered = simulation.orders.back().call.count;
   simulation.orders.clear();
   simulation.Succeed(FencingToken(2));
   simulation.RunFor(seconds(8));
-  BOOST_TEST(simulation.orders.size() == 0U);
+  BOOST_TEST(simulation.orders.empty());
   simulation.RunFor(seconds(10));
-  BOOST_REQUIRE(simulation.orders.size() > 0U);
+  BOOST_REQUIRE(!simulation.orders.empty());
   BOOST_TEST(simulation.orders.front().call.count > ordered);
   BOOST_TEST(simulation.orders.front().call.token.value() == 2U);
 }
@@ -66,7 +66,7 @@
   simulation.demand = [](Duration) { return 900; };
   simulation.Feed(ScalingStopped{});
   simulation.RunFor(seconds(60));
-  BOOST_TEST(simulation.orders.size() == 0U);
+  BOOST_TEST(simulation.orders.empty());
 }
 
 // Guards against a holder that begins again from nothing after a short loss of
@@ -80,7 +80,7 @@
   simulation.Feed(
       ScalingStarted{.token = FencingToken(2), .is_state_current = true});
   simulation.RunFor(seconds(40));
-  BOOST_TEST(simulation.orders.size() == 0U);
+  BOOST_TEST(simulation.orders.empty());
 }
 
 // Guards against a platform that is busy and is called all the time.
@@ -157,7 +157,7 @@
     return static_cast<std::size_t>(
         std::ranges::count(simulation.records, event, &DecisionRecord::event));
   };
-  BOOST_TEST(simulation.orders.size() > 0U);
+  BOOST_TEST(!simulation.orders.empty());
   BOOST_TEST(count("scaling.order") == simulation.orders.size());
   BOOST_TEST(count("scaling.order_ended") == simulation.orders.size());
   BOOST_TEST(simulation.counts.size() == 3U);
--- a/scaling/tests/scaling_test.cc
+++ b/scaling/tests/scaling_test.cc
@@ -21,7 +21,7 @@
     simulation.orders.clear();
     simulation.RunFor(seconds(110));
     BOOST_TEST_CONTEXT(hosts << " hosts") {
-      BOOST_TEST(simulation.orders.size() == 0U);
+      BOOST_TEST(simulation.orders.empty());
       BOOST_TEST(simulation.CapacityAfterLoss() * kPlannedUse >=
                  420 * (1 + kWaveDepth));
     }
@@ -76,7 +76,7 @@
     simulation.demand = Wave(250, 0.15, seconds(11));
     simulation.RunFor(seconds(39));
     BOOST_TEST_CONTEXT(hosts << " hosts") {
-      BOOST_TEST(simulation.orders.size() == 0U);
+      BOOST_TEST(simulation.orders.empty());
       simulation.RunFor(seconds(20));
       BOOST_TEST(simulation.Running(0) >= 26U);
       simulation.RunFor(seconds(120));
@@ -114,7 +114,7 @@
   simulation.demand = [](Duration) { return 100; };
   simulation.Feed(EvacuationsChanged{.data_centres = {ZoneId(1)}});
   simulation.RunFor(seconds(120));
-  BOOST_TEST(simulation.orders.size() == 0U);
+  BOOST_TEST(simulation.orders.empty());
 }
 
 /// In the first data centre each of four targets has a model of its own, in the
@@ -187,8 +187,8 @@
   SimulatedScaling simulation(30, 20, std::nullopt);
   simulation.demand = [](Duration) { return 5000; };
   simulation.RunFor(seconds(60));
-  BOOST_TEST(simulation.orders.size() == 0U);
-  BOOST_TEST(simulation.counts.size() == 0U);
+  BOOST_TEST(simulation.orders.empty());
+  BOOST_TEST(simulation.counts.empty());
 }
 
 // The decoder refuses such bounds; they must do no harm here either.
@@ -198,7 +198,7 @@
     SimulatedScaling simulation(30, 20, bounds);
     simulation.demand = [](Duration) { return 5000; };
     simulation.RunFor(seconds(60));
-    BOOST_TEST(simulation.orders.size() == 0U);
+    BOOST_TEST(simulation.orders.empty());
   }
 }
 
@@ -208,7 +208,7 @@
   SimulatedScaling simulation(6, 20);
   simulation.demand = [](Duration) { return 400; };
   simulation.RunFor(seconds(20));
-  BOOST_REQUIRE(simulation.orders.size() == 0U);
+  BOOST_REQUIRE(simulation.orders.empty());
   for (int i = 0; i < 100; ++i) {
     simulation.Feed(ServiceLoadReport{
         .host = HostId("h0"),
@@ -218,7 +218,7 @@
                    .running = {{.data_centre = ZoneId(0), .running = 67}}}}});
     simulation.RunFor(milliseconds(100));
   }
-  BOOST_TEST(simulation.orders.size() > 0U);
+  BOOST_TEST(!simulation.orders.empty());
 }
 
 }  // namespace
--- a/scaling/tests/simulated_scaling.h
+++ b/scaling/tests/simulated_scaling.h
@@ -205,14 +205,15 @@
 
   // Hosts report in turn, at the interval of usage reports.
   void Report() {
-    const double interval = std::max<double>(200.0, 10.0 * this->host_count);
-    const double due = static_cast<double>(this->host_count) * 20 / interval;
+    const double interval = std::max(200.0, 10 * this->HostCountAsNumber());
+    const double due = this->HostCountAsNumber() * 20 / interval;
     this->due_reports += due;
     const double wanted = this->demand(this->now.time_since_epoch() - kStart);
     const double running = std::min(wanted, this->Capacity());
     for (; this->due_reports >= 1; this->due_reports -= 1) {
       const std::size_t host = this->next_host++ % this->host_count;
-      if (host < this->reporting_fraction * this->host_count) {
+      if (static_cast<double>(host) <
+          this->reporting_fraction * this->HostCountAsNumber()) {
         this->Feed(ServiceLoadReport{
             .host = HostId("h" + std::to_string(host)),
             .loads = {this->LoadOf(host, running, wanted - running)}});
@@ -220,11 +221,15 @@
     }
   }
 
+  double HostCountAsNumber() const {
+    return static_cast<double>(this->host_count);
+  }
+
   // Rounded so that the sum over all hosts is right.
   std::uint32_t ShareOf(std::size_t host, double total) const {
     const auto until = [&](std::size_t hosts) {
       return std::floor(total * static_cast<double>(hosts) /
-                        static_cast<double>(this->host_count));
+                        this->HostCountAsNumber());
     };
     return static_cast<std::uint32_t>(until(host + 1) - until(host));
   }
