Test usage reports under faults of the holder, the platform and clocks

Cause: a window may have one content only, and few may be lost, whatever happens to the lease holder. Change: the holder copies its own counts to two hosts; a host that is cut off is waited for; clocks that are off are corrected by the median; a stopping host follows the lease's log where usage is reported, so that its last counts reach the new holder. Tests on a virtual clock.

--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -40,6 +40,9 @@
   /// Upper bound of the drift between two hosts' clocks over one TTL, and of
   /// the transit time of a message that was sent before the lease expired.
   Duration clock_drift_margin = std::chrono::milliseconds(300);
+  /// Whether a host that shuts down still follows the log, so that it connects
+  /// to a new holder.
+  bool follows_log_while_stopping = false;
 
   friend auto operator<=>(const LeaseSettings&, const LeaseSettings&) = default;
   friend bool operator==(const LeaseSettings&, const LeaseSettings&) = default;
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -191,6 +191,9 @@
                            !this->newest_entry->record.is_released;
     if (is_holder && !this->has_released && !this->pending_append) {
       this->AppendRecord(true);
+    } else if (this->settings.follows_log_while_stopping &&
+               (this->is_append_in_doubt || this->IsReadDue())) {
+      this->ReadLog();
     }
     return;
   }
--- a/usage/include/cicadaloft/usage/messages.h
+++ b/usage/include/cicadaloft/usage/messages.h
@@ -104,6 +104,14 @@
                          const UsageTermEnded&) = default;
 };
 
+/// The lease has another holder. Links to the last one are closed after this.
+struct UsageHolderChanged {
+  friend auto operator<=>(const UsageHolderChanged&,
+                          const UsageHolderChanged&) = default;
+  friend bool operator==(const UsageHolderChanged&,
+                         const UsageHolderChanged&) = default;
+};
+
 /// The link to a host is up or down.
 struct UsageLinkChanged {
   HostId host;
@@ -165,6 +173,7 @@
                                 UsageClock,
                                 UsageTerm,
                                 UsageTermEnded,
+                                UsageHolderChanged,
                                 UsageLinkChanged,
                                 UsageTopicRead,
                                 UsageTopicReadFailed,
--- a/usage/include/cicadaloft/usage/usage_ledger.h
+++ b/usage/include/cicadaloft/usage/usage_ledger.h
@@ -39,9 +39,13 @@
   void OnCounts(const UsageCountsReceived& received, TimePoint now);
   void OnLinkChanged(const UsageLinkChanged& change, TimePoint now);
 
-  /// This host no longer holds the lease: hosts close their links to connect to
-  /// a successor.
+  /// This host holds the lease.
+  void OnTermBegan();
+  /// This host no longer holds the lease: hosts close their links to it in
+  /// order to connect to a successor.
   void OnTermEnded();
+  /// The lease has another holder. Links to the last one are closed after this.
+  void OnHolderChanged();
 
   /// Sums a window that has ended.
   /// @param unknown_hosts hosts that take requests and have sent nothing.
@@ -82,6 +86,12 @@
     TimePoint heard_at{};    ///< From itself, or first from another host.
     bool is_direct = false;  ///< Heard from itself.
     bool has_link = false;
+    /// A closed link doesn't show that the process has ended.
+    bool is_closing_expected = false;
+    /// Wall time by its own clock minus the time of events, from the message
+    /// that was on its way for the shortest time.
+    Duration clock_offset{};
+    TimePoint clock_offset_at{};
     /// When its link went down, if not by silence.
     std::optional<TimePoint> closed_at;
   };
@@ -95,10 +105,9 @@
   bool HasClosed(const ProcessKey& key,
                  const Process& process,
                  TimePoint now) const;
-  /// @return whether it has closed, or been silent for long.
-  bool HasEnded(const ProcessKey& key,
-                const Process& process,
-                TimePoint now) const;
+  /// @return whether processes that are silent for long are taken for ended:
+  /// not if this host may itself be cut off from the others.
+  bool DoesSilenceCount(TimePoint now) const;
   Duration UncountedTime(UsageWindow window, const Process& process) const;
   /// @return requests per second; none if it has not counted for long enough.
   std::optional<double> Rate(const Process& process) const;
--- a/usage/include/cicadaloft/usage/usage_reporter.h
+++ b/usage/include/cicadaloft/usage/usage_reporter.h
@@ -31,6 +31,10 @@
                      Duration since_1970,
                      TimePoint now);
 
+  /// @return whether this host holds the lease now.
+  bool IsTermValid(TimePoint now) const {
+    return this->term && now < this->term->valid_until;
+  }
   /// @return whether windows may be closed: this host holds the lease and knows
   /// what is recorded.
   bool MayClose() const { return this->term && !this->needs_read; }
--- a/usage/include/cicadaloft/usage/usage_state.h
+++ b/usage/include/cicadaloft/usage/usage_state.h
@@ -35,6 +35,7 @@
   void Handle(const UsageClock& clock);
   void Handle(const UsageTerm& term);
   void Handle(const UsageTermEnded& ended);
+  void Handle(const UsageHolderChanged& change);
   void Handle(const UsageLinkChanged& change);
   void Handle(const UsageTopicRead& read);
   void Handle(const UsageTopicReadFailed& failed);
--- a/usage/tests/usage_simulation.h
+++ b/usage/tests/usage_simulation.h
@@ -88,7 +88,8 @@
     host.lease.emplace(LeaseSettings{
         .self = host.id,
         .address = "10.0.0.1:1",
-        .secret = host.id.value() + "." + std::to_string(host.process)});
+        .secret = host.id.value() + "." + std::to_string(host.process),
+        .follows_log_while_stopping = true});
     host.usage.emplace(UsageSettings{.host = host.id, .process = host.process});
     const Duration phase =
         kTick * static_cast<int>(index) / static_cast<int>(this->hosts.size());
@@ -107,6 +108,17 @@
     this->CloseLinksOf(host, kDelay);
   }
 
+  /// Lets a holder release the lease, as a process does that stops, and starts
+  /// a new process later.
+  void Release(std::size_t index) {
+    Host& host = *this->hosts.at(index);
+    this->FeedLease(host, LeaseStop{});
+    this->Schedule(seconds(4), [this, index] {
+      this->Kill(index);
+      this->Start(index);
+    });
+  }
+
   /// Pauses a process; its links are closed by the others' timeouts.
   void Freeze(std::size_t index) {
     Host& host = *this->hosts.at(index);
@@ -299,6 +311,7 @@
     });
   }
   void Execute(Host& host, const HolderChanged& change) {
+    this->FeedUsage(host, UsageHolderChanged{});
     if (host.has_link) {
       this->CloseLink(host, kDelay);
     }
--- a/usage/usage_closing.cc
+++ b/usage/usage_closing.cc
@@ -14,9 +14,10 @@
 /// Then it is closed without the hosts that have not reported, if little is
 /// missing.
 constexpr double kCloseFraction = 0.6;
-/// Then it is skipped if much is missing. The rest of the delay is for the
-/// calls to the store and to the platform.
-constexpr double kSkipFraction = 0.8;
+/// The rest of the delay is for the calls to the store and to the platform. If
+/// much is missing, the window waits this long after its report was due: a late
+/// report is better than none.
+constexpr Duration kMaxLateness = std::chrono::seconds(15);
 /// Estimated fraction of the requests that may be missing in a report, which
 /// must be within 5%.
 constexpr double kMaxMissingFraction = 0.04;
@@ -88,7 +89,7 @@
   WindowSum sum =
       this->ledger.Sum(window, this->UnknownHosts(window), this->now);
   const bool is_close_time = since_end >= Part(delay, kCloseFraction);
-  const bool is_skip_time = since_end >= Part(delay, kSkipFraction) &&
+  const bool is_skip_time = since_end >= delay + kMaxLateness &&
                             this->now - this->term_began_at >= kMaxGatherTime;
   const bool has_enough = sum.missing_fraction <= kMaxMissingFraction;
   const bool may_close =
--- a/usage/usage_ledger.cc
+++ b/usage/usage_ledger.cc
@@ -17,14 +17,15 @@
 /// A process that has closed its link and lives connects again within this.
 constexpr Duration kReconnectTime = std::chrono::milliseconds(2500);
 /// A process that has been silent for this long is taken for ended.
-constexpr Duration kSilentProcessTime = std::chrono::seconds(15);
+constexpr Duration kSilentProcessTime = std::chrono::seconds(25);
 /// Processes that have been silent for this long are deleted.
 constexpr Duration kKeptTime = std::chrono::minutes(2);
 /// A clock reading that is older than this is not used.
 constexpr Duration kMaxReadingAge = std::chrono::seconds(5);
 /// Two clocks that differ don't tell which of them is off.
 constexpr std::size_t kMinClocks = 3;
-/// Windows from which the rate of a process is estimated.
+/// Windows from which the rate of a process is estimated, by the one with most
+/// requests: demand has waves.
 constexpr std::uint64_t kRateWindows = 2;
 
 std::uint64_t Total(const UsageByCustomer& counts) {
@@ -60,6 +61,8 @@
     process.counts.windows = std::move(windows);
   }
   for (const auto& [window, by_customer] : counts.windows) {
+    std::uint64_t& total = process.totals[window];
+    total = std::max(total, Total(by_customer));
     if (window < this->first_kept) {
       continue;
     }
@@ -68,7 +71,7 @@
       std::uint64_t& kept_count = kept[customer];
       kept_count = std::max(kept_count, count);
     }
-    process.totals[window] = Total(kept);
+    total = std::max(total, Total(kept));
   }
 }
 
@@ -81,6 +84,13 @@
   if (received.from == received.counts.host) {
     process.heard_at = now;
     process.is_direct = true;
+    const Duration offset =
+        ToTime(received.counts.own_time) - now.time_since_epoch();
+    if (offset >= process.clock_offset ||
+        now - process.clock_offset_at >= kMaxReadingAge) {
+      process.clock_offset = offset;
+      process.clock_offset_at = now;
+    }
     process.has_link = true;
     process.closed_at.reset();
   } else if (is_first) {
@@ -95,8 +105,10 @@
     if (key.host != change.host) {
       continue;
     }
-    const bool is_closed_by_peer =
-        !change.is_up && process.has_link && now - process.heard_at < kSilence;
+    const bool is_closed_by_peer = !change.is_up && process.has_link &&
+                                   !process.is_closing_expected &&
+                                   now - process.heard_at < kSilence;
+    process.is_closing_expected &= !change.is_up;
     process.has_link = process.has_link && change.is_up;
     if (is_closed_by_peer) {
       process.closed_at = now;
@@ -104,9 +116,22 @@
   }
 }
 
+void UsageLedger::OnTermBegan() {
+  for (Process& process : this->processes | std::views::values) {
+    process.is_closing_expected = !process.has_link;
+  }
+}
+
 void UsageLedger::OnTermEnded() {
+  for (Process& process : this->processes | std::views::values) {
+    process.is_closing_expected = true;
+  }
+}
+
+void UsageLedger::OnHolderChanged() {
   for (Process& process : this->processes | std::views::values) {
     process.has_link = false;
+    process.is_closing_expected = true;
   }
 }
 
@@ -122,11 +147,13 @@
          (process.closed_at && now - *process.closed_at >= kReconnectTime);
 }
 
-bool UsageLedger::HasEnded(const ProcessKey& key,
-                           const Process& process,
-                           TimePoint now) const {
-  return this->HasClosed(key, process, now) ||
-         now - process.heard_at >= kSilentProcessTime;
+bool UsageLedger::DoesSilenceCount(TimePoint now) const {
+  const auto silent =
+      std::ranges::count_if(this->processes, [&](const auto& entry) {
+        return !this->HasClosed(entry.first, entry.second, now) &&
+               now - entry.second.heard_at >= kSilentProcessTime;
+      });
+  return 2 * static_cast<std::size_t>(silent) < this->HostCount();
 }
 
 // Time of the window in which the process may have served requests that it has
@@ -150,10 +177,9 @@
   std::uint64_t total = 0;
   for (auto found = process.totals.lower_bound(first);
        found != process.totals.end() && found->first < last; ++found) {
-    total += found->second;
+    total = std::max(total, found->second);
   }
-  return static_cast<double>(total) /
-         (Seconds(this->settings.window) * kRateWindows);
+  return static_cast<double>(total) / Seconds(this->settings.window);
 }
 
 WindowSum UsageLedger::Sum(UsageWindow window,
@@ -177,10 +203,13 @@
                    static_cast<double>(unknown_hosts);
   const Duration begin = WindowBegin(window, this->settings.window);
   const Duration interval = UsageCountInterval(sum.host_count);
+  const bool silence_counts = this->DoesSilenceCount(now);
   for (const auto& [key, process] : this->processes) {
     Duration uncounted = this->UncountedTime(window, process);
     const Duration until = ToTime(process.counts.counted_until);
-    if (this->HasEnded(key, process, now)) {
+    const bool is_silent =
+        silence_counts && now - process.heard_at >= kSilentProcessTime;
+    if (is_silent || this->HasClosed(key, process, now)) {
       uncounted = std::clamp(until + interval - begin, Duration::zero(),
                              std::min(uncounted, interval));
     } else {
@@ -258,8 +287,7 @@
   for (const auto& [key, process] : this->processes) {
     if (this->IsNewest(key) && process.is_direct &&
         now - process.heard_at < kMaxReadingAge) {
-      times.push_back(ToTime(process.counts.own_time) +
-                      (now - process.heard_at));
+      times.push_back(now.time_since_epoch() + process.clock_offset);
     }
   }
   if (times.size() < kMinClocks) {
--- a/usage/usage_reporter.cc
+++ b/usage/usage_reporter.cc
@@ -161,7 +161,7 @@
 }
 
 void UsageReporter::StartDueCalls(TimePoint now) {
-  if (!this->term || now >= this->term->valid_until) {
+  if (!this->IsTermValid(now)) {
     return;
   }
   this->StartStoreCall(now);
--- a/usage/usage_state.cc
+++ b/usage/usage_state.cc
@@ -58,7 +58,8 @@
 void UsageState::CorrectClockOf(const UsageCountsReceived& received) {
   const UsageCounts& counts = received.counts;
   const auto median = this->ledger.MedianTime(this->now);
-  if (!this->term || !median || received.from != counts.host) {
+  if (!this->reporter.IsTermValid(this->now) || !median ||
+      received.from != counts.host) {
     return;
   }
   const auto is_off = [&](std::uint64_t time) {
@@ -94,6 +95,7 @@
   if (std::exchange(this->term, new_term.token) == new_term.token) {
     return;
   }
+  this->ledger.OnTermBegan();
   this->term_began_at = this->now;
   this->term_wall_time =
       this->clock.IsKnown() ? this->clock.Time(this->now) : Duration::zero();
@@ -107,6 +109,10 @@
   this->reporter.OnTermEnded();
 }
 
+void UsageState::Handle(const UsageHolderChanged&) {
+  this->ledger.OnHolderChanged();
+}
+
 // A new holder needs the counts of all windows that it may still close, also
 // those of the last holder, if they were copied to this host.
 void UsageState::Handle(const UsageLinkChanged& change) {
@@ -181,10 +187,7 @@
   UsageCounts counts =
       this->counter.Report(this->clock.Time(this->now),
                            this->clock.OwnTime(this->now), has_all_windows);
-  if (!this->term) {
-    this->effects.emplace_back(SendUsageCounts{.counts = std::move(counts)});
-    return;
-  }
+  // A holder that has released the lease is still linked to the other hosts.
   const std::set<HostId> linked = this->ledger.LinkedHosts();
   if (!linked.empty()) {
     const auto last = std::next(
@@ -193,8 +196,12 @@
     this->effects.emplace_back(
         CopyUsageCounts{.hosts = {linked.begin(), last}, .counts = counts});
   }
-  this->Handle(UsageCountsReceived{.from = this->settings.host,
-                                   .counts = std::move(counts)});
+  if (this->term) {
+    this->Handle(UsageCountsReceived{.from = this->settings.host,
+                                     .counts = std::move(counts)});
+  } else {
+    this->effects.emplace_back(SendUsageCounts{.counts = std::move(counts)});
+  }
 }
 
 }  // namespace cicadaloft
