Wire usage reports into entry, control, links and the host

Cause: the decisions of usage reports need the requests that begin to run, the lease, links, the store and the platform. All of it only where the settings have duties with usage. Result: control_test, entry_test and link_codec_property_test pass; the host program builds.

--- a/control/control_load_monitor.cc
+++ b/control/control_load_monitor.cc
@@ -15,9 +15,9 @@
      "store_read",         "model_wanted",       "usage_measured",
      "limit_draw_asked",   "warmup_asked",       "crash_evidence",
      "poison_refutation",  "target_leaving",     "quota_history",
-     "lease_event",        "order_ended",        "report_read",
-     "report_failed",      "peer_changed",       "peer_received",
-     "control_stop",       "control_tick"});
+     "lease_event",        "usage_event",        "order_ended",
+     "report_read",        "report_failed",      "peer_changed",
+     "peer_received",      "control_stop",       "control_tick"});
 static_assert(kEventKindNames.size() == std::variant_size_v<ControlEvent>);
 
 }  // namespace
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -18,12 +18,17 @@
 
 ControlState::ControlState(const LeaseSettings& settings,
                            Duration limit_window,
-                           Duration relay_interval)
+                           Duration relay_interval,
+                           const std::optional<UsageSettings>& usage_settings)
     : lease_settings(settings),
       limit_window(limit_window),
       relay_interval(relay_interval),
       lease(settings),
-      ledger(limit_window) {}
+      ledger(limit_window) {
+  if (usage_settings) {
+    this->usage.emplace(*usage_settings);
+  }
+}
 
 Step<ControlState, ControlEffect> Decide(ControlState state,
                                          const ControlEvent& event,
@@ -179,6 +184,10 @@
   if (change.is_up && this->is_limit_coordinator) {
     this->SendBlocks(change.host);
   }
+  this->FeedUsage(
+      UsageLinkChanged{.host = change.host,
+                       .is_up = change.is_up,
+                       .is_to_holder = this->holder == change.host});
   if (this->holder == change.host) {
     if (change.is_up) {
       this->connected_holder = change.host;
@@ -217,6 +226,7 @@
   }
   this->RereadIfBehind();
   this->FeedLease(LeaseTick{});
+  this->FeedUsage(UsageTick{.host_count = this->AssumedHostCount()});
   this->BeginPlacementIfDue();
   this->FeedPlacement(PlacementTick{});
   this->DivideSharesIfDue();
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -34,6 +34,7 @@
             [this](const LeaseLost&) {
               this->is_lease_valid = false;
               this->pending_token = FencingToken();
+              this->FeedUsage(UsageTermEnded{});
               this->FeedPlacement(PlacementStopped{});
               this->DivideShares();
             },
@@ -53,11 +54,16 @@
   this->holder = record.holder;
   this->connected_holder.reset();
   this->relay_clock.OnHolderChanged();
+  this->FeedUsage(UsageHolderChanged{});
   this->effects.emplace_back(ConnectToHolder{.record = record});
 }
 
 void ControlState::OnLeaseExtended(const LeaseExtended& extended) {
   this->lease_valid_until = extended.valid_until;
+  this->FeedUsage(UsageTerm{.token = extended.token,
+                            .valid_until = extended.valid_until,
+                            .calls_allowed_from = extended.orders_allowed_from,
+                            .host_count = this->known_host_count});
   if (std::exchange(this->is_lease_valid, true)) {
     return;
   }
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -18,6 +18,8 @@
 #include "cicadaloft/placement/placement_state.h"
 #include "cicadaloft/poison/poison_ledger.h"
 #include "cicadaloft/relay/relay_publisher.h"
+#include "cicadaloft/usage/usage_settings.h"
+#include "cicadaloft/usage/usage_state.h"
 #include "cicadaloft/warmup/warmup_ledger.h"
 
 namespace cicadaloft {
@@ -31,9 +33,11 @@
   /// @param limit_window the window over which customers' limits hold.
   /// @param relay_interval at which the lease holder relays what it reads from
   /// the store.
+  /// @param usage_settings none if the platform wants no usage reports.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
-               Duration relay_interval = kDefaultRelayInterval);
+               Duration relay_interval = kDefaultRelayInterval,
+               const std::optional<UsageSettings>& usage_settings = {});
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
@@ -61,6 +65,7 @@
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
   void Handle(const LeaseEvent& event);
+  void Handle(const UsageEvent& event);
   void Handle(const OrderEnded& ended);
   void Handle(const TargetReportReceived& received);
   void Handle(const TargetReportFailed& failed);
@@ -72,6 +77,7 @@
 
   void FeedLease(const LeaseEvent& event);
   void FeedPlacement(const PlacementEvent& event);
+  void FeedUsage(const UsageEvent& event);
   void OnPeerMessage(const HostId& host, const ModelUsageReport& report);
   void OnPeerMessage(const HostId& host, const DemandReport& report);
   void OnPeerMessage(const HostId& host, const ModelLoadRequest& request);
@@ -90,6 +96,8 @@
   void OnPeerMessage(const HostId& host, const RelayRequest& request);
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
+  void OnPeerMessage(const HostId& host, const UsageCounts& counts);
+  void OnPeerMessage(const HostId& host, const UsageClock& clock);
   void UpdateRelay();
   void DecidePoison();
   /// Sends the block to the other hosts and to this host's entry.
@@ -170,6 +178,9 @@
   WarmupLedger warmup;
   TimePoint last_division_at{};
 
+  /// None if the platform wants no usage reports.
+  std::optional<UsageState> usage;
+
   PoisonLedger poison_ledger;  ///< Decides while this host divides limits.
   /// This host's evidence, and when its attempts broke.
   std::deque<std::pair<TimePoint, CrashEvidence>> recent_evidence;
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -13,6 +13,7 @@
 #include "cicadaloft/peering/messages.h"
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
+#include "cicadaloft/usage/messages.h"
 
 namespace cicadaloft {
 
@@ -119,6 +120,7 @@
                                   TargetLeavingReport,
                                   QuotaHistory,
                                   LeaseEvent,
+                                  UsageEvent,
                                   OrderEnded,
                                   TargetReportReceived,
                                   TargetReportFailed,
@@ -202,6 +204,10 @@
                                    AppendLeaseRecord,
                                    SendOrder,
                                    RequestTargetReport,
+                                   ReadUsageTopic,
+                                   AppendUsageRecord,
+                                   SendUsageReport,
+                                   CountUsageWindow,
                                    DecisionRecord>;
 
 inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
--- a/duties/include/cicadaloft/duties/messages.h
+++ b/duties/include/cicadaloft/duties/messages.h
@@ -17,6 +17,16 @@
 /// How many requests of each customer began to run.
 using UsageByCustomer = std::map<CustomerId, std::uint64_t>;
 
+/// Requests that have begun to run at this host since the last such message.
+struct RequestsStarted {
+  UsageByCustomer counts;
+
+  friend auto operator<=>(const RequestsStarted&,
+                          const RequestsStarted&) = default;
+  friend bool operator==(const RequestsStarted&,
+                         const RequestsStarted&) = default;
+};
+
 /// How a call to the platform ended.
 enum class DutyCallOutcome {
   kAccepted,
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -60,6 +60,9 @@
       found->second.attempt != started.attempt) {
     return;
   }
+  if (started.has_run && !found->second.has_response_started) {
+    this->CountStarted(found->second);
+  }
   found->second.has_response_started = true;
   found->second.response_started_at = this->now;
   this->RecordNotice(found->second, started.notice);
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -181,6 +181,7 @@
 }
 
 void EntryCore::Handle(const EntryTick&) {
+  this->ReportStarted();
   this->HandleExpired();
   this->ReportPoisonEvidence();
   this->DispatchFromAllQueues();
@@ -195,6 +196,19 @@
                   kUsageReportIntervalPerHost * this->shares.host_count);
 }
 
+void EntryCore::CountStarted(const OpenRequest& request) {
+  if (this->settings.counts_usage && request.customer != nullptr) {
+    ++this->started_requests[request.customer->id];
+  }
+}
+
+void EntryCore::ReportStarted() {
+  if (!this->started_requests.empty()) {
+    this->effects.emplace_back(
+        RequestsStarted{.counts = std::exchange(this->started_requests, {})});
+  }
+}
+
 void EntryCore::RecordUsage(const OpenRequest& request) {
   if (!request.queue_key.model) {
     return;
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -153,6 +153,8 @@
                      const Candidates& candidates);
   void PresumeCold(const std::set<DataCentreId>& data_centres);
 
+  void CountStarted(const OpenRequest& request);
+  void ReportStarted();
   void RecordUsage(const OpenRequest& request);
   void ReportUsage();
   Duration UsageReportInterval() const;
@@ -210,6 +212,7 @@
   std::map<ModelPath, ModelUsage> model_usages;  ///< Since the last report.
   std::map<CustomerId, Demand> demands;
   TimePoint usage_reported_at{};
+  UsageByCustomer started_requests;  ///< Since the last tick.
 
   Requests requests;
   std::map<QueueKey, WaitQueue> queues;
--- a/entry/include/cicadaloft/entry/entry_settings.h
+++ b/entry/include/cicadaloft/entry/entry_settings.h
@@ -27,6 +27,8 @@
   /// True only when all hosts start together, so that nothing of customers'
   /// limits can have been used yet; false when a process restarts.
   bool is_first_start = false;
+  /// Whether requests that begin to run are counted, by customer.
+  bool counts_usage = false;
 
   friend auto operator<=>(const EntrySettings&, const EntrySettings&) = default;
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -17,6 +17,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/duties/messages.h"
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/poison/poison_messages.h"
 #include "cicadaloft/routing/model_locations.h"
@@ -127,6 +128,8 @@
   const AttemptNumber attempt;
   const std::optional<TargetLoad> load;
   const TargetNotice notice;
+  /// The target has begun to run the request, as its response shows.
+  const bool has_run = true;
 
   friend auto operator<=>(const ResponseStarted&,
                           const ResponseStarted&) = default;
@@ -311,6 +314,7 @@
                                  PoisonRefutation,
                                  TargetLeavingReport,
                                  QuotaHistory,
+                                 RequestsStarted,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -32,6 +32,11 @@
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
 }
 
+void EntryMetrics::CountUsageWindow(const std::string& outcome) {
+  this->metrics.AddToCounter(MetricKey{.name = "cicadaloft_usage_windows_total",
+                                       .labels = {{"outcome", outcome}}});
+}
+
 MetricsReply EntryMetrics::Render(const StatusReply& status) {
   const auto set = [this](const char* name, double value) {
     this->metrics.SetGauge(MetricKey{.name = name}, value);
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -21,6 +21,8 @@
   void RecordResponse(int http_status, Duration since_arrival);
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
+  /// @param outcome what became of a window of usage reports.
+  void CountUsageWindow(const std::string& outcome);
 
   MetricsReply Render(const StatusReply& status);
 
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -55,7 +55,8 @@
                                        CrashEvidence,
                                        PoisonRefutation,
                                        TargetLeavingReport,
-                                       QuotaHistory>;
+                                       QuotaHistory,
+                                       RequestsStarted>;
 using EntryNotificationMailbox = Mailbox<EntryNotification>;
 /// No request is open, or the grace period has expired. Sent only after a
 /// DrainRequest: until then requests may arrive, also after a moment with none
@@ -135,6 +136,10 @@
     this->effect_executor.ReleaseConnection(released, this->clock.Now());
   }
 
+  void Handle(const UsageWindowCounted& counted) {
+    this->metrics.CountUsageWindow(counted.outcome);
+  }
+
   void Handle(const DrainRequest& request) {
     this->is_drain_requested = true;
     if (request.is_forced) {
@@ -226,6 +231,7 @@
     this->NotifyControl(report);
   }
   void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
+  void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
 
   void NotifyControl(EntryNotification notification) {
     if (!TrySend(*this->mailboxes.notifications, std::move(notification))) {
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -81,6 +81,17 @@
   friend bool operator==(const DrainRequest&, const DrainRequest&) = default;
 };
 
+/// A window of usage reports is due, sent, late or skipped; for the metrics,
+/// which the entry task keeps.
+struct UsageWindowCounted {
+  const std::string outcome;
+
+  friend auto operator<=>(const UsageWindowCounted&,
+                          const UsageWindowCounted&) = default;
+  friend bool operator==(const UsageWindowCounted&,
+                         const UsageWindowCounted&) = default;
+};
+
 /// All messages to the entry task.
 using EntryTaskMessage = std::variant<EntryEvent,
                                       RequestReceived,
@@ -88,6 +99,7 @@
                                       CallerRejected,
                                       ConnectionReleased,
                                       AdminCall,
+                                      UsageWindowCounted,
                                       DrainRequest>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -216,7 +216,8 @@
         EntryEvent(ResponseStarted{.request = dispatch.request,
                                    .attempt = dispatch.attempt,
                                    .load = this->metadata.load,
-                                   .notice = this->metadata.notice});
+                                   .notice = this->metadata.notice,
+                                   .has_run = this->metadata.is_stamped});
     co_await Send(*this->params->entry_inbox, message);
     this->has_response_started = true;
     bool is_session_open =
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -3,7 +3,9 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -11,9 +13,11 @@
 #include "cicadaloft/control/control_load_monitor.h"
 #include "cicadaloft/control/control_state.h"
 #include "cicadaloft/core/spawn.h"
+#include "cicadaloft/duties/duty_settings.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/lease/lease_log_client.h"
+#include "cicadaloft/platform/duty_client.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/runner_client.h"
 #include "cicadaloft/platform/store_client.h"
@@ -21,6 +25,8 @@
 #include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
 #include "cicadaloft/telemetry/log_task_failure.h"
+#include "cicadaloft/usage/usage_settings.h"
+#include "cicadaloft/usage/usage_topic_client.h"
 #include "control_mailbox.h"
 #include "peer_links.h"
 
@@ -46,14 +52,24 @@
               const LeaseSettings& settings,
               Duration limit_window,
               Duration relay_interval,
+              const std::optional<UsageSettings>& usage,
+              const std::optional<DutySettings>& duties,
               const std::string& store,
               const std::shared_ptr<MemoryBudget>& memory,
               ControlTaskChannels channels)
       : executor(std::move(executor)),
-        state(settings, limit_window, relay_interval),
+        state(settings, limit_window, relay_interval, usage),
         channels(std::move(channels)),
         lease_log(platform::StoreClient(this->executor, store, memory)),
-        runners(this->executor, settings.self, memory) {}
+        runners(this->executor, settings.self, memory) {
+    if (usage && duties) {
+      this->usage_topic.emplace(
+          platform::StoreClient(this->executor, store, memory),
+          &platform::EncodeKeyedRecord);
+      this->platform_duties.emplace(this->executor, duties->address,
+                                    settings.self, memory);
+    }
+  }
 
   /// Runs until the inbox is closed.
   boost::asio::awaitable<void> Run() {
@@ -65,7 +81,17 @@
   }
 
  private:
+  // Windows of usage reports are windows of the wall clock.
   void Handle(const ControlEvent& event) {
+    if (this->usage_topic && std::holds_alternative<ControlTick>(event)) {
+      this->Process(UsageEvent(WallClockRead{
+          .since_1970 = std::chrono::duration_cast<Duration>(
+              std::chrono::system_clock::now().time_since_epoch())}));
+    }
+    this->Process(event);
+  }
+
+  void Process(const ControlEvent& event) {
     const TimePoint now = this->clock.Now();
     auto step = Decide(std::move(this->state), event, now);
     this->state = std::move(step.state);
@@ -131,6 +157,25 @@
                LeaseEvent(LeaseAppendEnded{
                    .outcome = LeaseAppendOutcome::kUnknown, .sent_at = now}));
   }
+  // The usage state requests the next call only after the last one has ended.
+  void Execute(const ReadUsageTopic& read) {
+    this->Call("read of the usage topic",
+               this->CallUsageTopic(this->usage_topic->Execute(read)),
+               UsageEvent(UsageTopicReadFailed{}));
+  }
+  void Execute(const AppendUsageRecord& append) {
+    this->Call("append to the usage topic",
+               this->CallUsageTopic(this->usage_topic->Execute(append)),
+               UsageEvent(UsageAppendEnded{}));
+  }
+  void Execute(const SendUsageReport& report) {
+    this->Call("usage report", this->SubmitUsageReport(report),
+               UsageEvent(UsageReportEnded{.call = report}));
+  }
+  void Execute(const CountUsageWindow& count) {
+    Post(*this->channels.entry,
+         EntryTaskMessage(UsageWindowCounted{ToText(count.outcome)}));
+  }
   void Execute(const SendOrder& order) {
     this->Call(
         "order", this->SubmitOrder(order),
@@ -148,6 +193,20 @@
     Post(*this->channels.inbox, event);
   }
 
+  boost::asio::awaitable<void> CallUsageTopic(
+      boost::asio::awaitable<UsageEvent> call) {
+    const ControlEvent event = co_await std::move(call);
+    Post(*this->channels.inbox, event);
+  }
+
+  boost::asio::awaitable<void> SubmitUsageReport(SendUsageReport report) {
+    const DutyCallOutcome outcome =
+        co_await this->platform_duties->SubmitUsageReport(report);
+    Post(*this->channels.inbox,
+         ControlEvent(UsageEvent(
+             UsageReportEnded{.call = std::move(report), .outcome = outcome})));
+  }
+
   boost::asio::awaitable<void> SubmitOrder(SendOrder order) {
     const auto reply = co_await this->runners.SubmitOrder(order);
     this->ReportIfLeaving(order.target, reply.is_target_leaving);
@@ -196,6 +255,11 @@
   const ControlTaskChannels channels;
   LeaseLogClient<platform::StoreClient> lease_log;
   platform::RunnerClient runners;
+  // Absent if the platform wants no usage reports.
+  std::optional<UsageTopicClient<platform::StoreClient,
+                                 decltype(&platform::EncodeKeyedRecord)>>
+      usage_topic;
+  std::optional<platform::DutyClient> platform_duties;
   const DecisionLog log;
   ControlLoadMonitor load_monitor;
   const BootClock clock{};
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -123,6 +123,22 @@
   return limit;
 }
 
+bool ReportsUsage(const HostSettings& settings) {
+  return settings.duties && settings.duties->usage_reports;
+}
+
+std::optional<UsageSettings> MakeUsageSettings(const HostSettings& settings) {
+  if (!ReportsUsage(settings)) {
+    return std::nullopt;
+  }
+  return UsageSettings{
+      .host = settings.host,
+      .process = static_cast<std::uint64_t>(BootClock{}.UnixMilliseconds()),
+      .window = settings.duties->usage_window,
+      .delay = settings.duties->usage_delay,
+      .calls_per_second = settings.duties->calls_per_second};
+}
+
 using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
@@ -159,7 +175,8 @@
                               .limit_overshoot = settings.limit_overshoot,
                               .limit_slack = settings.limit_slack,
                               .limit_window = settings.limit_window,
-                              .is_first_start = settings.is_first_start}),
+                              .is_first_start = settings.is_first_start,
+                              .counts_usage = ReportsUsage(settings)}),
             EntryTaskMailboxes{.inbox = this->entry_mailbox,
                                .notifications = this->entry_notifications,
                                .drained = this->drained},
@@ -168,16 +185,19 @@
             DecisionLog()) {}
 
   void Open() {
-    const LeaseSettings lease{.self = this->settings.host,
-                              .address = this->settings.peer_listen,
-                              .secret = MakeSecret(),
-                              .cores = this->settings.cores,
-                              .handover_delay = this->settings.handover_delay};
+    const LeaseSettings lease{
+        .self = this->settings.host,
+        .address = this->settings.peer_listen,
+        .secret = MakeSecret(),
+        .cores = this->settings.cores,
+        .handover_delay = this->settings.handover_delay,
+        .follows_log_while_stopping = ReportsUsage(this->settings)};
     this->peers = PeerLinks::Open(std::move(*this->listeners.peer), lease,
                                   this->control_mailbox, this->memory);
     this->control_task.emplace(
         this->executor, lease, this->settings.limit_window,
-        this->RelayInterval(), this->settings.store, this->memory,
+        this->RelayInterval(), MakeUsageSettings(this->settings),
+        this->settings.duties, this->settings.store, this->memory,
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -10,6 +10,7 @@
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
+#include "cicadaloft/usage/messages.h"
 #include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
@@ -32,7 +33,9 @@
                                  CrashEvidence,
                                  PoisonSuspects,
                                  PoisonRefutation,
-                                 PoisonBlock>;
+                                 PoisonBlock,
+                                 UsageCounts,
+                                 UsageClock>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -8,6 +8,7 @@
 #include "cicadaloft/admission/share_json.h"
 #include "cicadaloft/codec/json_containers.h"
 #include "cicadaloft/peering/messages.h"
+#include "cicadaloft/usage/usage_json.h"
 
 namespace cicadaloft {
 
@@ -179,11 +180,13 @@
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
     std::to_array<std::string_view>(
-        {"use_reported", "demand_reported", "model_wanted", "placement_change",
-         "shares_granted", "limit_draw_asked", "limit_drawn", "warmup_asked",
-         "warmup_granted", "target_leaving", "relay_request", "relay_welcome",
-         "store_relay", "quota_history", "crash_evidence", "poison_suspects",
-         "poison_refutation", "poison_block"});
+        {"use_reported",     "demand_reported",   "model_wanted",
+         "placement_change", "shares_granted",    "limit_draw_asked",
+         "limit_drawn",      "warmup_asked",      "warmup_granted",
+         "target_leaving",   "relay_request",     "relay_welcome",
+         "store_relay",      "quota_history",     "crash_evidence",
+         "poison_suspects",  "poison_refutation", "poison_block",
+         "usage_counts",     "usage_clock"});
 
 }  // namespace cicadaloft
 
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -104,7 +104,18 @@
       QuotaHistory{.host = HostId(DrawName()),
                    .customers = {{.customer = CustomerId(DrawName()),
                                   .charges = {{.age = Duration(DrawCount()),
-                                               .cost = 0.5 * DrawCount()}}}}}};
+                                               .cost = 0.5 * DrawCount()}}}}},
+      UsageCounts{.host = HostId(DrawName()),
+                  .process = DrawCount(),
+                  .number = DrawCount(),
+                  .counted_since = *rc::gen::arbitrary<std::uint64_t>(),
+                  .counted_until = *rc::gen::arbitrary<std::uint64_t>(),
+                  .own_time = DrawCount(),
+                  .has_ended = true,
+                  .windows = {{UsageWindow(DrawCount()),
+                               {{CustomerId(DrawName()), DrawCount()}}}}},
+      UsageClock{.number = DrawCount(),
+                 .wall_time = *rc::gen::arbitrary<std::uint64_t>()}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
--- a/usage/include/cicadaloft/usage/messages.h
+++ b/usage/include/cicadaloft/usage/messages.h
@@ -15,16 +15,6 @@
 
 namespace cicadaloft {
 
-/// Requests that have begun to run at this host since the last such message.
-struct RequestsStarted {
-  UsageByCustomer counts;
-
-  friend auto operator<=>(const RequestsStarted&,
-                          const RequestsStarted&) = default;
-  friend bool operator==(const RequestsStarted&,
-                         const RequestsStarted&) = default;
-};
-
 /// What one process has counted. The counts of a window are cumulative, so a
 /// message that is lost or repeated does no harm. Wall times are in
 /// microseconds since the start of 1970.
@@ -237,6 +227,9 @@
 /// What became of a window, for the metrics.
 enum class UsageWindowOutcome { kDue, kSent, kLate, kSkipped };
 
+/// @return the outcome's name in metrics.
+const char* ToText(UsageWindowOutcome outcome);
+
 struct CountUsageWindow {
   UsageWindowOutcome outcome = UsageWindowOutcome::kDue;
 
--- a/usage/include/cicadaloft/usage/usage_ledger.h
+++ b/usage/include/cicadaloft/usage/usage_ledger.h
@@ -114,6 +114,7 @@
 
   UsageSettings settings;
   std::map<ProcessKey, Process> processes;
+  bool is_in_term = false;
   UsageWindow first_kept;  ///< Counts of earlier windows are ignored.
 };
 
--- a/usage/usage_closing.cc
+++ b/usage/usage_closing.cc
@@ -37,6 +37,20 @@
 
 }  // namespace
 
+const char* ToText(UsageWindowOutcome outcome) {
+  switch (outcome) {
+    case UsageWindowOutcome::kDue:
+      return "due";
+    case UsageWindowOutcome::kSent:
+      return "sent";
+    case UsageWindowOutcome::kLate:
+      return "late";
+    case UsageWindowOutcome::kSkipped:
+      return "skipped";
+  }
+  return "";
+}
+
 Duration UsageState::Time() const {
   return this->ledger.MedianTime(this->now).value_or(
       this->clock.IsKnown() ? this->clock.Time(this->now) : Duration::zero());
--- a/usage/usage_ledger.cc
+++ b/usage/usage_ledger.cc
@@ -92,6 +92,7 @@
       process.clock_offset_at = now;
     }
     process.has_link = true;
+    process.is_closing_expected &= !this->is_in_term;
     process.closed_at.reset();
   } else if (is_first) {
     process.heard_at = now;
@@ -117,12 +118,14 @@
 }
 
 void UsageLedger::OnTermBegan() {
+  this->is_in_term = true;
   for (Process& process : this->processes | std::views::values) {
     process.is_closing_expected = !process.has_link;
   }
 }
 
 void UsageLedger::OnTermEnded() {
+  this->is_in_term = false;
   for (Process& process : this->processes | std::views::values) {
     process.is_closing_expected = true;
   }
