--- a/usage/tests/usage_simulation.h
+++ b/usage/tests/usage_simulation.h
@@ -105,6 +105,7 @@
     Host& host = *this->hosts.at(index);
     host.is_alive = false;
     host.is_frozen = false;
+    host.held_back.clear();
     this->CloseLinksOf(host, kDelay);
   }
 
