Test calls that wait across a pause or release, and late appends

Cause: neither the property nor the named tests failed when a call could be sent after the lease had expired, or when an append without an answer was taken for written. Change: appends that are lost or take effect after their timeout, pauses right when a call begins, and a test of both for reports.

--- a/usage/tests/usage_faults_test.cc
+++ b/usage/tests/usage_faults_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 #include "report_checks.h"
 #include "usage_simulation.h"
@@ -104,5 +105,38 @@
   CheckAfter(simulation, first, {.max_late = 13});
 }
 
+// Guards against a call that was decided on before a pause, or before a
+// release of the lease, and is sent after it, when another host may act as the
+// holder.
+BOOST_DATA_TEST_CASE(CallIsNotSentAfterAPauseOrARelease,
+                     data::make({6, 30, 88, 360}) * data::make({false, true}),
+                     count,
+                     is_release) {
+  UsageSimulation simulation(static_cast<std::size_t>(count));
+  const UsageWindow first = simulation.CurrentWindow();
+  simulation.RunFor(seconds(12));
+  simulation.connect_time = milliseconds(is_release ? 2000 : 100);
+  std::optional<std::size_t> caller;
+  simulation.on_connect = [&](std::size_t host) {
+    if (!caller) {
+      caller = host;
+      if (is_release) {
+        simulation.Release(host);
+      } else {
+        simulation.Freeze(host);
+      }
+    }
+  };
+  simulation.RunFor(milliseconds(4'500));
+  BOOST_REQUIRE(caller.has_value());
+  simulation.RunFor(seconds(1));
+  simulation.connect_time = milliseconds(1);
+  simulation.RunFor(milliseconds(3'400));
+  simulation.Resume(*caller);
+  simulation.RunFor(seconds(40));
+  BOOST_TEST(simulation.platform.duplicates == 0U);
+  CheckAfter(simulation, first, {.max_late = 2});
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/usage/tests/usage_property_test.cc
+++ b/usage/tests/usage_property_test.cc
@@ -25,6 +25,9 @@
   kCutFromHosts,
   kHeal,
   kLoseAppendAnswers,
+  kLoseAppends,
+  kDelayAppends,
+  kFreezeAtCall,
   kLoseReportAnswers,
   kPlatformDown,
   kClockJump,
@@ -68,6 +71,20 @@
     case Fault::kLoseAppendAnswers:
       simulation.loses_append_answers = !simulation.loses_append_answers;
       break;
+    case Fault::kLoseAppends:
+      simulation.loses_appends = !simulation.loses_appends;
+      break;
+    case Fault::kDelayAppends:
+      simulation.append_delay = milliseconds(*rc::gen::inRange(0, 4000));
+      break;
+    case Fault::kFreezeAtCall:
+      simulation.on_connect = [&simulation](std::size_t caller) {
+        simulation.on_connect = nullptr;
+        if (simulation.At(caller).is_alive) {
+          simulation.Freeze(caller);
+        }
+      };
+      break;
     case Fault::kLoseReportAnswers:
       simulation.platform.loses_answers = !simulation.platform.loses_answers;
       break;
--- a/usage/tests/usage_simulation.h
+++ b/usage/tests/usage_simulation.h
@@ -50,6 +50,7 @@
  public:
   static constexpr Duration kDelay = milliseconds(2);
   static constexpr Duration kSilence = milliseconds(2200);
+  static constexpr Duration kStoreTimeout = milliseconds(1500);
   static constexpr Duration kTick = milliseconds(20);
   static constexpr Duration kRequestInterval = milliseconds(100);
   /// Wall time minus the time of events.
@@ -182,8 +183,13 @@
   /// was accepted, before the host learns it.
   std::function<void(std::size_t)> on_append;
   std::function<void(std::size_t)> on_report;
+  /// Called when a host begins to connect for a report.
+  std::function<void(std::size_t)> on_connect;
   /// Appends take effect without an answer.
   bool loses_append_answers = false;
+  bool loses_appends = false;  ///< They have no effect and no answer.
+  /// Time until an append takes effect, perhaps long after its timeout.
+  Duration append_delay{};
   /// Time until the first byte of a call to the platform is sent.
   Duration connect_time = milliseconds(1);
   std::vector<DecisionRecord> log;
@@ -437,27 +443,49 @@
     });
   }
   void Execute(Host& host, const AppendUsageRecord& append) {
-    this->Schedule(kDelay, [this, &host, append, process = host.process] {
-      const bool is_cut = host.is_cut_from_store;
-      const bool is_written =
-          !is_cut && this->usage_log.Append(append.expected_end, append.record);
-      if (is_written && this->on_append) {
-        this->on_append(this->IndexOf(host.id));
-      }
-      const UsageAppendOutcome outcome =
-          this->loses_append_answers ? UsageAppendOutcome::kUnknown
-          : is_written               ? UsageAppendOutcome::kWritten
-          : is_cut                   ? UsageAppendOutcome::kRefused
-                                     : UsageAppendOutcome::kConflict;
+    if (this->loses_appends || this->append_delay >= kStoreTimeout) {
+      this->ScheduleAt(host, kStoreTimeout, [this, &host] {
+        this->FeedUsage(host, UsageAppendEnded{});
+      });
+    }
+    if (!this->loses_appends) {
+      this->Schedule(kDelay + this->append_delay,
+                     [this, &host, append, process = host.process,
+                      has_timed_out = this->append_delay >= kStoreTimeout] {
+                       this->Write(host, process, append, has_timed_out);
+                     });
+    }
+  }
+  void Write(Host& host,
+             std::uint64_t process,
+             const AppendUsageRecord& append,
+             bool has_timed_out) {
+    const bool is_cut = host.is_cut_from_store;
+    const bool is_written =
+        !is_cut && this->usage_log.Append(append.expected_end, append.record);
+    if (is_written && this->on_append) {
+      this->on_append(this->IndexOf(host.id));
+    }
+    const UsageAppendOutcome outcome =
+        this->loses_append_answers ? UsageAppendOutcome::kUnknown
+        : is_written               ? UsageAppendOutcome::kWritten
+        : is_cut                   ? UsageAppendOutcome::kRefused
+                                   : UsageAppendOutcome::kConflict;
+    if (!has_timed_out) {
       this->RunAt(host, process, [this, &host, outcome] {
         this->FeedUsage(host, UsageAppendEnded{.outcome = outcome});
       });
-    });
+    }
   }
 
   // The first byte is sent after a connection has been made, if the lease is
   // still valid then.
   void Execute(Host& host, const SendUsageReport& report) {
+    if (this->on_connect) {
+      this->Schedule(Duration::zero(), [this, index = this->IndexOf(host.id)] {
+        this->on_connect(index);
+      });
+    }
     this->ScheduleAt(host, this->connect_time, [this, &host, report] {
       if (this->platform.is_down || this->now >= report.valid_until) {
         this->EndReport(host, report, DutyCallOutcome::kNotSent);
