--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -14,6 +14,7 @@
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
 #include "cicadaloft/scaling/messages.h"
+#include "cicadaloft/usage/messages.h"
 
 namespace cicadaloft {
 
@@ -120,6 +121,7 @@
                                   TargetLeavingReport,
                                   QuotaHistory,
                                   LeaseEvent,
+                                  UsageEvent,
                                   OrderEnded,
                                   TargetReportReceived,
                                   TargetReportFailed,
@@ -206,6 +208,10 @@
                                    RequestTargetReport,
                                    OrderTargetCount,
                                    TargetCountsChanged,
+                                   ReadUsageTopic,
+                                   AppendUsageRecord,
+                                   SendUsageReport,
+                                   CountUsageWindow,
                                    DecisionRecord>;
 
 inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -174,6 +174,8 @@
                      const Candidates& candidates);
   void PresumeCold(const std::set<DataCentreId>& data_centres);
 
+  void CountStarted(const OpenRequest& request);
+  void ReportStarted();
   void RecordUsage(const OpenRequest& request);
   void ReportUsage();
   std::vector<ServiceLoad> TakeServiceLoads();
@@ -233,6 +235,7 @@
   std::map<ServiceId, ServiceCounts> service_counts;  ///< Also since then.
   std::map<CustomerId, Demand> demands;
   TimePoint usage_reported_at{};
+  UsageByCustomer started_requests;  ///< Since the last tick.
 
   Requests requests;
   std::map<QueueKey, WaitQueue> queues;
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -44,6 +44,11 @@
   this->metrics.ReplaceGauge(gauge.name, gauge.series);
 }
 
+void EntryMetrics::CountUsageWindow(const std::string& outcome) {
+  this->metrics.AddToCounter(MetricKey{.name = "cicadaloft_usage_windows_total",
+                                       .labels = {{"outcome", outcome}}});
+}
+
 MetricsReply EntryMetrics::Render(const StatusReply& status) {
   const auto set = [this](const char* name, double value) {
     this->metrics.SetGauge(MetricKey{.name = name}, value);
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -27,6 +27,8 @@
   void CountStoreCall(const StoreCallEnded& ended);
 
   void Replace(const GaugeReplaced& gauge);
+  /// @param outcome what became of a window of usage reports.
+  void CountUsageWindow(const std::string& outcome);
 
   MetricsReply Render(const StatusReply& status);
 
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -94,6 +94,17 @@
   friend bool operator==(const GaugeReplaced&, const GaugeReplaced&) = default;
 };
 
+/// A window of usage reports is due, sent, late or skipped; for the metrics,
+/// which the entry task keeps.
+struct UsageWindowCounted {
+  const std::string outcome;
+
+  friend auto operator<=>(const UsageWindowCounted&,
+                          const UsageWindowCounted&) = default;
+  friend bool operator==(const UsageWindowCounted&,
+                         const UsageWindowCounted&) = default;
+};
+
 /// All messages to the entry task.
 using EntryTaskMessage = std::variant<EntryEvent,
                                       RequestReceived,
@@ -103,8 +114,8 @@
                                       AdminCall,
                                       DrainRequest,
                                       StoreCallEnded,
-
-                                      GaugeReplaced>;
+                                      GaugeReplaced,
+                                      UsageWindowCounted>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
 
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -11,6 +11,7 @@
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
 #include "cicadaloft/scaling/messages.h"
+#include "cicadaloft/usage/messages.h"
 #include "cicadaloft/warmup/warmup_messages.h"
 
 namespace cicadaloft {
@@ -34,7 +35,9 @@
                                  PoisonSuspects,
                                  PoisonRefutation,
                                  PoisonBlock,
-                                 ServiceLoadReport>;
+                                 ServiceLoadReport,
+                                 UsageCounts,
+                                 UsageClock>;
 
 }  // namespace cicadaloft
 
