--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -34,7 +34,9 @@
             [this](const LeaseLost&) {
               this->is_lease_valid = false;
               this->pending_token = FencingToken();
+              this->FeedUsage(UsageTermEnded{});
               this->FeedPlacement(PlacementStopped{});
+              this->FeedScaling(ScalingStopped{});
               this->DivideShares();
             },
             [this](const AppendLeaseRecord& append) {
@@ -53,11 +55,16 @@
   this->holder = record.holder;
   this->connected_holder.reset();
   this->relay_clock.OnHolderChanged();
+  this->FeedUsage(UsageHolderChanged{});
   this->effects.emplace_back(ConnectToHolder{.record = record});
 }
 
 void ControlState::OnLeaseExtended(const LeaseExtended& extended) {
   this->lease_valid_until = extended.valid_until;
+  this->FeedUsage(UsageTerm{.token = extended.token,
+                            .valid_until = extended.valid_until,
+                            .calls_allowed_from = extended.orders_allowed_from,
+                            .host_count = this->known_host_count});
   if (std::exchange(this->is_lease_valid, true)) {
     return;
   }
@@ -77,9 +84,14 @@
 void ControlState::BeginPlacementIfDue() {
   if (this->pending_token != FencingToken() &&
       this->now >= this->orders_allowed_from) {
-    this->FeedPlacement(PlacementStarted{
-        .token = std::exchange(this->pending_token, FencingToken()),
-        .is_state_current = std::exchange(this->has_begun_placement, true)});
+    const FencingToken token =
+        std::exchange(this->pending_token, FencingToken());
+    const bool is_state_current =
+        std::exchange(this->has_begun_placement, true);
+    this->FeedPlacement(
+        PlacementStarted{.token = token, .is_state_current = is_state_current});
+    this->FeedScaling(
+        ScalingStarted{.token = token, .is_state_current = is_state_current});
   }
 }
 
@@ -141,6 +153,7 @@
 void ControlState::OnPeerMessage(const HostId&,
                                  const ModelUsageReport& report) {
   this->FeedPlacement(report);
+  this->FeedScaling(report);
 }
 
 void ControlState::OnPeerMessage(const HostId&, const DemandReport& report) {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -18,22 +18,31 @@
 #include "cicadaloft/placement/placement_state.h"
 #include "cicadaloft/poison/poison_ledger.h"
 #include "cicadaloft/relay/relay_publisher.h"
+#include "cicadaloft/scaling/scaling_state.h"
+#include "cicadaloft/usage/usage_settings.h"
+#include "cicadaloft/usage/usage_state.h"
 #include "cicadaloft/warmup/warmup_ledger.h"
 
 namespace cicadaloft {
 
 /// One host's view of the whole system, and the duties that the lease holder
-/// does for all hosts: it places models, divides customers' limits and grants
-/// warm-up requests. Changes only through Decide().
+/// does for all hosts: it places models, orders numbers of targets, divides
+/// customers' limits and grants warm-up requests. Changes only through
+/// Decide().
 class ControlState {
  public:
   /// @param lease_settings identity of this host and times of the lease.
   /// @param limit_window the window over which customers' limits hold.
   /// @param relay_interval at which the lease holder relays what it reads from
   /// the store.
+  /// @param orders_target_counts whether the lease holder orders the number of
+  /// targets of services with `scaling`.
+  /// @param usage_settings none if the platform wants no usage reports.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
-               Duration relay_interval = kDefaultRelayInterval);
+               Duration relay_interval = kDefaultRelayInterval,
+               bool orders_target_counts = false,
+               const std::optional<UsageSettings>& usage_settings = {});
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
@@ -61,9 +70,11 @@
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
   void Handle(const LeaseEvent& event);
+  void Handle(const UsageEvent& event);
   void Handle(const OrderEnded& ended);
   void Handle(const TargetReportReceived& received);
   void Handle(const TargetReportFailed& failed);
+  void Handle(const TargetCountOrderEnded& ended);
   // Links to other hosts, shutdown and the periodic tick.
   void Handle(const PeerLinkChanged& change);
   void Handle(const PeerReceived& received);
@@ -72,6 +83,8 @@
 
   void FeedLease(const LeaseEvent& event);
   void FeedPlacement(const PlacementEvent& event);
+  void FeedScaling(const ScalingEvent& event);
+  void FeedUsage(const UsageEvent& event);
   void OnPeerMessage(const HostId& host, const ModelUsageReport& report);
   void OnPeerMessage(const HostId& host, const DemandReport& report);
   void OnPeerMessage(const HostId& host, const ModelLoadRequest& request);
@@ -87,10 +100,14 @@
   void OnPeerMessage(const HostId& host, const PoisonBlock& block);
   void OnPeerMessage(const HostId& host, const TargetLeavingReport& report);
   void OnPeerMessage(const HostId& host, const QuotaHistory& history);
+  void OnPeerMessage(const HostId& host, const ServiceLoadReport& report);
   void OnPeerMessage(const HostId& host, const RelayRequest& request);
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
+  void OnPeerMessage(const HostId& host, const UsageCounts& counts);
+  void OnPeerMessage(const HostId& host, const UsageClock& clock);
   void UpdateRelay();
+  void LogLeftOutRecords();
   void DecidePoison();
   /// Sends the block to the other hosts and to this host's entry.
   void PublishBlock(const PoisonBlock& block);
@@ -132,6 +149,7 @@
   LeaseSettings lease_settings;
   Duration limit_window;
   Duration relay_interval;
+  bool orders_target_counts;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
@@ -146,6 +164,7 @@
 
   LeaseState lease;
   std::optional<HostId> holder;            ///< By the lease's log.
+  std::set<HostId> linked_hosts;           ///< Their links are up.
   std::optional<HostId> connected_holder;  ///< The holder, if its link is up.
   /// Offset of the newest record that another process wrote.
   std::optional<LogOffset> previous_holder_offset;
@@ -167,9 +186,13 @@
   TimePoint orders_allowed_from{};
   PlacementState placement;
   ShareLedger ledger;
+  ScalingState scaling;
   WarmupLedger warmup;
   TimePoint last_division_at{};
 
+  /// None if the platform wants no usage reports.
+  std::optional<UsageState> usage;
+
   PoisonLedger poison_ledger;  ///< Decides while this host divides limits.
   /// This host's evidence, and when its attempts broke.
   std::deque<std::pair<TimePoint, CrashEvidence>> recent_evidence;
@@ -178,6 +201,7 @@
   RelayPublisher relay_publisher;  ///< Used while this host divides limits.
   RelayClock relay_clock;          ///< Of the connected holder.
   bool is_relay_reader = false;    ///< As last announced by a RelayRole.
+  TimePoint left_out_logged_at{};
 
   ShareGrant last_grant;  ///< The newest grant for this host.
   TimePoint last_grant_at{};
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -13,6 +13,8 @@
 #include "cicadaloft/peering/messages.h"
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
+#include "cicadaloft/scaling/messages.h"
+#include "cicadaloft/usage/messages.h"
 
 namespace cicadaloft {
 
@@ -119,9 +121,11 @@
                                   TargetLeavingReport,
                                   QuotaHistory,
                                   LeaseEvent,
+                                  UsageEvent,
                                   OrderEnded,
                                   TargetReportReceived,
                                   TargetReportFailed,
+                                  TargetCountOrderEnded,
                                   PeerLinkChanged,
                                   PeerReceived,
                                   ControlStop,
@@ -202,6 +206,12 @@
                                    AppendLeaseRecord,
                                    SendOrder,
                                    RequestTargetReport,
+                                   OrderTargetCount,
+                                   TargetCountsChanged,
+                                   ReadUsageTopic,
+                                   AppendUsageRecord,
+                                   SendUsageReport,
+                                   CountUsageWindow,
                                    DecisionRecord>;
 
 inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -16,23 +17,25 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_state.h"
 #include "sent_requests.h"
-#include "simulated_host.h"
+#include "simulated_hosts.h"
 #include "simulated_surroundings.h"
-#include "simulated_time.h"
 
 namespace cicadaloft {
 
 /// Simulates entry and control of many hosts, with the links and the lease log
 /// between them, one customer, and one target that answers all requests.
-class HostsSimulation : public SimulatedTime {
+class HostsSimulation : public SimulatedHosts {
  public:
   static constexpr Duration kLinkDelay = milliseconds(2);
   static constexpr Duration kResponseTime = milliseconds(200);
 
-  explicit HostsSimulation(std::size_t count, const SharedLimit& limit = {})
-      : limit(limit) {
+  explicit HostsSimulation(std::size_t count,
+                           const SharedLimit& limit = {},
+                           const std::optional<Scaling>& scaling = {})
+      : limit(limit), scaling(scaling) {
     for (std::size_t i = 0; i < count; ++i) {
-      this->hosts.push_back(std::make_unique<Host>(i, this->limit));
+      this->hosts.push_back(
+          std::make_unique<Host>(i, this->limit, scaling.has_value()));
       this->Start(*this->hosts.back());
     }
   }
@@ -106,39 +109,10 @@
     }
   }
 
-  /// Cuts the holder off from the lease's log; its links stay up.
-  void CutHolderFromLog() {
-    for (const auto& host : this->hosts) {
-      host->is_cut_from_log |= host->id == this->lease_log.Holder();
-    }
-  }
-
-  /// Cuts all hosts off from the lease's log.
-  void CutAllFromLog() {
-    for (const auto& host : this->hosts) {
-      host->is_cut_from_log = true;
-    }
-  }
-
   /// Feeds an event to the control of one host.
   void Feed(const HostId& host, const ControlEvent& event) {
     this->FeedControl(*this->Find(host), event);
   }
-  HostId Holder() const { return this->lease_log.Holder(); }
-
-  /// @return the hosts that live and don't hold the lease.
-  std::vector<const SimulatedHost*> Followers() const {
-    std::vector<const SimulatedHost*> followers;
-    for (const auto& host : this->hosts) {
-      if (host->is_alive && host->id != this->lease_log.Holder()) {
-        followers.push_back(host.get());
-      }
-    }
-    return followers;
-  }
-
-  std::size_t HostCount() const { return this->hosts.size(); }
-
   void SendRequest(std::size_t index, const SimulatedRequest& request) {
     Host& host = *this->hosts.at(index);
     if (host.is_alive) {
@@ -160,12 +134,20 @@
 
   /// Crashes the process that holds the lease.
   void CrashHolder() {
-    for (const auto& host : this->hosts) {
-      if (host->id == this->lease_log.Holder()) {
-        host->is_alive = false;
-        this->FeedAll(PeerLinkChanged{.host = host->id});
-      }
-    }
+    Host& holder = *this->Find(this->lease_log.Holder());
+    holder.is_alive = false;
+    this->FeedAll(PeerLinkChanged{.host = holder.id});
+  }
+
+  /// Stops the holder's process; what arrives meanwhile is lost.
+  void FreezeHolder(Duration time) {
+    Host& holder = *this->Find(this->lease_log.Holder());
+    holder.is_alive = false;
+    this->Schedule(time, [this, &holder] {
+      holder.is_alive = true;
+      this->TickControl(holder, holder.process);
+      this->TickEntry(holder, holder.process);
+    });
   }
 
   void ResetCounts() {
@@ -180,20 +162,23 @@
   std::size_t refused_count = 0;
   std::map<RequestId, ErrorKind> refusals;
   SentRequests sent;
+  /// Sees the effects of each host's control, if set.
+  std::function<void(const HostId&, const ControlEffect&)> on_effect;
   /// Runs attempts in place of the target that answers all requests, if set.
   std::function<void(const HostId&, const Dispatch&)> run_attempt;
   std::mt19937 random{1};
+  /// Executes orders of target counts and ends them, if set.
+  std::function<void(const HostId&, const OrderTargetCount&)> order_targets;
 
  private:
   static constexpr double kMinCost = 300;
   static constexpr double kMaxCost = 2'500;
 
-  using Host = SimulatedHost;
-
   void Start(Host& host) {
     this->FeedControl(
-        host, ConfigurationRead{.configuration = MakeSimulatedConfiguration(
-                                    this->limit, this->cold_rate_limit)});
+        host, ConfigurationRead{
+                  .configuration = MakeSimulatedConfiguration(
+                      this->limit, this->cold_rate_limit, this->scaling)});
     this->FeedControl(host, FleetEvent(RegistryReachability{true}));
     this->SendTargetRecord(host);
     // Spreads the ticks of the hosts over one interval.
@@ -237,18 +222,23 @@
   }
 
   void FeedControl(Host& host, const ControlEvent& event) {
-    if (!host.is_alive) {
+    if (!host.is_alive ||
+        host.Defers([=, this, &host] { this->FeedControl(host, event); })) {
       return;
     }
     auto step = Decide(std::move(*host.control), event, this->now);
     host.control = std::move(step.state);
     for (const ControlEffect& effect : step.effects) {
+      if (this->on_effect) {
+        this->on_effect(host.id, effect);
+      }
       std::visit([&](const auto& item) { this->Execute(host, item); }, effect);
     }
   }
 
   void FeedEntry(Host& host, const EntryEvent& event) {
-    if (!host.is_alive) {
+    if (!host.is_alive ||
+        host.Defers([=, this, &host] { this->FeedEntry(host, event); })) {
       return;
     }
     auto step = Decide(std::move(*host.entry), event, this->now);
@@ -340,32 +330,22 @@
     }
   }
   void Execute(Host& host, const ReadLeaseLog& read) {
-    if (host.is_cut_from_log) {
-      this->Schedule(kLinkDelay, [this, &host] {
-        this->FeedControl(host, LeaseEvent(LeaseReadFailed{}));
-      });
-      return;
-    }
-    const LeaseLogRead outcome = this->lease_log.Read(read.from);
-    this->Schedule(kLinkDelay, [this, &host, outcome] {
-      this->FeedControl(host, LeaseEvent(outcome));
-    });
+    this->Reply(host, host.is_cut_from_log
+                          ? LeaseEvent(LeaseReadFailed{})
+                          : LeaseEvent(this->lease_log.Read(read.from)));
   }
   void Execute(Host& host, const AppendLeaseRecord& append) {
-    const bool is_written =
-        !host.is_cut_from_log && this->lease_log.Append(append);
-    const TimePoint sent_at = this->now;
-    const LogOffset offset = append.expected_end;
-    this->Schedule(kLinkDelay, [this, &host, is_written, offset, sent_at] {
-      this->FeedControl(
-          host,
-          LeaseEvent(LeaseAppendEnded{
-              .outcome = is_written             ? LeaseAppendOutcome::kWritten
-                         : host.is_cut_from_log ? LeaseAppendOutcome::kRefused
-                                                : LeaseAppendOutcome::kConflict,
-              .offset = offset,
-              .sent_at = sent_at}));
-    });
+    this->Reply(
+        host, this->lease_log.Append(append, host.is_cut_from_log, this->now));
+  }
+  void Reply(Host& host, const LeaseEvent& event) {
+    this->Schedule(kLinkDelay,
+                   [this, &host, event] { this->FeedControl(host, event); });
+  }
+  void Execute(Host& host, const OrderTargetCount& order) {
+    if (this->order_targets) {
+      this->order_targets(host.id, order);
+    }
   }
   template <typename Other>
   void Execute(Host&, const Other&) {}
@@ -379,15 +359,8 @@
     });
   }
 
-  Host* Find(const HostId& id) {
-    return std::ranges::find_if(
-               this->hosts, [&](const auto& host) { return host->id == id; })
-        ->get();
-  }
-
   TargetRecord target = MakeSimulatedTarget();
-  std::vector<std::unique_ptr<Host>> hosts;
-  SimulatedLeaseLog lease_log;
+  std::optional<Scaling> scaling;
   std::size_t last_request_number = 0;
 };
 
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -4,9 +4,11 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cicadaloft/control/control_state.h"
@@ -38,8 +40,12 @@
 
 /// Entry and control of one simulated host, over all its processes.
 struct SimulatedHost {
-  SimulatedHost(std::size_t index, const SharedLimit& limit)
-      : index(index), id("h" + std::to_string(index)) {
+  SimulatedHost(std::size_t index,
+                const SharedLimit& limit,
+                bool orders_target_counts = false)
+      : index(index),
+        id("h" + std::to_string(index)),
+        orders_target_counts(orders_target_counts) {
     this->Restart(limit);
   }
 
@@ -51,7 +57,7 @@
             .self = this->id,
             .address = "10.0.0.1:1",
             .secret = this->id.value() + "." + std::to_string(this->process)},
-        kLimitWindow);
+        kLimitWindow, kDefaultRelayInterval, this->orders_target_counts);
     this->entry.emplace(EntrySettings{.host = this->id,
                                       .data_centre = DataCentreId("dc"),
                                       .limit_overshoot = limit.overshoot,
@@ -64,13 +70,33 @@
     this->sees_draining_target = false;
   }
 
+  /// @return whether the process is frozen; then the action runs when it
+  /// resumes.
+  bool Defers(std::function<void()> action) {
+    if (this->is_frozen) {
+      this->deferred.push_back(std::move(action));
+    }
+    return this->is_frozen;
+  }
+
+  /// Ends the freeze.
+  void Resume() {
+    this->is_frozen = false;
+    for (const auto& action : std::exchange(this->deferred, {})) {
+      action();
+    }
+  }
+
   std::size_t index;
   HostId id;
+  bool orders_target_counts;
   int process = 0;  ///< Number of starts so far.
   std::optional<ControlState> control;
   std::optional<EntryState> entry;
   std::optional<HostId> holder;
   bool is_alive = true;
+  bool is_frozen = false;
+  std::vector<std::function<void()>> deferred;  ///< Until it resumes.
   bool is_cut_from_log = false;  ///< Cut off from the lease's log.
   bool has_links = true;
   std::map<RequestId, double> costs;
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -60,6 +60,9 @@
       found->second.attempt != started.attempt) {
     return;
   }
+  if (started.has_run && !found->second.has_response_started) {
+    this->CountStarted(found->second);
+  }
   found->second.has_response_started = true;
   found->second.response_started_at = this->now;
   this->RecordNotice(found->second, started.notice);
@@ -241,6 +244,7 @@
        {"message", reported.message},
        {"model",
         request.queue_key.model ? request.queue_key.model->ToString() : "-"},
+       {"rank", request.RankText()},
        {"waited_ms", this->now - request.arrived_at},
        {"runs", request.run_count}});
   this->effects.emplace_back(
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -23,24 +23,6 @@
 
 }  // namespace
 
-bool OpenRequest::IsBatch() const {
-  // With a latency objective of at least this, no user waits interactively for
-  // the response.
-  constexpr Duration kMinBatchLatencyObjective = std::chrono::seconds(1);
-  return this->arrival.is_batch ||
-         this->route->latency_objective >= kMinBatchLatencyObjective;
-}
-
-int OpenRequest::Priority() const {
-  // Batch work yields to interactive requests, since its latency objective
-  // leaves it enough time.
-  constexpr int kBatchPriority = 7;
-  constexpr int kLowestPriority = 9;
-  return this->IsBatch()
-             ? kBatchPriority
-             : std::clamp(this->route->priority, 0, kLowestPriority);
-}
-
 std::string_view ToString(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kCompleted:
@@ -95,6 +77,7 @@
   }
   this->configuration = change.configuration;
   this->configured_at = this->now;
+  this->UpdateRankedServices();
   this->UpdateAllShares();
   const Configuration& value = this->configuration->value();
   this->Log(event_names::kConfigurationAdopted, RequestId(),
@@ -181,6 +164,7 @@
 }
 
 void EntryCore::Handle(const EntryTick&) {
+  this->ReportStarted();
   this->HandleExpired();
   this->ReportPoisonEvidence();
   this->DispatchFromAllQueues();
@@ -195,7 +179,21 @@
                   kUsageReportIntervalPerHost * this->shares.host_count);
 }
 
+void EntryCore::CountStarted(const OpenRequest& request) {
+  if (this->settings.counts_usage && request.customer != nullptr) {
+    ++this->started_requests[request.customer->id];
+  }
+}
+
+void EntryCore::ReportStarted() {
+  if (!this->started_requests.empty()) {
+    this->effects.emplace_back(
+        RequestsStarted{.counts = std::exchange(this->started_requests, {})});
+  }
+}
+
 void EntryCore::RecordUsage(const OpenRequest& request) {
+  ++this->service_counts[request.queue_key.service].arrivals;
   if (!request.queue_key.model) {
     return;
   }
@@ -232,11 +230,53 @@
                        });
   this->effects.emplace_back(
       UsageReport{.usages = {model_usages.begin(), model_usages.end()},
-                  .demands = std::move(reported)});
+                  .demands = std::move(reported),
+                  .service_loads = this->TakeServiceLoads()});
   this->model_usages.clear();
   this->demands.clear();
 }
 
+// Only the services whose number of targets is ordered are reported.
+std::vector<ServiceLoad> EntryCore::TakeServiceLoads() {
+  const auto counts = std::exchange(this->service_counts, {});
+  std::map<ServiceId, ServiceLoad> loads;
+  if (this->configuration) {
+    for (const Service& service : this->configuration->value().services) {
+      if (service.scaling) {
+        const auto found = counts.find(service.id);
+        const ServiceCounts count =
+            found == counts.end() ? ServiceCounts{} : found->second;
+        loads.emplace(service.id, ServiceLoad{.service = service.id,
+                                              .arrivals = count.arrivals,
+                                              .started = count.started,
+                                              .running = {}});
+      }
+    }
+  }
+  if (loads.empty()) {
+    return {};
+  }
+  std::map<std::pair<ServiceId, DataCentreId>, std::uint32_t> running;
+  for (const OpenRequest& request : this->requests | std::views::values) {
+    const auto load = loads.find(request.queue_key.service);
+    if (load == loads.end()) {
+      continue;
+    }
+    const auto target = this->targets.find(request.target);
+    if (!request.is_running) {
+      ++load->second.waiting;
+    } else if (target != this->targets.end()) {
+      ++running[{load->first, target->second.record().data_centre}];
+    }
+  }
+  for (const auto& [key, count] : running) {
+    loads.at(key.first).running.push_back(
+        DataCentreLoad{.data_centre = key.second, .running = count});
+  }
+  const auto values = loads | std::views::values;
+  return {values.begin(), values.end()};
+}
+
 void EntryCore::Handle(const EntryStopRequested& stop) {
   this->is_stopping = true;
   this->stop_requested_at = this->now;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -17,6 +17,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/duties/messages.h"
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/poison/poison_messages.h"
 #include "cicadaloft/routing/model_locations.h"
@@ -127,6 +128,8 @@
   const AttemptNumber attempt;
   const std::optional<TargetLoad> load;
   const TargetNotice notice;
+  /// The target has begun to run the request, as its response shows.
+  const bool has_run = true;
 
   friend auto operator<=>(const ResponseStarted&,
                           const ResponseStarted&) = default;
@@ -291,10 +294,35 @@
   friend bool operator==(const ModelUsage&, const ModelUsage&) = default;
 };
 
+/// Requests of one host that run on the targets of one data centre.
+struct DataCentreLoad {
+  DataCentreId data_centre;
+  std::uint32_t running = 0;
+
+  friend auto operator<=>(const DataCentreLoad&,
+                          const DataCentreLoad&) = default;
+  friend bool operator==(const DataCentreLoad&,
+                         const DataCentreLoad&) = default;
+};
+
+/// Load of a service on one host.
+struct ServiceLoad {
+  ServiceId service;
+  std::uint32_t arrivals = 0;           ///< Admitted since the last report.
+  std::uint32_t started = 0;            ///< Attempts since the last report.
+  std::uint32_t waiting = 0;            ///< At the time of the report.
+  std::vector<DataCentreLoad> running;  ///< At the time of the report.
+
+  friend auto operator<=>(const ServiceLoad&, const ServiceLoad&) = default;
+  friend bool operator==(const ServiceLoad&, const ServiceLoad&) = default;
+};
+
 /// What callers have requested since the last report.
 struct UsageReport {
   const std::vector<ModelUsage> usages;
   const std::vector<CustomerDemand> demands;
+  /// Of the services with `scaling`.
+  const std::vector<ServiceLoad> service_loads;
 
   friend auto operator<=>(const UsageReport&, const UsageReport&) = default;
   friend bool operator==(const UsageReport&, const UsageReport&) = default;
@@ -311,6 +339,7 @@
                                  PoisonRefutation,
                                  TargetLeavingReport,
                                  QuotaHistory,
+                                 RequestsStarted,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -4,10 +4,13 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/forwarding/admin_messages.h"
 #include "cicadaloft/forwarding/messages.h"
+#include "cicadaloft/store/store_call.h"
+#include "cicadaloft/telemetry/metrics.h"
 
 namespace cicadaloft {
 
@@ -81,6 +84,27 @@
   friend bool operator==(const DrainRequest&, const DrainRequest&) = default;
 };
 
+/// Another task of this host has new values of a gauge; they replace all
+/// earlier ones.
+struct GaugeReplaced {
+  const std::string name;
+  const std::vector<GaugeSeries> series;
+
+  friend auto operator<=>(const GaugeReplaced&, const GaugeReplaced&) = default;
+  friend bool operator==(const GaugeReplaced&, const GaugeReplaced&) = default;
+};
+
+/// A window of usage reports is due, sent, late or skipped; for the metrics,
+/// which the entry task keeps.
+struct UsageWindowCounted {
+  const std::string outcome;
+
+  friend auto operator<=>(const UsageWindowCounted&,
+                          const UsageWindowCounted&) = default;
+  friend bool operator==(const UsageWindowCounted&,
+                         const UsageWindowCounted&) = default;
+};
+
 /// All messages to the entry task.
 using EntryTaskMessage = std::variant<EntryEvent,
                                       RequestReceived,
@@ -88,7 +112,10 @@
                                       CallerRejected,
                                       ConnectionReleased,
                                       AdminCall,
-                                      DrainRequest>;
+                                      DrainRequest,
+                                      StoreCallEnded,
+                                      GaugeReplaced,
+                                      UsageWindowCounted>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
 
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -40,6 +40,9 @@
   /// Upper bound of the drift between two hosts' clocks over one TTL, and of
   /// the transit time of a message that was sent before the lease expired.
   Duration clock_drift_margin = std::chrono::milliseconds(300);
+  /// Whether a host that shuts down still follows the log, so that it connects
+  /// to a new holder.
+  bool follows_log_while_stopping = false;
 
   friend auto operator<=>(const LeaseSettings&, const LeaseSettings&) = default;
   friend bool operator==(const LeaseSettings&, const LeaseSettings&) = default;
@@ -89,6 +92,7 @@
   Duration ClaimDelay() const;
   TimePoint LastLeaseExpiry() const;
   TimePoint OrdersAllowedFrom() const;
+  Duration RetryInterval() const;
   bool IsReadDue() const;
   bool IsWatcher() const;
   bool IsRenewalDue() const;
@@ -106,6 +110,7 @@
   TimePoint newest_entry_at{};
   TimePoint last_read_at{};
   TimePoint last_call_at{};
+  int failed_reads = 0;  ///< Since the last one that succeeded.
   /// When the holder last sent a heartbeat over its link.
   TimePoint last_heartbeat_at{};
   bool is_holder_connected = false;  ///< The link to the holder is up.
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -8,6 +8,7 @@
 #include "cicadaloft/admission/share_json.h"
 #include "cicadaloft/codec/json_containers.h"
 #include "cicadaloft/peering/messages.h"
+#include "cicadaloft/usage/usage_json.h"
 
 namespace cicadaloft {
 
@@ -175,15 +176,39 @@
 inline constexpr auto kJsonFields<StoreRelay> =
     std::tuple(Required("topics", &StoreRelay::topics));
 
+template <>
+inline constexpr auto kJsonFields<DataCentreLoad> =
+    std::tuple(Required("data_centre", &DataCentreLoad::data_centre),
+               Required("running", &DataCentreLoad::running));
+template <>
+inline constexpr bool kIsJsonRow<DataCentreLoad> = true;
+
+template <>
+inline constexpr auto kJsonFields<ServiceLoad> =
+    std::tuple(Required("service", &ServiceLoad::service),
+               Required("arrivals", &ServiceLoad::arrivals),
+               Required("started", &ServiceLoad::started),
+               Required("waiting", &ServiceLoad::waiting),
+               Required("running", &ServiceLoad::running));
+template <>
+inline constexpr bool kIsJsonRow<ServiceLoad> = true;
+
+template <>
+inline constexpr auto kJsonFields<ServiceLoadReport> =
+    std::tuple(Required("host", &ServiceLoadReport::host),
+               Required("loads", &ServiceLoadReport::loads));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
     std::to_array<std::string_view>(
-        {"use_reported", "demand_reported", "model_wanted", "placement_change",
-         "shares_granted", "limit_draw_asked", "limit_drawn", "warmup_asked",
-         "warmup_granted", "target_leaving", "relay_request", "relay_welcome",
-         "store_relay", "quota_history", "crash_evidence", "poison_suspects",
-         "poison_refutation", "poison_block"});
+        {"use_reported",     "demand_reported",   "model_wanted",
+         "placement_change", "shares_granted",    "limit_draw_asked",
+         "limit_drawn",      "warmup_asked",      "warmup_granted",
+         "target_leaving",   "relay_request",     "relay_welcome",
+         "store_relay",      "quota_history",     "crash_evidence",
+         "poison_suspects",  "poison_refutation", "poison_block",
+         "service_load",     "usage_counts",      "usage_clock"});
 
 }  // namespace cicadaloft
 
