Derive from load times how many loads from the weight store run at once

Cause: the number was a constant of 4, and some platforms support 2 at full speed. Loads counted as ended at their stated time, so that late loads let further ones start, which made all of them later. Change: the lease holder measures each load until the registry shows its end. Two late loads in a row lower the limit to what ran at full speed; it rises by one after two minutes. Late loads count as running until they are seen to end. Result: store_loads_test passes.

--- a/placement/placement_candidate.cc
+++ b/placement/placement_candidate.cc
@@ -9,11 +9,6 @@
 namespace cicadaloft {
 namespace {
 
-/// More concurrent loads from the weight store would each take proportionally
-/// longer. The platform's data sheets give four; none of its messages carries
-/// the number.
-constexpr std::uint32_t kMaxConcurrentStoreLoads = 4;
-
 /// Fraction of a target's slots in use above which another target with the
 /// model is worth its memory.
 constexpr double kBusySlotFraction = 0.6;
@@ -104,7 +99,7 @@
 }
 
 bool PlacementCore::CanLoadFromStore(const Engine& engine) {
-  return this->StoreLoadCount() < kMaxConcurrentStoreLoads &&
+  return this->StoreLoadCount() < this->store_loads.limit() &&
          this->store_load_budget.CanAcquire(engine.store_loads_per_second,
                                             this->now);
 }
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -82,6 +82,7 @@
     }
     return is_removed;
   });
+  this->CheckStoreLoads();
 }
 
 void PlacementCore::UpdateIndexes(const TargetTracker& tracker) {
@@ -172,6 +173,11 @@
   switch (outcome) {
     case OrderOutcome::kAccepted:
       tracker.OnAccepted(source, ready_in, this->now);
+      if (is_load && !order.path.IsAdapter() &&
+          source == WeightSource::kStore) {
+        this->store_loads.OnStarted(order.target, order.path, ready_in,
+                                    this->now);
+      }
       this->NotifyHosts(tracker, order.path, is_load, ready_in,
                         this->InterestedHosts(order.path));
       if (is_load) {
@@ -233,6 +239,7 @@
   for (auto& [id, tracker] : this->trackers) {
     tracker.Tick(this->now);
   }
+  this->store_loads.Tick(this->now);
   this->history.DropExpired(this->now);
   this->Plan();
 }
@@ -303,14 +310,6 @@
   return model.store_load_time + kMargin;
 }
 
-std::uint32_t PlacementCore::StoreLoadCount() const {
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(this->trackers, [](const auto& entry) {
-        const auto& loading = entry.second.loading();
-        return loading && loading->source == WeightSource::kStore;
-      }));
-}
-
 void PlacementCore::IssueOrder(TargetTracker& tracker,
                                OrderKind kind,
                                const ModelPath& path,
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -10,6 +10,7 @@
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/placement/store_load_budget.h"
 #include "cicadaloft/placement/usage_history.h"
+#include "store_load_monitor.h"
 #include "target_index.h"
 #include "target_tracker.h"
 
@@ -65,6 +66,10 @@
   std::uint32_t AdapterCountOn(const TargetTracker& tracker) const;
   static Duration LoadTime(const Model& model, WeightSource source);
   std::uint32_t StoreLoadCount() const;
+  /// Ends the measurement of a load from the weight store.
+  void RecordStoreLoad(const TargetId& target);
+  /// Checks which loads from the weight store the registry shows to have ended.
+  void CheckStoreLoads();
 
   // Must be called after each change of a tracker.
   void UpdateIndexes(const TargetTracker& tracker);
@@ -131,6 +136,7 @@
   std::map<ModelPath, Demand> demands;
   UsageHistory history;
   StoreLoadBudget store_load_budget;
+  StoreLoadMonitor store_loads;
   TimePoint last_fill_at{};
   TimePoint last_waiting_log_at{};
 };
--- a/placement/tests/simulated_placement.h
+++ b/placement/tests/simulated_placement.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -60,6 +61,8 @@
   bool is_crashed = false;    ///< It refuses connections.
   TimePoint running_until{};  ///< When its requests end; unloads wait for it.
   std::set<ModelId> disk;
+  ModelPath store_load;        ///< The last one.
+  Duration store_work_left{};  ///< Of that load, at full speed.
 
   double UsedMb() const {
     double used = 0;
@@ -112,6 +115,9 @@
     for (const auto& [id, runner] : this->runners) {
       TargetRecord record = runner.record;
       record.loaded = {runner.loaded.begin(), runner.loaded.end()};
+      if (IsStoreLoading(runner)) {
+        std::erase(record.loaded, runner.store_load);
+      }
       fleet.targets[id] = std::make_shared<const TargetRecord>(record);
     }
     this->Feed(FleetChanged{.fleet = std::make_shared<const Fleet>(fleet)});
@@ -134,6 +140,7 @@
     while (this->now < end) {
       this->now += milliseconds(20);
       this->DeliverLateOrders();
+      this->ContinueStoreLoads(milliseconds(20));
       this->Feed(PlacementTick{});
     }
   }
@@ -164,7 +171,18 @@
     });
   }
 
+  /// @return how many runners load from the weight store now.
+  int StoreLoadCount() const {
+    return static_cast<int>(std::ranges::count_if(
+        this->runners,
+        [](const auto& entry) { return IsStoreLoading(entry.second); }));
+  }
+
   double capacity_mb;
+  /// Loads from the weight store beyond this number at once make each take
+  /// proportionally longer, and the registry shows them when they have ended;
+  /// 0: no bound.
+  int store_full_speed_loads = 0;
   TimePoint now = kStart;
   ActiveConfigurationPtr configuration;
   PlacementState state;
@@ -179,6 +197,24 @@
   bool has_overcommitted = false;
 
  private:
+  static bool IsStoreLoading(const Runner& runner) {
+    return runner.store_work_left > Duration::zero();
+  }
+
+  // The loads share what the weight store gives.
+  void ContinueStoreLoads(Duration time) {
+    const int count = std::max(1, this->StoreLoadCount());
+    const Duration work =
+        time * std::min(count, this->store_full_speed_loads) / count;
+    for (auto& [id, runner] : this->runners) {
+      if (IsStoreLoading(runner)) {
+        runner.store_work_left -= work;
+        runner.busy_until =
+            IsStoreLoading(runner) ? TimePoint::max() : this->now;
+      }
+    }
+  }
+
   bool RandomBool(double probability) {
     return std::uniform_real_distribution<double>()(this->random) < probability;
   }
@@ -240,6 +276,11 @@
       }
       runner.busy_until =
           this->now + (has_copy ? milliseconds(500) : milliseconds(6000));
+      if (!has_copy && this->store_full_speed_loads > 0) {
+        runner.store_load = order.path;
+        runner.store_work_left = milliseconds(6000);
+        runner.busy_until = TimePoint::max();
+      }
     }
     return OrderOutcome::kAccepted;
   }
