Show how many loads from the weight store may run at once

Cause: the number is no longer a constant, and only a log line told it. Change: a gauge on the lease holder, without a series on other hosts.

--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -206,6 +206,7 @@
                                    RequestTargetReport,
                                    OrderTargetCount,
                                    TargetCountsChanged,
+                                   StoreLoadLimitChanged,
                                    DecisionRecord>;
 
 inline constexpr Duration kControlTickInterval = std::chrono::milliseconds(20);
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/control/control_load_monitor.h"
 #include "cicadaloft/control/control_state.h"
@@ -167,6 +168,17 @@
     }
   }
 
+  void Execute(const StoreLoadLimitChanged& change) {
+    std::vector<GaugeSeries> series;
+    if (change.limit) {
+      series.push_back(
+          GaugeSeries{.value = static_cast<double>(*change.limit)});
+    }
+    Post(*this->channels.entry,
+         GaugeReplaced{.name = "cicadaloft_placement_store_load_limit",
+                       .series = std::move(series)});
+  }
+
   boost::asio::awaitable<void> SubmitTargetCount(OrderTargetCount order) {
     const DutyCallOutcome outcome =
         co_await this->duty_client->SubmitTargetCount(order);
--- a/placement/include/cicadaloft/placement/messages.h
+++ b/placement/include/cicadaloft/placement/messages.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -177,9 +178,20 @@
                                     TargetReportFailed,
                                     PlacementTick>;
 
+/// How many loads from the weight store may run at once has changed.
+struct StoreLoadLimitChanged {
+  std::optional<std::uint32_t> limit;  ///< None: this host sends no orders.
+
+  friend auto operator<=>(const StoreLoadLimitChanged&,
+                          const StoreLoadLimitChanged&) = default;
+  friend bool operator==(const StoreLoadLimitChanged&,
+                         const StoreLoadLimitChanged&) = default;
+};
+
 using PlacementEffect = std::variant<SendOrder,
                                      RequestTargetReport,
                                      SendPlacementChange,
+                                     StoreLoadLimitChanged,
                                      DecisionRecord>;
 
 }  // namespace cicadaloft
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -240,6 +240,7 @@
     tracker.Tick(this->now);
   }
   this->store_loads.Tick(this->now);
+  this->PublishStoreLoadLimit();
   this->history.DropExpired(this->now);
   this->Plan();
 }
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -70,6 +70,7 @@
   void RecordStoreLoad(const TargetId& target);
   /// Checks which loads from the weight store the registry shows to have ended.
   void CheckStoreLoads();
+  void PublishStoreLoadLimit();
 
   // Must be called after each change of a tracker.
   void UpdateIndexes(const TargetTracker& tracker);
@@ -137,6 +138,7 @@
   UsageHistory history;
   StoreLoadBudget store_load_budget;
   StoreLoadMonitor store_loads;
+  std::optional<std::uint32_t> published_limit;
   TimePoint last_fill_at{};
   TimePoint last_waiting_log_at{};
 };
--- a/placement/placement_store_loads.cc
+++ b/placement/placement_store_loads.cc
@@ -46,4 +46,14 @@
   }
 }
 
+void PlacementCore::PublishStoreLoadLimit() {
+  const auto limit = this->token == FencingToken()
+                         ? std::nullopt
+                         : std::optional(this->store_loads.limit());
+  if (this->published_limit != limit) {
+    this->published_limit = limit;
+    this->effects.emplace_back(StoreLoadLimitChanged{.limit = limit});
+  }
+}
+
 }  // namespace cicadaloft
