Merge the reports of usage

Conflicts where both add link messages, control events and effects, members of the host's tasks and metrics: both are kept. ControlState takes the settings of usage reports before the one for numbers of targets; one client makes both kinds of calls.

--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -19,6 +19,8 @@
 #include "cicadaloft/poison/poison_ledger.h"
 #include "cicadaloft/relay/relay_publisher.h"
 #include "cicadaloft/scaling/scaling_state.h"
+#include "cicadaloft/usage/usage_settings.h"
+#include "cicadaloft/usage/usage_state.h"
 #include "cicadaloft/warmup/warmup_ledger.h"
 
 namespace cicadaloft {
@@ -33,11 +35,13 @@
   /// @param limit_window the window over which customers' limits hold.
   /// @param relay_interval at which the lease holder relays what it reads from
   /// the store.
+  /// @param usage_settings none if the platform wants no usage reports.
   /// @param orders_target_counts whether the lease holder orders the number of
   /// targets of services with `scaling`.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
                Duration relay_interval = kDefaultRelayInterval,
+               const std::optional<UsageSettings>& usage_settings = {},
                bool orders_target_counts = false);
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
@@ -66,6 +70,7 @@
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
   void Handle(const LeaseEvent& event);
+  void Handle(const UsageEvent& event);
   void Handle(const OrderEnded& ended);
   void Handle(const TargetReportReceived& received);
   void Handle(const TargetReportFailed& failed);
@@ -79,6 +84,7 @@
   void FeedLease(const LeaseEvent& event);
   void FeedPlacement(const PlacementEvent& event);
   void FeedScaling(const ScalingEvent& event);
+  void FeedUsage(const UsageEvent& event);
   void OnPeerMessage(const HostId& host, const ModelUsageReport& report);
   void OnPeerMessage(const HostId& host, const DemandReport& report);
   void OnPeerMessage(const HostId& host, const ModelLoadRequest& request);
@@ -98,6 +104,8 @@
   void OnPeerMessage(const HostId& host, const RelayRequest& request);
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
+  void OnPeerMessage(const HostId& host, const UsageCounts& counts);
+  void OnPeerMessage(const HostId& host, const UsageClock& clock);
   void UpdateRelay();
   void DecidePoison();
   /// Sends the block to the other hosts and to this host's entry.
@@ -181,6 +189,9 @@
   WarmupLedger warmup;
   TimePoint last_division_at{};
 
+  /// None if the platform wants no usage reports.
+  std::optional<UsageState> usage;
+
   PoisonLedger poison_ledger;  ///< Decides while this host divides limits.
   /// This host's evidence, and when its attempts broke.
   std::deque<std::pair<TimePoint, CrashEvidence>> recent_evidence;
--- a/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task_messages.h
@@ -93,6 +93,17 @@
   friend bool operator==(const GaugeReplaced&, const GaugeReplaced&) = default;
 };
 
+/// A window of usage reports is due, sent, late or skipped; for the metrics,
+/// which the entry task keeps.
+struct UsageWindowCounted {
+  const std::string outcome;
+
+  friend auto operator<=>(const UsageWindowCounted&,
+                          const UsageWindowCounted&) = default;
+  friend bool operator==(const UsageWindowCounted&,
+                         const UsageWindowCounted&) = default;
+};
+
 /// All messages to the entry task.
 using EntryTaskMessage = std::variant<EntryEvent,
                                       RequestReceived,
@@ -100,8 +111,9 @@
                                       CallerRejected,
                                       ConnectionReleased,
                                       AdminCall,
-                                      DrainRequest,
-                                      GaugeReplaced>;
+                                      UsageWindowCounted,
+                                      GaugeReplaced,
+                                      DrainRequest>;
 
 using EntryTaskMailbox = Mailbox<EntryTaskMessage>;
 
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +26,8 @@
 #include "cicadaloft/store/keyed_follower.h"
 #include "cicadaloft/telemetry/decision_log.h"
 #include "cicadaloft/telemetry/log_task_failure.h"
+#include "cicadaloft/usage/usage_settings.h"
+#include "cicadaloft/usage/usage_topic_client.h"
 #include "control_mailbox.h"
 #include "peer_links.h"
 #include "target_count_gauges.h"
@@ -51,21 +54,28 @@
               const LeaseSettings& settings,
               Duration limit_window,
               Duration relay_interval,
-              const std::string& store,
+              const std::optional<UsageSettings>& usage,
               const std::optional<DutySettings>& duties,
+              const std::string& store,
               const std::shared_ptr<MemoryBudget>& memory,
               ControlTaskChannels channels)
       : executor(std::move(executor)),
         state(settings,
               limit_window,
               relay_interval,
+              usage,
               duties && duties->scaling),
         channels(std::move(channels)),
         lease_log(platform::StoreClient(this->executor, store, memory)),
         runners(this->executor, settings.self, memory) {
+    if (usage) {
+      this->usage_topic.emplace(
+          platform::StoreClient(this->executor, store, memory),
+          &platform::EncodeKeyedRecord);
+    }
     if (duties) {
-      this->duty_client.emplace(this->executor, duties->address, settings.self,
-                                memory);
+      this->platform_duties.emplace(this->executor, duties->address,
+                                    settings.self, memory);
     }
   }
 
@@ -79,7 +89,17 @@
   }
 
  private:
+  // Windows of usage reports are windows of the wall clock.
   void Handle(const ControlEvent& event) {
+    if (this->usage_topic && std::holds_alternative<ControlTick>(event)) {
+      this->Process(UsageEvent(WallClockRead{
+          .since_1970 = std::chrono::duration_cast<Duration>(
+              std::chrono::system_clock::now().time_since_epoch())}));
+    }
+    this->Process(event);
+  }
+
+  void Process(const ControlEvent& event) {
     const TimePoint now = this->clock.Now();
     auto step = Decide(std::move(this->state), event, now);
     this->state = std::move(step.state);
@@ -145,6 +165,25 @@
                LeaseEvent(LeaseAppendEnded{
                    .outcome = LeaseAppendOutcome::kUnknown, .sent_at = now}));
   }
+  // The usage state requests the next call only after the last one has ended.
+  void Execute(const ReadUsageTopic& read) {
+    this->Call("read of the usage topic",
+               this->CallUsageTopic(this->usage_topic->Execute(read)),
+               UsageEvent(UsageTopicReadFailed{}));
+  }
+  void Execute(const AppendUsageRecord& append) {
+    this->Call("append to the usage topic",
+               this->CallUsageTopic(this->usage_topic->Execute(append)),
+               UsageEvent(UsageAppendEnded{}));
+  }
+  void Execute(const SendUsageReport& report) {
+    this->Call("usage report", this->SubmitUsageReport(report),
+               UsageEvent(UsageReportEnded{.call = report}));
+  }
+  void Execute(const CountUsageWindow& count) {
+    Post(*this->channels.entry,
+         EntryTaskMessage(UsageWindowCounted{ToText(count.outcome)}));
+  }
   void Execute(const SendOrder& order) {
     this->Call(
         "order", this->SubmitOrder(order),
@@ -181,7 +220,7 @@
 
   boost::asio::awaitable<void> SubmitTargetCount(OrderTargetCount order) {
     const DutyCallOutcome outcome =
-        co_await this->duty_client->SubmitTargetCount(order);
+        co_await this->platform_duties->SubmitTargetCount(order);
     Post(*this->channels.inbox, ControlEvent(TargetCountOrderEnded{
                                     .call = order, .outcome = outcome}));
   }
@@ -192,6 +231,20 @@
     Post(*this->channels.inbox, event);
   }
 
+  boost::asio::awaitable<void> CallUsageTopic(
+      boost::asio::awaitable<UsageEvent> call) {
+    const ControlEvent event = co_await std::move(call);
+    Post(*this->channels.inbox, event);
+  }
+
+  boost::asio::awaitable<void> SubmitUsageReport(SendUsageReport report) {
+    const DutyCallOutcome outcome =
+        co_await this->platform_duties->SubmitUsageReport(report);
+    Post(*this->channels.inbox,
+         ControlEvent(UsageEvent(
+             UsageReportEnded{.call = std::move(report), .outcome = outcome})));
+  }
+
   boost::asio::awaitable<void> SubmitOrder(SendOrder order) {
     const auto reply = co_await this->runners.SubmitOrder(order);
     this->ReportIfLeaving(order.target, reply.is_target_leaving);
@@ -240,8 +293,12 @@
   const ControlTaskChannels channels;
   LeaseLogClient<platform::StoreClient> lease_log;
   platform::RunnerClient runners;
-  /// None without the settings for it.
-  std::optional<platform::DutyClient> duty_client;
+  // Absent if the platform wants no usage reports.
+  std::optional<UsageTopicClient<platform::StoreClient,
+                                 decltype(&platform::EncodeKeyedRecord)>>
+      usage_topic;
+  // Absent without the settings for it.
+  std::optional<platform::DutyClient> platform_duties;
   const DecisionLog log;
   ControlLoadMonitor load_monitor;
   const BootClock clock{};
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -112,7 +112,18 @@
                      .started = DrawCount(),
                      .waiting = DrawCount(),
                      .running = {{.data_centre = DataCentreId(DrawName()),
-                                  .running = DrawCount()}}}}}};
+                                  .running = DrawCount()}}}}},
+      UsageCounts{.host = HostId(DrawName()),
+                  .process = DrawCount(),
+                  .number = DrawCount(),
+                  .counted_since = *rc::gen::arbitrary<std::uint64_t>(),
+                  .counted_until = *rc::gen::arbitrary<std::uint64_t>(),
+                  .own_time = DrawCount(),
+                  .has_ended = true,
+                  .windows = {{UsageWindow(DrawCount()),
+                               {{CustomerId(DrawName()), DrawCount()}}}}},
+      UsageClock{.number = DrawCount(),
+                 .wall_time = *rc::gen::arbitrary<std::uint64_t>()}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
