--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -57,7 +57,8 @@
             .self = this->id,
             .address = "10.0.0.1:1",
             .secret = this->id.value() + "." + std::to_string(this->process)},
-        kLimitWindow, kDefaultRelayInterval, this->orders_target_counts);
+        kLimitWindow, kDefaultRelayInterval, std::nullopt,
+        this->orders_target_counts);
     this->entry.emplace(EntrySettings{.host = this->id,
                                       .data_centre = DataCentreId("dc"),
                                       .limit_overshoot = limit.overshoot,
