--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -19,8 +19,8 @@
 ControlState::ControlState(const LeaseSettings& settings,
                            Duration limit_window,
                            Duration relay_interval,
-                           bool orders_target_counts,
-                           const std::optional<UsageSettings>& usage_settings)
+                           const std::optional<UsageSettings>& usage_settings,
+                           bool orders_target_counts)
     : lease_settings(settings),
       limit_window(limit_window),
       relay_interval(relay_interval),
