Refuse at once what a ranked service can't serve in time

Cause: under overload requests waited for all the time that they may and were refused then, with too little time left to return.

Change: in services served by rank, a host counts what it has served of each customer's requests of a rank, apart for those that are late. A request whose least wait at the highest plausible rate exceeds the time for which it may wait is refused at its arrival or while it waits, as is one whose model no target has and whose load ends too late. No estimate is made while other capacity may come, and none refuses what may have run. Returns of callers no longer count for the minimums of ranks; the time that callers usually state replaces the route's time limit, which may differ. Waits and estimates are logged (route.waited, route.refuse_early) and measured.

--- a/admission/include/cicadaloft/admission/fair_queue.h
+++ b/admission/include/cicadaloft/admission/fair_queue.h
@@ -114,6 +114,15 @@
     return oldest;
   }
 
+  /// Calls `visit` for each customer, with a map of its items by number, which
+  /// is not empty.
+  template <typename Visitor>
+  void VisitCustomers(Visitor visit) const {
+    std::ranges::for_each(this->flows, [&](const Flow& flow) {
+      visit(flow.customer, flow.waiting);
+    });
+  }
+
   std::size_t size() const { return this->count; }
 
  private:
--- a/admission/include/cicadaloft/admission/ranked_queue.h
+++ b/admission/include/cicadaloft/admission/ranked_queue.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cicadaloft/admission/fair_queue.h"
+#include "cicadaloft/admission/queue_line.h"
 #include "cicadaloft/admission/queue_place.h"
 #include "cicadaloft/admission/rank_floors.h"
 
@@ -79,6 +80,70 @@
     return contenders;
   }
 
+  /// @return the lines with waiting items, in ascending order.
+  std::vector<QueueLine> Lines(TimePoint now) const {
+    std::vector<QueueLine> lines;
+    for (const auto& [rank, lane] : this->lanes) {
+      lane.items.VisitCustomers(
+          [&](const CustomerId& customer, const auto& waiting) {
+            const Key first_on_time{now, 0};
+            const auto add = [&](bool is_late) {
+              lines.push_back(QueueLine{
+                  .rank = rank, .customer = customer, .is_late = is_late});
+            };
+            if (waiting.rbegin()->first >= first_on_time) {
+              add(false);
+            }
+            if (waiting.begin()->first < first_on_time) {
+              add(true);
+            }
+          });
+    }
+    std::ranges::sort(lines);
+    return lines;
+  }
+
+  /// Calls `visit` with each item and its LinePosition.
+  template <typename Visitor>
+  void VisitPositions(TimePoint now, Visitor visit) const {
+    for (const auto& [rank, lane] : this->lanes) {
+      lane.items.VisitCustomers(
+          [&](const CustomerId& customer, const auto& waiting) {
+            std::map<bool, std::size_t> counts;
+            for (const auto& [key, entry] : waiting) {
+              const bool is_late = key < Key{now, 0};
+              visit(entry.item.item, LinePosition{.line = {.rank = rank,
+                                                           .customer = customer,
+                                                           .is_late = is_late},
+                                                  .ahead = counts[is_late]++});
+            }
+          });
+    }
+  }
+
+  /// @return where the item stands.
+  LinePosition PositionOf(const RankedPlace& place,
+                          const CustomerId& customer,
+                          TimePoint now) const {
+    const Key own = KeyOf(place);
+    const Key first_on_time{now, 0};
+    const bool is_late = own < first_on_time;
+    std::size_t ahead = 0;
+    this->lanes.at(place.rank)
+        .items.VisitCustomers(
+            [&](const CustomerId& other, const auto& waiting) {
+              if (other == customer) {
+                const auto first = is_late ? waiting.begin()
+                                           : waiting.lower_bound(first_on_time);
+                ahead = static_cast<std::size_t>(
+                    std::distance(first, waiting.lower_bound(own)));
+              }
+            });
+    return LinePosition{
+        .line = {.rank = place.rank, .customer = customer, .is_late = is_late},
+        .ahead = ahead};
+  }
+
   /// @return the item with the least slack of the first rank.
   std::optional<Item> MostUrgent() const {
     if (this->lanes.empty()) {
--- a/admission/include/cicadaloft/admission/request_queue.h
+++ b/admission/include/cicadaloft/admission/request_queue.h
@@ -46,10 +46,7 @@
     return is_ranked ? this->ranked.Pop(floors, now) : this->fair.Pop();
   }
 
-  /// @return the ranks with waiting items, in ascending order.
-  std::vector<RankContender> Contenders() const {
-    return this->ranked.Contenders();
-  }
+  const RankedQueue<Item>& ranked_items() const { return this->ranked; }
 
   /// @return the item that has waited longest, or of ranked ones the most
   /// urgent.
--- a/admission/tests/queue_order_test.cc
+++ b/admission/tests/queue_order_test.cc
@@ -155,7 +155,7 @@
   BOOST_TEST(queue.Remove(place, CustomerId("a")));
   BOOST_TEST(!queue.Remove(place, CustomerId("a")));
   BOOST_TEST(queue.size() == 0);
-  BOOST_TEST(queue.Contenders().empty());
+  BOOST_TEST(queue.ranked_items().Contenders().empty());
 }
 
 // Guards against items that are forgotten when the configuration changes the
@@ -197,7 +197,7 @@
                               place.is_large ? 100'000 : 1),
                  place.is_large);
     }
-    const auto contenders = queue.Contenders();
+    const auto contenders = queue.ranked_items().Contenders();
     const bool is_large = *queue.Pop(floors, kNow);
     RankedPlace place = MakePlace(0, 0, 0);
     place.is_large = is_large;
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -280,6 +280,7 @@
   }
   void ExecuteEntryEffect(Host&, const CancelAttempt&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
+  void ExecuteEntryEffect(Host&, const WaitMeasured&) {}
   template <typename Message>
   void ExecuteEntryEffect(Host& host, const Message& message) {
     this->FeedControl(host, message);
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -59,7 +59,8 @@
   this->Enqueue(request);
   this->DispatchFromQueue(queue_key);
   const auto found = this->requests.find(id);
-  if (found != this->requests.end() && !found->second.is_running) {
+  if (found != this->requests.end() && !found->second.is_running &&
+      !this->EstimateWait(found->second)) {
     this->LogWait(found->second);
   }
 }
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -14,8 +14,10 @@
 
 #include "cicadaloft/admission/customer_share.h"
 #include "cicadaloft/admission/large_size_threshold.h"
+#include "cicadaloft/admission/queue_progress.h"
 #include "cicadaloft/admission/quota_charges.h"
 #include "cicadaloft/admission/rank_floors.h"
+#include "cicadaloft/admission/recent_maximum.h"
 #include "cicadaloft/admission/request_queue.h"
 #include "cicadaloft/admission/service_ranks.h"
 #include "cicadaloft/core/result.h"
@@ -75,12 +77,23 @@
   struct WaitQueue {
     RequestQueue<RequestId> requests;
     std::optional<TimePoint> model_requested_at;  ///< The last time.
+    QueueProgress progress;                       ///< Of ranked requests.
+    TimePoint estimated_at{};  ///< When waits were last estimated.
+  };
+  /// What estimates of the waits in a queue are based on.
+  struct EstimateBasis {
+    /// Targets serve the queue and no others are about to.
+    bool is_rate_known = false;
+    /// Of the load of the model, which no usable target has before.
+    std::optional<TimePoint> load_end;
   };
   /// A service whose requests are served by rank.
   struct RankedService {
     ServiceRanks ranks;
     RankFloors floors;
     std::map<RouteId, LargeSizeThreshold> large_sizes;
+    /// Times that callers state on their first arrival.
+    std::map<std::pair<RouteId, CustomerId>, RecentMaximum> usual_timeouts;
   };
 
   /// Why a request is not admitted.
@@ -139,8 +152,24 @@
   const RankFloors& FloorsOf(const ServiceId& service) const;
   /// @param contenders the ranks that waited in its queue before.
   void RecordServed(const OpenRequest& request,
+                    WaitQueue& queue,
                     const std::vector<RankContender>& contenders);
 
+  // Estimates of waits, in ranked services.
+  EstimateBasis EstimateBasisOf(const QueueKey& key,
+                                const Candidates& candidates) const;
+  /// @return a time that the request waits at least; none if it isn't known.
+  std::optional<Duration> MinWait(const OpenRequest& request,
+                                  const WaitQueue& queue,
+                                  const LinePosition& position,
+                                  const EstimateBasis& basis) const;
+  void UpdateEstimates(const QueueKey& key, const Candidates& candidates);
+  bool EstimateWait(OpenRequest& request);
+  static bool IsHopeless(const OpenRequest& request,
+                         const std::optional<Duration>& min_wait,
+                         TimePoint now);
+  void RefuseHopeless(const OpenRequest& request, Duration min_wait);
+
   // Queues and dispatch.
   void Enqueue(const OpenRequest& request);
   void RemoveFromQueue(const OpenRequest& request);
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -60,12 +60,12 @@
   std::vector<RequestId> undispatched;
   bool should_continue = this->HasCapacity(candidates);
   while (should_continue && queue.requests.size() > 0) {
-    const auto contenders = queue.requests.Contenders();
+    const auto contenders = queue.requests.ranked_items().Contenders();
     const RequestId id =
         *queue.requests.Pop(this->FloorsOf(key.service), this->now);
     OpenRequest& request = this->requests.at(id);
     if (this->TryDispatch(request, candidates)) {
-      this->RecordServed(request, contenders);
+      this->RecordServed(request, queue, contenders);
     } else {
       undispatched.push_back(id);
       // If a request that avoids some targets can't be dispatched, the requests
@@ -83,6 +83,7 @@
   this->RequestWarmup(key, queue, candidates);
   this->RequestModelLoad(key, queue, candidates);
   this->RefuseIfTargetsRest(key, candidates);
+  this->UpdateEstimates(key, candidates);
 }
 
 // Refuses the requests that would only wait until the end of their time because
--- a/entry/entry_ranks.cc
+++ b/entry/entry_ranks.cc
@@ -2,6 +2,7 @@
 #include <ranges>
 #include <utility>
 
+#include "cicadaloft/entry/event_names.h"
 #include "entry_core.h"
 
 namespace cicadaloft {
@@ -46,12 +47,15 @@
                                   ? Rank::kDefaultPriority
                                   : request.customer->priority,
                   .route = arrival.is_batch ? Rank::kBatch : route.priority};
-  service.floors.OnArrival(rank);
   const bool is_large =
       service.large_sizes[route.id].Add(arrival.tokens.value_or(1));
   // A caller that returns after a refusal states the remainder of its time, so
   // it keeps the place of its first arrival, at any host.
-  const TimePoint first_arrival = request.response_deadline - route.timeout;
+  const Duration timeout = request.response_deadline - this->now;
+  const Duration usual_timeout =
+      service.usual_timeouts[{route.id, request.CustomerIdOrEmpty()}].Add(
+          timeout, this->now);
+  const TimePoint first_arrival = this->now - (usual_timeout - timeout);
   const auto longest_wait = std::chrono::duration_cast<Duration>(
       route.latency_objective * kMaxStartFraction);
   const Duration prefill = std::min(
@@ -63,6 +67,10 @@
                   .number = request.sequence_number,
                   .is_large = is_large};
   request.urgency = service.ranks.UrgencyOf(rank);
+  // Callers that return often must not reduce the minimum of other ranks.
+  if (request.ranked_place->latest_start >= this->now) {
+    service.floors.OnArrival(rank);
+  }
 }
 
 const RankFloors& EntryCore::FloorsOf(const ServiceId& service) const {
@@ -73,10 +81,31 @@
 }
 
 void EntryCore::RecordServed(const OpenRequest& request,
+                             WaitQueue& queue,
                              const std::vector<RankContender>& contenders) {
   const auto found = this->ranked_services.find(request.queue_key.service);
-  if (request.ranked_place && found != this->ranked_services.end()) {
-    found->second.floors.OnServed(contenders, *request.ranked_place);
+  if (!request.ranked_place || found == this->ranked_services.end()) {
+    return;
+  }
+  const RankedPlace& place = *request.ranked_place;
+  found->second.floors.OnServed(contenders, place);
+  queue.progress.OnServed(QueueLine{.rank = place.rank,
+                                    .customer = request.CustomerIdOrEmpty(),
+                                    .is_late = place.latest_start < this->now},
+                          this->now);
+  const Duration waited = this->now - request.arrived_at;
+  if (waited > Duration::zero()) {
+    this->Log(event_names::kWaited, request.arrival.caller_request_id,
+              {{"rank", request.RankText()},
+               {"urgency", request.urgency},
+               {"large", place.is_large ? "yes" : "no"},
+               {"slack_ms", place.latest_start - this->now},
+               {"estimate_ms", request.expected_wait
+                                   ? LogField("", *request.expected_wait).value
+                                   : std::string("-")},
+               {"waited_ms", waited}});
+    this->effects.emplace_back(
+        WaitMeasured{.expected = request.expected_wait, .actual = waited});
   }
 }
 
--- a/entry/include/cicadaloft/entry/event_names.h
+++ b/entry/include/cicadaloft/entry/event_names.h
@@ -7,6 +7,8 @@
 inline constexpr char kDispatch[] = "route.dispatch";
 inline constexpr char kWait[] = "route.wait";
 inline constexpr char kRefuse[] = "route.refuse";
+inline constexpr char kRefuseEarly[] = "route.refuse_early";
+inline constexpr char kWaited[] = "route.waited";
 inline constexpr char kAttemptEnded[] = "route.attempt_ended";
 inline constexpr char kAttemptBroken[] = "route.attempt_broken";
 inline constexpr char kTargetCrash[] = "route.target_death";
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -264,6 +264,15 @@
   friend bool operator==(const Refuse&, const Refuse&) = default;
 };
 
+/// A request to a ranked service is sent after it has waited.
+struct WaitMeasured {
+  const std::optional<Duration> expected;  ///< None: it wasn't known.
+  const Duration actual{};
+
+  friend auto operator<=>(const WaitMeasured&, const WaitMeasured&) = default;
+  friend bool operator==(const WaitMeasured&, const WaitMeasured&) = default;
+};
+
 /// Requests wait for a model or adapter that no usable target has loaded.
 struct ModelLoadRequest {
   const ServiceId service;
@@ -311,6 +320,7 @@
                                  PoisonRefutation,
                                  TargetLeavingReport,
                                  QuotaHistory,
+                                 WaitMeasured,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -36,7 +36,9 @@
   QueueKey queue_key;
   /// None if its service isn't served by rank.
   std::optional<RankedPlace> ranked_place;
-  int urgency = 0;                ///< Sent to targets, with a ranked place.
+  int urgency = 0;  ///< Sent to targets, with a ranked place.
+  /// When it was queued, from what was served lately.
+  std::optional<Duration> expected_wait;
   double cost = 1;                ///< In the customer's unit.
   TimePoint response_deadline{};  ///< For the complete response.
   TimePoint wait_deadline{};      ///< For the start of an attempt.
--- a/entry/tests/overload_simulation.h
+++ b/entry/tests/overload_simulation.h
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <numbers>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/entry/event_names.h"
 #include "entry_fixture.h"
 
 namespace cicadaloft {
@@ -30,6 +33,8 @@
   const std::string customer = "c0";
   const double per_second = 0;
   const CallerBehaviour behaviour = CallerBehaviour::kHonoursRetryAfter;
+  /// Amplitude of waves of 12 s, as a fraction of the rate.
+  const double wave = 0;
 };
 
 /// What became of the requests of a load.
@@ -50,19 +55,20 @@
 /// "note" rank 2 and 0.5 s.
 inline ActiveConfigurationPtr MakeRankedConfiguration() {
   const auto route = [](const char* name, int priority, int objective_ms,
-                        int timeout_ms) {
+                        int timeout_ms, int caller_timeout_ms) {
     Route made = MakeRoute(name, "plain", RetryPolicy::kAtMostOnce);
     made.priority = priority;
     made.latency_objective = std::chrono::milliseconds(objective_ms);
     made.timeout = std::chrono::milliseconds(timeout_ms);
-    made.caller_timeout = made.timeout;
+    made.caller_timeout = std::chrono::milliseconds(caller_timeout_ms);
     return made;
   };
-  Configuration configuration{.version = ConfigurationVersion(1),
-                              .routes = {route("urgent", 0, 1500, 4000),
-                                         route("stream", 1, 3000, 20'000),
-                                         route("note", 2, 500, 10'000)},
-                              .services = {{.id = ServiceId("plain")}}};
+  Configuration configuration{
+      .version = ConfigurationVersion(1),
+      .routes = {route("urgent", 0, 1500, 4000, 4000),
+                 route("stream", 1, 3000, 20'000, 12'000),
+                 route("note", 2, 500, 10'000, 2000)},
+      .services = {{.id = ServiceId("plain")}}};
   for (int i = 0; i < 4; ++i) {
     const std::string name = "c" + std::to_string(i);
     configuration.customers.push_back({.id = CustomerId(name), .keys = {name}});
@@ -98,20 +104,28 @@
     }
   }
 
+  std::size_t size() const { return this->results.size(); }
   const LoadResult& ResultOf(std::size_t load) const {
     return this->results[load];
   }
+  /// @return how many waits were measured that an estimate was made for.
+  int EstimatedWaits() const { return this->estimated_waits; }
+  int EarlyRefusals() const { return this->early_refusals; }
   LoadResult Total() const {
     LoadResult total;
     for (const LoadResult& result : this->results) {
       total.arrived += result.arrived;
       total.served += result.served;
+      total.on_time += result.on_time;
+      total.refusals += result.refusals;
+      total.refusal_delay += result.refusal_delay;
     }
     return total;
   }
 
  private:
   static constexpr Duration kStep = std::chrono::milliseconds(10);
+  static constexpr Duration kWavePeriod = std::chrono::seconds(12);
   static constexpr Duration kRunTime = std::chrono::milliseconds(100);
   static constexpr std::uint32_t kSlots =
       4;  // The entry sends 1.25 times that.
@@ -148,7 +162,10 @@
 
   void Arrive() {
     for (std::size_t i = 0; i < this->loads.size(); ++i) {
+      const std::chrono::duration<double> time = this->entry.now - kStart;
+      const double wave = std::sin(time / kWavePeriod * 2 * std::numbers::pi);
       this->due[i] += this->loads[i].per_second *
+                      (1 + this->loads[i].wave * wave) *
                       std::chrono::duration<double>(kStep).count();
       for (; this->due[i] >= 1; this->due[i] -= 1) {
         this->results[i].arrived += 1;
@@ -187,6 +204,11 @@
         this->OnDispatch(*dispatch);
       } else if (const auto* refusal = std::get_if<Refuse>(&effect)) {
         this->OnRefusal(*refusal);
+      } else if (const auto* wait = std::get_if<WaitMeasured>(&effect)) {
+        this->estimated_waits += wait->expected ? 1 : 0;
+      } else if (const auto* record = std::get_if<DecisionRecord>(&effect)) {
+        this->early_refusals +=
+            record->event == event_names::kRefuseEarly ? 1 : 0;
       }
     }
   }
@@ -218,6 +240,8 @@
   }
 
   EntryFixture entry;
+  int early_refusals = 0;
+  int estimated_waits = 0;
   const std::vector<Load> loads;
   std::vector<LoadResult> results;
   std::map<std::size_t, double> due;
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -27,6 +27,16 @@
                         since_arrival);
 }
 
+void EntryMetrics::RecordWait(const WaitMeasured& wait) {
+  this->metrics.Observe(
+      MetricKey{.name = "cicadaloft_entry_queue_wait_seconds"}, wait.actual);
+  if (wait.expected) {
+    this->metrics.Observe(
+        MetricKey{.name = "cicadaloft_entry_estimated_queue_wait_seconds"},
+        *wait.expected);
+  }
+}
+
 void EntryMetrics::CountDroppedMessage() {
   this->metrics.AddToCounter(
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -210,6 +210,8 @@
     this->effect_executor.Execute(refusal);
   }
 
+  void Execute(const WaitMeasured& wait) { this->metrics.RecordWait(wait); }
+
   // A message is dropped when the control task lags and its mailbox is full.
   // Requests to control are repeated as long as callers' requests wait.
   void Execute(const ModelLoadRequest& request) {
