Tell callers of ranked services when capacity is expected for them

Cause: refused callers were told 200 ms or the end of a load, whatever waited before them, and lost their place when they returned.

Change: Retry-After of a ranked service is when the request's line would have served it, spread in order of arrival, at most a third of the time that the caller has left. Late requests count as blocked while those on time wait, so that refusals don't make the estimate unknown.

--- a/admission/include/cicadaloft/admission/ranked_queue.h
+++ b/admission/include/cicadaloft/admission/ranked_queue.h
@@ -121,27 +121,32 @@
     }
   }
 
-  /// @return where the item stands.
-  LinePosition PositionOf(const RankedPlace& place,
-                          const CustomerId& customer,
-                          TimePoint now) const {
+  /// @return where the item stands; none if it isn't queued.
+  std::optional<LinePosition> PositionOf(const RankedPlace& place,
+                                         const CustomerId& customer,
+                                         TimePoint now) const {
+    const auto lane = this->lanes.find(place.rank);
+    if (lane == this->lanes.end()) {
+      return std::nullopt;
+    }
     const Key own = KeyOf(place);
     const Key first_on_time{now, 0};
-    const bool is_late = own < first_on_time;
-    std::size_t ahead = 0;
-    this->lanes.at(place.rank)
-        .items.VisitCustomers(
-            [&](const CustomerId& other, const auto& waiting) {
-              if (other == customer) {
-                const auto first = is_late ? waiting.begin()
-                                           : waiting.lower_bound(first_on_time);
-                ahead = static_cast<std::size_t>(
-                    std::distance(first, waiting.lower_bound(own)));
-              }
-            });
-    return LinePosition{
-        .line = {.rank = place.rank, .customer = customer, .is_late = is_late},
-        .ahead = ahead};
+    std::optional<LinePosition> position;
+    lane->second.items.VisitCustomers(
+        [&](const CustomerId& other, const auto& waiting) {
+          if (other != customer || !waiting.contains(own)) {
+            return;
+          }
+          const bool is_late = own < first_on_time;
+          const auto first =
+              is_late ? waiting.begin() : waiting.lower_bound(first_on_time);
+          position = LinePosition{.line = {.rank = place.rank,
+                                           .customer = customer,
+                                           .is_late = is_late},
+                                  .ahead = static_cast<std::size_t>(
+                                      std::distance(first, waiting.find(own)))};
+        });
+    return position;
   }
 
   /// @return the item with the least slack of the first rank.
--- a/admission/include/cicadaloft/admission/service_rate.h
+++ b/admission/include/cicadaloft/admission/service_rate.h
@@ -11,14 +11,14 @@
 
 namespace cicadaloft {
 
-/// How often items of a line that always has waiting ones were served lately.
-/// Begin a new one when the line becomes empty.
+/// How often items of a line were served lately, while items waited in it or
+/// before it. Begin a new one when none did.
 class ServiceRate {
  public:
   /// Longest time over which a rate is known.
   static constexpr Duration kMaxPeriod = std::chrono::seconds(20);
 
-  /// @param waiting_since when the line was last empty.
+  /// @param waiting_since when items began to wait.
   explicit ServiceRate(TimePoint waiting_since)
       : waiting_since(waiting_since) {}
 
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -209,7 +209,7 @@
       wait = std::max(wait, *expected - this->now);
     }
   }
-  return wait;
+  return request.ranked_place ? this->RankedRetryAfter(request, wait) : wait;
 }
 
 }  // namespace cicadaloft
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -168,7 +168,8 @@
   static bool IsHopeless(const OpenRequest& request,
                          const std::optional<Duration>& min_wait,
                          TimePoint now);
-  void RefuseHopeless(const OpenRequest& request, Duration min_wait);
+  void RefuseHopeless(OpenRequest& request, Duration min_wait);
+  Duration RankedRetryAfter(const OpenRequest& request, Duration min_wait);
 
   // Queues and dispatch.
   void Enqueue(const OpenRequest& request);
--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -104,7 +104,8 @@
          *min_wait > request.wait_deadline - now;
 }
 
-void EntryCore::RefuseHopeless(const OpenRequest& request, Duration min_wait) {
+void EntryCore::RefuseHopeless(OpenRequest& request, Duration min_wait) {
+  request.is_hopeless = true;
   const Duration left = request.wait_deadline - this->now;
   this->Log(event_names::kRefuseEarly, request.arrival.caller_request_id,
             {{"rank", request.RankText()},
@@ -121,6 +122,27 @@
   this->Close(request);
 }
 
+// Chooses when the caller of a request to a ranked service should return: when
+// capacity is expected for it, but within a third of the time that it has left,
+// since callers wait no longer.
+Duration EntryCore::RankedRetryAfter(const OpenRequest& request,
+                                     Duration min_wait) {
+  const Duration limit =
+      std::max(Duration::zero(), (request.response_deadline - this->now) / 3);
+  const auto queue = this->queues.find(request.queue_key);
+  const auto position =
+      queue == this->queues.end()
+          ? std::nullopt
+          : queue->second.requests.ranked_items().PositionOf(
+                *request.ranked_place, request.CustomerIdOrEmpty(), this->now);
+  const auto wait = position ? queue->second.progress.ReserveReturn(
+                                   *position, limit, this->now)
+                             : std::nullopt;
+  // If nothing is known, waiting in the queue is best, unless it is in vain.
+  const Duration unknown_wait = request.is_hopeless ? limit : Duration::zero();
+  return std::min(limit, std::max(min_wait, wait.value_or(unknown_wait)));
+}
+
 // Estimates the wait of a request that has just been queued.
 // @return whether it was refused.
 bool EntryCore::EstimateWait(OpenRequest& request) {
@@ -129,13 +151,15 @@
   if (!request.ranked_place || queue == this->queues.end()) {
     return false;
   }
-  const LinePosition position =
-      queue->second.requests.ranked_items().PositionOf(
-          *request.ranked_place, request.CustomerIdOrEmpty(), this->now);
+  const auto position = queue->second.requests.ranked_items().PositionOf(
+      *request.ranked_place, request.CustomerIdOrEmpty(), this->now);
+  if (!position) {
+    return false;
+  }
   request.expected_wait =
-      queue->second.progress.ExpectedWait(position, this->now);
+      queue->second.progress.ExpectedWait(*position, this->now);
   const auto wait =
-      this->MinWait(request, queue->second, position,
+      this->MinWait(request, queue->second, *position,
                     this->EstimateBasisOf(key, this->CandidatesFor(key)));
   if (!IsHopeless(request, wait, this->now)) {
     return false;
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -39,6 +39,8 @@
   int urgency = 0;  ///< Sent to targets, with a ranked place.
   /// When it was queued, from what was served lately.
   std::optional<Duration> expected_wait;
+  /// Refused since it can't be served in time.
+  bool is_hopeless = false;
   double cost = 1;                ///< In the customer's unit.
   TimePoint response_deadline{};  ///< For the complete response.
   TimePoint wait_deadline{};      ///< For the start of an attempt.
