Grant shares with headroom where more than eight hosts share a limit

Cause: a host's share covered only what it surely uses, so most requests of a customer needed a reply of the lease holder; without it a quarter to a third were refused at 55% of the limit. Change: with more than eight hosts, and while the expected usage leaves room, shares cover it plus headroom; near the limit they shrink as before, for the pool. With eight hosts or fewer nothing changes.

--- a/admission/customer_share.cc
+++ b/admission/customer_share.cc
@@ -5,14 +5,6 @@
 #include <ranges>
 
 namespace cicadaloft {
-namespace {
-
-/// Fraction of a window's share that may be used at once; a larger burst takes
-/// precedence.
-constexpr double kMinBurstFraction = 0.3;
-
-}  // namespace
-
 double CustomerLimit::MaxCostPerWindow() const {
   const std::chrono::duration<double> seconds = this->window;
   return this->rate_per_second * seconds.count() + this->burst;
@@ -72,7 +64,7 @@
 }
 
 double CustomerShare::BurstCapacity() const {
-  return std::max(this->window_capacity * kMinBurstFraction,
+  return std::max(this->window_capacity * this->min_burst_fraction,
                   this->limit.burst * this->share_fraction);
 }
 
--- a/admission/include/cicadaloft/admission/customer_share.h
+++ b/admission/include/cicadaloft/admission/customer_share.h
@@ -43,6 +43,17 @@
     this->used_before_start = used_fraction;
   }
 
+  /// Fraction of a window's share that may be used at once.
+  static constexpr double kMinBurstFraction = 0.3;
+  /// The same for a share of a few requests, which often arrive together.
+  static constexpr double kMinBurstFractionOfSmallShare = 0.5;
+
+  /// Sets the fraction of a window's share that may be used at once; a larger
+  /// burst of the limit takes precedence.
+  void SetMinBurstFraction(double fraction) {
+    this->min_burst_fraction = fraction;
+  }
+
   /// Sets the limit and this host's share of it.
   /// @param share from 0 to 1.
   /// @param credit cost that may be used beyond the share.
@@ -96,6 +107,7 @@
   bool is_new = true;
   CustomerLimit limit;
   double share_fraction = 0;
+  double min_burst_fraction = kMinBurstFraction;
   double window_capacity = 0;  ///< Cost per window.
   double credit = 0;
   /// Cost that is available now; below 0 after a large cost.
--- a/admission/include/cicadaloft/admission/share_ledger.h
+++ b/admission/include/cicadaloft/admission/share_ledger.h
@@ -36,6 +36,9 @@
   static constexpr Duration kHostTimeout = std::chrono::seconds(5);
   /// Demand of this age counts half.
   static constexpr Duration kDemandHalfLife = std::chrono::seconds(2);
+  /// The same where many hosts share a limit, so that each has few requests to
+  /// predict from, and demand comes in waves of some seconds.
+  static constexpr Duration kSteadyDemandHalfLife = std::chrono::seconds(8);
 
   /// A host without a report for this time is no longer counted when limits are
   /// divided evenly. Until then it may be disconnected and still use its equal
@@ -85,7 +88,25 @@
   double MaxCores() const;
 
  private:
-  /// Both decay with kDemandHalfLife.
+  /// A share without headroom is what a host will use even if its requests are
+  /// fewer than expected by this many standard deviations, assuming that they
+  /// arrive independently.
+  static constexpr double kStandardDeviations = 2;
+
+  /// What a host is expected to use, as fractions of the limit.
+  struct Prediction {
+    double mean = 0;
+    double deviation = 0;  ///< Standard deviation.
+    double requests = 0;   ///< Their number.
+  };
+  struct DesiredShares {
+    std::map<HostId, double> shares;
+    /// Smaller shares, in requests of mean cost, aren't granted.
+    double min_requests = 0;
+    /// What the pool keeps, beyond what it has used, while shares grow.
+    double pool_reserve = 0;
+  };
+  /// Both decay with a half-life.
   struct Demand {
     double cost = 0;
     double requests = 0;
@@ -100,6 +121,7 @@
     bool is_linked = true;
     double cores = 0;
     std::map<CustomerId, Demand> demand;
+    std::map<CustomerId, Demand> steady_demand;
     /// The newest confirmed grant first, then later ones that may be in use.
     std::deque<Grant> grants;
     /// Shares that it uses, or has used in the window, as last reported.
@@ -116,9 +138,21 @@
                      const CustomerId& customer,
                      TimePoint now) const;
   double TotalOutstanding(const CustomerId& customer, TimePoint now) const;
+  static void Decay(std::map<CustomerId, Demand>& demands, double factor);
   static double PredictedUsage(const Host& host,
                                const LimitedCustomer& customer);
   static double MeanCost(const Host& host, const LimitedCustomer& customer);
+  static Prediction Predict(const Host& host, const LimitedCustomer& customer);
+  DesiredShares ChooseShares(const LimitedCustomer& customer,
+                             const std::map<HostId, Grant>& grants,
+                             double grantable,
+                             TimePoint now) const;
+  DesiredShares SharesWithHeadroom(const LimitedCustomer& customer,
+                                   const std::map<HostId, Grant>& grants,
+                                   double grantable) const;
+  DesiredShares SharesSurelyUsed(const LimitedCustomer& customer,
+                                 const std::map<HostId, Grant>& grants,
+                                 double grantable) const;
   void DivideLimit(const LimitedCustomer& customer,
                    std::map<HostId, Grant>& grants,
                    double usable_fraction,
--- a/admission/include/cicadaloft/admission/share_messages.h
+++ b/admission/include/cicadaloft/admission/share_messages.h
@@ -129,6 +129,9 @@
   friend bool operator==(const QuotaHistory&, const QuotaHistory&) = default;
 };
 
+/// Up to this number of hosts an even part of the reserved fraction is of use.
+inline constexpr std::uint32_t kMaxHostsWithFullReserve = 8;
+
 /// @param host_count hosts that take requests.
 /// @return the fraction of each limit that is permanently divided evenly, so
 /// that a host without links to others can still serve requests. It shrinks
@@ -136,7 +139,6 @@
 /// request and of no use.
 constexpr double ReservedFraction(std::uint32_t host_count) {
   constexpr double kMaxReservedFraction = 0.3;
-  constexpr std::uint32_t kMaxHostsWithFullReserve = 8;
   return host_count <= kMaxHostsWithFullReserve
              ? kMaxReservedFraction
              : kMaxReservedFraction * kMaxHostsWithFullReserve / host_count;
--- a/admission/share_ledger.cc
+++ b/admission/share_ledger.cc
@@ -14,17 +14,6 @@
 namespace cicadaloft {
 namespace {
 
-/// Maximum fraction of what may be granted that goes into shares; the remainder
-/// is left to the pool.
-constexpr double kMaxGrantedFraction = 0.8;
-
-/// A share is what a host will use even if its requests are fewer than expected
-/// by this many standard deviations, assuming that they arrive independently.
-constexpr double kStandardDeviations = 2;
-/// Minimum size of a share, in requests of mean cost. A difference of one
-/// request leaves a large part of a smaller share unused.
-constexpr double kMinRequestsPerShare = 8;
-
 /// Margin after the TTL of a grant before it counts as expired; it covers the
 /// transit time of the message.
 constexpr Duration kGrantExpiryMargin = std::chrono::milliseconds(500);
@@ -54,16 +43,16 @@
 
 void ShareLedger::OnReport(const DemandReport& report, TimePoint now) {
   Host& host = this->hosts[report.host];
-  const double decay = DecayFactor(now - host.last_report_at, kDemandHalfLife);
-  for (auto& [customer, demand] : host.demand) {
-    demand.cost *= decay;
-    demand.requests *= decay;
-  }
+  Decay(host.demand, DecayFactor(now - host.last_report_at, kDemandHalfLife));
+  Decay(host.steady_demand,
+        DecayFactor(now - host.last_report_at, kSteadyDemandHalfLife));
   host.used_fractions.clear();
   for (const CustomerDemand& demand : report.demands) {
-    Demand& total = host.demand[demand.customer];
-    total.cost += demand.cost;
-    total.requests += demand.requests;
+    for (auto* demands : {&host.demand, &host.steady_demand}) {
+      Demand& total = (*demands)[demand.customer];
+      total.cost += demand.cost;
+      total.requests += demand.requests;
+    }
     host.used_fractions[demand.customer] = demand.used_fraction;
   }
   host.last_report_at = now;
@@ -87,6 +76,13 @@
   }
 }
 
+void ShareLedger::Decay(std::map<CustomerId, Demand>& demands, double factor) {
+  for (auto& [customer, demand] : demands) {
+    demand.cost *= factor;
+    demand.requests *= factor;
+  }
+}
+
 bool ShareLedger::TakesRequests(const Host& host, TimePoint now) const {
   return now - host.last_report_at <= kHostTimeout;
 }
@@ -142,17 +138,8 @@
   CustomerShare& pool = this->PoolOf(customer.id);
   pool.SetUsedBeforeStart(this->UnexplainedUsage(customer));
   const double pool_used = pool.UsedFraction(now);
-  std::map<HostId, double> predicted;
-  double total_predicted = 0;
-  for (const auto& [id, grant] : grants) {
-    const double prediction = PredictedUsage(this->hosts.at(id), customer);
-    predicted[id] = prediction;
-    total_predicted += prediction;
-  }
-  const double scale =
-      total_predicted > 0
-          ? std::min(1.0, grantable * kMaxGrantedFraction / total_predicted)
-          : 0;
+  const DesiredShares desired =
+      this->ChooseShares(customer, grants, grantable, now);
   double outstanding = this->TotalOutstanding(customer.id, now);
   for (auto& [id, grant] : grants) {
     const double host_outstanding =
@@ -161,12 +148,12 @@
     // A host may keep what it already uses.
     const double max_share =
         std::max(std::min(host_outstanding, grantable - used_by_others),
-                 grantable_now - used_by_others);
-    const double desired =
-        std::clamp(predicted.at(id) * scale, 0.0, std::max(0.0, max_share));
+                 grantable_now - used_by_others - desired.pool_reserve);
     const double min_share =
-        kMinRequestsPerShare * MeanCost(this->hosts.at(id), customer);
-    const double share = desired < min_share ? 0 : desired;
+        desired.min_requests * MeanCost(this->hosts.at(id), customer);
+    const double possible =
+        std::clamp(desired.shares.at(id), 0.0, std::max(0.0, max_share));
+    const double share = possible < min_share ? 0 : possible;
     outstanding += std::max(0.0, share - host_outstanding);
     if (share > 0) {
       grant.shares[customer.id] = share;
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -22,6 +22,7 @@
   const double cost = 0;
   const std::vector<std::uint64_t> prompt_segments;
   const std::uint64_t fingerprint = 0;
+  const std::string credential = "key";
 
   friend auto operator<=>(const SimulatedRequest&,
                           const SimulatedRequest&) = default;
@@ -30,7 +31,7 @@
 inline RequestArrived MakeArrival(const SimulatedRequest& request) {
   return RequestArrived{.request = request.id,
                         .caller_request_id = request.id,
-                        .credential = "key",
+                        .credential = request.credential,
                         .destination = ByHostAndPath{.host = "h", .path = "/x"},
                         .tokens = request.cost,
                         .prompt_segments = request.prompt_segments,
--- a/control/tests/simulated_surroundings.h
+++ b/control/tests/simulated_surroundings.h
@@ -23,7 +23,7 @@
                       .instance = TargetInstance(1)};
 }
 
-/// One route to that target, and one customer with a limit.
+/// One route to that target, and two customers with the same limit.
 inline ActiveConfigurationPtr MakeSimulatedConfiguration(
     const SharedLimit& limit,
     const ColdRateLimit& cold_rate_limit) {
@@ -43,6 +43,11 @@
                      .keys = {"key"},
                      .is_limited_by_tokens = true,
                      .rate_per_second = limit.rate_per_second,
+                     .burst = limit.burst},
+                    {.id = CustomerId("other"),
+                     .keys = {"other key"},
+                     .is_limited_by_tokens = true,
+                     .rate_per_second = limit.rate_per_second,
                      .burst = limit.burst}}});
 }
 
--- a/entry/entry_limits.cc
+++ b/entry/entry_limits.cc
@@ -189,6 +189,12 @@
       this->settings.is_first_start
           ? 0
           : this->shares.usage_before_start.UsedFraction(customer.id));
+  const bool is_small_share =
+      granted != this->shares.shares.end() &&
+      this->shares.host_count > kMaxHostsWithFullReserve;
+  share.SetMinBurstFraction(is_small_share
+                                ? CustomerShare::kMinBurstFractionOfSmallShare
+                                : CustomerShare::kMinBurstFraction);
   share.SetLimit(
       limit, fraction,
       max_overshoot * kCreditFraction / std::max(1U, this->shares.host_count),
