Estimate first token and event interval of a target

Which target is slow, and how full its memory is, isn't visible in counts of requests. TargetCapacity learns the speed of a target from the streams that this host has seen complete, relative to the model's other targets; work time, load and tokens in memory give the time to the first token and between events. The exchange counts the events of a stream. Nothing uses the estimate yet. routing_test, event_stream_end_test, exchange_test and broken_response_test pass on x86-64.

--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -114,6 +114,8 @@
   const AttemptOutcome outcome = AttemptOutcome::kCompleted;
   const int http_status = 0;  ///< Of the target's response; 0 if none.
   const std::uint64_t response_bytes = 0;  ///< Of the body, as it arrived.
+  /// Of an event stream; 0 if the response is none.
+  const std::uint64_t response_events = 0;
   const std::optional<TargetLoad> load;
   const TargetNotice notice;
 
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -304,6 +304,7 @@
         .outcome = result,
         .http_status = this->response ? this->response->status() : 0,
         .response_bytes = this->response_bytes,
+        .response_events = this->response ? this->response->EventCount() : 0,
         .load = this->metadata.load,
         .notice = this->metadata.notice});
     co_await Send(*this->params->entry_inbox, message);
--- a/forwarding/include/cicadaloft/forwarding/target_response_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/target_response_reader.h
@@ -56,6 +56,10 @@
   /// @return whether the body was an event stream that broke off, although its
   /// framing does not show it.
   bool IsEventMissing() const;
+  /// @return the complete events so far; 0 if the body is no event stream.
+  std::uint64_t EventCount() const {
+    return this->is_event_stream ? this->event_stream_end.event_count() : 0;
+  }
   /// @return whether the connection stays open and nothing on it can be
   /// mistaken for the response to the next request.
   bool IsConnectionReusable() const;
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -8,6 +8,7 @@
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/routing/ejection.h"
+#include "cicadaloft/routing/target_capacity.h"
 #include "cicadaloft/routing/target_load.h"
 #include "cicadaloft/routing/target_notice.h"
 
@@ -48,6 +49,10 @@
   double EstimatedLoad(TimePoint now) const;
   std::uint32_t in_flight() const { return this->in_flight_count; }
 
+  /// Used where targets state their work time.
+  TargetCapacity& capacity() { return this->observed_capacity; }
+  const TargetCapacity& capacity() const { return this->observed_capacity; }
+
   /// The target may have become cold: treats it as cold until its record must
   /// show that.
   void PresumeCold(TimePoint now);
@@ -63,6 +68,7 @@
   TargetRecordPtr current_record;
   Ejection ejection_state;
   ObservedNotices observed_notices;
+  TargetCapacity observed_capacity;
   std::uint32_t in_flight_count = 0;
   /// Requests of other hosts, by the last load report.
   double other_hosts_load = 0;
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -29,6 +29,7 @@
   if (is_new_process) {
     this->ejection_state = Ejection();
     this->observed_notices = ObservedNotices();
+    this->observed_capacity = TargetCapacity();
     this->other_hosts_load = 0;
   }
   if (record->cold_remaining > Duration::zero()) {
