Choose targets by their estimated time to completion

The busiest target got three times the mean, and slow targets as much as fast ones. For services whose targets state their work time, the cost is now the estimated time to completion over the free part of slots or memory, a target whose intervals would exceed the objective comes last, and a request waits for a free slot for a quarter of its objective before it may preempt another one. All other services are served as before. entry_test, target_estimate_test and routing_test pass on x86-64.

--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -67,6 +67,13 @@
   if (target != this->targets.end() && started.load) {
     target->second.OnLoadReport(*started.load, this->now);
   }
+  if (target != this->targets.end() &&
+      target->second.record().instance == found->second.instance) {
+    target->second.capacity().OnStart(found->second.size);
+    if (started.load) {
+      this->RecordLoad(target->second, *started.load);
+    }
+  }
 }
 
 void EntryCore::Handle(const AttemptEnded& ended) {
@@ -110,6 +117,7 @@
   }
   TargetView& target = found->second;
   target.OnRequestEnd();
+  this->RecordRun(request, ended, target);
   this->RecordNotice(request, ended.notice);
   if (ended.load) {
     target.OnLoadReport(*ended.load, this->now);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -22,6 +22,8 @@
 #include "cicadaloft/routing/lapsed_notices.h"
 #include "cicadaloft/routing/model_locations.h"
 #include "cicadaloft/routing/retry_budget.h"
+#include "cicadaloft/routing/service_pace.h"
+#include "cicadaloft/routing/target_capacity.h"
 #include "cicadaloft/routing/target_choice.h"
 #include "cicadaloft/routing/target_view.h"
 #include "cicadaloft/warmup/warmup_permits.h"
@@ -131,6 +133,9 @@
   void DispatchFromAllQueues();
   bool HasCapacity(const Candidates& candidates) const;
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
+  void LogDispatch(const OpenRequest& request,
+                   const TargetView& target,
+                   std::size_t candidate_count);
   TargetPreference PreferenceOf(const OpenRequest& request) const;
   Candidates CandidatesFor(const QueueKey& key);
   /// Adds a target with what its process has said before its entry was gone.
@@ -146,6 +151,21 @@
                         const Candidates& candidates);
   void LogWait(const OpenRequest& request);
 
+  // Estimates, for services whose targets state their work time.
+  /// @return null if no estimate is used.
+  const ServicePace* EstimatedPace(const ServiceId& service) const;
+  TargetKind KindOf(const TargetRecord& record) const;
+  static StatedSize StatedSizeOf(const OpenRequest& request);
+  RequestSize SizeOf(const OpenRequest& request) const;
+  TargetView* ChooseByEstimate(OpenRequest& request,
+                               const Candidates& candidates,
+                               const ServicePace& pace);
+  void RecordLoad(TargetView& target, const TargetLoad& load);
+  void RecordRun(const OpenRequest& request,
+                 const AttemptEnded& ended,
+                 TargetView& target);
+  std::vector<LogField> EstimateFields(const OpenRequest& request) const;
+
   // Cold targets.
   bool NeedsWarmupPermit(const TargetView& target) const;
   void RequestWarmup(const QueueKey& key,
@@ -197,6 +217,7 @@
   std::map<TargetId, TargetView> targets;
   LapsedNotices lapsed_notices;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
+  std::map<ServiceId, ServicePace> service_paces;
   ModelLocations model_locations;
 
   SharesChanged shares;
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <utility>
 
 #include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/entry/event_names.h"
@@ -131,9 +133,13 @@
 
 bool EntryCore::TryDispatch(OpenRequest& request,
                             const Candidates& candidates) {
-  TargetView* target = ChooseTarget(
-      candidates, this->PreferenceOf(request), this->now,
-      [&](const TargetView& view) { return this->CanAccept(view, request); });
+  const ServicePace* pace = this->EstimatedPace(request.queue_key.service);
+  TargetView* target =
+      pace != nullptr ? this->ChooseByEstimate(request, candidates, *pace)
+                      : ChooseTarget(candidates, this->PreferenceOf(request),
+                                     this->now, [&](const TargetView& view) {
+                                       return this->CanAccept(view, request);
+                                     });
   if (target == nullptr) {
     return false;
   }
@@ -151,17 +157,10 @@
     this->permits.OnSend(request.target);
   }
   target->OnDispatch();
-  this->Log(event_names::kDispatch, request.arrival.caller_request_id,
-            {{"target", request.target.value()},
-             {"attempt", request.attempt.value()},
-             {"model", request.ModelText()},
-             {"customer", request.CustomerIdOrEmpty().value()},
-             {"waited_ms", this->now - request.arrived_at},
-             {"candidates", candidates.size()},
-             {"own_load", target->in_flight()},
-             {"cold_ms", target->ColdRemaining(this->now)},
-             {"hosts", this->shares.host_count},
-             {"configuration", request.configuration->version().value()}});
+  request.dispatched_at = this->now;
+  request.size = this->SizeOf(request);
+  target->capacity().OnDispatch(request.size);
+  this->LogDispatch(request, *target, candidates.size());
   this->effects.emplace_back(
       Dispatch{.request = request.arrival.request,
                .attempt = request.attempt,
@@ -176,6 +175,25 @@
   return true;
 }
 
+void EntryCore::LogDispatch(const OpenRequest& request,
+                            const TargetView& target,
+                            std::size_t candidate_count) {
+  std::vector<LogField> fields = {
+      {"target", request.target.value()},
+      {"attempt", request.attempt.value()},
+      {"model", request.ModelText()},
+      {"customer", request.CustomerIdOrEmpty().value()},
+      {"waited_ms", this->now - request.arrived_at},
+      {"candidates", candidate_count},
+      {"own_load", target.in_flight()},
+      {"cold_ms", target.ColdRemaining(this->now)},
+      {"hosts", this->shares.host_count},
+      {"configuration", request.configuration->version().value()}};
+  std::ranges::move(this->EstimateFields(request), std::back_inserter(fields));
+  this->Log(event_names::kDispatch, request.arrival.caller_request_id,
+            std::move(fields));
+}
+
 TargetPreference EntryCore::PreferenceOf(const OpenRequest& request) const {
   return TargetPreference{
       .local_data_centre = this->settings.data_centre,
@@ -220,8 +238,13 @@
 }
 
 bool EntryCore::IsFull(const TargetView& target) const {
-  return target.EstimatedLoad(this->now) >=
-         target.record().slots * kMaxLoadPerSlot;
+  const TargetRecord& record = target.record();
+  const ServicePace* pace = this->EstimatedPace(record.service);
+  const double load =
+      pace != nullptr && target.capacity().IsStated()
+          ? target.capacity().Load(this->KindOf(record), *pace, this->now)
+          : target.EstimatedLoad(this->now);
+  return load >= record.slots * kMaxLoadPerSlot;
 }
 
 void EntryCore::RequestModelLoad(const QueueKey& key,
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "cicadaloft/entry/messages.h"
+#include "cicadaloft/routing/request_size.h"
+#include "cicadaloft/routing/target_estimate.h"
 
 namespace cicadaloft {
 
@@ -48,6 +50,9 @@
   /// Attempts that may have reached a target.
   std::uint32_t delivery_count = 0;
   TargetId target;  ///< Of the running attempt.
+  TimePoint dispatched_at{};
+  RequestSize size;         ///< As it was expected at the dispatch.
+  TargetEstimate estimate;  ///< All 0 if there was none.
   TargetInstance instance;
   /// Targets that have failed to serve it, and until when it is not sent to
   /// them.
