Compare two drawn candidates of a request by their estimates

Others are looked at in turn if a drawn one isn't available or would exceed the interval objective. herding_test, routing_test, entry_test and target_estimate_test pass on x86-64.

--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -4,7 +4,9 @@
 #include <optional>
 #include <utility>
 
+#include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/routing/estimated_cost.h"
+#include "cicadaloft/routing/sampled_choice.h"
 #include "entry_core.h"
 
 namespace cicadaloft {
@@ -63,30 +65,26 @@
       request.route->latency_objective * kSlotWaitFraction);
   const bool needs_free_slot =
       model && this->now < request.arrived_at + slot_wait;
-  TargetView* best = nullptr;
-  std::optional<EstimatedCost> best_cost;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    TargetView* target =
-        candidates[(StableHash(request.arrival.caller_request_id.value()) + i) %
-                   candidates.size()];
-    if (!this->CanAccept(*target, request)) {
-      continue;
-    }
-    const TargetRecord& record = target->record();
-    const TargetEstimate estimate = target->capacity().Estimate(
-        size, model, this->KindOf(record), pace, this->now);
-    const EstimatedCost cost =
-        CostOf(estimate, request.route->event_interval_objective,
-               record.data_centre != this->settings.data_centre);
-    if ((needs_free_slot && IsOccupied(estimate)) ||
-        (best_cost && *best_cost <= cost)) {
-      continue;
-    }
-    best = target;
-    best_cost = cost;
-    request.estimate = estimate;
-  }
-  return best;
+  const auto estimate_of = [&](const TargetView& target) {
+    return target.capacity().Estimate(
+        size, model, this->KindOf(target.record()), pace, this->now);
+  };
+  TargetView* target = ChooseFromSample(
+      candidates, StableHash(request.arrival.caller_request_id.value()),
+      [&](const TargetView& view) -> std::optional<EstimatedCost> {
+        if (!this->CanAccept(view, request)) {
+          return std::nullopt;
+        }
+        const TargetEstimate estimate = estimate_of(view);
+        if (needs_free_slot && IsOccupied(estimate)) {
+          return std::nullopt;
+        }
+        return CostOf(estimate, request.route->event_interval_objective,
+                      view.record().data_centre != this->settings.data_centre);
+      });
+  request.estimate =
+      target == nullptr ? TargetEstimate() : estimate_of(*target);
+  return target;
 }
 
 void EntryCore::RecordLoad(TargetView& target, const TargetLoad& load) {
