Weigh the prompt tokens that a target has kept against the wait

A hash that picks one target and a fixed penalty knew neither what a target has kept nor how long the wait there is. The prefill that this saves, for the request and for those that run there, is part of the estimated cost.

--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -69,10 +69,7 @@
   }
   if (target != this->targets.end() &&
       target->second.record().instance == found->second.instance) {
-    target->second.capacity().OnStart(found->second.size);
-    if (started.load) {
-      this->RecordLoad(target->second, *started.load);
-    }
+    this->RecordStart(found->second, started, target->second);
   }
 }
 
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -21,6 +21,7 @@
 #include "cicadaloft/poison/poison_guard.h"
 #include "cicadaloft/routing/lapsed_notices.h"
 #include "cicadaloft/routing/model_locations.h"
+#include "cicadaloft/routing/prompt_chain.h"
 #include "cicadaloft/routing/retry_budget.h"
 #include "cicadaloft/routing/service_pace.h"
 #include "cicadaloft/routing/target_capacity.h"
@@ -152,11 +153,28 @@
   void LogWait(const OpenRequest& request);
 
   // Estimates, for services whose targets state their work time.
+  struct PromptExpectation {
+    PromptChain prompt;
+    /// The target to which all hosts send the shared part, other things being
+    /// equal; null if there is no such part, or no other host.
+    const TargetView* agreed = nullptr;
+    /// Where the most tokens are expected in the cache; null: nowhere.
+    TargetView* preferred = nullptr;
+  };
+  PromptExpectation ExpectPrompt(const OpenRequest& request,
+                                 const Candidates& candidates,
+                                 const ServicePace& pace) const;
+  double CachedTokensAt(const TargetView& target,
+                        const PromptExpectation& expectation,
+                        const ServicePace& pace) const;
   /// @return null if no estimate is used.
   const ServicePace* EstimatedPace(const ServiceId& service) const;
   TargetKind KindOf(const TargetRecord& record) const;
   static StatedSize StatedSizeOf(const OpenRequest& request);
   RequestSize SizeOf(const OpenRequest& request) const;
+  void RecordStart(const OpenRequest& request,
+                   const ResponseStarted& started,
+                   TargetView& target);
   TargetView* ChooseByEstimate(OpenRequest& request,
                                const Candidates& candidates,
                                const ServicePace& pace);
--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <cmath>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "cicadaloft/core/rendezvous.h"
@@ -18,6 +19,10 @@
 /// slots become free within about this time.
 constexpr double kSlotWaitFraction = 0.25;
 
+/// Probability that the target on which all hosts agree has kept a shared part.
+/// A host of many sees only a small part of what the others send there.
+constexpr double kAgreedProbability = 0.5;
+
 constexpr int kSuccess = 200;
 constexpr int kRedirection = 300;
 
@@ -65,12 +70,16 @@
       request.route->latency_objective * kSlotWaitFraction);
   const bool needs_free_slot =
       model && this->now < request.arrived_at + slot_wait;
+  const PromptExpectation expectation =
+      this->ExpectPrompt(request, candidates, pace);
   const auto estimate_of = [&](const TargetView& target) {
     return target.capacity().Estimate(
-        size, model, this->KindOf(target.record()), pace, this->now);
+        size, this->CachedTokensAt(target, expectation, pace), model,
+        this->KindOf(target.record()), pace, this->now);
   };
   TargetView* target = ChooseFromSample(
       candidates, StableHash(request.arrival.caller_request_id.value()),
+      expectation.preferred,
       [&](const TargetView& view) -> std::optional<EstimatedCost> {
         if (!this->CanAccept(view, request)) {
           return std::nullopt;
@@ -87,12 +96,72 @@
   return target;
 }
 
+// Finds the target that all hosts agree on for the shared part, and the one
+// where the most tokens are expected.
+EntryCore::PromptExpectation EntryCore::ExpectPrompt(
+    const OpenRequest& request,
+    const Candidates& candidates,
+    const ServicePace& pace) const {
+  PromptExpectation expectation{
+      .prompt =
+          ChainParts(request.queue_key.model, request.arrival.prompt_parts)};
+  if (expectation.prompt.empty() || candidates.size() < 2) {
+    return expectation;
+  }
+  const std::uint64_t shared_key = SharedKey(expectation.prompt);
+  if (shared_key != 0 && !this->IsOnlyHost()) {
+    const std::string key = std::to_string(shared_key);
+    expectation.agreed =
+        std::ranges::max(candidates, {}, [&](const TargetView* target) {
+          return RendezvousWeight(key, target->record().id.value());
+        });
+  }
+  double most = 0;
+  for (TargetView* target : candidates) {
+    const double cached = this->CachedTokensAt(*target, expectation, pace);
+    if (cached > most) {
+      most = cached;
+      expectation.preferred = target;
+    }
+  }
+  return expectation;
+}
+
+double EntryCore::CachedTokensAt(const TargetView& target,
+                                 const PromptExpectation& expectation,
+                                 const ServicePace& pace) const {
+  if (expectation.prompt.empty()) {
+    return 0;
+  }
+  const TargetKind kind = this->KindOf(target.record());
+  const double known =
+      target.capacity().CachedTokens(expectation.prompt, kind, pace, this->now);
+  const bool is_agreed = expectation.agreed == &target;
+  return is_agreed && kind.memory_tokens > 0
+             ? std::max(known,
+                        kAgreedProbability * expectation.prompt.front().tokens)
+             : known;
+}
+
 void EntryCore::RecordLoad(TargetView& target, const TargetLoad& load) {
   const TargetRecord& record = target.record();
   target.capacity().OnReport(load, this->KindOf(record),
                              this->service_paces[record.service], this->now);
 }
 
+void EntryCore::RecordStart(const OpenRequest& request,
+                            const ResponseStarted& started,
+                            TargetView& target) {
+  const TargetRecord& record = target.record();
+  target.capacity().OnStart(
+      request.size,
+      ChainParts(request.queue_key.model, request.arrival.prompt_parts),
+      this->KindOf(record), this->service_paces[record.service], this->now);
+  if (started.load) {
+    this->RecordLoad(target, *started.load);
+  }
+}
+
 // The load in an AttemptEnded is that of the response's head. It is new only if
 // there was no ResponseStarted.
 void EntryCore::RecordRun(const OpenRequest& request,
@@ -129,6 +198,7 @@
   return {
       {"estimated_first_token_ms", estimate.first_token},
       {"estimated_interval_ms", estimate.event_interval},
+      {"cached_tokens", std::lround(estimate.cached_tokens)},
       {"slots_used_percent", std::lround(kPercent * estimate.slots_used)},
       {"memory_used_percent", std::lround(kPercent * estimate.memory_used)}};
 }
--- a/entry/tests/target_estimate_test.cc
+++ b/entry/tests/target_estimate_test.cc
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE target_estimate
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <set>
 #include <string>
 
+#include "cicadaloft/core/rendezvous.h"
 #include "entry_fixture.h"
 
 namespace cicadaloft {
@@ -30,12 +32,40 @@
     Configuration configuration = MakeConfiguration(2)->value();
     configuration.routes.at(2).is_stream = true;
     configuration.routes.at(2).event_interval_objective = milliseconds(200);
+    configuration.services.at(1).engine->memory_tokens = 60'000;
     configuration.customers.at(0).rate_per_second = 0;
     this->Feed(ConfigurationChanged{
         .configuration =
             std::make_shared<const ActiveConfiguration>(configuration)});
   }
 
+  /// Runs one stream with this shared part and a part of its own, at targets of
+  /// the same speed.
+  std::string RunPrompt(std::uint64_t shared) {
+    this->effects.clear();
+    const RequestId id("p" + std::to_string(++this->request_count));
+    this->Feed(RequestArrived{
+        .request = id,
+        .caller_request_id = id,
+        .credential = "key",
+        .destination = ByHostAndPath{.host = "h", .path = "/chat/x"},
+        .model = kModel,
+        .prompt_tokens = 3000,
+        .prompt_parts = {{.hash = shared, .tokens = 2000},
+                         {.hash = StableHash(id.value()), .tokens = 1000}},
+        .timeout = seconds(4)});
+    const auto dispatches = this->EffectsOf<Dispatch>();
+    BOOST_REQUIRE(dispatches.size() == 1);
+    this->Begin(dispatches.at(0), {.slots = kSlots, .work_time_percent = 100});
+    this->now += milliseconds(500);
+    this->Feed(AttemptEnded{.request = dispatches.at(0).request,
+                            .attempt = dispatches.at(0).attempt,
+                            .outcome = AttemptOutcome::kCompleted,
+                            .http_status = 200,
+                            .response_events = 11});
+    return dispatches.at(0).target.value();
+  }
+
   /// @return the target of a new request; empty if it waits.
   std::string Send() {
     this->effects.clear();
@@ -138,6 +168,36 @@
   BOOST_TEST(to_first > 0);
 }
 
+// Guards against prompts that are prefilled although a target has kept their
+// first part.
+BOOST_FIXTURE_TEST_CASE(RequestsGoWhereTheirPromptIsKept, TwoTargets) {
+  this->RunPrompt(1);
+  const std::string target = this->RunPrompt(1);
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(this->RunPrompt(1) == target);
+  }
+}
+
+// Guards against hosts that each have another target compute a shared part.
+BOOST_AUTO_TEST_CASE(HostsAgreeOnTheTargetOfASharedPart) {
+  std::set<std::string> agreed;
+  for (std::uint64_t shared = 1; shared < 20; ++shared) {
+    std::set<std::string> chosen;
+    for (int host = 0; host < 8; ++host) {
+      TwoTargets entry;
+      // Another request, with another draw, on each host.
+      entry.request_count = 10 * host;
+      entry.Feed(SharesChanged{.host_count = 86, .default_share = 1});
+      entry.RunPrompt(1000);
+      entry.RunFor(seconds(30));
+      chosen.insert(entry.RunPrompt(shared));
+    }
+    BOOST_TEST(chosen.size() == 1U);
+    agreed.insert(*chosen.begin());
+  }
+  BOOST_TEST(agreed.size() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(EstimateIsLogged, TwoTargets) {
   this->RunStream(milliseconds(40), milliseconds(40));
   this->Send();
--- a/routing/estimated_cost.cc
+++ b/routing/estimated_cost.cc
@@ -25,13 +25,12 @@
                      bool is_remote) {
   const double used = std::max(estimate.slots_used, estimate.memory_used) +
                       (is_remote ? kRemoteDataCentrePenalty : 0);
-  const std::chrono::duration<double, std::milli> completion =
-      estimate.completion;
+  const std::chrono::duration<double, std::milli> time =
+      estimate.completion + estimate.delay_of_others;
   return EstimatedCost{
       .exceeds_interval = interval_objective > Duration::zero() &&
                           estimate.event_interval > interval_objective,
-      .milliseconds =
-          completion.count() / std::max(kMinFreeFraction, kFull - used)};
+      .milliseconds = time.count() / std::max(kMinFreeFraction, kFull - used)};
 }
 
 bool IsOccupied(const TargetEstimate& estimate) {
--- a/routing/include/cicadaloft/routing/sampled_choice.h
+++ b/routing/include/cicadaloft/routing/sampled_choice.h
@@ -41,15 +41,19 @@
   std::size_t second;
 };
 
-/// Selects the candidate with the lower cost of the first two that are
-/// available and keep the interval objective; if none keeps it, the lowest of
-/// all. Hosts that compare all candidates on old reports choose the same one.
+/// Selects the candidate with the lowest cost of `preferred` and the first two
+/// others that are available and keep the interval objective; if none keeps it,
+/// the lowest of all. Hosts that compare all candidates on old reports choose
+/// the same one.
+/// @param preferred one of the candidates, which is always compared; null:
+/// none.
 /// @param cost_of returns an `std::optional<EstimatedCost>`, which is empty if
 /// the candidate is not available.
 /// @return null if none is available.
 template <typename Candidate, typename CostFunction>
 Candidate* ChooseFromSample(const std::vector<Candidate*>& candidates,
                             std::uint64_t draw,
+                            Candidate* preferred,
                             CostFunction cost_of) {
   constexpr std::size_t kCompared = 2;
   Candidate* best = nullptr;
@@ -57,26 +61,27 @@
   if (candidates.empty()) {
     return best;
   }
+  // @return whether the candidate counts as one of those compared.
+  const auto compare = [&](Candidate* candidate) {
+    const std::optional<EstimatedCost> cost = cost_of(*candidate);
+    if (cost && (!best_cost || *cost < *best_cost)) {
+      best = candidate;
+      best_cost = cost;
+    }
+    return cost && !cost->exceeds_interval;
+  };
+  if (preferred != nullptr) {
+    compare(preferred);
+  }
   const SampleOrder order(draw, candidates.size());
   const Candidate* previous = nullptr;
   std::size_t compared = 0;
   for (std::size_t i = 0; i < order.size() && compared < kCompared; ++i) {
     Candidate* candidate = candidates[order.IndexAt(i)];
-    if (candidate == previous) {
-      continue;
-    }
-    const std::optional<EstimatedCost> cost = cost_of(*candidate);
-    if (!cost) {
-      continue;
-    }
-    if (!cost->exceeds_interval) {
+    if (candidate != previous && compare(candidate)) {
       ++compared;
       previous = candidate;
     }
-    if (!best_cost || *cost < *best_cost) {
-      best = candidate;
-      best_cost = cost;
-    }
   }
   return best;
 }
--- a/routing/include/cicadaloft/routing/target_capacity.h
+++ b/routing/include/cicadaloft/routing/target_capacity.h
@@ -9,6 +9,8 @@
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/routing/completed_run.h"
 #include "cicadaloft/routing/decayed_mean.h"
+#include "cicadaloft/routing/prompt_cache.h"
+#include "cicadaloft/routing/prompt_chain.h"
 #include "cicadaloft/routing/request_size.h"
 #include "cicadaloft/routing/service_pace.h"
 #include "cicadaloft/routing/target_estimate.h"
@@ -30,8 +32,12 @@
  public:
   /// A request was sent.
   void OnDispatch(const RequestSize& size);
-  /// The response to a request has begun.
-  void OnStart(const RequestSize& size);
+  /// The response to a request has begun, so its prompt is in memory.
+  void OnStart(const RequestSize& size,
+               const PromptChain& prompt,
+               const TargetKind& kind,
+               const ServicePace& pace,
+               TimePoint now);
   /// A request has ended, whether its response had begun or not.
   void OnEnd(const RequestSize& size, bool has_started);
   /// The target has stated its load just now.
@@ -55,7 +61,15 @@
   /// @return how much longer work takes here than on an average target, as a
   /// factor.
   double Slowness(const ServicePace& pace, TimePoint now) const;
+  /// @return tokens of the prompt that the target is likely to have kept, by
+  /// what this host has sent there; 0 if its memory isn't stated.
+  double CachedTokens(const PromptChain& prompt,
+                      const TargetKind& kind,
+                      const ServicePace& pace,
+                      TimePoint now) const;
+  /// @param cached_tokens of the prompt, which are not prefilled.
   TargetEstimate Estimate(const RequestSize& size,
+                          double cached_tokens,
                           const std::optional<ModelId>& model,
                           const TargetKind& kind,
                           const ServicePace& pace,
@@ -77,6 +91,12 @@
                         const ServicePace& pace,
                         TimePoint now) const;
 
+  void EndPrefill(const RequestSize& size);
+  /// @return tokens that all hosts have written at the target so far.
+  double WrittenTokens(const TargetKind& kind,
+                       const ServicePace& pace,
+                       TimePoint now) const;
+
   bool is_stated = false;
   DecayedMean relative_time{kSpeedHalfLife};
   DecayedMean work_time_percent{kWorkTimeHalfLife};
@@ -88,6 +108,9 @@
   double other_requests = 0;     ///< By the last report.
   double waiting = 0;            ///< By the last report.
   TimePoint reported_at{};
+  PromptCache prompts;
+  double written_tokens = 0;  ///< Up to `written_at`.
+  TimePoint written_at{};
 };
 
 }  // namespace cicadaloft
--- a/routing/target_capacity.cc
+++ b/routing/target_capacity.cc
@@ -41,14 +41,53 @@
   this->own_prompt_tokens += size.prompt_tokens;
 }
 
-void TargetCapacity::OnStart(const RequestSize& size) {
+void TargetCapacity::EndPrefill(const RequestSize& size) {
   this->own_prompt_tokens =
       std::max(0.0, this->own_prompt_tokens - size.prompt_tokens);
 }
 
+void TargetCapacity::OnStart(const RequestSize& size,
+                             const PromptChain& prompt,
+                             const TargetKind& kind,
+                             const ServicePace& pace,
+                             TimePoint now) {
+  this->EndPrefill(size);
+  const double kept = this->CachedTokens(prompt, kind, pace, now);
+  this->written_tokens = this->WrittenTokens(kind, pace, now) +
+                         std::max(0.0, size.tokens() - kept);
+  this->written_at = now;
+  this->prompts.OnUse(prompt, this->written_tokens);
+}
+
+double TargetCapacity::WrittenTokens(const TargetKind& kind,
+                                     const ServicePace& pace,
+                                     TimePoint now) const {
+  if (this->written_at == TimePoint{}) {
+    return 0;
+  }
+  const std::chrono::duration<double, std::milli> elapsed =
+      now - this->written_at;
+  const double others =
+      std::max(0.0, this->Load(kind, pace, now) - this->own_requests);
+  return this->written_tokens + others * pace.MeanTokens(now) *
+                                    elapsed.count() / pace.MeanRunTime(now);
+}
+
+double TargetCapacity::CachedTokens(const PromptChain& prompt,
+                                    const TargetKind& kind,
+                                    const ServicePace& pace,
+                                    TimePoint now) const {
+  const double free =
+      kind.memory_tokens -
+      this->TokensInMemory(this->Load(kind, pace, now), pace, now);
+  return free <= 0 ? 0
+                   : this->prompts.CachedTokens(
+                         prompt, this->WrittenTokens(kind, pace, now), free);
+}
+
 void TargetCapacity::OnEnd(const RequestSize& size, bool has_started) {
   if (!has_started) {
-    this->OnStart(size);
+    this->EndPrefill(size);
   }
   this->own_requests -= this->own_requests > 0 ? 1 : 0;
   // Sums of doubles that are added and removed don't return to 0 exactly.
@@ -126,6 +165,7 @@
 }
 
 TargetEstimate TargetCapacity::Estimate(const RequestSize& size,
+                                        double cached_tokens,
                                         const std::optional<ModelId>& model,
                                         const TargetKind& kind,
                                         const ServicePace& pace,
@@ -137,9 +177,12 @@
   const double waiting_tokens =
       this->waiting * DecayFactor(now - this->reported_at, kReportHalfLife) *
       pace.MeanPromptTokens(now);
+  const double cached = std::min(cached_tokens, size.prompt_tokens);
+  const double own_prefill_ms =
+      (size.prompt_tokens - cached) / kPrefillTokensPerMs * slowness;
   const double prefill_ms =
-      (size.prompt_tokens + std::max(this->own_prompt_tokens, waiting_tokens)) /
-      kPrefillTokensPerMs * slowness;
+      own_prefill_ms + std::max(this->own_prompt_tokens, waiting_tokens) /
+                           kPrefillTokensPerMs * slowness;
   // One of the slots becomes free in each such part of a run.
   const double slot_wait_ms =
       std::max(0.0, load + 1 - slots) / slots * pace.MeanRunTime(now) * factor;
@@ -153,10 +196,13 @@
           memory > 0
               ? (this->TokensInMemory(load, pace, now) + size.tokens()) / memory
               : 0,
+      .cached_tokens = cached,
       .first_token = FromMilliseconds(first_token_ms),
       .event_interval = FromMilliseconds(interval_ms),
       .completion =
-          FromMilliseconds(first_token_ms + size.events * interval_ms)};
+          FromMilliseconds(first_token_ms + size.events * interval_ms),
+      .delay_of_others =
+          FromMilliseconds(std::min(load, slots) * own_prefill_ms)};
 }
 
 }  // namespace cicadaloft
--- a/routing/tests/herding_test.cc
+++ b/routing/tests/herding_test.cc
@@ -168,12 +168,13 @@
                            [](TargetCapacity& target) { return &target; });
     const auto cost_of = [&](const TargetCapacity& target) {
       return std::optional(
-          CostOf(target.Estimate(kSize, kModel, kKind, host.pace, this->now),
+          CostOf(target.Estimate(kSize, 0, kModel, kKind, host.pace, this->now),
                  Duration::zero(), false));
     };
+    TargetCapacity* none = nullptr;
     const TargetCapacity* chosen =
         this->is_sampled
-            ? ChooseFromSample(candidates, this->random(), cost_of)
+            ? ChooseFromSample(candidates, this->random(), none, cost_of)
             : *std::ranges::min_element(candidates, {},
                                         [&](const TargetCapacity* target) {
                                           return cost_of(*target)->milliseconds;
@@ -256,8 +257,9 @@
   std::vector<std::optional<EstimatedCost>*> candidates;
   std::ranges::transform(costs, std::back_inserter(candidates),
                          [](auto& cost) { return &cost; });
+  std::optional<EstimatedCost>* preferred = nullptr;
   const auto choose = [&](std::uint64_t draw) {
-    return ChooseFromSample(candidates, draw,
+    return ChooseFromSample(candidates, draw, preferred,
                             [](const auto& cost) { return cost; });
   };
   for (std::uint64_t draw = 0; draw < 100; ++draw) {
@@ -269,6 +271,10 @@
     BOOST_TEST((choose(draw) == &costs[1]));
     costs[2] = kCheap;
     BOOST_TEST((choose(draw) == &costs[2]));
+    costs = {kDear, kDear, kCheap, kDear, kDear};
+    preferred = &costs[2];
+    BOOST_TEST((choose(draw) == &costs[2]));
+    preferred = nullptr;
   }
   candidates.clear();
   BOOST_TEST((choose(7) == nullptr));
--- a/routing/tests/target_capacity_test.cc
+++ b/routing/tests/target_capacity_test.cc
@@ -58,7 +58,7 @@
 
   TargetEstimate Estimate(const TargetCapacity& target,
                           const RequestSize& size = kSize) const {
-    return target.Estimate(size, kSmall, kKind, this->pace, this->now);
+    return target.Estimate(size, 0, kSmall, kKind, this->pace, this->now);
   }
   double Cost(const TargetCapacity& target) const {
     return CostOf(this->Estimate(target), Duration::zero(), false).milliseconds;
@@ -102,7 +102,7 @@
   BOOST_TEST(this->two.Slowness(this->pace, this->now) < 1.2);
   BOOST_TEST(this->two.Slowness(this->pace, this->now) > 0.8);
   const auto large =
-      this->two.Estimate(kSize, kLarge, kKind, this->pace, this->now);
+      this->two.Estimate(kSize, 0, kLarge, kKind, this->pace, this->now);
   BOOST_TEST(
       (large.event_interval > 3 * this->Estimate(this->two).event_interval));
 }
@@ -158,7 +158,7 @@
   }
   BOOST_TEST(this->one.Load(kKind, this->pace, this->now) == before + 3);
   const Duration busy = this->Estimate(this->one).first_token;
-  this->one.OnStart(kSize);
+  this->one.OnStart(kSize, {}, kKind, this->pace, this->now);
   BOOST_TEST((this->Estimate(this->one).first_token < busy));
   this->one.OnEnd(kSize, true);
   this->one.OnEnd(kSize, false);
@@ -179,7 +179,7 @@
   BOOST_TEST(estimate.slots_used < 0.5);
   BOOST_TEST(IsOccupied(estimate));
   BOOST_TEST(!IsOccupied(this->one.Estimate(
-      kSize, kSmall, TargetKind{.slots = 16}, this->pace, this->now)));
+      kSize, 0, kSmall, TargetKind{.slots = 16}, this->pace, this->now)));
 }
 
 BOOST_FIXTURE_TEST_CASE(FullSlotsMeanAWaitForTheFirstToken, Targets) {
