Measure estimates against runs, and bound the wait for a slot

Nothing showed how far the estimates are off. RunMeasured gives the metrics of first token, event interval and cached prompt tokens, estimated and actual. A request is held back for a free slot for at most half of the time for which it may wait, since a host that stops would otherwise refuse it; and which targets are available is looked at before the prompt, as a waiting request is tried at each event. The control tests' simulation ignores the new effect.

--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -279,6 +279,7 @@
     this->refusals.insert_or_assign(refusal.request, refusal.error.kind);
   }
   void ExecuteEntryEffect(Host&, const CancelAttempt&) {}
+  void ExecuteEntryEffect(Host&, const RunMeasured&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
   template <typename Message>
   void ExecuteEntryEffect(Host& host, const Message& message) {
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -242,7 +242,7 @@
   const ServicePace* pace = this->EstimatedPace(record.service);
   const double load =
       pace != nullptr && target.capacity().IsStated()
-          ? target.capacity().Load(this->KindOf(record), *pace, this->now)
+          ? target.capacity().Load({.slots = record.slots}, *pace, this->now)
           : target.EstimatedLoad(this->now);
   return load >= record.slots * kMaxLoadPerSlot;
 }
--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,9 +24,19 @@
 /// A host of many sees only a small part of what the others send there.
 constexpr double kAgreedProbability = 0.5;
 
+/// The same, as a fraction of the time for which the request may wait at all.
+constexpr double kMaxWaitFraction = 0.5;
+
 constexpr int kSuccess = 200;
 constexpr int kRedirection = 300;
 
+TimePoint SlotWaitEnd(const OpenRequest& request) {
+  const auto wait = std::min<std::chrono::duration<double, Duration::period>>(
+      request.route->latency_objective * kSlotWaitFraction,
+      (request.wait_deadline - request.arrived_at) * kMaxWaitFraction);
+  return request.arrived_at + std::chrono::duration_cast<Duration>(wait);
+}
+
 }  // namespace
 
 const ServicePace* EntryCore::EstimatedPace(const ServiceId& service) const {
@@ -66,33 +77,38 @@
                                         const ServicePace& pace) {
   const RequestSize size = this->SizeOf(request);
   const std::optional<ModelId> model = StatedSizeOf(request).model;
-  const auto slot_wait = std::chrono::duration_cast<Duration>(
-      request.route->latency_objective * kSlotWaitFraction);
-  const bool needs_free_slot =
-      model && this->now < request.arrived_at + slot_wait;
+  const bool needs_free_slot = model && this->now < SlotWaitEnd(request);
+  const auto estimate_of = [&](const TargetView& target, double cached) {
+    return target.capacity().Estimate(
+        size, cached, model, this->KindOf(target.record()), pace, this->now);
+  };
+  const auto is_available = [&](const TargetView* target) {
+    return this->CanAccept(*target, request) &&
+           !(needs_free_slot && IsOccupied(estimate_of(*target, 0)));
+  };
+  // Most requests that wait find no target, so this is looked at first.
+  Candidates available;
+  std::ranges::copy_if(candidates, std::back_inserter(available), is_available);
+  if (available.empty()) {
+    return nullptr;
+  }
   const PromptExpectation expectation =
       this->ExpectPrompt(request, candidates, pace);
-  const auto estimate_of = [&](const TargetView& target) {
-    return target.capacity().Estimate(
-        size, this->CachedTokensAt(target, expectation, pace), model,
-        this->KindOf(target.record()), pace, this->now);
+  const auto full_estimate_of = [&](const TargetView& target) {
+    return estimate_of(target, this->CachedTokensAt(target, expectation, pace));
   };
+  TargetView* preferred =
+      std::ranges::find(available, expectation.preferred) == available.end()
+          ? nullptr
+          : expectation.preferred;
   TargetView* target = ChooseFromSample(
-      candidates, StableHash(request.arrival.caller_request_id.value()),
-      expectation.preferred,
-      [&](const TargetView& view) -> std::optional<EstimatedCost> {
-        if (!this->CanAccept(view, request)) {
-          return std::nullopt;
-        }
-        const TargetEstimate estimate = estimate_of(view);
-        if (needs_free_slot && IsOccupied(estimate)) {
-          return std::nullopt;
-        }
-        return CostOf(estimate, request.route->event_interval_objective,
-                      view.record().data_centre != this->settings.data_centre);
+      available, StableHash(request.arrival.caller_request_id.value()),
+      preferred, [&](const TargetView& view) {
+        return std::optional(CostOf(
+            full_estimate_of(view), request.route->event_interval_objective,
+            view.record().data_centre != this->settings.data_centre));
       });
-  request.estimate =
-      target == nullptr ? TargetEstimate() : estimate_of(*target);
+  request.estimate = full_estimate_of(*target);
   return target;
 }
 
@@ -105,7 +121,7 @@
   PromptExpectation expectation{
       .prompt =
           ChainParts(request.queue_key.model, request.arrival.prompt_parts)};
-  if (expectation.prompt.empty() || candidates.size() < 2) {
+  if (expectation.prompt.empty()) {
     return expectation;
   }
   const std::uint64_t shared_key = SharedKey(expectation.prompt);
@@ -179,22 +195,31 @@
       this->EstimatedPace(record.service) == nullptr) {
     return;
   }
-  target.capacity().OnRun(
-      CompletedRun{
-          .stated = StatedSizeOf(request),
-          .events = ended.response_events,
-          .first_token = request.response_started_at - request.dispatched_at,
-          .streamed = this->now - request.response_started_at},
-      this->KindOf(record), this->service_paces[record.service], this->now);
+  const CompletedRun run{
+      .stated = StatedSizeOf(request),
+      .events = ended.response_events,
+      .first_token = request.response_started_at - request.dispatched_at,
+      .streamed = this->now - request.response_started_at};
+  target.capacity().OnRun(run, this->KindOf(record),
+                          this->service_paces[record.service], this->now);
+  if (request.estimate) {
+    this->effects.emplace_back(
+        RunMeasured{.estimated_first_token = request.estimate->first_token,
+                    .first_token = run.first_token,
+                    .estimated_interval = request.estimate->event_interval,
+                    .interval = run.EventInterval(),
+                    .estimated_cached_tokens = request.estimate->cached_tokens,
+                    .prompt_tokens = request.size.prompt_tokens});
+  }
 }
 
 std::vector<LogField> EntryCore::EstimateFields(
     const OpenRequest& request) const {
-  if (this->EstimatedPace(request.queue_key.service) == nullptr) {
+  if (!request.estimate) {
     return {};
   }
   constexpr double kPercent = 100;
-  const TargetEstimate& estimate = request.estimate;
+  const TargetEstimate& estimate = *request.estimate;
   return {
       {"estimated_first_token_ms", estimate.first_token},
       {"estimated_interval_ms", estimate.event_interval},
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -302,6 +302,19 @@
   friend bool operator==(const UsageReport&, const UsageReport&) = default;
 };
 
+/// A run for which there was an estimate is complete.
+struct RunMeasured {
+  const Duration estimated_first_token{};  ///< From the dispatch.
+  const Duration first_token{};
+  const Duration estimated_interval{};  ///< Between two events.
+  const Duration interval{};            ///< Mean.
+  const double estimated_cached_tokens = 0;
+  const double prompt_tokens = 0;
+
+  friend auto operator<=>(const RunMeasured&, const RunMeasured&) = default;
+  friend bool operator==(const RunMeasured&, const RunMeasured&) = default;
+};
+
 using EntryEffect = std::variant<Dispatch,
                                  CancelAttempt,
                                  Refuse,
@@ -313,6 +326,7 @@
                                  PoisonRefutation,
                                  TargetLeavingReport,
                                  QuotaHistory,
+                                 RunMeasured,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -51,8 +51,8 @@
   std::uint32_t delivery_count = 0;
   TargetId target;  ///< Of the running attempt.
   TimePoint dispatched_at{};
-  RequestSize size;         ///< As it was expected at the dispatch.
-  TargetEstimate estimate;  ///< All 0 if there was none.
+  RequestSize size;  ///< As it was expected at the dispatch.
+  std::optional<TargetEstimate> estimate;  ///< Of the running attempt.
   TargetInstance instance;
   /// Targets that have failed to serve it, and until when it is not sent to
   /// them.
--- a/entry/tests/target_estimate_test.cc
+++ b/entry/tests/target_estimate_test.cc
@@ -126,6 +126,25 @@
   BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
 }
 
+// Guards against requests that wait for a free slot until they are refused.
+BOOST_FIXTURE_TEST_CASE(StoppingHostHoldsNoRequestBackUntilItsEnd, TwoTargets) {
+  Configuration configuration = MakeConfiguration(3)->value();
+  configuration.routes.at(2).latency_objective = seconds(8);
+  configuration.customers.at(0).rate_per_second = 0;
+  this->Feed(ConfigurationChanged{
+      .configuration =
+          std::make_shared<const ActiveConfiguration>(configuration)});
+  this->Send();
+  this->Begin(this->EffectsOf<Dispatch>().at(0),
+              {.running = 1, .slots = kSlots, .work_time_percent = 100});
+  while (!this->Send().empty()) {
+  }
+  this->Feed(EntryStopRequested{.grace_period = seconds(1)});
+  this->RunFor(milliseconds(600));
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
+  BOOST_TEST(this->EffectsOf<Refuse>().empty());
+}
+
 // Guards against a change for deployments whose targets don't state it.
 BOOST_FIXTURE_TEST_CASE(TargetsWithoutWorkTimeAreChosenByTheirLoad,
                         TwoTargets) {
@@ -198,6 +217,20 @@
   BOOST_TEST(agreed.size() == 2U);
 }
 
+// Guards against an estimate whose errors nobody sees.
+BOOST_FIXTURE_TEST_CASE(EstimateIsMeasuredAgainstTheRun, TwoTargets) {
+  for (int i = 0; i < 20; ++i) {
+    this->RunStream(milliseconds(40), milliseconds(40));
+  }
+  const auto runs = this->EffectsOf<RunMeasured>();
+  BOOST_REQUIRE(runs.size() == 1);
+  BOOST_TEST((runs[0].first_token == milliseconds(40)));
+  BOOST_TEST((runs[0].interval == milliseconds(40)));
+  BOOST_TEST((runs[0].estimated_first_token > Duration::zero()));
+  BOOST_TEST((runs[0].estimated_interval > milliseconds(30)));
+  BOOST_TEST((runs[0].estimated_interval < milliseconds(50)));
+}
+
 BOOST_FIXTURE_TEST_CASE(EstimateIsLogged, TwoTargets) {
   this->RunStream(milliseconds(40), milliseconds(40));
   this->Send();
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -1,5 +1,8 @@
 #include "cicadaloft/forwarding/entry_metrics.h"
 
+#include <chrono>
+#include <cstdint>
+
 namespace cicadaloft {
 
 void EntryMetrics::CountDecision(const std::string& event) {
@@ -27,6 +30,32 @@
                         since_arrival);
 }
 
+void EntryMetrics::RecordRun(const RunMeasured& run) {
+  const auto observe = [this](const char* name, const char* what,
+                              Duration time) {
+    this->metrics.Observe(MetricKey{.name = name, .labels = {{"what", what}}},
+                          time);
+  };
+  const auto record = [&](const char* name, Duration estimated,
+                          Duration actual) {
+    observe(name, "estimated", estimated);
+    observe(name, "actual", actual);
+    observe(name, "error", std::chrono::abs(estimated - actual));
+  };
+  record("cicadaloft_entry_first_token_seconds", run.estimated_first_token,
+         run.first_token);
+  record("cicadaloft_entry_event_interval_seconds", run.estimated_interval,
+         run.interval);
+  const auto count = [this](const char* what, double tokens) {
+    this->metrics.AddToCounter(
+        MetricKey{.name = "cicadaloft_entry_prompt_tokens_total",
+                  .labels = {{"what", what}}},
+        static_cast<std::uint64_t>(tokens));
+  };
+  count("cached", run.estimated_cached_tokens);
+  count("all", run.prompt_tokens);
+}
+
 void EntryMetrics::CountDroppedMessage() {
   this->metrics.AddToCounter(
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -5,6 +5,7 @@
 
 #include "cicadaloft/core/error_kind.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/entry/messages.h"
 #include "cicadaloft/forwarding/admin_messages.h"
 #include "cicadaloft/telemetry/metrics.h"
 
@@ -19,6 +20,8 @@
   void RecordFirstByte(Duration since_arrival);
   /// @param since_arrival until the end of the response.
   void RecordResponse(int http_status, Duration since_arrival);
+  /// Records the estimate of a run beside what happened.
+  void RecordRun(const RunMeasured& run);
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
 
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -226,6 +226,7 @@
     this->NotifyControl(report);
   }
   void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
+  void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
   void NotifyControl(EntryNotification notification) {
     if (!TrySend(*this->mailboxes.notifications, std::move(notification))) {
