Learn no interval from a stream with a single event

The wait for its first token counted as a pause between events, so that a model or a target with short responses looked slow. The metrics leave such a stream's interval out as well.

--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -307,7 +307,8 @@
   const Duration estimated_first_token{};  ///< From the dispatch.
   const Duration first_token{};
   const Duration estimated_interval{};  ///< Between two events.
-  const Duration interval{};            ///< Mean.
+  /// Mean; none for a stream with a single event.
+  const std::optional<Duration> interval;
   const double estimated_cached_tokens = 0;
   const double prompt_tokens = 0;
 
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -44,8 +44,10 @@
   };
   record("cicadaloft_entry_first_token_seconds", run.estimated_first_token,
          run.first_token);
-  record("cicadaloft_entry_event_interval_seconds", run.estimated_interval,
-         run.interval);
+  if (run.interval) {
+    record("cicadaloft_entry_event_interval_seconds", run.estimated_interval,
+           *run.interval);
+  }
   const auto count = [this](const char* what, double tokens) {
     this->metrics.AddToCounter(
         MetricKey{.name = "cicadaloft_entry_prompt_tokens_total",
--- a/routing/include/cicadaloft/routing/completed_run.h
+++ b/routing/include/cicadaloft/routing/completed_run.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/routing/request_size.h"
@@ -16,12 +17,16 @@
   Duration first_token{};  ///< From the dispatch to the response's first byte.
   Duration streamed{};     ///< From the first byte to the last.
 
-  /// @return the mean time between events; the whole time if there was only
-  /// one.
-  Duration EventInterval() const {
-    return this->events > 1
-               ? this->streamed / static_cast<Duration::rep>(this->events - 1)
-               : this->first_token + this->streamed;
+  /// @return the mean time between events, or the whole time if the response
+  /// was no stream; none for a stream with a single event.
+  std::optional<Duration> EventInterval() const {
+    if (this->events == 0) {
+      return this->first_token + this->streamed;
+    }
+    return this->events == 1
+               ? std::nullopt
+               : std::optional(this->streamed /
+                               static_cast<Duration::rep>(this->events - 1));
   }
 
   friend auto operator<=>(const CompletedRun&, const CompletedRun&) = default;
--- a/routing/service_pace.cc
+++ b/routing/service_pace.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace cicadaloft {
 namespace {
@@ -54,7 +55,11 @@
           now);
     }
   }
-  const double interval = ToMilliseconds(run.EventInterval()) / slowness;
+  const std::optional<Duration> measured = run.EventInterval();
+  if (!measured) {
+    return;
+  }
+  const double interval = ToMilliseconds(*measured) / slowness;
   this->run_time_ms.Add(
       std::max(interval, ToMilliseconds(run.streamed) / slowness), now);
   this->interval_ms.Add(interval, now);
--- a/routing/target_capacity.cc
+++ b/routing/target_capacity.cc
@@ -1,6 +1,7 @@
 #include "cicadaloft/routing/target_capacity.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "cicadaloft/core/half_life.h"
 
@@ -130,9 +131,9 @@
       kUsualPercent;
   const auto usual = pace.EventInterval(run.stated.model, now);
   pace.OnRun(run, this->Slowness(pace, now) * batch, now);
-  if (usual && *usual > 0) {
-    const std::chrono::duration<double, std::milli> interval =
-        run.EventInterval();
+  const std::optional<Duration> measured = run.EventInterval();
+  if (measured && usual && *usual > 0) {
+    const std::chrono::duration<double, std::milli> interval = *measured;
     this->relative_time.Add(
         std::clamp(interval.count() / (*usual * batch * work_time), kMinFactor,
                    kMaxFactor),
--- a/routing/tests/target_capacity_test.cc
+++ b/routing/tests/target_capacity_test.cc
@@ -107,6 +107,25 @@
       (large.event_interval > 3 * this->Estimate(this->two).event_interval));
 }
 
+// Guards against the wait for a first token that counts as a pause between
+// events.
+BOOST_FIXTURE_TEST_CASE(StreamOfASingleEventHasNoInterval, Targets) {
+  this->RunOnBoth(milliseconds(40), milliseconds(40));
+  const TargetEstimate before = this->Estimate(this->one);
+  CompletedRun run = Run(kSmall, milliseconds(40));
+  run.events = 1;
+  run.first_token = seconds(3);
+  run.streamed = milliseconds(1);
+  for (int i = 0; i < 10; ++i) {
+    this->one.OnRun(run, kKind, this->pace, this->now);
+  }
+  BOOST_TEST(
+      (this->Estimate(this->one).event_interval == before.event_interval));
+  BOOST_TEST((!run.EventInterval()));
+  run.events = 0;
+  BOOST_TEST((run.EventInterval() == milliseconds(3001)));
+}
+
 // Guards against a target that never gets work again after a slow phase.
 BOOST_FIXTURE_TEST_CASE(SlownessIsForgotten, Targets) {
   this->RunOnBoth(milliseconds(30), milliseconds(90));
