--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -269,6 +269,7 @@
     this->refusals.insert_or_assign(refusal.request, refusal.error.kind);
   }
   void ExecuteEntryEffect(Host&, const CancelAttempt&) {}
+  void ExecuteEntryEffect(Host&, const RunMeasured&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
   void ExecuteEntryEffect(Host&, const WaitMeasured&) {}
   template <typename Message>
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -70,6 +70,10 @@
   if (target != this->targets.end() && started.load) {
     target->second.OnLoadReport(*started.load, this->now);
   }
+  if (target != this->targets.end() &&
+      target->second.record().instance == found->second.instance) {
+    this->RecordStart(found->second, started, target->second);
+  }
 }
 
 void EntryCore::Handle(const AttemptEnded& ended) {
@@ -113,6 +117,7 @@
   }
   TargetView& target = found->second;
   target.OnRequestEnd();
+  this->RecordRun(request, ended, target);
   this->RecordNotice(request, ended.notice);
   if (ended.load) {
     target.OnLoadReport(*ended.load, this->now);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -26,7 +26,10 @@
 #include "cicadaloft/poison/poison_guard.h"
 #include "cicadaloft/routing/lapsed_notices.h"
 #include "cicadaloft/routing/model_locations.h"
+#include "cicadaloft/routing/prompt_chain.h"
 #include "cicadaloft/routing/retry_budget.h"
+#include "cicadaloft/routing/service_pace.h"
+#include "cicadaloft/routing/target_capacity.h"
 #include "cicadaloft/routing/target_choice.h"
 #include "cicadaloft/routing/target_view.h"
 #include "cicadaloft/warmup/warmup_permits.h"
@@ -182,6 +185,9 @@
   void DispatchFromAllQueues();
   bool HasCapacity(const Candidates& candidates) const;
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
+  void LogDispatch(const OpenRequest& request,
+                   const TargetView& target,
+                   std::size_t candidate_count);
   TargetPreference PreferenceOf(const OpenRequest& request) const;
   Candidates CandidatesFor(const QueueKey& key);
   /// Adds a target with what its process has said before its entry was gone.
@@ -197,6 +203,38 @@
                         const Candidates& candidates);
   void LogWait(const OpenRequest& request);
 
+  // Estimates, for services whose targets state their work time.
+  struct PromptExpectation {
+    PromptChain prompt;
+    /// The target to which all hosts send the shared part, other things being
+    /// equal; null if there is no such part, or no other host.
+    const TargetView* agreed = nullptr;
+    /// Where the most tokens are expected in the cache; null: nowhere.
+    TargetView* preferred = nullptr;
+  };
+  PromptExpectation ExpectPrompt(const OpenRequest& request,
+                                 const Candidates& candidates,
+                                 const ServicePace& pace) const;
+  double CachedTokensAt(const TargetView& target,
+                        const PromptExpectation& expectation,
+                        const ServicePace& pace) const;
+  /// @return null if no estimate is used.
+  const ServicePace* EstimatedPace(const ServiceId& service) const;
+  TargetKind KindOf(const TargetRecord& record) const;
+  static StatedSize StatedSizeOf(const OpenRequest& request);
+  RequestSize SizeOf(const OpenRequest& request) const;
+  void RecordStart(const OpenRequest& request,
+                   const ResponseStarted& started,
+                   TargetView& target);
+  TargetView* ChooseByEstimate(OpenRequest& request,
+                               const Candidates& candidates,
+                               const ServicePace& pace);
+  void RecordLoad(TargetView& target, const TargetLoad& load);
+  void RecordRun(const OpenRequest& request,
+                 const AttemptEnded& ended,
+                 TargetView& target);
+  std::vector<LogField> EstimateFields(const OpenRequest& request) const;
+
   // Cold targets.
   bool NeedsWarmupPermit(const TargetView& target) const;
   void RequestWarmup(const QueueKey& key,
@@ -251,6 +289,7 @@
   std::map<TargetId, TargetView> targets;
   LapsedNotices lapsed_notices;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
+  std::map<ServiceId, ServicePace> service_paces;
   ModelLocations model_locations;
 
   SharesChanged shares;
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -115,6 +115,8 @@
   const AttemptOutcome outcome = AttemptOutcome::kCompleted;
   const int http_status = 0;  ///< Of the target's response; 0 if none.
   const std::uint64_t response_bytes = 0;  ///< Of the body, as it arrived.
+  /// Of an event stream; 0 if the response is none.
+  const std::uint64_t response_events = 0;
   const std::optional<TargetLoad> load;
   const TargetNotice notice;
 
@@ -337,6 +339,20 @@
   friend bool operator==(const UsageReport&, const UsageReport&) = default;
 };
 
+/// A run for which there was an estimate is complete.
+struct RunMeasured {
+  const Duration estimated_first_token{};  ///< From the dispatch.
+  const Duration first_token{};
+  const Duration estimated_interval{};  ///< Between two events.
+  /// Mean; none for a stream with a single event.
+  const std::optional<Duration> interval;
+  const double estimated_cached_tokens = 0;
+  const double prompt_tokens = 0;
+
+  friend auto operator<=>(const RunMeasured&, const RunMeasured&) = default;
+  friend bool operator==(const RunMeasured&, const RunMeasured&) = default;
+};
+
 using EntryEffect = std::variant<Dispatch,
                                  CancelAttempt,
                                  Refuse,
@@ -350,6 +366,7 @@
                                  QuotaHistory,
                                  RequestsStarted,
                                  WaitMeasured,
+                                 RunMeasured,
                                  DecisionRecord>;
 
 inline constexpr Duration kEntryTickInterval = std::chrono::milliseconds(10);
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -9,6 +9,8 @@
 
 #include "cicadaloft/admission/queue_place.h"
 #include "cicadaloft/entry/messages.h"
+#include "cicadaloft/routing/request_size.h"
+#include "cicadaloft/routing/target_estimate.h"
 
 namespace cicadaloft {
 
@@ -56,6 +58,9 @@
   /// Attempts that may have reached a target.
   std::uint32_t delivery_count = 0;
   TargetId target;  ///< Of the running attempt.
+  TimePoint dispatched_at{};
+  RequestSize size;  ///< As it was expected at the dispatch.
+  std::optional<TargetEstimate> estimate;  ///< Of the running attempt.
   TargetInstance instance;
   /// Targets that have failed to serve it, and until when it is not sent to
   /// them.
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -23,6 +23,8 @@
   /// @param since_arrival until the end of the response.
   void RecordResponse(int http_status, Duration since_arrival);
   void RecordWait(const WaitMeasured& wait);
+  /// Records the estimate of a run beside what happened.
+  void RecordRun(const RunMeasured& run);
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
   /// Counts a call of the store by this host.
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -240,6 +240,7 @@
   }
   void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
+  void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
   void NotifyControl(EntryNotification notification) {
     if (!TrySend(*this->mailboxes.notifications, std::move(notification))) {
