--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -35,14 +35,14 @@
   /// @param limit_window the window over which customers' limits hold.
   /// @param relay_interval at which the lease holder relays what it reads from
   /// the store.
+  /// @param usage_settings none if the platform wants no usage reports.
   /// @param orders_target_counts whether the lease holder orders the number of
   /// targets of services with `scaling`.
-  /// @param usage_settings none if the platform wants no usage reports.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
                Duration relay_interval = kDefaultRelayInterval,
-               bool orders_target_counts = false,
-               const std::optional<UsageSettings>& usage_settings = {});
+               const std::optional<UsageSettings>& usage_settings = {},
+               bool orders_target_counts = false);
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -269,7 +269,9 @@
     this->refusals.insert_or_assign(refusal.request, refusal.error.kind);
   }
   void ExecuteEntryEffect(Host&, const CancelAttempt&) {}
+  void ExecuteEntryEffect(Host&, const RunMeasured&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
+  void ExecuteEntryEffect(Host&, const WaitMeasured&) {}
   template <typename Message>
   void ExecuteEntryEffect(Host& host, const Message& message) {
     this->FeedControl(host, message);
--- a/control/tests/target_count_orders_test.cc
+++ b/control/tests/target_count_orders_test.cc
@@ -137,7 +137,7 @@
 std::size_t LoadReportsFor(bool orders_target_counts,
                            const std::vector<ServiceLoad>& loads) {
   ControlState state(LeaseSettings{.self = HostId("h")}, seconds(8),
-                     kDefaultRelayInterval, orders_target_counts);
+                     kDefaultRelayInterval, std::nullopt, orders_target_counts);
   const auto step =
       Decide(std::move(state), UsageReport{.service_loads = loads},
              TimePoint(seconds(1000)));
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -14,8 +14,10 @@
 
 #include "cicadaloft/admission/customer_share.h"
 #include "cicadaloft/admission/large_size_threshold.h"
+#include "cicadaloft/admission/queue_progress.h"
 #include "cicadaloft/admission/quota_charges.h"
 #include "cicadaloft/admission/rank_floors.h"
+#include "cicadaloft/admission/recent_maximum.h"
 #include "cicadaloft/admission/request_queue.h"
 #include "cicadaloft/admission/service_ranks.h"
 #include "cicadaloft/core/result.h"
@@ -24,7 +26,10 @@
 #include "cicadaloft/poison/poison_guard.h"
 #include "cicadaloft/routing/lapsed_notices.h"
 #include "cicadaloft/routing/model_locations.h"
+#include "cicadaloft/routing/prompt_chain.h"
 #include "cicadaloft/routing/retry_budget.h"
+#include "cicadaloft/routing/service_pace.h"
+#include "cicadaloft/routing/target_capacity.h"
 #include "cicadaloft/routing/target_choice.h"
 #include "cicadaloft/routing/target_view.h"
 #include "cicadaloft/warmup/warmup_permits.h"
@@ -75,12 +80,23 @@
   struct WaitQueue {
     RequestQueue<RequestId> requests;
     std::optional<TimePoint> model_requested_at;  ///< The last time.
+    QueueProgress progress;                       ///< Of ranked requests.
+    TimePoint estimated_at{};  ///< When waits were last estimated.
+  };
+  /// What estimates of the waits in a queue are based on.
+  struct EstimateBasis {
+    /// Targets serve the queue and no others are about to.
+    bool is_rate_known = false;
+    /// Of the load of the model, which no usable target has before.
+    std::optional<TimePoint> load_end;
   };
   /// A service whose requests are served by rank.
   struct RankedService {
     ServiceRanks ranks;
     RankFloors floors;
     std::map<RouteId, LargeSizeThreshold> large_sizes;
+    /// Times that callers state on their first arrival.
+    std::map<std::pair<RouteId, CustomerId>, RecentMaximum> usual_timeouts;
   };
 
   /// Why a request is not admitted.
@@ -143,8 +159,25 @@
   const RankFloors& FloorsOf(const ServiceId& service) const;
   /// @param contenders the ranks that waited in its queue before.
   void RecordServed(const OpenRequest& request,
+                    WaitQueue& queue,
                     const std::vector<RankContender>& contenders);
 
+  // Estimates of waits, in ranked services.
+  EstimateBasis EstimateBasisOf(const QueueKey& key,
+                                const Candidates& candidates) const;
+  /// @return a time that the request waits at least; none if it isn't known.
+  std::optional<Duration> MinWait(const OpenRequest& request,
+                                  const WaitQueue& queue,
+                                  const LinePosition& position,
+                                  const EstimateBasis& basis) const;
+  void UpdateEstimates(const QueueKey& key, const Candidates& candidates);
+  bool EstimateWait(OpenRequest& request);
+  static bool IsHopeless(const OpenRequest& request,
+                         const std::optional<Duration>& min_wait,
+                         TimePoint now);
+  void RefuseHopeless(OpenRequest& request, Duration min_wait);
+  Duration RankedRetryAfter(const OpenRequest& request, Duration min_wait);
+
   // Queues and dispatch.
   void Enqueue(const OpenRequest& request);
   void RemoveFromQueue(const OpenRequest& request);
@@ -152,6 +185,9 @@
   void DispatchFromAllQueues();
   bool HasCapacity(const Candidates& candidates) const;
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
+  void LogDispatch(const OpenRequest& request,
+                   const TargetView& target,
+                   std::size_t candidate_count);
   TargetPreference PreferenceOf(const OpenRequest& request) const;
   Candidates CandidatesFor(const QueueKey& key);
   /// Adds a target with what its process has said before its entry was gone.
@@ -167,6 +203,38 @@
                         const Candidates& candidates);
   void LogWait(const OpenRequest& request);
 
+  // Estimates, for services whose targets state their work time.
+  struct PromptExpectation {
+    PromptChain prompt;
+    /// The target to which all hosts send the shared part, other things being
+    /// equal; null if there is no such part, or no other host.
+    const TargetView* agreed = nullptr;
+    /// Where the most tokens are expected in the cache; null: nowhere.
+    TargetView* preferred = nullptr;
+  };
+  PromptExpectation ExpectPrompt(const OpenRequest& request,
+                                 const Candidates& candidates,
+                                 const ServicePace& pace) const;
+  double CachedTokensAt(const TargetView& target,
+                        const PromptExpectation& expectation,
+                        const ServicePace& pace) const;
+  /// @return null if no estimate is used.
+  const ServicePace* EstimatedPace(const ServiceId& service) const;
+  TargetKind KindOf(const TargetRecord& record) const;
+  static StatedSize StatedSizeOf(const OpenRequest& request);
+  RequestSize SizeOf(const OpenRequest& request) const;
+  void RecordStart(const OpenRequest& request,
+                   const ResponseStarted& started,
+                   TargetView& target);
+  TargetView* ChooseByEstimate(OpenRequest& request,
+                               const Candidates& candidates,
+                               const ServicePace& pace);
+  void RecordLoad(TargetView& target, const TargetLoad& load);
+  void RecordRun(const OpenRequest& request,
+                 const AttemptEnded& ended,
+                 TargetView& target);
+  std::vector<LogField> EstimateFields(const OpenRequest& request) const;
+
   // Cold targets.
   bool NeedsWarmupPermit(const TargetView& target) const;
   void RequestWarmup(const QueueKey& key,
@@ -221,6 +289,7 @@
   std::map<TargetId, TargetView> targets;
   LapsedNotices lapsed_notices;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
+  std::map<ServiceId, ServicePace> service_paces;
   ModelLocations model_locations;
 
   SharesChanged shares;
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -9,6 +9,8 @@
 
 #include "cicadaloft/admission/queue_place.h"
 #include "cicadaloft/entry/messages.h"
+#include "cicadaloft/routing/request_size.h"
+#include "cicadaloft/routing/target_estimate.h"
 
 namespace cicadaloft {
 
@@ -36,7 +38,11 @@
   QueueKey queue_key;
   /// None if its service isn't served by rank.
   std::optional<RankedPlace> ranked_place;
-  int urgency = 0;                ///< Sent to targets, with a ranked place.
+  int urgency = 0;  ///< Sent to targets, with a ranked place.
+  /// When it was queued, from what was served lately.
+  std::optional<Duration> expected_wait;
+  /// Refused since it can't be served in time.
+  bool is_hopeless = false;
   double cost = 1;                ///< In the customer's unit.
   TimePoint response_deadline{};  ///< For the complete response.
   TimePoint wait_deadline{};      ///< For the start of an attempt.
@@ -52,6 +58,9 @@
   /// Attempts that may have reached a target.
   std::uint32_t delivery_count = 0;
   TargetId target;  ///< Of the running attempt.
+  TimePoint dispatched_at{};
+  RequestSize size;  ///< As it was expected at the dispatch.
+  std::optional<TargetEstimate> estimate;  ///< Of the running attempt.
   TargetInstance instance;
   /// Targets that have failed to serve it, and until when it is not sent to
   /// them.
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -221,6 +221,8 @@
     this->effect_executor.Execute(refusal);
   }
 
+  void Execute(const WaitMeasured& wait) { this->metrics.RecordWait(wait); }
+
   // A message is dropped when the control task lags and its mailbox is full.
   // Requests to control are repeated as long as callers' requests wait.
   void Execute(const ModelLoadRequest& request) {
@@ -238,6 +240,7 @@
   }
   void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
+  void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
   void NotifyControl(EntryNotification notification) {
     if (!TrySend(*this->mailboxes.notifications, std::move(notification))) {
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/control/control_load_monitor.h"
 #include "cicadaloft/control/control_state.h"
@@ -63,8 +64,8 @@
         state(settings,
               limit_window,
               relay_interval,
-              duties && duties->scaling,
-              usage),
+              usage,
+              duties && duties->scaling),
         channels(std::move(channels)),
         lease_log(platform::StoreClient(this->executor,
                                         store,
@@ -211,6 +212,17 @@
     }
   }
 
+  void Execute(const StoreLoadLimitChanged& change) {
+    std::vector<GaugeSeries> series;
+    if (change.limit) {
+      series.push_back(
+          GaugeSeries{.value = static_cast<double>(*change.limit)});
+    }
+    Post(*this->channels.entry,
+         GaugeReplaced{.name = "cicadaloft_placement_store_load_limit",
+                       .series = std::move(series)});
+  }
+
   boost::asio::awaitable<void> SubmitTargetCount(OrderTargetCount order) {
     const DutyCallOutcome outcome =
         co_await this->duty_client->SubmitTargetCount(order);
