Move the settings of usage reports out of the host's runtime

Change: host/usage_duty decides from the settings whether usage is reported, and with which settings.

--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -36,6 +36,7 @@
 #include "control_task.h"
 #include "peer_links.h"
 #include "topic_feeds.h"
+#include "usage_duty.h"
 
 namespace cicadaloft {
 namespace {
@@ -123,22 +124,6 @@
   return limit;
 }
 
-bool ReportsUsage(const HostSettings& settings) {
-  return settings.duties && settings.duties->usage_reports;
-}
-
-std::optional<UsageSettings> MakeUsageSettings(const HostSettings& settings) {
-  if (!ReportsUsage(settings)) {
-    return std::nullopt;
-  }
-  return UsageSettings{
-      .host = settings.host,
-      .process = static_cast<std::uint64_t>(BootClock{}.UnixMilliseconds()),
-      .window = settings.duties->usage_window,
-      .delay = settings.duties->usage_delay,
-      .calls_per_second = settings.duties->calls_per_second};
-}
-
 using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
