Send orders of target counts shortly after their decision only

Cause: an order was valid until the end of the lease, so that one decided just before a release could leave up to a second after it, less than the handover delay before the successor's first call (found in review, by reading). Change: the bound of usage reports, 250 ms, holds for both calls. Result: target_count_orders_test checks the bound of each order; not run on the code before.

--- a/control/scaling_duties.cc
+++ b/control/scaling_duties.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -13,15 +14,16 @@
   auto step = Decide(std::move(this->scaling), event, this->now);
   this->scaling = std::move(step.state);
   for (const ScalingEffect& effect : step.effects) {
-    std::visit(Overloaded{[this](const OrderTargetCount& order) {
-                            OrderTargetCount bounded = order;
-                            bounded.valid_until = this->lease_valid_until;
-                            this->effects.emplace_back(std::move(bounded));
-                          },
-                          [this](const auto& other) {
-                            this->effects.emplace_back(other);
-                          }},
-               effect);
+    std::visit(
+        Overloaded{
+            [this](const OrderTargetCount& order) {
+              OrderTargetCount bounded = order;
+              bounded.valid_until = std::min(this->lease_valid_until,
+                                             this->now + kMaxDutySendDelay);
+              this->effects.emplace_back(std::move(bounded));
+            },
+            [this](const auto& other) { this->effects.emplace_back(other); }},
+        effect);
   }
 }
 
--- a/control/tests/target_count_orders_test.cc
+++ b/control/tests/target_count_orders_test.cc
@@ -46,6 +46,8 @@
     for (std::size_t i = 0; i < this->orders.size(); ++i) {
       const SentOrder& order = this->orders[i];
       BOOST_TEST((order.at < order.call.valid_until));
+      // A release may follow the decision at once.
+      BOOST_TEST((order.call.valid_until <= order.at + kMaxDutySendDelay));
       if (i == 0) {
         continue;
       }
--- a/duties/include/cicadaloft/duties/messages.h
+++ b/duties/include/cicadaloft/duties/messages.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_DUTIES_MESSAGES_H_
 #define CICADALOFT_DUTIES_MESSAGES_H_
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -27,6 +28,11 @@
                          const RequestsStarted&) = default;
 };
 
+/// How long a call may take until its first byte is sent. A successor counts
+/// its delay from this host's release of the lease, which may come right after
+/// the decision to call, and adds a margin of 300 ms.
+inline constexpr Duration kMaxDutySendDelay = std::chrono::milliseconds(250);
+
 /// How a call to the platform ended.
 enum class DutyCallOutcome {
   kAccepted,
--- a/usage/usage_reporter.cc
+++ b/usage/usage_reporter.cc
@@ -16,10 +16,6 @@
 /// The part of the calls that the platform accepts which reports may use; other
 /// duties share the rest.
 constexpr double kReportCallFraction = 0.5;
-/// How long a call may take until its first byte is sent. A successor counts
-/// its delay from this host's release of the lease, which may come right after
-/// the decision to call, and adds a margin of 300 ms.
-constexpr Duration kMaxSendDelay = std::chrono::milliseconds(250);
 
 const char* Text(DutyCallOutcome outcome) {
   switch (outcome) {
@@ -210,7 +206,8 @@
       .window_index = open->first,
       .counts = open->second.counts,
       .token = this->term->token,
-      .valid_until = std::min(this->term->valid_until, now + kMaxSendDelay)});
+      .valid_until =
+          std::min(this->term->valid_until, now + kMaxDutySendDelay)});
 }
 
 void UsageReporter::OnReportEnded(const UsageReportEnded& ended,
