Never order fewer targets than the minimum

Cause: a step up is counted from what runs, which may be below the minimum while targets boot or after a change of the holder (found in review). Change: steps up begin at the minimum.

--- a/scaling/scaling_plan.cc
+++ b/scaling/scaling_plan.cc
@@ -99,7 +99,8 @@
     if (wanted <= current) {
       continue;
     }
-    const std::uint32_t count = std::min(wanted, current + max_step);
+    const std::uint32_t count = std::max(service.scaling->min_targets,
+                                         std::min(wanted, current + max_step));
     if (count != zone.running && zone.ordered.MaySend(count, this->now)) {
       this->Order(service, data_centre, scaled, count, "up");
     }
--- a/scaling/tests/scaling_test.cc
+++ b/scaling/tests/scaling_test.cc
@@ -183,6 +183,17 @@
 }
 
 // Guards against orders for services whose operator wants none.
+// Guards against a holder that takes the number that runs for the ordered one
+// while targets boot or are lost, and so orders fewer than the minimum.
+BOOST_AUTO_TEST_CASE(OrdersUpBeginAtTheMinimum) {
+  SimulatedScaling simulation(30, 8);
+  simulation.RunFor(seconds(60));
+  BOOST_REQUIRE(!simulation.orders.empty());
+  for (const auto& order : simulation.orders) {
+    BOOST_TEST(order.call.count >= kBounds.min_targets);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ServiceWithoutScalingIsLeftAlone) {
   SimulatedScaling simulation(30, 20, std::nullopt);
   simulation.demand = [](Duration) { return 5000; };
