Relay on behind records that no message can carry, and repeat failed reads

Cause: with 196 subscribers or more a record of up to 4 KiB can exceed a message; nothing after it was relayed, and reads piled up. Failed reads of the store counted for the interval between reads, so that a host without relays repeated them after 1.05 s instead of its backoff (found in review). Change: such records are left out; only successful reads count.

--- a/relay/include/cicadaloft/relay/relayed_store.h
+++ b/relay/include/cicadaloft/relay/relayed_store.h
@@ -94,7 +94,11 @@
     const TimePoint sent_at = this->clock.Now();
     Result<LogReadOutcome> outcome =
         co_await this->store.Read(topic, from, wait);
-    this->reader.OnStoreCall(sent_at, this->clock.Now());
+    // A failed call is repeated after the follower's backoff, not after the
+    // interval between reads: changes would be known too late.
+    if (IsOk(outcome)) {
+      this->reader.OnStoreCall(sent_at, this->clock.Now());
+    }
     const auto* records =
         IsOk(outcome) ? std::get_if<LogRecords>(&ValueOf(outcome)) : nullptr;
     if (records != nullptr) {
--- a/relay/relay_publisher.cc
+++ b/relay/relay_publisher.cc
@@ -44,9 +44,9 @@
   for (const std::string& record : read.records) {
     item.topic.records.push_back(record);
     item.bytes += record.size();
-    const bool is_left_out = this->subscribed.empty() ||
-                             record.size() > kMaxRecordBytes ||
-                             item.bytes > max_bytes;
+    const bool is_left_out =
+        this->subscribed.empty() || record.size() > kMaxRecordBytes ||
+        record.size() > this->MaxMessageBytes() || item.bytes > max_bytes;
     if (is_left_out) {
       this->left_out +=
           this->subscribed.empty() ? 0 : item.topic.records.size();
@@ -64,6 +64,11 @@
 // @return the oldest records that fit into one message.
 RelayedTopic RelayPublisher::TakeMessage(Pending& item, std::size_t max_bytes) {
   RelayedTopic& topic = item.topic;
+  // The first record was accepted for fewer subscribers, and no message can
+  // carry it any more.
+  if (!topic.records.empty() && topic.records.front().size() > max_bytes) {
+    StartAt(item, topic.End());
+  }
   std::size_t bytes = 0;
   const auto end =
       std::ranges::find_if(topic.records, [&](const std::string& record) {
--- a/relay/tests/relay_test.cc
+++ b/relay/tests/relay_test.cc
@@ -166,6 +166,32 @@
   BOOST_TEST(publisher.TakeLeftOut() == 0U);
 }
 
+// Guards against a record that no message can carry, behind which nothing would
+// be relayed, and reads would pile up.
+BOOST_AUTO_TEST_CASE(RecordLargerThanAMessageIsLeftOut) {
+  for (const bool has_subscribed_before : {true, false}) {
+    RelayPublisher publisher;
+    const auto subscribe = [&](int count) {
+      for (int i = 0; i < count; ++i) {
+        publisher.OnRequest(
+            {.host = HostId("h" + std::to_string(i)), .number = 1}, kNow);
+      }
+    };
+    subscribe(has_subscribed_before ? 360 : 6);
+    publisher.OnRead(ReadOf(4, {std::string(3'000, 'r')}));
+    subscribe(360);
+    const auto relay = publisher.Publish(kInterval, kNow);
+    BOOST_REQUIRE(relay.has_value());
+    BOOST_TEST((relay->topics.at(0).from == LogOffset(5)));
+    BOOST_TEST(relay->topics.at(0).records.empty());
+    BOOST_TEST((relay->topics.at(0).complete_at == kNow.time_since_epoch()));
+    publisher.OnRead(ReadOf(5, {"5"}));
+    const auto next = publisher.Publish(kInterval, kNow + kInterval);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST((next->topics.at(0).records == Records{"5"}));
+  }
+}
+
 // After a new snapshot the records before it are unknown to the publisher.
 BOOST_AUTO_TEST_CASE(PublisherStartsAgainAfterSnapshot) {
   RelayPublisher publisher;
--- a/relay/tests/relayed_store_test.cc
+++ b/relay/tests/relayed_store_test.cc
@@ -27,6 +27,7 @@
   std::vector<std::string> records;
   int reads = 0;
   Duration last_wait{};
+  bool is_failing = false;
 };
 
 /// A store whose reads return at once.
@@ -43,6 +44,9 @@
                                                       Duration wait) {
     ++this->log->reads;
     this->log->last_wait = wait;
+    if (this->log->is_failing) {
+      co_return MakeError(ErrorKind::kTargetUnreachable, "no answer");
+    }
     const LogOffset end(this->log->records.size());
     const auto first =
         this->log->records.begin() + static_cast<std::ptrdiff_t>(from.value());
@@ -87,6 +91,17 @@
     return std::get<LogRecords>(ValueOf(future.get()));
   }
 
+  /// @return whether a read of the store fails.
+  bool IsReadFailing() {
+    this->context.restart();
+    auto future = boost::asio::co_spawn(
+        this->context,
+        this->store.Read(kTopic, LogOffset(0), milliseconds(100)),
+        boost::asio::use_future);
+    this->context.run();
+    return !IsOk(future.get());
+  }
+
   void Relay(std::uint64_t from, std::vector<std::string> records) {
     TrySend(*this->inbox,
             RelayInput(RelayReceived{.topic = {.topic = kTopic,
@@ -140,6 +155,19 @@
   BOOST_TEST((SteadyTime{}.Now() - began >= 4 * milliseconds(50)));
 }
 
+// Guards against changes that are known too late because each repetition of a
+// failed read waits for the interval between reads.
+BOOST_AUTO_TEST_CASE(FailedReadsAreRepeatedWithoutTheInterval) {
+  Fixture fixture;
+  fixture.log->is_failing = true;
+  const TimePoint began = SteadyTime{}.Now();
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(fixture.IsReadFailing());
+  }
+  BOOST_TEST(fixture.log->reads == 5);
+  BOOST_TEST((SteadyTime{}.Now() - began < 4 * milliseconds(50)));
+}
+
 // What a host reads for others is its own: a relay doesn't count, so that two
 // hosts never wait for each other.
 BOOST_AUTO_TEST_CASE(ReaderReadsTheStoreItselfAtShortIntervals) {
