--- a/duties/include/cicadaloft/duties/messages.h
+++ b/duties/include/cicadaloft/duties/messages.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <string_view>
 
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
@@ -42,6 +43,23 @@
   kNoAnswer,  ///< It may have been executed.
 };
 
+/// @return a stable token, for logs.
+constexpr std::string_view ToString(DutyCallOutcome outcome) {
+  switch (outcome) {
+    case DutyCallOutcome::kAccepted:
+      return "accepted";
+    case DutyCallOutcome::kRefused:
+      return "refused";
+    case DutyCallOutcome::kRejected:
+      return "rejected";
+    case DutyCallOutcome::kNotSent:
+      return "not_sent";
+    case DutyCallOutcome::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
 /// Report the usage of one window to the platform; a UsageReportEnded follows.
 struct SendUsageReport {
   UsageWindow window_index;
--- a/scaling/scaling_core.cc
+++ b/scaling/scaling_core.cc
@@ -20,22 +20,6 @@
 
 constexpr Duration kSampleInterval = std::chrono::milliseconds(200);
 
-std::string_view ToString(DutyCallOutcome outcome) {
-  switch (outcome) {
-    case DutyCallOutcome::kAccepted:
-      return "accepted";
-    case DutyCallOutcome::kRefused:
-      return "refused";
-    case DutyCallOutcome::kRejected:
-      return "rejected";
-    case DutyCallOutcome::kNotSent:
-      return "not_sent";
-    case DutyCallOutcome::kNoAnswer:
-      return "no_answer";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 void ScalingCore::Handle(const ScalingStarted& started) {
--- a/usage/usage_reporter.cc
+++ b/usage/usage_reporter.cc
@@ -17,22 +17,6 @@
 /// duties share the rest.
 constexpr double kReportCallFraction = 0.5;
 
-const char* Text(DutyCallOutcome outcome) {
-  switch (outcome) {
-    case DutyCallOutcome::kAccepted:
-      return "accepted";
-    case DutyCallOutcome::kRefused:
-      return "refused";
-    case DutyCallOutcome::kRejected:
-      return "rejected";
-    case DutyCallOutcome::kNotSent:
-      return "not_sent";
-    case DutyCallOutcome::kNoAnswer:
-      return "no_answer";
-  }
-  return "";
-}
-
 }  // namespace
 
 UsageReporter::UsageReporter(UsageSettings settings)
@@ -260,7 +244,7 @@
   DecisionRecord record{.event = "usage.report",
                         .fields = {{"window", ended.call.window_index.value()},
                                    {"token", ended.call.token.value()},
-                                   {"outcome", Text(ended.outcome)},
+                                   {"outcome", ToString(ended.outcome)},
                                    {"is_late", is_late ? "yes" : "no"},
                                    {"counts", counts}}};
   if (window.input_age) {
