--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -92,7 +92,6 @@
   Duration ClaimDelay() const;
   TimePoint LastLeaseExpiry() const;
   TimePoint OrdersAllowedFrom() const;
-  Duration RetryInterval() const;
   bool IsReadDue() const;
   bool IsWatcher() const;
   bool IsRenewalDue() const;
@@ -110,7 +109,6 @@
   TimePoint newest_entry_at{};
   TimePoint last_read_at{};
   TimePoint last_call_at{};
-  int failed_reads = 0;  ///< Since the last one that succeeded.
   /// When the holder last sent a heartbeat over its link.
   TimePoint last_heartbeat_at{};
   bool is_holder_connected = false;  ///< The link to the holder is up.
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -16,8 +16,6 @@
 /// The same for watchers: the later a host has read the last renewal, the later
 /// it may claim an expired lease.
 constexpr Duration kWatcherReadInterval = std::chrono::seconds(5);
-/// The intervals differ from host to host by up to a quarter, in these steps.
-constexpr Duration::rep kReadSpreadSteps = 64;
 /// Number of watchers among all hosts, on average.
 constexpr std::uint32_t kWatcherCount = 12;
 /// A holder whose link is up but silent for this long is treated as if its link
@@ -29,9 +27,6 @@
 /// Time between two calls to the log, so that failed ones are not repeated
 /// immediately.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
-/// The same for hosts that are not watchers, after several reads that failed.
-/// The platform charges refused calls as well.
-constexpr Duration kMaxReadRetryInterval = 2 * kLeaseReadInterval;
 
 }  // namespace
 
@@ -58,7 +53,6 @@
 void LeaseState::Handle(const LeaseLogRead& read) {
   this->is_call_pending = false;
   this->is_append_in_doubt = false;
-  this->failed_reads = 0;
   this->last_read_at = this->now;
   if (!this->has_read) {
     this->has_read = true;
@@ -163,7 +157,6 @@
 void LeaseState::Handle(const LeaseReadFailed&) {
   this->is_call_pending = false;
   this->last_call_at = this->now;
-  ++this->failed_reads;
 }
 
 void LeaseState::Handle(const HolderHeartbeat& heartbeat) {
@@ -189,7 +182,7 @@
 // time.
 void LeaseState::StartDueCall() {
   if (this->is_call_pending ||
-      this->now - this->last_call_at < this->RetryInterval()) {
+      this->now - this->last_call_at < kRetryInterval) {
     return;
   }
   if (this->is_stopping) {
@@ -212,20 +205,6 @@
   }
 }
 
-// The last holder may claim the lease again as soon as the log answers, so it
-// doesn't back off; watchers read as often as without a fault.
-Duration LeaseState::RetryInterval() const {
-  const bool is_last_holder =
-      this->newest_entry &&
-      this->newest_entry->record.holder == this->settings.self;
-  if (this->is_stopping || is_last_holder || this->failed_reads < 2) {
-    return kRetryInterval;
-  }
-  const Duration max_interval =
-      this->IsWatcher() ? kLeaseReadInterval : kMaxReadRetryInterval;
-  return std::min(max_interval, kRetryInterval * this->failed_reads);
-}
-
 bool LeaseState::IsReadDue() const {
   const bool is_own_lease = this->newest_entry &&
                             this->IsOwnRecord(this->newest_entry->record) &&
@@ -236,15 +215,8 @@
   const bool is_holder_alive =
       this->is_holder_connected &&
       this->now - this->last_heartbeat_at < kHeartbeatTimeout;
-  // Spread, since all hosts read the log when they lose a holder.
-  const Duration max_interval =
-      this->IsWatcher() ? kWatcherReadInterval : kSlowReadInterval;
   const Duration slow_interval =
-      max_interval - max_interval / 4 *
-                         static_cast<Duration::rep>(
-                             StableHash("read " + this->settings.self.value()) %
-                             kReadSpreadSteps) /
-                         kReadSpreadSteps;
+      this->IsWatcher() ? kWatcherReadInterval : kSlowReadInterval;
   return this->now - this->last_read_at >=
          (is_holder_alive ? slow_interval : kLeaseReadInterval);
 }
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -117,7 +117,7 @@
   // recover within the time that is allowed once the store answers again; long
   // enough to keep refused calls few, because they are charged too.
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
-  static constexpr Duration kMaxBackoff = std::chrono::milliseconds(1600);
+  static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
   /// Failed reads after which a new snapshot is read. What is written during a
   /// shorter outage is read in one call where a snapshot needs one more, or is
   /// relayed without any.
