--- a/tests/usage_process_test.sh
+++ b/tests/usage_process_test.sh
@@ -21,7 +21,7 @@
 {"host": "$1", "data_centre": "a", "listen": "127.0.0.1:$2",
  "ready_listen": "127.0.0.1:$(($2 + 1))", "admin_listen": "127.0.0.1:$(($2 + 2))",
  "peer_listen": "127.0.0.1:$(($2 + 3))", "store": "$store", "first_start": $3,
- "duties": {"address": "$platform", "usage": true, "calls_per_second": 50,
+ "duties": {"address": "$platform", "names": ["usage"], "calls_per_second": 50,
             "usage_window": "2s", "usage_delay": "5s"}}
 JSON
   "$build/host/cicadaloft-host" --settings "$dir/$1.json" >>"$dir/$1.log" 2>&1 &
