--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,3 +12,4 @@
 compile fake_store tests/stand_ins/fake_store.cc
 compile call review/common-2/call.cc
 compile repeating_runner review/common-2/repeating_runner.cc
+compile runners review/common-2/runners.cc
