Don't pass on a response whose status isn't one

What callers saw: a runner in trouble sent a head with status 000, and its caller got it as a response, framed as whole and with a status line that no client reads: "HTTP/1.1 0 OK". 600 and 999 were passed on as well.

Cause: that the parser accepts a head was taken for its being a response. The library reads any three digits as a status, and nothing looked at it; a stamp was asked for, but the runner had sent one.

Change: the new slice responses/ decides whether a head is a response: status from 100 to 599 and not 101, names of token characters, no control characters in values and reason phrase. The proxied path asks it for each head, before any field is used. A head that isn't one breaks the attempt as other bytes that are no response do: the request may have run, so the caller gets a 502, or another attempt where the route allows that. The reason is logged as response.invalid_head.

Why it works: the decision has no socket and no parser, and the head is stored for other code only after it.

Evidence: invalid_response_test on fails in StatusOutside100To599, FieldsOfAnInvalidHead and ConnectionIsNotReusedAfterAnInvalidHead (200, 600 and 999 instead of 502); with the change all its cases pass, and so do response_rules_test, broken_response_test and exchange_test (x86-64). Names with a blank, tab or control character, and trailers that are no fields, were refused before; their cases pass on both.

--- a/forwarding/header_rules.cc
+++ b/forwarding/header_rules.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <iterator>
 #include <ranges>
@@ -92,10 +91,6 @@
 
 }  // namespace
 
-bool EqualsIgnoreCase(std::string_view left, std::string_view right) {
-  return boost::beast::iequals(left, right);
-}
-
 std::vector<HeaderField> EndToEndFields(
     const std::vector<HeaderField>& fields) {
   return FilterEndToEnd(fields, [](const HeaderField&) { return false; });
--- a/forwarding/include/cicadaloft/forwarding/header_rules.h
+++ b/forwarding/include/cicadaloft/forwarding/header_rules.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cicadaloft/forwarding/messages.h"
+#include "cicadaloft/responses/header_field.h"
 
 namespace cicadaloft {
 
@@ -31,9 +31,6 @@
 /// @return the credential after "Bearer"; empty if there is none.
 std::string BearerCredential(const std::string* authorization);
 
-/// @return whether the texts are equal apart from the case of ASCII letters.
-bool EqualsIgnoreCase(std::string_view left, std::string_view right);
-
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_FORWARDING_HEADER_RULES_H_
--- a/forwarding/include/cicadaloft/forwarding/messages.h
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -13,17 +13,10 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/messages.h"
+#include "cicadaloft/responses/header_field.h"
 
 namespace cicadaloft {
 
-struct HeaderField {
-  std::string name;
-  std::string value;
-
-  friend auto operator<=>(const HeaderField&, const HeaderField&) = default;
-  friend bool operator==(const HeaderField&, const HeaderField&) = default;
-};
-
 /// A caller's complete request: the fields used by decisions, and the HTTP
 /// message as a target may see it.
 struct CallerRequest {
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -28,6 +28,7 @@
 #include "cicadaloft/forwarding/target_response_reader.h"
 #include "cicadaloft/forwarding/with_timeout.h"
 #include "cicadaloft/settings/socket_options.h"
+#include "cicadaloft/telemetry/log.h"
 
 namespace cicadaloft {
 
@@ -176,6 +177,7 @@
     for (int skipped = 0; skipped <= kMaxStaleResponses; ++skipped) {
       if (const auto failure =
               co_await this->response->ReadHead(this->RemainingTime())) {
+        this->LogHeadDefect();
         co_return failure;
       }
       this->metadata = Protocol::ParseResponseMetadata(
@@ -191,6 +193,16 @@
     co_return AttemptOutcome::kBrokenBeforeResponse;
   }
 
+  void LogHeadDefect() const {
+    if (const auto defect = this->response->defect()) {
+      Log("forwarding")
+          .Warn("response.invalid_head request=" +
+                this->params->request->arrival.caller_request_id.value() +
+                " address=" + this->params->dispatch.address +
+                " reason=" + std::string(ToString(*defect)));
+    }
+  }
+
   std::optional<AttemptOutcome> RefusalOutcome() const {
     if (this->metadata.is_other_instance) {
       return AttemptOutcome::kOtherInstance;
--- a/forwarding/include/cicadaloft/forwarding/target_response_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/target_response_reader.h
@@ -20,6 +20,7 @@
 #include "cicadaloft/forwarding/event_stream_end.h"
 #include "cicadaloft/forwarding/messages.h"
 #include "cicadaloft/forwarding/target_connection.h"
+#include "cicadaloft/responses/response_rules.h"
 
 namespace cicadaloft {
 
@@ -38,7 +39,7 @@
                        std::shared_ptr<MemoryBudget> memory);
 
   /// Reads the next head; informational responses (status 1xx) before it are
-  /// skipped.
+  /// skipped. A head with a defect ends the attempt.
   /// @return the attempt's outcome if no valid head arrives within `timeout`,
   /// else none.
   boost::asio::awaitable<std::optional<AttemptOutcome>> ReadHead(
@@ -63,9 +64,12 @@
   /// @return whether the connection stays open and nothing on it can be
   /// mistaken for the response to the next request.
   bool IsConnectionReusable() const;
-  int status() const { return this->head_status; }
-  const std::vector<HeaderField>& fields() const { return this->head_fields; }
-  std::string ReasonPhrase() const;
+  /// @return the status of the last head; 0 if it is not a response.
+  int status() const { return this->head.status; }
+  const std::vector<HeaderField>& fields() const { return this->head.fields; }
+  /// @return why the last head is not a response; none if it is one.
+  std::optional<HeadDefect> defect() const { return this->head_defect; }
+  const std::string& ReasonPhrase() const { return this->head.reason_phrase; }
   BodyFraming Framing() const;
   std::optional<std::uint64_t> ContentLength() const;
 
@@ -73,6 +77,10 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  /// Reads one head, final or informational, and checks it.
+  /// @return the attempt's outcome if there is no valid head, else none.
+  boost::asio::awaitable<std::optional<AttemptOutcome>> ParseHead(
+      Duration timeout);
   /// Reads a head into `parser`, with memory from the budget.
   boost::asio::awaitable<boost::system::error_code> ReadIntoParser();
   /// @return whether there is memory for it.
@@ -88,8 +96,8 @@
   const bool is_head;
   MemoryHold memory;
   std::optional<Parser> parser;
-  int head_status = 0;
-  std::vector<HeaderField> head_fields;
+  ReceivedHead head;
+  std::optional<HeadDefect> head_defect;
   bool is_event_stream = false;
   EventStreamEnd event_stream_end;
   std::array<char, kPieceBytes> piece{};
--- a/forwarding/target_response_reader.cc
+++ b/forwarding/target_response_reader.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "cicadaloft/forwarding/header_rules.h"
+#include "cicadaloft/forwarding/parsed_head.h"
 #include "cicadaloft/forwarding/with_timeout.h"
 
 namespace cicadaloft {
@@ -25,10 +26,6 @@
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Heads read for one response, informational ones included; a well-behaved
-/// target sends one informational head.
-constexpr int kMaxHeadsPerResponse = 8;
-
 /// Limits on reading a body only to reuse its connection: beyond this time or
 /// this many bytes, a new connection costs less.
 constexpr Duration kMaxSkipTime = std::chrono::milliseconds(100);
@@ -61,25 +58,8 @@
     if (++head_count > kMaxHeadsPerResponse) {
       co_return AttemptOutcome::kBrokenBeforeResponse;
     }
-    this->parser.emplace();
-    this->parser->header_limit(kMaxHeadBytes);
-    this->parser->body_limit(boost::none);
-    this->parser->skip(this->is_head);
-    const auto result = co_await WithTimeout(timeout, this->ReadIntoParser());
-    if (!result) {
-      co_return AttemptOutcome::kTimedOut;
-    }
-    const boost::system::error_code error = *result;
-    if (error == boost::system::errc::not_enough_memory) {
-      co_return AttemptOutcome::kMemoryLimit;
-    }
-    if (IsOversized(error)) {
-      co_return AttemptOutcome::kOversizedResponse;
-    }
-    const bool is_protocol_switch =
-        this->parser->get().result() == http::status::switching_protocols;
-    if (error || is_protocol_switch) {
-      co_return AttemptOutcome::kBrokenBeforeResponse;
+    if (const auto failure = co_await this->ParseHead(timeout)) {
+      co_return failure;
     }
   } while (http::to_status_class(this->parser->get().result()) ==
            http::status_class::informational);
@@ -89,6 +69,36 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<AttemptOutcome>> TargetResponseReader::ParseHead(
+    Duration timeout) {
+  this->head = ReceivedHead();
+  this->parser.emplace();
+  this->parser->header_limit(kMaxHeadBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->skip(this->is_head);
+  const auto result = co_await WithTimeout(timeout, this->ReadIntoParser());
+  if (!result) {
+    co_return AttemptOutcome::kTimedOut;
+  }
+  const boost::system::error_code error = *result;
+  if (error == boost::system::errc::not_enough_memory) {
+    co_return AttemptOutcome::kMemoryLimit;
+  }
+  if (IsOversized(error)) {
+    co_return AttemptOutcome::kOversizedResponse;
+  }
+  if (error) {
+    co_return AttemptOutcome::kBrokenBeforeResponse;
+  }
+  ReceivedHead received = ToReceivedHead(this->parser->get());
+  this->head_defect = FindDefect(received);
+  if (this->head_defect) {
+    co_return AttemptOutcome::kBrokenBeforeResponse;
+  }
+  this->head = std::move(received);
+  co_return std::nullopt;
+}
+
 asio::awaitable<boost::system::error_code>
 TargetResponseReader::ReadIntoParser() {
   const auto without_memory =
@@ -118,20 +128,13 @@
 }
 
 bool TargetResponseReader::TakeHead() {
-  this->head_status = static_cast<int>(this->parser->get().result_int());
-  this->head_fields.clear();
-  for (const auto& field : this->parser->get()) {
-    this->head_fields.push_back(
-        HeaderField{.name = std::string(field.name_string()),
-                    .value = std::string(field.value())});
-  }
-  const std::string* type = FindField(this->head_fields, "Content-Type");
+  const std::string* type = FindField(this->head.fields, "Content-Type");
   this->is_event_stream =
       type != nullptr &&
       EqualsIgnoreCase(type->substr(0, kEventStream.size()), kEventStream);
   this->event_stream_end = EventStreamEnd();
   const std::size_t bytes = std::accumulate(
-      this->head_fields.begin(), this->head_fields.end(), std::size_t{0},
+      this->head.fields.begin(), this->head.fields.end(), std::size_t{0},
       [](std::size_t sum, const HeaderField& field) {
         return sum + field.name.size() + field.value.size();
       });
@@ -197,10 +200,6 @@
          this->parser->keep_alive() && this->connection->buffer.size() == 0;
 }
 
-std::string TargetResponseReader::ReasonPhrase() const {
-  return std::string(this->parser->get().reason());
-}
-
 BodyFraming TargetResponseReader::Framing() const {
   if (this->parser->is_done()) {
     return BodyFraming::kNone;
--- /dev/null
+++ b/responses/include/cicadaloft/responses/response_rules.h
@@ -0,0 +1,55 @@
+#ifndef CICADALOFT_RESPONSES_RESPONSE_RULES_H_
+#define CICADALOFT_RESPONSES_RESPONSE_RULES_H_
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cicadaloft/responses/header_field.h"
+
+namespace cicadaloft {
+
+/// The head of an HTTP/1 response as a parser has read it. It may break the
+/// rules of HTTP where the parser doesn't check them.
+struct ReceivedHead {
+  int status = 0;
+  std::string reason_phrase;
+  std::vector<HeaderField> fields;
+
+  friend auto operator<=>(const ReceivedHead&, const ReceivedHead&) = default;
+  friend bool operator==(const ReceivedHead&, const ReceivedHead&) = default;
+};
+
+/// Why a head is not a response.
+enum class HeadDefect {
+  kStatus,          ///< Not from 100 to 599 (RFC 9110, section 15).
+  kProtocolSwitch,  ///< 101, which no request asks for.
+  kReasonPhrase,    ///< Holds a control character (RFC 9112, section 4).
+  kFieldName,       ///< Not a token (RFC 9110, section 5.1).
+  kFieldValue,      ///< Holds a control character (RFC 9110, section 5.5).
+};
+
+/// @return a stable token, for logs.
+std::string_view ToString(HeadDefect defect);
+
+/// Heads read for one response, informational ones included; a well-behaved
+/// server sends one informational head.
+inline constexpr int kMaxHeadsPerResponse = 8;
+
+/// Decides whether a head is a response, final or informational. No field of a
+/// head with a defect may be used.
+/// @return the first defect; none: the head is a response.
+std::optional<HeadDefect> FindDefect(const ReceivedHead& head);
+
+/// @return whether the name is a token.
+bool IsValidFieldName(std::string_view name);
+
+/// @return whether the value, or reason phrase, has no control character but
+/// tabs. Bytes above 127 are valid.
+bool IsValidFieldValue(std::string_view value);
+
+}  // namespace cicadaloft
+
+#endif  // CICADALOFT_RESPONSES_RESPONSE_RULES_H_
--- /dev/null
+++ b/responses/tests/response_rules_test.cc
@@ -0,0 +1,108 @@
+#define BOOST_TEST_MODULE response_rules
+#include "cicadaloft/responses/response_rules.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <ranges>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cicadaloft {
+namespace {
+
+using enum HeadDefect;
+using Defect = std::optional<HeadDefect>;
+
+ReceivedHead HeadWithStatus(int status) {
+  return {.status = status, .reason_phrase = "OK"};
+}
+
+ReceivedHead HeadWithField(std::string name, std::string value) {
+  return {.status = 200,
+          .reason_phrase = "OK",
+          .fields = {{.name = "Server-Stamp", .value = "1"},
+                     {.name = std::move(name), .value = std::move(value)}}};
+}
+
+// Guards against heads that a parser has read, and that are no responses:
+// callers got them as responses with statuses such as "0".
+BOOST_AUTO_TEST_CASE(StatusIsFrom100To599) {
+  for (const int status : {0, 1, 7, 99, 600, 999, -1, 1000}) {
+    BOOST_TEST_CONTEXT("status " << status) {
+      BOOST_TEST((FindDefect(HeadWithStatus(status)) == Defect(kStatus)));
+    }
+  }
+  for (const int status : {100, 102, 103, 199, 200, 299, 304, 421, 599}) {
+    BOOST_TEST_CONTEXT("status " << status) {
+      BOOST_TEST((FindDefect(HeadWithStatus(status)) == Defect()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ProtocolSwitchIsNoResponse) {
+  BOOST_TEST((FindDefect(HeadWithStatus(101)) == Defect(kProtocolSwitch)));
+}
+
+// Guards against a field that another reader takes for a different one, or
+// for a part of the body.
+BOOST_AUTO_TEST_CASE(FieldNameIsAToken) {
+  for (const std::string invalid :
+       {" ", "\t", "\n", "\r", "\x01", "\x7f", "\x80", "\"", "(", ",", "/",
+        ":", ";",  "<",  "=",  "@",    "[",    "\\",   "]",  "{", "}"}) {
+    for (const std::string& name :
+         {invalid, invalid + "Name", "Na" + invalid + "me", "Name" + invalid,
+          "Content-Length" + invalid, "Transfer-Encoding" + invalid}) {
+      BOOST_TEST_CONTEXT("name '" << name << "'") {
+        BOOST_TEST(
+            (FindDefect(HeadWithField(name, "1")) == Defect(kFieldName)));
+      }
+    }
+  }
+  BOOST_TEST((FindDefect(HeadWithField(std::string(1, '\0'), "1")) ==
+              Defect(kFieldName)));
+  BOOST_TEST((FindDefect(HeadWithField("", "1")) == Defect(kFieldName)));
+  for (const std::string name :
+       {"A", "x-1", "!#$%&'*+-.^_`|~", "0123456789", "Zz"}) {
+    BOOST_TEST((FindDefect(HeadWithField(name, "1")) == Defect()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ValuesAndReasonPhrasesHaveNoControlCharacters) {
+  for (const int byte : std::views::iota(0, 256)) {
+    const std::string value =
+        "a" + std::string(1, static_cast<char>(byte)) + "b";
+    const bool is_valid = byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+    BOOST_TEST_CONTEXT("byte " << byte) {
+      BOOST_TEST((FindDefect(HeadWithField("Name", value)) ==
+                  (is_valid ? Defect() : Defect(kFieldValue))));
+      BOOST_TEST((FindDefect({.status = 200, .reason_phrase = value}) ==
+                  (is_valid ? Defect() : Defect(kReasonPhrase))));
+    }
+  }
+}
+
+// Guards against refusing what a sound server may send.
+BOOST_AUTO_TEST_CASE(RareValidHeadsAreResponses) {
+  BOOST_TEST((FindDefect({.status = 200}) == Defect()));
+  BOOST_TEST((FindDefect(HeadWithField("Empty", "")) == Defect()));
+  BOOST_TEST((FindDefect(HeadWithField("Server-Stamp", "1")) == Defect()));
+  BOOST_TEST(
+      (FindDefect(HeadWithField("Name", "caf\xc3\xa9 \xff")) == Defect()));
+  BOOST_TEST(
+      (FindDefect(HeadWithField("Long", std::string(8192, 'x'))) == Defect()));
+}
+
+BOOST_AUTO_TEST_CASE(EachDefectHasATokenOfItsOwn) {
+  std::vector<std::string_view> tokens;
+  for (const HeadDefect defect :
+       {kStatus, kProtocolSwitch, kReasonPhrase, kFieldName, kFieldValue}) {
+    tokens.push_back(ToString(defect));
+  }
+  std::ranges::sort(tokens);
+  BOOST_TEST((std::ranges::adjacent_find(tokens) == tokens.end()));
+  BOOST_TEST((std::ranges::find(tokens, "unknown") == tokens.end()));
+}
+
+}  // namespace
+}  // namespace cicadaloft
