Skip informational heads by their number

What callers saw: a 502 for a sound response, if the runner sent a head such as 103 before it; where such a head came alone and stamped, it was passed on as the response.

Cause: whether a head is informational was asked of the library's named statuses, of which it has 100 to 102. RFC 9110, section 15.2, has clients accept the other ones too.

Change: IsInformational() in responses/ goes by the number.

--- a/forwarding/target_response_reader.cc
+++ b/forwarding/target_response_reader.cc
@@ -61,8 +61,7 @@
     if (const auto failure = co_await this->ParseHead(timeout)) {
       co_return failure;
     }
-  } while (http::to_status_class(this->parser->get().result()) ==
-           http::status_class::informational);
+  } while (IsInformational(this->head));
   if (!this->TakeHead()) {
     co_return AttemptOutcome::kMemoryLimit;
   }
--- a/forwarding/tests/invalid_response_test.cc
+++ b/forwarding/tests/invalid_response_test.cc
@@ -194,6 +194,41 @@
   BOOST_TEST(received.response.count("Empty") == 1U);
 }
 
+// Guards against an informational head that the library has no name for: it
+// counted as the response, and the sound response after it was lost.
+BOOST_AUTO_TEST_CASE(InformationalHeadsAreSkipped) {
+  const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string status : {"100", "102", "103", "110", "199"}) {
+    const std::string head = "HTTP/1.1 " + status + " Wait\r\n";
+    for (const std::string& before :
+         {head + "\r\n", head + "Content-Length: 5\r\n\r\n",
+          head + "Link: </a>\r\n\r\n" + head + "\r\n"}) {
+      BOOST_TEST_CONTEXT("before '" << before << "'") {
+        for (const auto& pieces :
+             {std::vector{before + sound}, std::vector{before, sound}}) {
+          const Received received = Receive(pieces);
+          BOOST_TEST(received.response.result_int() == 200);
+          BOOST_TEST(received.response.body() == "ok");
+          BOOST_TEST(received.response.count("Link") == 0U);
+          BOOST_TEST((received.outcomes == Outcomes{kCompleted}));
+        }
+      }
+    }
+    BOOST_TEST_CONTEXT("alone: " << status) {
+      const Received alone = Receive({head + "\r\n"}, After::kClose);
+      BOOST_TEST(alone.response.result_int() == 502);
+      BOOST_TEST((alone.outcomes == Outcomes{kBrokenBeforeResponse}));
+    }
+    CheckIsNoResponse(head + "\r\nHTTP/1.1 000 OK\r\n" + kBody);
+    CheckIsNoResponse(head + "Bad Name: 1\r\n\r\n" + sound);
+  }
+  std::string many;
+  for (int i = 0; i < 8; ++i) {
+    many += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  CheckIsNoResponse(many + sound);
+}
+
 // Guards against a response that breaks off in its framing, and reaches the
 // caller as a complete one.
 BOOST_AUTO_TEST_CASE(InvalidTrailersAndChunksBreakOff) {
--- a/responses/include/cicadaloft/responses/response_rules.h
+++ b/responses/include/cicadaloft/responses/response_rules.h
@@ -43,6 +43,11 @@
 /// @return the first defect; none: the head is a response.
 std::optional<HeadDefect> FindDefect(const ReceivedHead& head);
 
+/// @return whether the head is informational (status 1xx): another head follows
+/// on the connection. Clients must accept those that they don't know (RFC 9110,
+/// section 15.2).
+bool IsInformational(const ReceivedHead& head);
+
 /// @return whether the name is a token.
 bool IsValidFieldName(std::string_view name);
 
--- a/responses/response_rules.cc
+++ b/responses/response_rules.cc
@@ -7,6 +7,7 @@
 
 constexpr int kMinStatus = 100;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
 
 // Doesn't depend on the locale.
@@ -65,6 +66,10 @@
   return std::nullopt;
 }
 
+bool IsInformational(const ReceivedHead& head) {
+  return head.status >= kMinStatus && head.status < kMinFinalStatus;
+}
+
 bool IsValidFieldName(std::string_view name) {
   return !name.empty() && std::ranges::all_of(name, IsTokenCharacter);
 }
--- a/responses/tests/response_rules_test.cc
+++ b/responses/tests/response_rules_test.cc
@@ -44,6 +44,17 @@
   BOOST_TEST((FindDefect(HeadWithStatus(101)) == Defect(kProtocolSwitch)));
 }
 
+// Guards against informational heads that count as the response, because the
+// library has no name for their status.
+BOOST_AUTO_TEST_CASE(StatusesFrom100To199AreInformational) {
+  for (const int status : {100, 102, 103, 110, 199}) {
+    BOOST_TEST(IsInformational(HeadWithStatus(status)));
+  }
+  for (const int status : {0, 99, 200, 204, 304, 599}) {
+    BOOST_TEST(!IsInformational(HeadWithStatus(status)));
+  }
+}
+
 // Guards against a field that another reader takes for a different one, or
 // for a part of the body.
 BOOST_AUTO_TEST_CASE(FieldNameIsAToken) {
