--- a/forwarding/target_connection_pool.cc
+++ b/forwarding/target_connection_pool.cc
@@ -1,14 +1,12 @@
 #include "cicadaloft/forwarding/target_connection_pool.h"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/error.hpp>
 #include <iterator>
 #include <ranges>
-#include <tuple>
 #include <utility>
 
+#include "cicadaloft/forwarding/idle_connection.h"
+
 namespace cicadaloft {
 namespace {
 
@@ -17,23 +15,6 @@
 constexpr int kIdleFractionNumerator = 7;
 constexpr int kIdleFractionDenominator = 10;
 
-// End of file or an unsolicited byte makes the connection unusable: the byte
-// would be taken for the response to the next request.
-bool IsReusable(TargetConnection& connection) {
-  if (connection.buffer.size() != 0) {
-    return false;
-  }
-  boost::system::error_code error;
-  std::ignore = connection.socket.non_blocking(true, error);
-  if (error) {
-    return false;
-  }
-  std::array<char, 1> byte{};
-  connection.socket.receive(boost::asio::buffer(byte),
-                            boost::asio::socket_base::message_peek, error);
-  return error == boost::asio::error::would_block;
-}
-
 }  // namespace
 
 std::shared_ptr<TargetConnection> TargetConnectionPool::Acquire(
@@ -57,7 +38,7 @@
            std::ranges::find_if(connections | std::views::reverse, may_carry)) {
     const std::shared_ptr<TargetConnection> connection = next->connection;
     connections.erase(std::next(next).base());
-    if (IsReusable(*connection)) {
+    if (IsReusable(connection->socket, connection->buffer)) {
       return connection;
     }
   }
