Refuse transfer codings other than chunked

What callers saw: a 200 with the undecoded bytes as its body, framed as whole, if a runner's response had a Transfer-Encoding such as "gzip" or "gzip, chunked". The field is not passed on, so the caller couldn't know.

Cause: the library looks for "chunked" as the last coding and ignores the others; without it, it frames the body by a length or the connection's end. Nothing asked whether the framing was understood.

Change: FindDefect() also asks for one framing: no Transfer-Encoding, or just "chunked" over HTTP/1.1 and without a length; one length. Where no body follows, the field says nothing and the head passes as before.

--- a/forwarding/target_response_reader.cc
+++ b/forwarding/target_response_reader.cc
@@ -89,7 +89,7 @@
   if (error) {
     co_return AttemptOutcome::kBrokenBeforeResponse;
   }
-  ReceivedHead received = ToReceivedHead(this->parser->get());
+  ReceivedHead received = ToReceivedHead(this->parser->get(), this->is_head);
   this->head_defect = FindDefect(received);
   if (this->head_defect) {
     co_return AttemptOutcome::kBrokenBeforeResponse;
--- a/forwarding/tests/invalid_response_test.cc
+++ b/forwarding/tests/invalid_response_test.cc
@@ -137,6 +137,34 @@
   }
 }
 
+// Guards against a body in a coding that the caller can't know, which was
+// passed on undecoded and framed as whole.
+BOOST_AUTO_TEST_CASE(TransferEncodingOtherThanChunkedIsNoResponse) {
+  const std::string chunks = "\r\n3\r\nbad\r\n0\r\n\r\n";
+  for (const std::string value :
+       {"gzip", "gzip, chunked", "chunked, gzip", "identity",
+        "identity, chunked", "chunked;q=1", "xchunked"}) {
+    const std::string field = "Transfer-Encoding: " + value + "\r\n";
+    CheckIsNoResponse("HTTP/1.1 200 OK\r\n" + field + chunks);
+    CheckIsNoResponse("HTTP/1.1 200 OK\r\n" + field + kBody);
+    CheckIsNoResponse("HTTP/1.1 200 OK\r\n" + field +
+                      "Transfer-Encoding: chunked\r\n" + chunks);
+  }
+  CheckIsNoResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n" + chunks);
+  CheckIsNoResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" +
+                    chunks);
+}
+
+BOOST_AUTO_TEST_CASE(TransferEncodingWithoutABodyIsForwarded) {
+  const std::string fields = "Transfer-Encoding: gzip, chunked\r\n\r\n";
+  for (const int status : {204, 304}) {
+    const Received received =
+        Receive({"HTTP/1.1 " + std::to_string(status) + " OK\r\n" + fields});
+    BOOST_TEST(received.response.result_int() == status);
+    BOOST_TEST((received.outcomes == Outcomes{kCompleted}));
+  }
+}
+
 // Guards against refusing what a sound target may send.
 BOOST_AUTO_TEST_CASE(RareValidHeadsAreForwarded) {
   struct Case {
@@ -163,6 +191,8 @@
        "2;name=value\r\nok\r\n0\r\nTrailer: 1\r\n\r\n"},
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: , chunked\t,\r\n\r\n"
        "2\r\nok\r\n0\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
       {"HTTP/1.1 299 Other\r\nContent-Length: 2\r\n\r\nok", 299},
       {"HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
       {"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n", 304, ""},
--- a/responses/include/cicadaloft/responses/response_rules.h
+++ b/responses/include/cicadaloft/responses/response_rules.h
@@ -17,6 +17,8 @@
   int status = 0;
   std::string reason_phrase;
   std::vector<HeaderField> fields;
+  bool is_http_1_0 = false;
+  bool answers_head_request = false;  ///< No body follows.
 
   friend auto operator<=>(const ReceivedHead&, const ReceivedHead&) = default;
   friend bool operator==(const ReceivedHead&, const ReceivedHead&) = default;
@@ -29,6 +31,10 @@
   kReasonPhrase,    ///< Holds a control character (RFC 9112, section 4).
   kFieldName,       ///< Not a token (RFC 9110, section 5.1).
   kFieldValue,      ///< Holds a control character (RFC 9110, section 5.5).
+  kContentLength,   ///< Not one length (RFC 9112, section 6.3).
+  /// Not just "chunked", or in HTTP/1.0, or beside a length (RFC 9112, section
+  /// 6.1): where the body ends, or what it is, isn't known.
+  kTransferEncoding,
 };
 
 /// @return a stable token, for logs.
--- a/responses/response_rules.cc
+++ b/responses/response_rules.cc
@@ -1,6 +1,11 @@
 #include "cicadaloft/responses/response_rules.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstddef>
+#include <cstdint>
+#include <ranges>
+#include <system_error>
 
 namespace cicadaloft {
 namespace {
@@ -28,6 +33,82 @@
   return byte < kSpace || byte == kDelete;
 }
 
+std::string_view TrimBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t start = text.find_first_not_of(kBlanks);
+  return start == std::string_view::npos
+             ? std::string_view()
+             : text.substr(start, text.find_last_not_of(kBlanks) + 1 - start);
+}
+
+/// The list that all fields of a name make up.
+struct FieldList {
+  bool is_present = false;
+  std::vector<std::string_view> elements;  ///< Empty ones are left out.
+};
+
+FieldList ListOf(const std::vector<HeaderField>& fields,
+                 std::string_view name) {
+  FieldList list;
+  for (const HeaderField& field : fields) {
+    if (!EqualsIgnoreCase(field.name, name)) {
+      continue;
+    }
+    list.is_present = true;
+    for (const auto part : std::views::split(field.value, ',')) {
+      const auto element = TrimBlanks({part.begin(), part.end()});
+      if (!element.empty()) {
+        list.elements.push_back(element);
+      }
+    }
+  }
+  return list;
+}
+
+std::optional<std::uint64_t> ParseLength(std::string_view text) {
+  std::uint64_t length = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parse_end, error] = std::from_chars(text.data(), end, length);
+  return error == std::errc() && parse_end == end ? std::optional(length)
+                                                  : std::nullopt;
+}
+
+// Equal lengths are one length.
+bool IsOneLength(const FieldList& lengths) {
+  if (lengths.elements.empty()) {
+    return false;
+  }
+  const auto first = ParseLength(lengths.elements.front());
+  return first && std::ranges::all_of(lengths.elements, [&](const auto& text) {
+           return ParseLength(text) == first;
+         });
+}
+
+bool MayHaveBody(const ReceivedHead& head) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return !head.answers_head_request && !IsInformational(head) &&
+         head.status != kNoContent && head.status != kNotModified;
+}
+
+std::optional<HeadDefect> FindFramingDefect(const ReceivedHead& head) {
+  const FieldList lengths = ListOf(head.fields, "Content-Length");
+  if (lengths.is_present && !IsOneLength(lengths)) {
+    return HeadDefect::kContentLength;
+  }
+  const FieldList encodings = ListOf(head.fields, "Transfer-Encoding");
+  if (!encodings.is_present || !MayHaveBody(head)) {
+    return std::nullopt;
+  }
+  const bool is_chunked =
+      encodings.elements.size() == 1 &&
+      EqualsIgnoreCase(encodings.elements.front(), "chunked");
+  const bool is_understood =
+      is_chunked && !head.is_http_1_0 && !lengths.is_present;
+  return is_understood ? std::nullopt
+                       : std::optional(HeadDefect::kTransferEncoding);
+}
+
 }  // namespace
 
 std::string_view ToString(HeadDefect defect) {
@@ -42,6 +123,10 @@
       return "invalid_field_name";
     case HeadDefect::kFieldValue:
       return "invalid_field_value";
+    case HeadDefect::kContentLength:
+      return "invalid_content_length";
+    case HeadDefect::kTransferEncoding:
+      return "invalid_transfer_encoding";
   }
   return "unknown";
 }
@@ -63,7 +148,7 @@
                            &HeaderField::value)) {
     return HeadDefect::kFieldValue;
   }
-  return std::nullopt;
+  return FindFramingDefect(head);
 }
 
 bool IsInformational(const ReceivedHead& head) {
--- a/responses/tests/response_rules_test.cc
+++ b/responses/tests/response_rules_test.cc
@@ -93,6 +93,77 @@
   }
 }
 
+ReceivedHead HeadWithFields(std::vector<HeaderField> fields) {
+  return {.status = 200, .fields = std::move(fields)};
+}
+
+// Guards against a body that reaches the caller in a coding that the caller
+// can't know, framed as whole.
+BOOST_AUTO_TEST_CASE(OnlyTransferEncodingIsChunked) {
+  for (const std::string value :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "identity", "identity, chunked", "chunked;q=1", "chunked x", "xchunked",
+        "chunke", "\"chunked\"", "", ",", " "}) {
+    BOOST_TEST_CONTEXT("value '" << value << "'") {
+      BOOST_TEST((FindDefect(HeadWithField("Transfer-Encoding", value)) ==
+                  Defect(kTransferEncoding)));
+      BOOST_TEST((FindDefect(HeadWithField("transfer-encoding", value)) ==
+                  Defect(kTransferEncoding)));
+      // No body follows, so that there is nothing to decode.
+      for (const int status : {100, 204, 304}) {
+        BOOST_TEST((FindDefect({.status = status,
+                                .fields = {{.name = "Transfer-Encoding",
+                                            .value = value}}}) == Defect()));
+      }
+      BOOST_TEST((
+          FindDefect({.status = 200,
+                      .fields = {{.name = "Transfer-Encoding", .value = value}},
+                      .answers_head_request = true}) == Defect()));
+    }
+  }
+  for (const std::string value : {"chunked", "CHUNKED", ", chunked\t,"}) {
+    BOOST_TEST(
+        (FindDefect(HeadWithField("Transfer-Encoding", value)) == Defect()));
+    ReceivedHead old = HeadWithField("Transfer-Encoding", value);
+    old.is_http_1_0 = true;
+    BOOST_TEST((FindDefect(old) == Defect(kTransferEncoding)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EncodingsOfAllFieldsMakeUpOneList) {
+  const HeaderField chunked{.name = "Transfer-Encoding", .value = "chunked"};
+  for (const std::string value : {"gzip", "chunked", "identity"}) {
+    const HeaderField other{.name = "transfer-encoding", .value = value};
+    BOOST_TEST((FindDefect(HeadWithFields({chunked, other})) ==
+                Defect(kTransferEncoding)));
+    BOOST_TEST((FindDefect(HeadWithFields({other, chunked})) ==
+                Defect(kTransferEncoding)));
+  }
+  BOOST_TEST((FindDefect(HeadWithFields(
+                  {chunked, {.name = "Content-Length", .value = "5"}})) ==
+              Defect(kTransferEncoding)));
+}
+
+BOOST_AUTO_TEST_CASE(ContentLengthIsOneNumber) {
+  for (const std::string value : {"", "x", "-1", "+1", "1x", "0x1", "1 2",
+                                  "1, 2", "1.0", ",", "18446744073709551616"}) {
+    BOOST_TEST_CONTEXT("value '" << value << "'") {
+      BOOST_TEST((FindDefect(HeadWithField("Content-Length", value)) ==
+                  Defect(kContentLength)));
+    }
+  }
+  for (const std::string value :
+       {"0", "5", "005", "5, 5", "18446744073709551615"}) {
+    BOOST_TEST(
+        (FindDefect(HeadWithField("content-length", value)) == Defect()));
+  }
+  const HeaderField five{.name = "Content-Length", .value = "5"};
+  const HeaderField six{.name = "Content-Length", .value = "6"};
+  BOOST_TEST((FindDefect(HeadWithFields({five, five})) == Defect()));
+  BOOST_TEST(
+      (FindDefect(HeadWithFields({five, six})) == Defect(kContentLength)));
+}
+
 // Guards against refusing what a sound server may send.
 BOOST_AUTO_TEST_CASE(RareValidHeadsAreResponses) {
   BOOST_TEST((FindDefect({.status = 200}) == Defect()));
