Refuse links whose handshake response has an invalid head

What callers saw: nothing. A host that connected to another one accepted a handshake response with a control character in a value or a field without a name, and sent its hello.

Cause: as for the other readers, that the library accepts a head was taken for its being a response. It refuses statuses other than 101 and names that are no tokens by itself, but not these.

Change: FindDefect() also serves requests for an upgrade, which 101 may answer, and LinkSession asks it before the hello. The link counts as refused and is tried again after the backoff. The library doesn't tell how the status was written, so 0101 still counts as 101; the peer proves the shared secret next.

--- a/forwarding/include/cicadaloft/forwarding/parsed_head.h
+++ b/forwarding/include/cicadaloft/forwarding/parsed_head.h
@@ -8,10 +8,9 @@
 namespace cicadaloft {
 
 /// @param header of a parser that has read a complete head.
-/// @param answers_head_request whether the request's method is HEAD.
 /// @return the head, for FindDefect().
 ReceivedHead ToReceivedHead(const boost::beast::http::response_header<>& header,
-                            bool answers_head_request);
+                            RequestKind request);
 
 }  // namespace cicadaloft
 
--- a/forwarding/parsed_head.cc
+++ b/forwarding/parsed_head.cc
@@ -6,12 +6,12 @@
 namespace cicadaloft {
 
 ReceivedHead ToReceivedHead(const boost::beast::http::response_header<>& header,
-                            bool answers_head_request) {
+                            RequestKind request) {
   constexpr unsigned kHttp11 = 11;
   ReceivedHead head{.status = static_cast<int>(header.result_int()),
                     .reason_phrase = std::string(header.reason()),
                     .is_http_1_0 = header.version() < kHttp11,
-                    .answers_head_request = answers_head_request};
+                    .request = request};
   std::ranges::transform(
       header, std::back_inserter(head.fields), [](const auto& field) {
         return HeaderField{.name = std::string(field.name_string()),
--- a/forwarding/target_response_reader.cc
+++ b/forwarding/target_response_reader.cc
@@ -89,7 +89,9 @@
   if (error) {
     co_return AttemptOutcome::kBrokenBeforeResponse;
   }
-  ReceivedHead received = ToReceivedHead(this->parser->get(), this->is_head);
+  ReceivedHead received =
+      ToReceivedHead(this->parser->get(),
+                     this->is_head ? RequestKind::kHead : RequestKind::kOther);
   this->head_defect = FindDefect(received);
   if (this->head_defect) {
     co_return AttemptOutcome::kBrokenBeforeResponse;
--- a/peering/link_session.cc
+++ b/peering/link_session.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cicadaloft/peering/link_codec.h"
+#include "cicadaloft/responses/response_rules.h"
 
 namespace cicadaloft {
 namespace {
@@ -31,6 +32,19 @@
                                    : WebSocketEngine::Role::kServer;
 }
 
+std::optional<HeadDefect> FindHandshakeDefect(const WebSocketEngine& engine) {
+  const WebSocketEngine::HandshakeResponse response =
+      engine.handshake_response();
+  ReceivedHead head{.status = response.status,
+                    .reason_phrase = response.reason_phrase,
+                    .request = RequestKind::kUpgrade};
+  std::ranges::transform(
+      response.fields, std::back_inserter(head.fields), [](const auto& field) {
+        return HeaderField{.name = field.first, .value = field.second};
+      });
+  return FindDefect(head);
+}
+
 }  // namespace
 
 LinkSession::LinkSession(Socket socket,
@@ -75,6 +89,14 @@
   }
   co_await this->Flush();
   if (this->role == LinkRole::kClient) {
+    if (this->engine.state() != WebSocketEngine::State::kOpen) {
+      co_return LinkRefusedError("the server refused the handshake");
+    }
+    if (const auto defect = FindHandshakeDefect(this->engine)) {
+      co_return LinkRefusedError(
+          "the response to the handshake has a defect: " +
+          std::string(ToString(*defect)));
+    }
     co_return co_await this->AuthenticateAsClient(std::move(expected_peer));
   }
   co_return co_await this->AuthenticateAsServer();
--- a/peering/websocket/include/cicadaloft/websocket/websocket_engine.h
+++ b/peering/websocket/include/cicadaloft/websocket/websocket_engine.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadaloft {
@@ -22,6 +24,13 @@
     kClosed,  ///< No more messages; send the remaining output and close.
   };
 
+  /// Head of the response to a client's opening handshake.
+  struct HandshakeResponse {
+    int status = 0;
+    std::string reason_phrase;
+    std::vector<std::pair<std::string, std::string>> fields;
+  };
+
   /// The output of a client holds its opening handshake from the start.
   /// @param max_message_bytes a longer message closes the connection.
   WebSocketEngine(Role role, std::size_t max_message_bytes);
@@ -45,6 +54,9 @@
   /// Removes and returns the complete messages, in the order of arrival.
   std::vector<Bytes> TakeMessages();
   State state() const;
+  /// @return the head by which the server has opened the connection.
+  /// @pre the role is kClient, and the state is kOpen.
+  HandshakeResponse handshake_response() const;
 
  private:
   struct Connection;
--- a/peering/websocket/websocket_engine.cc
+++ b/peering/websocket/websocket_engine.cc
@@ -178,4 +178,12 @@
   return this->connection->has_failed ? State::kClosed : state;
 }
 
+WebSocketEngine::HandshakeResponse WebSocketEngine::handshake_response() const {
+  const auto& response = this->connection->client_connection->get_response();
+  const auto& fields = response.get_headers();
+  return HandshakeResponse{static_cast<int>(response.get_status_code()),
+                           response.get_status_msg(),
+                           {fields.begin(), fields.end()}};
+}
+
 }  // namespace cicadaloft
--- a/responses/include/cicadaloft/responses/response_rules.h
+++ b/responses/include/cicadaloft/responses/response_rules.h
@@ -11,6 +11,13 @@
 
 namespace cicadaloft {
 
+/// What the kind of a request says about its response.
+enum class RequestKind {
+  kOther,
+  kHead,     ///< The response has no body.
+  kUpgrade,  ///< The response may switch to another protocol.
+};
+
 /// The head of an HTTP/1 response as a parser has read it. It may break the
 /// rules of HTTP where the parser doesn't check them.
 struct ReceivedHead {
@@ -18,7 +25,7 @@
   std::string reason_phrase;
   std::vector<HeaderField> fields;
   bool is_http_1_0 = false;
-  bool answers_head_request = false;  ///< No body follows.
+  RequestKind request = RequestKind::kOther;
 
   friend auto operator<=>(const ReceivedHead&, const ReceivedHead&) = default;
   friend bool operator==(const ReceivedHead&, const ReceivedHead&) = default;
@@ -27,7 +34,7 @@
 /// Why a head is not a response.
 enum class HeadDefect {
   kStatus,          ///< Not from 100 to 599 (RFC 9110, section 15).
-  kProtocolSwitch,  ///< 101, which no request asks for.
+  kProtocolSwitch,  ///< 101, which the request doesn't ask for.
   kReasonPhrase,    ///< Holds a control character (RFC 9112, section 4).
   kFieldName,       ///< Not a token (RFC 9110, section 5.1).
   kFieldValue,      ///< Holds a control character (RFC 9110, section 5.5).
--- a/responses/response_rules.cc
+++ b/responses/response_rules.cc
@@ -87,7 +87,7 @@
 bool MayHaveBody(const ReceivedHead& head) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
-  return !head.answers_head_request && !IsInformational(head) &&
+  return head.request != RequestKind::kHead && !IsInformational(head) &&
          head.status != kNoContent && head.status != kNotModified;
 }
 
@@ -135,7 +135,8 @@
   if (head.status < kMinStatus || head.status > kMaxStatus) {
     return HeadDefect::kStatus;
   }
-  if (head.status == kSwitchingProtocols) {
+  if (head.status == kSwitchingProtocols &&
+      head.request != RequestKind::kUpgrade) {
     return HeadDefect::kProtocolSwitch;
   }
   if (!IsValidFieldValue(head.reason_phrase)) {
--- a/responses/tests/response_rules_test.cc
+++ b/responses/tests/response_rules_test.cc
@@ -40,8 +40,13 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(ProtocolSwitchIsNoResponse) {
-  BOOST_TEST((FindDefect(HeadWithStatus(101)) == Defect(kProtocolSwitch)));
+BOOST_AUTO_TEST_CASE(ProtocolSwitchAnswersUpgradeRequestsOnly) {
+  for (const auto request : {RequestKind::kOther, RequestKind::kHead}) {
+    BOOST_TEST((FindDefect({.status = 101, .request = request}) ==
+                Defect(kProtocolSwitch)));
+  }
+  BOOST_TEST((FindDefect({.status = 101, .request = RequestKind::kUpgrade}) ==
+              Defect()));
 }
 
 // Guards against informational heads that count as the response, because the
@@ -118,7 +123,7 @@
       BOOST_TEST((
           FindDefect({.status = 200,
                       .fields = {{.name = "Transfer-Encoding", .value = value}},
-                      .answers_head_request = true}) == Defect()));
+                      .request = RequestKind::kHead}) == Defect()));
     }
   }
   for (const std::string value : {"chunked", "CHUNKED", ", chunked\t,"}) {
