--- a/operator_cli/tests/operator_cli_test.cc
+++ b/operator_cli/tests/operator_cli_test.cc
@@ -26,6 +26,21 @@
   BOOST_TEST(explanation.unreadable == 1U);
 }
 
+// The command line reads no responses, only log records, and their statuses as
+// text: JSON has no number 000.
+BOOST_AUTO_TEST_CASE(StatusOfALogRecordIsPrintedAsItIs) {
+  std::stringstream logs(
+      R"({"unix_ms":1,"event":"route.attempt_ended","request":"r","status":0}
+{"unix_ms":2,"event":"route.attempt_ended","request":"r","status":000}
+{"unix_ms":3,"event":"route.attempt_ended","request":"r","status":"000"}
+)");
+  const Explanation explanation = Explain(logs, "r");
+  BOOST_REQUIRE(explanation.lines.size() == 2);
+  BOOST_TEST(explanation.lines[0].fields == "status=0");
+  BOOST_TEST(explanation.lines[1].fields == "status=000");
+  BOOST_TEST(explanation.unreadable == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(UnknownRequestHasNoLines) {
   std::stringstream logs(
       R"({"unix_ms":30,"event":"route.wait","request":"r"})");
