--- a/forwarding/tests/invalid_response_test.cc
+++ b/forwarding/tests/invalid_response_test.cc
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE invalid_response
+#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
-#include <optional>
+#include <string_view>
 
 #include "entry_fixture.h"
 
@@ -15,6 +17,13 @@
 
 constexpr char kBody[] = "Content-Length: 3\r\n\r\nbad";
 
+std::string Join(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  std::ranges::for_each(parts,
+                        [&](std::string_view part) { text.append(part); });
+  return text;
+}
+
 /// What the caller of one request gets for a target's response.
 struct Received {
   TestCaller::Response response;
@@ -97,9 +106,8 @@
       const std::string before = name.substr(0, 1);
       const std::string after = name.substr(1);
       for (const std::string& line :
-           {name + std::string(invalid) + ": 2",
-            std::string(invalid) + name + ": 2",
-            before + std::string(invalid) + after + ": 2"}) {
+           {Join({name, invalid, ": 2"}), Join({invalid, name, ": 2"}),
+            Join({before, invalid, after, ": 2"})}) {
         // A line that begins with a blank continues the one before it.
         const bool is_continuation = line[0] == ' ' || line[0] == '\t';
         if (!is_continuation) {
@@ -145,10 +153,10 @@
        {"gzip", "gzip, chunked", "chunked, gzip", "identity",
         "identity, chunked", "chunked;q=1", "xchunked"}) {
     const std::string field = "Transfer-Encoding: " + value + "\r\n";
-    CheckIsNoResponse("HTTP/1.1 200 OK\r\n" + field + chunks);
+    CheckIsNoResponse(Join({"HTTP/1.1 200 OK\r\n", field, chunks}));
     CheckIsNoResponse("HTTP/1.1 200 OK\r\n" + field + kBody);
-    CheckIsNoResponse("HTTP/1.1 200 OK\r\n" + field +
-                      "Transfer-Encoding: chunked\r\n" + chunks);
+    CheckIsNoResponse(Join({"HTTP/1.1 200 OK\r\n", field,
+                            "Transfer-Encoding: chunked\r\n", chunks}));
   }
   CheckIsNoResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n" + chunks);
   CheckIsNoResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" +
@@ -232,7 +240,7 @@
     const std::string head = "HTTP/1.1 " + status + " Wait\r\n";
     for (const std::string& before :
          {head + "\r\n", head + "Content-Length: 5\r\n\r\n",
-          head + "Link: </a>\r\n\r\n" + head + "\r\n"}) {
+          Join({head, "Link: </a>\r\n\r\n", head, "\r\n"})}) {
       BOOST_TEST_CONTEXT("before '" << before << "'") {
         for (const auto& pieces :
              {std::vector{before + sound}, std::vector{before, sound}}) {
@@ -250,7 +258,7 @@
       BOOST_TEST((alone.outcomes == Outcomes{kBrokenBeforeResponse}));
     }
     CheckIsNoResponse(head + "\r\nHTTP/1.1 000 OK\r\n" + kBody);
-    CheckIsNoResponse(head + "Bad Name: 1\r\n\r\n" + sound);
+    CheckIsNoResponse(Join({head, "Bad Name: 1\r\n\r\n", sound}));
   }
   std::string many;
   for (int i = 0; i < 8; ++i) {
--- a/peering/tests/handshake_response_test.cc
+++ b/peering/tests/handshake_response_test.cc
@@ -124,7 +124,8 @@
        {"Bad Name: 1", "Bad\tName: 1", "Bad\x01Name: 1", "Bad\x7fName: 1",
         "Name: a\x01z", "(): 1", ": 1"}) {
     BOOST_TEST_CONTEXT("field '" << field << "'") {
-      BOOST_TEST(!HandshakeServer({line, "\r\n" + field + line}).IsAccepted());
+      const std::string added = "\r\n" + field;
+      BOOST_TEST(!HandshakeServer({line, added + line}).IsAccepted());
     }
   }
 }
--- a/responses/response_rules.cc
+++ b/responses/response_rules.cc
@@ -67,10 +67,11 @@
 
 std::optional<std::uint64_t> ParseLength(std::string_view text) {
   std::uint64_t length = 0;
-  const char* const end = text.data() + text.size();
-  const auto [parse_end, error] = std::from_chars(text.data(), end, length);
-  return error == std::errc() && parse_end == end ? std::optional(length)
-                                                  : std::nullopt;
+  const auto [parse_end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), length);
+  const bool is_valid =
+      error == std::errc() && parse_end == text.data() + text.size();
+  return is_valid ? std::optional(length) : std::nullopt;
 }
 
 // Equal lengths are one length.
