--- a/responses/include/cicadaloft/responses/response_rules.h
+++ b/responses/include/cicadaloft/responses/response_rules.h
@@ -61,13 +61,6 @@
 /// section 15.2).
 bool IsInformational(const ReceivedHead& head);
 
-/// @return whether the name is a token.
-bool IsValidFieldName(std::string_view name);
-
-/// @return whether the value, or reason phrase, has no control character but
-/// tabs. Bytes above 127 are valid.
-bool IsValidFieldValue(std::string_view value);
-
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_RESPONSES_RESPONSE_RULES_H_
--- a/responses/response_rules.cc
+++ b/responses/response_rules.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <ranges>
 #include <system_error>
 
@@ -33,6 +34,16 @@
   return byte < kSpace || byte == kDelete;
 }
 
+bool IsValidFieldName(std::string_view name) {
+  return !name.empty() && std::ranges::all_of(name, IsTokenCharacter);
+}
+
+// Also for reason phrases. Bytes above 127 are valid.
+bool IsValidFieldValue(std::string_view value) {
+  return std::ranges::none_of(
+      value, [](char c) { return IsControlCharacter(c) && c != '\t'; });
+}
+
 std::string_view TrimBlanks(std::string_view text) {
   constexpr std::string_view kBlanks = " \t";
   const std::size_t start = text.find_first_not_of(kBlanks);
@@ -49,18 +60,19 @@
 
 FieldList ListOf(const std::vector<HeaderField>& fields,
                  std::string_view name) {
+  const auto has_name = [&](const HeaderField& field) {
+    return EqualsIgnoreCase(field.name, name);
+  };
+  const auto trim = [](const auto& element) {
+    return TrimBlanks({element.begin(), element.end()});
+  };
   FieldList list;
-  for (const HeaderField& field : fields) {
-    if (!EqualsIgnoreCase(field.name, name)) {
-      continue;
-    }
+  for (const HeaderField& field : fields | std::views::filter(has_name)) {
     list.is_present = true;
-    for (const auto part : std::views::split(field.value, ',')) {
-      const auto element = TrimBlanks({part.begin(), part.end()});
-      if (!element.empty()) {
-        list.elements.push_back(element);
-      }
-    }
+    std::ranges::copy_if(
+        field.value | std::views::split(',') | std::views::transform(trim),
+        std::back_inserter(list.elements),
+        [](std::string_view element) { return !element.empty(); });
   }
   return list;
 }
@@ -157,13 +169,4 @@
   return head.status >= kMinStatus && head.status < kMinFinalStatus;
 }
 
-bool IsValidFieldName(std::string_view name) {
-  return !name.empty() && std::ranges::all_of(name, IsTokenCharacter);
-}
-
-bool IsValidFieldValue(std::string_view value) {
-  return std::ranges::none_of(
-      value, [](char c) { return IsControlCharacter(c) && c != '\t'; });
-}
-
 }  // namespace cicadaloft
