--- a/tests/stand_ins/fake_runner.cc
+++ b/tests/stand_ins/fake_runner.cc
@@ -33,7 +33,7 @@
   fake_runner --listen ADDRESS --id ID --service NAME --zone NAME --store ADDRESS
               [--models NAMES] [--disk NAMES] [--load-ms N] [--event-ms N]
               [--work-ms N] [--slots N] [--event-tokens N]
-              [--runs FILE]
+              [--runs FILE] [--until-close]
 
 Options:
   --listen ADDRESS  Address to listen on, "IP:port".
@@ -51,6 +51,7 @@
                   has 8 events [default: 0].
   --runs FILE     Appends the time of the steady clock in ms and the id of each
                   request that it executes; kept when the process ends.
+  --until-close   The end of the connection marks the end of a stream.
 
   GET /seen           returns the ids of all requests that were executed
   GET /turned_away    returns those that were turned away during a rest
@@ -80,6 +81,7 @@
   long slots = 0;
   long event_tokens = 0;
   std::string runs_file;
+  bool is_until_close = false;
 };
 
 class FakeRunner {
@@ -306,11 +308,13 @@
     // A resumed stream goes on after the last event that was delivered.
     const std::string last(request["Last-Event-Id"]);
     const long first = last.empty() ? 1 : std::stol(last) + 1;
-    std::string head =
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        "Transfer-Encoding: chunked\r\nRequest-Id: " +
-        id + "\r\nServer-Stamp: stand-in." + this->settings.id +
-        (this->is_leaving ? "\r\nServer-Leaving: 1" : "") + "\r\n\r\n";
+    const bool is_chunked = !this->settings.is_until_close;
+    const std::string head =
+        std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n") +
+        (is_chunked ? "Transfer-Encoding: chunked" : "Connection: close") +
+        "\r\nRequest-Id: " + id + "\r\nServer-Stamp: stand-in." +
+        this->settings.id + (this->is_leaving ? "\r\nServer-Leaving: 1" : "") +
+        "\r\n\r\n";
     const auto write = [&](std::string text) -> asio::awaitable<bool> {
       const auto [error, size] = co_await asio::async_write(
           socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
@@ -323,12 +327,16 @@
           (i == event_count ? "\n\ndata: [DONE]" : "") + "\n\n";
       std::ostringstream chunk;
       chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
-      is_open = co_await write(chunk.str());
+      std::string bytes = is_chunked ? chunk.str() : event;
+      is_open = co_await write(std::move(bytes));
       asio::steady_timer timer(socket.get_executor(),
                                this->settings.event_interval);
       co_await timer.async_wait(asio::use_awaitable);
     }
-    co_return is_open&& co_await write("0\r\n\r\n");
+    if (is_open && is_chunked) {
+      is_open = co_await write("0\r\n\r\n");
+    }
+    co_return is_open&& is_chunked;
   }
 
   const Settings settings;
@@ -364,7 +372,8 @@
       .slots = options["--slots"].asLong(),
       .event_tokens = options["--event-tokens"].asLong(),
       .runs_file = options["--runs"].isString() ? options["--runs"].asString()
-                                                : std::string()};
+                                                : std::string(),
+      .is_until_close = options["--until-close"].asBool()};
   FakeRunner runner(settings, Split(options["--models"].asString()),
                     Split(options["--disk"].asString()));
   runner.Register();
