Mark the end of streams by more than the end of the connection

Callers got streams that ended as complete after some of their events. Cause: a body without a length or chunks from the target, or one to an HTTP/1.0 caller, was marked by the end of the caller's connection. The session resets the connection when such a body breaks off, but a process that is killed, or exits at the end of its stop time, runs no code there, and the kernel closes its connections in order.

Now each HTTP/1.1 caller gets chunks, whatever the target's framing is. For an HTTP/1.0 caller SO_LINGER with a timeout of 0 is set from the first byte of the response until the last has been written, so that the kernel resets the connection however the process ends.

--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -15,6 +15,7 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/forwarding/caller_connection.h"
 #include "cicadaloft/forwarding/with_timeout.h"
+#include "cicadaloft/settings/socket_options.h"
 #include "problem_response.h"
 #include "response_writer.h"
 
@@ -255,6 +256,9 @@
     }
     this->head.emplace(response_head);
     this->keeps_alive = this->CanKeepAlive();
+    if (this->IsEndedByClose()) {
+      EnableResetOnClose(this->connection->socket);
+    }
     const bool is_written = co_await this->Write(FormatResponseHead(
         response_head, *this->response_format, this->keeps_alive));
     if (!is_written) {
@@ -278,6 +282,9 @@
     if (!is_written) {
       co_return co_await this->HandleDisconnect();
     }
+    if (this->IsEndedByClose()) {
+      DisableResetOnClose(this->connection->socket);
+    }
     co_return this->keeps_alive ? Progress::kServed : Progress::kClosing;
   }
 
@@ -298,9 +305,15 @@
     const bool is_stopping =
         this->head->closes_connection || this->is_host_stopping;
     return this->response_format->keep_alive &&
-           (!is_stopping || this->HasNextRequest()) &&
-           FramingFor(*this->head, *this->response_format) !=
-               BodyFraming::kUntilClose;
+           (!is_stopping || this->HasNextRequest()) && !this->IsEndedByClose();
+  }
+
+  // Whether the end of the connection marks the end of the body. Until the body
+  // is complete, only a reset shows the caller that it isn't, and the kernel
+  // sends one also if this process is killed.
+  bool IsEndedByClose() const {
+    return FramingFor(*this->head, *this->response_format) ==
+           BodyFraming::kUntilClose;
   }
 
   bool HasNextRequest() const {
@@ -329,17 +342,8 @@
     co_return true;
   }
 
-  // Where the end of the connection marks the end of the body, only a reset
-  // shows the caller that the body is incomplete.
   void Close() {
     error_code ignored;
-    const bool is_truncated =
-        this->head && FramingFor(*this->head, *this->response_format) ==
-                          BodyFraming::kUntilClose;
-    if (is_truncated) {
-      std::ignore = this->connection->socket.set_option(
-          asio::socket_base::linger(true, 0), ignored);
-    }
     std::ignore = this->connection->socket.close(ignored);
     this->connection->to_session->Close();
     this->connection->to_reader.Close();
--- a/forwarding/response_writer.cc
+++ b/forwarding/response_writer.cc
@@ -48,9 +48,12 @@
 }  // namespace
 
 BodyFraming FramingFor(const ResponseHead& head, const ResponseFormat& format) {
-  const bool is_chunked = head.framing == BodyFraming::kChunked;
-  return is_chunked && format.is_http_1_0 ? BodyFraming::kUntilClose
-                                          : head.framing;
+  const bool has_marked_end = head.framing == BodyFraming::kLength ||
+                              head.framing == BodyFraming::kNone;
+  if (has_marked_end) {
+    return head.framing;
+  }
+  return format.is_http_1_0 ? BodyFraming::kUntilClose : BodyFraming::kChunked;
 }
 
 std::string FormatResponseHead(const ResponseHead& head,
--- a/forwarding/response_writer.h
+++ b/forwarding/response_writer.h
@@ -10,7 +10,9 @@
 
 namespace cicadaloft {
 
-/// @return how the end of the response body is marked for this caller.
+/// @return how the end of the response body is marked for this caller. The end
+/// of the connection is the mark only where HTTP/1.0 has no other: a connection
+/// also ends when this process does.
 BodyFraming FramingFor(const ResponseHead& head, const ResponseFormat& format);
 
 /// @return the status line and header fields for the caller.
--- a/settings/include/cicadaloft/settings/socket_options.h
+++ b/settings/include/cicadaloft/settings/socket_options.h
@@ -19,9 +19,13 @@
 void OpenForConnect(boost::asio::ip::tcp::socket& socket,
                     const boost::asio::ip::tcp::endpoint& peer);
 
-/// Makes the close of the connection send a reset.
+/// Makes the close of the connection send a reset, also when the kernel closes
+/// it because the process has ended.
 void EnableResetOnClose(boost::asio::ip::tcp::socket& socket);
 
+/// Makes the close of the connection deliver what has been written.
+void DisableResetOnClose(boost::asio::ip::tcp::socket& socket);
+
 /// Resets a connection, so that bytes that have not been delivered yet never
 /// are: after a plain close the system would still deliver them, even long
 /// after a network partition has ended.
--- a/settings/socket_options.cc
+++ b/settings/socket_options.cc
@@ -50,6 +50,12 @@
       socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
 
+void DisableResetOnClose(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  std::ignore =
+      socket.set_option(boost::asio::socket_base::linger(false, 0), ignored);
+}
+
 void AbortConnection(tcp::socket& socket) {
   EnableResetOnClose(socket);
   boost::system::error_code ignored;
