--- a/core/include/cicadaloft/core/error_kind.h
+++ b/core/include/cicadaloft/core/error_kind.h
@@ -25,6 +25,9 @@
   kStopping,
   kNotConfigured,
   kPoisonRequest,
+  kStreamOriginUnknown,      ///< Which version began the stream isn't known.
+  kStreamOriginUnreachable,  ///< It can't be looked up at present.
+  kStreamVersionGone,        ///< No target of that version is left.
   kTargetUnreachable,
   kTargetFailed,
   kTargetTimeout,
--- a/core/include/cicadaloft/core/id.h
+++ b/core/include/cicadaloft/core/id.h
@@ -36,6 +36,8 @@
 using RouteId = Id<struct RouteTag>;
 /// A group of targets that serve the same routes.
 using ServiceId = Id<struct ServiceTag>;
+/// Version of a target's software, without an order. Empty: not known.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using TargetId = Id<struct TargetTag>;
 
 /// A number that can only be compared with numbers of the same kind.
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -56,6 +56,7 @@
   void Handle(const WarmupGrant& grant);
   void Handle(const PoisonSuspects& suspects);
   void Handle(const PoisonBlock& block);
+  void Handle(const OriginLookedUp& looked_up);
   void Handle(const QuotaHistoryRequest& request);
   void Handle(const EntryTick& tick);
   void Handle(const EntryStopRequested& stop);
--- /dev/null
+++ b/entry/entry_resumption.cc
@@ -0,0 +1,7 @@
+#include "entry_core.h"
+
+namespace cicadaloft {
+
+void EntryCore::Handle(const OriginLookedUp&) {}
+
+}  // namespace cicadaloft
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -20,6 +20,7 @@
 #include "cicadaloft/duties/messages.h"
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/poison/poison_messages.h"
+#include "cicadaloft/resumption/messages.h"
 #include "cicadaloft/routing/model_locations.h"
 #include "cicadaloft/routing/prompt_part.h"
 #include "cicadaloft/routing/target_load.h"
@@ -51,6 +52,17 @@
   friend bool operator==(const ByRoute&, const ByRoute&) = default;
 };
 
+/// The caller has part of a stream and goes on with it.
+struct StreamResumption {
+  /// The caller's request that brought the first event; empty: not named.
+  const RequestId first_request;
+
+  friend auto operator<=>(const StreamResumption&,
+                          const StreamResumption&) = default;
+  friend bool operator==(const StreamResumption&,
+                         const StreamResumption&) = default;
+};
+
 using Destination = std::variant<ByHostAndPath, ByModel, ByRoute>;
 
 /// A request that states more tokens is malformed: no model holds as many, and
@@ -83,6 +95,8 @@
   const Duration timeout{};             ///< How long the caller waits from now.
   const bool is_batch = false;          ///< Marked by the caller as batch work.
   const std::uint64_t fingerprint = 0;  ///< Of customer key, path and body.
+  /// None for a new stream and for other requests.
+  const std::optional<StreamResumption> resumption;
 
   friend auto operator<=>(const RequestArrived&,
                           const RequestArrived&) = default;
@@ -227,6 +241,7 @@
                                 WarmupGrant,
                                 PoisonSuspects,
                                 PoisonBlock,
+                                OriginLookedUp,
                                 QuotaHistoryRequest,
                                 EntryTick,
                                 EntryStopRequested>;
@@ -244,6 +259,8 @@
   const Duration response_timeout{};
   /// Whether an error response is withheld because another target may succeed.
   const bool withholds_error_response = false;
+  /// Recorded before the response is passed on; none if it needs no record.
+  const std::optional<OriginRecord> origin;
 
   friend auto operator<=>(const Dispatch&, const Dispatch&) = default;
   friend bool operator==(const Dispatch&, const Dispatch&) = default;
@@ -364,6 +381,7 @@
                                  PoisonRefutation,
                                  TargetLeavingReport,
                                  QuotaHistory,
+                                 LookUpOrigin,
                                  RequestsStarted,
                                  WaitMeasured,
                                  RunMeasured,
--- a/fleet/include/cicadaloft/fleet/target_record.h
+++ b/fleet/include/cicadaloft/fleet/target_record.h
@@ -26,6 +26,7 @@
   Duration cold_remaining{};
   /// Number of the target's process; each start has a higher one.
   TargetInstance instance;
+  SoftwareVersion software;
   std::vector<ModelPath> loaded;   ///< Sorted; models and adapters.
   std::vector<ModelId> in_memory;  ///< Sorted; copies in host memory.
   std::vector<ModelId> on_disk;    ///< Sorted; copies on the target's own disk.
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -239,6 +239,7 @@
     this->NotifyControl(report);
   }
   void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
+  void Execute(const LookUpOrigin&) {}
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
   void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
