Append to a log of the store wherever it ends

Records that don't depend on those before them, such as the origins of streams, need no expected end. An append with one would conflict between hosts and cost another call each time.

--- a/store/include/cicadaloft/store/store.h
+++ b/store/include/cicadaloft/store/store.h
@@ -31,6 +31,17 @@
   } -> std::same_as<boost::asio::awaitable<Result<AppendOutcome>>>;
 };
 
+/// A store that also appends at the end of a log, wherever that is. The errors
+/// are those of a Store.
+template <typename S>
+concept AppendingStore =
+    Store<S> &&
+    requires(S& store, const std::string& topic, const std::string& record) {
+      {
+        store.Append(topic, record)
+      } -> std::same_as<boost::asio::awaitable<Result<Appended>>>;
+    };
+
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_STORE_STORE_H_
