--- a/resumption/tests/origin_state_test.cc
+++ b/resumption/tests/origin_state_test.cc
@@ -254,6 +254,22 @@
   BOOST_TEST((host.Feed(Ask("r", 1)) == OriginEffects{NotRecorded("r")}));
 }
 
+// Guards against streams that are kept for longer, or dropped too early,
+// because another one's record was repeated.
+BOOST_AUTO_TEST_CASE(RepeatedRecordRenewsTheRetentionOfItsStreamAlone) {
+  OriginHost host;
+  host.Feed(Ask("r", 3));
+  host.Feed(Read({RecordOf(1), RecordOf(2)}, 2, 2));
+  host.Pass(seconds(30));
+  host.Feed(Ask("r", 3));
+  host.Feed(Read({RecordOf(1)}, 3, 3));
+  host.Pass(seconds(30));
+  BOOST_TEST((host.Feed(Ask("r1", 1)) ==
+              OriginEffects{
+                  Found("r1", RecordOf(1), OriginSource::kLog, seconds(60))}));
+  BOOST_TEST((host.Feed(Ask("r2", 2)) == OriginEffects{ReadFrom(3)}));
+}
+
 // Guards against unbounded memory, and against a contradiction that is
 // displaced by other streams, after which a repeated record would be believed.
 BOOST_AUTO_TEST_CASE(OldestOfTooManyOriginsIsDroppedButNoContradiction) {
