Simulate reads of the log whose replies arrive late

The simulated store executed each read when its reply arrived, so a question that was answered by a read sent before it went unnoticed there.

--- a/resumption/tests/origin_hosts_test.cc
+++ b/resumption/tests/origin_hosts_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <random>
@@ -58,6 +59,8 @@
     OriginHost state;
     std::optional<AppendOrigins> append;
     std::optional<ReadOrigins> read;
+    /// Its result, if the store executes it long before the reply arrives.
+    std::optional<OriginEvent> early_reply;
     std::set<OriginTicket> open_tickets;
     /// With the stream, and whether its record was acknowledged then.
     std::map<RequestId, std::pair<std::uint64_t, bool>> open_questions;
@@ -161,26 +164,33 @@
   }
 
   void EndRead(Host& host) {
-    if (!host.read) {
-      return;
+    if (host.read) {
+      const OriginEvent reply =
+          host.early_reply.value_or(this->Execute(*host.read));
+      host.read.reset();
+      host.early_reply.reset();
+      this->Feed(host, reply);
     }
-    const std::uint64_t from =
-        std::exchange(host.read, std::nullopt)->from.value();
+  }
+
+  OriginEvent Execute(const ReadOrigins& request) {
+    constexpr std::uint64_t kMaxBatchesPerRead = 3;
+    const std::uint64_t from = request.from.value();
     const std::uint64_t end = this->log.records.size();
     if (this->HasFault(6)) {
-      this->Feed(host, OriginReadFailed{});
-    } else if (from < this->log.first || from > end) {
-      this->Feed(host, OriginsTrimmed{.first = LogOffset(this->log.first)});
-    } else {
-      OriginsRead read{.end = LogOffset(end)};
-      std::uint64_t next = from;
-      for (; next < std::min(end, from + 3); ++next) {
-        std::ranges::copy(this->log.records[next],
-                          std::back_inserter(read.records));
-      }
-      read.next = LogOffset(next);
-      this->Feed(host, read);
+      return OriginReadFailed{};
+    }
+    if (from < this->log.first || from > end) {
+      return OriginsTrimmed{.first = LogOffset(this->log.first)};
+    }
+    OriginsRead read{.end = LogOffset(end)};
+    std::uint64_t next = from;
+    for (; next < std::min(end, from + kMaxBatchesPerRead); ++next) {
+      std::ranges::copy(this->log.records[next],
+                        std::back_inserter(read.records));
     }
+    read.next = LogOffset(next);
+    return read;
   }
 
   void Feed(Host& host, const OriginEvent& event) {
@@ -192,6 +202,9 @@
                             [&](const ReadOrigins& read) {
                               BOOST_TEST(!host.read.has_value());
                               host.read = read;
+                              if (this->Draw(2) == 0) {
+                                host.early_reply = this->Execute(read);
+                              }
                             },
                             [&](const OriginRecorded& recorded) {
                               BOOST_TEST(host.open_tickets.erase(
