--- a/fleet/tests/fleet_test.cc
+++ b/fleet/tests/fleet_test.cc
@@ -111,6 +111,32 @@
   BOOST_TEST(!tracker.fleet()->targets.at(TargetId("t"))->is_draining);
 }
 
+// Guards against streams that go on at a target whose software was replaced, as
+// the entry task still has the record of the version before.
+BOOST_AUTO_TEST_CASE(ChangeOfTheSoftwareVersionChangesTheFleet) {
+  const auto update = [](std::uint64_t instance, const std::string& software) {
+    return TargetUpdated{.record =
+                             std::make_shared<const TargetRecord>(TargetRecord{
+                                 .id = TargetId("t"),
+                                 .instance = TargetInstance(instance),
+                                 .software = SoftwareVersion(software)})};
+  };
+  const auto software_of = [](const FleetTracker& tracker) {
+    return tracker.fleet()->targets.at(TargetId("t"))->software.value();
+  };
+  FleetTracker tracker = TrackerWithReachableRegistry();
+  BOOST_TEST(tracker.Apply(update(2, "v1"), kNow));
+  BOOST_TEST(software_of(tracker) == "v1");
+  BOOST_TEST(!tracker.Apply(update(2, "v1"), kNow));
+  BOOST_TEST(tracker.Apply(update(3, "v2"), kNow));
+  BOOST_TEST(software_of(tracker) == "v2");
+  BOOST_TEST(!tracker.Apply(update(2, "v1"), kNow));
+  BOOST_TEST(software_of(tracker) == "v2");
+  // Targets that don't number their processes.
+  BOOST_TEST(tracker.Apply(update(3, "v3"), kNow));
+  BOOST_TEST(software_of(tracker) == "v3");
+}
+
 BOOST_AUTO_TEST_CASE(RecordOfEarlierProcessIsIgnored) {
   FleetTracker tracker = TrackerWithReachableRegistry();
   tracker.Apply(TargetUpdated{.record = Record("t", 5)}, kNow);
