Let callers of the own interface take a stream up

Last-Event-ID is the field of event streams. X-Resumed-Request-Id names the request that brought the first event by the X-Request-Id of its response. As with the other fields that are evaluated, each may occur only once.

--- a/own_interface/include/cicadaloft/own_interface/native_protocol.h
+++ b/own_interface/include/cicadaloft/own_interface/native_protocol.h
@@ -8,7 +8,9 @@
 
 /// Protocol of the native HTTP interface; a CallerProtocol. It has POST
 /// /v1/chat/completions with a model or MODEL/ADAPTER, and /services/ROUTE/...
-/// for plain services.
+/// for plain services. A caller takes a stream up again with Last-Event-ID and,
+/// in X-Resumed-Request-Id, the X-Request-Id of the response that brought the
+/// first event.
 struct NativeProtocol {
   static constexpr bool kHasFractionalRetryAfter = false;
 
--- a/own_interface/native_protocol.cc
+++ b/own_interface/native_protocol.cc
@@ -89,6 +89,21 @@
   return std::nullopt;
 }
 
+Result<std::optional<StreamResumption>> ParseResumption(const RawRequest& raw) {
+  const auto last_event = SingleField(raw, "Last-Event-ID");
+  const auto first_request = SingleField(raw, "X-Resumed-Request-Id");
+  for (const auto* field : {&last_event, &first_request}) {
+    if (!IsOk(*field)) {
+      return ErrorOf(*field);
+    }
+  }
+  if (ValueOf(last_event).value_or("").empty()) {
+    return std::optional<StreamResumption>();
+  }
+  return std::optional(StreamResumption{
+      .first_request = RequestId(ValueOf(first_request).value_or(""))});
+}
+
 Result<ParsedDestination> ParseServicePath(const RawRequest& raw) {
   const std::string remaining_path = raw.path.substr(kServicePrefix.size());
   const std::size_t end =
@@ -138,6 +153,7 @@
   std::string credential;
   Duration timeout;
   bool is_batch = false;
+  std::optional<StreamResumption> resumption;
 };
 
 Result<RequestFields> ParseRequestFields(const RawRequest& raw) {
@@ -161,10 +177,15 @@
   if (!IsOk(is_batch)) {
     return ErrorOf(is_batch);
   }
+  const auto resumption = ParseResumption(raw);
+  if (!IsOk(resumption)) {
+    return ErrorOf(resumption);
+  }
   return RequestFields{
       .credential = BearerCredential(FindField(raw.fields, "Authorization")),
       .timeout = ValueOf(timeout),
-      .is_batch = ValueOf(is_batch)};
+      .is_batch = ValueOf(is_batch),
+      .resumption = ValueOf(resumption)};
 }
 
 }  // namespace
@@ -191,7 +212,8 @@
       .prompt_prefix_key = parsed.chat ? parsed.chat->prompt_prefix_key : 0,
       .timeout = header.timeout,
       .is_batch = header.is_batch,
-      .fingerprint = FingerprintOf(raw)};
+      .fingerprint = FingerprintOf(raw),
+      .resumption = header.resumption};
   return CallerRequest{.arrival = std::move(arrival),
                        .method = raw.method,
                        .path = parsed.path,
--- a/own_interface/tests/native_protocol_test.cc
+++ b/own_interface/tests/native_protocol_test.cc
@@ -128,6 +128,46 @@
       ErrorKind::kMalformedRequest));
 }
 
+// Guards against a stream that goes on at a target of another software version,
+// as it was taken for a new one or its first request was not named.
+BOOST_AUTO_TEST_CASE(StreamIsTakenUpWithItsLastEventAndFirstRequest) {
+  const auto resumption_of = [](const std::vector<HeaderField>& fields) {
+    return ParseValid(ServiceGet("/services/c", fields)).arrival.resumption;
+  };
+  const auto named =
+      resumption_of({{"last-event-id", "7"}, {"X-Resumed-Request-Id", "h-1"}});
+  BOOST_TEST(named.value().first_request.value() == "h-1");
+  BOOST_TEST(
+      resumption_of({{"Last-Event-ID", "7"}}).value().first_request.empty());
+  BOOST_TEST(
+      resumption_of({{"Last-Event-ID", "7"}, {"X-Resumed-Request-Id", ""}})
+          .value()
+          .first_request.empty());
+  BOOST_TEST(!resumption_of({}).has_value());
+  BOOST_TEST(!resumption_of({{"Last-Event-ID", ""}}).has_value());
+  BOOST_TEST(!resumption_of({{"X-Resumed-Request-Id", "h-1"}}).has_value());
+  for (const std::string& odd :
+       {std::string("0"), std::string("\xff\x01"), std::string(16'000, 'x')}) {
+    const auto taken_up =
+        resumption_of({{"Last-Event-ID", odd}, {"X-Resumed-Request-Id", odd}});
+    BOOST_TEST((taken_up.value().first_request.value() == odd));
+  }
+  for (const std::string name : {"Last-Event-ID", "X-Resumed-Request-Id"}) {
+    BOOST_TEST((ErrorKindOf(ServiceGet(
+                    "/services/c",
+                    {{"Last-Event-ID", "7"}, {name, "a"}, {name, "b"}})) ==
+                ErrorKind::kMalformedRequest));
+  }
+}
+
+// Guards against a take-up whose target begins the stream from its start.
+BOOST_AUTO_TEST_CASE(LastEventIdReachesTheTarget) {
+  const CallerRequest request =
+      ParseValid(ServiceGet("/services/c", {{"Last-Event-ID", "7"}}));
+  const std::vector<HeaderField> expected = {{"Last-Event-ID", "7"}};
+  BOOST_TEST((request.fields == expected));
+}
+
 BOOST_AUTO_TEST_CASE(FingerprintDependsOnThePathAndNotOnHeaderFields) {
   const auto fingerprint_of = [](const RawRequest& raw) {
     return ParseValid(raw).arrival.fingerprint;
