Let the simulation of hosts build with look-ups of origins

It passes each effect of an entry that it doesn't know to the control part, which takes no LookUpOrigin. Its routes have no streams that are resumed.

--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -272,6 +272,8 @@
   void ExecuteEntryEffect(Host&, const RunMeasured&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
   void ExecuteEntryEffect(Host&, const WaitMeasured&) {}
+  // No route of the simulation has streams that are resumed.
+  void ExecuteEntryEffect(Host&, const LookUpOrigin&) {}
   template <typename Message>
   void ExecuteEntryEffect(Host& host, const Message& message) {
     this->FeedControl(host, message);
