Send streams that are taken up to the version that began them

On routes whose streams may be resumed, a take-up that is within its customer's limit now waits until its origin is looked up, for 500 ms at most, and is then queued for the targets of that service and version only. Its retries stay there. It is refused at once when the version has no target that stays, also while it waits. Without a record it goes on only if the route has led to one service, whose targets have all had one known version, for longer than a stream may last. A route with several services has no such sole origin: which of them began the stream isn't known.

Each Dispatch of such a route carries the record of the origin for the exchange. Queues of take-ups are served before the others. They request the load of a model only while all targets of the service have their version: the lease holder chooses targets without regard to versions, and `denied_by` would make it doubt the state of targets that are in order.

--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -48,9 +48,17 @@
   }
 }
 
-// Counts a request that its customer's limit allows, and queues it for a
-// target.
+// Takes a request that its customer's limit allows.
 void EntryCore::EnqueueAdmitted(OpenRequest& request) {
+  if (NeedsOrigin(request)) {
+    this->FindOrigin(request);
+  } else {
+    this->EnqueueForTarget(request);
+  }
+}
+
+// Counts a request and queues it for a target.
+void EntryCore::EnqueueForTarget(OpenRequest& request) {
   const QueueKey queue_key = request.queue_key;
   const RequestId id = request.arrival.request;
   this->RetryBudgetOf(queue_key.service).OnRequest();
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -297,20 +297,34 @@
                              "no complete response within the time limit"));
       continue;
     }
-    if (request.quota_deadline) {
-      this->RefuseWithoutQuota(request, Duration::zero(),
-                               "the lease holder has not replied in time");
-      continue;
-    }
+    this->RefuseExpired(request);
+  }
+}
+
+// Ends a request that has waited too long for a target, for quota or for the
+// origin of a stream.
+void EntryCore::RefuseExpired(const OpenRequest& request) {
+  const Error stopping = MakeError(
+      ErrorKind::kStopping,
+      "this host is shutting down and no target could accept the request early "
+      "enough");
+  const bool is_late = this->now >= this->stop_wait_deadline;
+  if (request.quota_deadline) {
+    this->RefuseWithoutQuota(request, Duration::zero(),
+                             "the lease holder has not replied in time");
+  } else if (request.origin_deadline) {
+    this->RefuseTakeUp(
+        request, is_late
+                     ? stopping
+                     : MakeError(ErrorKind::kStreamOriginUnreachable,
+                                 "the version that began the stream could not "
+                                 "be looked up in time"));
+  } else {
     this->RefuseOpenRequest(
-        request,
-        this->now >= this->stop_wait_deadline
-            ? MakeError(ErrorKind::kStopping,
-                        "this host is shutting down and no target could accept "
-                        "the request early enough")
-            : MakeError(ErrorKind::kNoCapacity,
-                        "no target could accept the request within its maximum "
-                        "wait time"));
+        request, is_late ? stopping
+                         : MakeError(ErrorKind::kNoCapacity,
+                                     "no target could accept the request "
+                                     "within its maximum wait time"));
     this->Close(request);
   }
 }
@@ -322,6 +336,9 @@
   if (request.quota_deadline) {
     this->expiries.erase({*request.quota_deadline, id});
   }
+  if (request.origin_deadline) {
+    this->expiries.erase({*request.origin_deadline, id});
+  }
   if (!request.is_running) {
     this->RemoveFromQueue(request);
   }
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -80,6 +80,7 @@
   this->UpdateRankedServices();
   this->UpdateAllShares();
   const Configuration& value = this->configuration->value();
+  this->sole_origins.Update(value.routes, this->now);
   this->Log(event_names::kConfigurationAdopted, RequestId(),
             {{"version", version.value()},
              {"routes", value.routes.size()},
@@ -107,6 +108,7 @@
 void EntryCore::Handle(const FleetChanged& change) {
   const FleetPtr before = this->fleet;
   this->fleet = change.fleet;
+  this->sole_origins.Update(*this->fleet, this->now);
   this->targets_by_service.clear();
   for (const auto& [id, record] : this->fleet->targets) {
     this->targets_by_service[record->service].push_back(id);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -34,6 +35,7 @@
 #include "cicadaloft/routing/target_view.h"
 #include "cicadaloft/warmup/warmup_permits.h"
 #include "open_request.h"
+#include "sole_origins.h"
 
 namespace cicadaloft {
 
@@ -135,6 +137,7 @@
   Result<const Route*> FindRoute(const RequestArrived& arrived) const;
   std::optional<Error> CheckCustomer(OpenRequest& request);
   void EnqueueAdmitted(OpenRequest& request);
+  void EnqueueForTarget(OpenRequest& request);
   RetryBudget& RetryBudgetOf(const ServiceId& service);
   void UpdateRetryBudget(RetryBudget& budget) const;
 
@@ -179,6 +182,19 @@
   void RefuseHopeless(OpenRequest& request, Duration min_wait);
   Duration RankedRetryAfter(const OpenRequest& request, Duration min_wait);
 
+  // Streams that are taken up again.
+  static bool NeedsOrigin(const OpenRequest& request);
+  void FindOrigin(OpenRequest& request);
+  void PinToOrigin(OpenRequest& request,
+                   const StreamOrigin& origin,
+                   const OriginEvidence& evidence);
+  void PinToSoleOrigin(OpenRequest& request);
+  bool IsVersionGone(const QueueKey& key) const;
+  bool RefuseIfVersionGone(const QueueKey& key);
+  bool HasOtherVersions(const QueueKey& key) const;
+  void RefuseTakeUp(const OpenRequest& request, const Error& error);
+  void LogTakeUp(const OpenRequest& request, std::string_view outcome);
+
   // Queues and dispatch.
   void Enqueue(const OpenRequest& request);
   void RemoveFromQueue(const OpenRequest& request);
@@ -186,6 +202,8 @@
   void DispatchFromAllQueues();
   bool HasCapacity(const Candidates& candidates) const;
   bool TryDispatch(OpenRequest& request, const Candidates& candidates);
+  Dispatch MakeDispatch(const OpenRequest& request,
+                        const TargetView& target) const;
   void LogDispatch(const OpenRequest& request,
                    const TargetView& target,
                    std::size_t candidate_count);
@@ -198,6 +216,7 @@
                                         const Candidates& candidates) const;
   bool IsUsable(const TargetView& target) const;
   bool IsFull(const TargetView& target) const;
+  std::vector<RequestId> RequestsInQueue(const QueueKey& key) const;
   void RefuseIfTargetsRest(const QueueKey& key, const Candidates& candidates);
   void RequestModelLoad(const QueueKey& key,
                         WaitQueue& queue,
@@ -263,6 +282,7 @@
   bool MayRunAgain(const OpenRequest& request) const;
   void RefuseOpenRequest(const OpenRequest& request, const Error& error);
   void HandleExpired();
+  void RefuseExpired(const OpenRequest& request);
   void Close(const OpenRequest& request);
 
   // Poison requests.
@@ -290,6 +310,7 @@
   std::map<TargetId, TargetView> targets;
   LapsedNotices lapsed_notices;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
+  SoleOrigins sole_origins;
   std::map<ServiceId, ServicePace> service_paces;
   ModelLocations model_locations;
 
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <ranges>
 #include <utility>
@@ -45,16 +46,23 @@
   }
 }
 
+// Callers that take a stream up have a part of it already, so they go first.
 void EntryCore::DispatchFromAllQueues() {
+  const auto is_for_take_ups = [](const QueueKey& key) {
+    return key.software.has_value();
+  };
+  const auto all_keys = this->queues | std::views::keys;
   std::vector<QueueKey> keys;
-  std::ranges::copy(this->queues | std::views::keys, std::back_inserter(keys));
+  std::ranges::copy_if(all_keys, std::back_inserter(keys), is_for_take_ups);
+  std::ranges::copy_if(all_keys, std::back_inserter(keys),
+                       std::not_fn(is_for_take_ups));
   std::ranges::for_each(
       keys, [this](const QueueKey& key) { this->DispatchFromQueue(key); });
 }
 
 void EntryCore::DispatchFromQueue(const QueueKey& key) {
   const auto found = this->queues.find(key);
-  if (found == this->queues.end()) {
+  if (found == this->queues.end() || this->RefuseIfVersionGone(key)) {
     return;
   }
   WaitQueue& queue = found->second;
@@ -88,6 +96,16 @@
   this->UpdateEstimates(key, candidates);
 }
 
+std::vector<RequestId> EntryCore::RequestsInQueue(const QueueKey& key) const {
+  std::vector<RequestId> ids;
+  for (const auto& [id, request] : this->requests) {
+    if (request.IsQueued() && request.queue_key == key) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 // Refuses the requests that would only wait until the end of their time because
 // all targets that stay rest for longer. A model may be loaded on another
 // target meanwhile, so this applies to services without models.
@@ -110,15 +128,11 @@
       staying | std::views::transform([](const TargetView* target) {
         return target->notices().resting_until();
       }));
-  std::vector<RequestId> hopeless;
-  for (const auto& [id, request] : this->requests) {
-    if (!request.is_running && !request.quota_deadline &&
-        request.queue_key == key && request.wait_deadline <= rest_end) {
-      hopeless.push_back(id);
-    }
-  }
-  for (const RequestId& id : hopeless) {
+  for (const RequestId& id : this->RequestsInQueue(key)) {
     const OpenRequest& request = this->requests.at(id);
+    if (request.wait_deadline > rest_end) {
+      continue;
+    }
     this->RefuseOpenRequest(
         request, MakeError(ErrorKind::kNoCapacity,
                            "all targets have asked for a rest that is longer "
@@ -147,8 +161,7 @@
   if (target == nullptr) {
     return false;
   }
-  const Duration remaining = request.response_deadline - this->now;
-  if (remaining < kMinDispatchTime) {
+  if (request.response_deadline - this->now < kMinDispatchTime) {
     return false;
   }
   this->expiries.erase({request.wait_deadline, request.arrival.request});
@@ -166,25 +179,41 @@
   request.size = this->SizeOf(request);
   target->capacity().OnDispatch(request.size);
   this->LogDispatch(request, *target, candidates.size());
-  this->effects.emplace_back(
-      Dispatch{.request = request.arrival.request,
-               .attempt = request.attempt,
-               .target = request.target,
-               .address = target->record().address,
-               .customer = request.CustomerIdOrEmpty(),
-               .priority = request.Priority(),
-               .response_timeout = remaining,
-               .withholds_error_response =
-                   request.route->retry_policy == RetryPolicy::kIdempotent &&
-                   request.run_count + 1 < request.route->max_runs});
+  this->effects.emplace_back(this->MakeDispatch(request, *target));
   return true;
 }
 
+Dispatch EntryCore::MakeDispatch(const OpenRequest& request,
+                                 const TargetView& target) const {
+  const RetryPolicy retry_policy = request.route->retry_policy;
+  const SoftwareVersion& software = target.record().software;
+  std::optional<OriginRecord> origin;
+  if (retry_policy == RetryPolicy::kResumable && !software.empty()) {
+    origin = OriginRecord{
+        .stream = MakeStreamKey(request.CustomerIdOrEmpty(),
+                                request.arrival.caller_request_id),
+        .origin = {.service = request.queue_key.service, .software = software}};
+  }
+  return Dispatch{.request = request.arrival.request,
+                  .attempt = request.attempt,
+                  .target = request.target,
+                  .address = target.record().address,
+                  .customer = request.CustomerIdOrEmpty(),
+                  .priority = request.Priority(),
+                  .response_timeout = request.response_deadline - this->now,
+                  .withholds_error_response =
+                      retry_policy == RetryPolicy::kIdempotent &&
+                      request.run_count + 1 < request.route->max_runs,
+                  .origin = std::move(origin)};
+}
+
 void EntryCore::LogDispatch(const OpenRequest& request,
                             const TargetView& target,
                             std::size_t candidate_count) {
+  const SoftwareVersion& software = target.record().software;
   std::vector<LogField> fields = {
       {"target", request.target.value()},
+      {"software", software.empty() ? "-" : software.value()},
       {"attempt", request.attempt.value()},
       {"model", request.ModelText()},
       {"customer", request.CustomerIdOrEmpty().value()},
@@ -211,7 +240,8 @@
   const auto add = [&](const TargetId& id) {
     const auto found = this->targets.find(id);
     if (found != this->targets.end() &&
-        found->second.record().service == key.service) {
+        found->second.record().service == key.service &&
+        (!key.software || found->second.record().software == *key.software)) {
       candidates.push_back(&found->second);
     }
   };
@@ -255,7 +285,8 @@
 void EntryCore::RequestModelLoad(const QueueKey& key,
                                  WaitQueue& queue,
                                  const Candidates& candidates) {
-  if (!key.model || !this->configuration) {
+  // The lease holder chooses targets without regard to their versions.
+  if (!key.model || !this->configuration || this->HasOtherVersions(key)) {
     return;
   }
   const bool is_requested =
--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -41,9 +41,11 @@
   const bool is_served = std::ranges::any_of(
       candidates,
       [this](const TargetView* target) { return this->IsUsable(*target); });
+  // A load that takes place may be on a target of another version.
   const auto load_end =
-      key.model ? this->model_locations.ExpectedReadyAt(*key.model, this->now)
-                : std::nullopt;
+      key.model && !key.software
+          ? this->model_locations.ExpectedReadyAt(*key.model, this->now)
+          : std::nullopt;
   return EstimateBasis{.is_rate_known = is_served && !load_end,
                        .load_end = is_served ? std::nullopt : load_end};
 }
--- a/entry/include/cicadaloft/entry/event_names.h
+++ b/entry/include/cicadaloft/entry/event_names.h
@@ -19,6 +19,7 @@
 inline constexpr char kCallerDisconnected[] = "route.caller_gone";
 inline constexpr char kModelLoadRequest[] = "route.model_wanted";
 inline constexpr char kWarmupRequest[] = "route.warmup_wanted";
+inline constexpr char kStreamResume[] = "stream.resume";
 inline constexpr char kConfigurationAdopted[] = "configuration.adopted";
 inline constexpr char kOlderConfigurationIgnored[] =
     "configuration.older_ignored";
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "cicadaloft/admission/queue_place.h"
 #include "cicadaloft/entry/messages.h"
@@ -19,11 +20,24 @@
 struct QueueKey {
   ServiceId service;
   std::optional<ModelPath> model;
+  /// Of a stream that is taken up; none: any version serves.
+  std::optional<SoftwareVersion> software;
 
   friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
   friend bool operator==(const QueueKey&, const QueueKey&) = default;
 };
 
+/// How a host knows where a stream began.
+struct OriginEvidence {
+  std::string_view source;  ///< A stable token, for logs.
+  TimePoint known_since{};
+
+  friend auto operator<=>(const OriginEvidence&,
+                          const OriginEvidence&) = default;
+  friend bool operator==(const OriginEvidence&,
+                         const OriginEvidence&) = default;
+};
+
 /// A request that was admitted and has not ended. It keeps the configuration
 /// under which it was admitted.
 struct OpenRequest {
@@ -48,6 +62,10 @@
   TimePoint wait_deadline{};      ///< For the start of an attempt.
   /// Set while a QuotaRequest for its cost is pending.
   std::optional<TimePoint> quota_deadline;
+  /// Set while a LookUpOrigin for the stream that it takes up is pending.
+  std::optional<TimePoint> origin_deadline;
+  /// Set once it is known where the stream that it takes up began.
+  std::optional<OriginEvidence> origin_evidence;
   /// Its cost is charged to the lease holder's pool, not to this host's share.
   bool is_charged_to_pool = false;
   AttemptNumber attempt;
@@ -79,6 +97,10 @@
     return this->queue_key.model ? this->queue_key.model->ToString() : "-";
   }
   bool IsBatch() const;
+  /// @return whether it waits in a queue for a target.
+  bool IsQueued() const {
+    return !this->is_running && !this->quota_deadline && !this->origin_deadline;
+  }
   QueuePlace Place() const;
   /// @return the work that its customer is charged for when the queue divides
   /// capacity among customers.
--- /dev/null
+++ b/entry/sole_origins.cc
@@ -0,0 +1,62 @@
+#include "sole_origins.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace cicadaloft {
+
+void SoleOrigins::Update(const Fleet& fleet, TimePoint now) {
+  std::map<ServiceId, SoftwareVersion> current;
+  for (const TargetRecordPtr& record : fleet.targets | std::views::values) {
+    const auto [entry, is_first] =
+        current.try_emplace(record->service, record->software);
+    if (!is_first && entry->second != record->software) {
+      entry->second = SoftwareVersion();
+    }
+  }
+  for (const auto& [service, software] : current) {
+    Version& version = this->versions[service];
+    if (version.software != software) {
+      version = Version{.software = software, .since = now};
+    }
+  }
+}
+
+void SoleOrigins::Update(const std::vector<Route>& routes, TimePoint now) {
+  std::map<RouteId, RouteService> updated;
+  for (const Route& route : routes) {
+    const auto service = route.services.size() == 1
+                             ? std::optional(route.services.front().service)
+                             : std::nullopt;
+    const auto found = this->route_services.find(route.id);
+    const bool is_unchanged =
+        found != this->route_services.end() && found->second.service == service;
+    updated[route.id] = is_unchanged
+                            ? found->second
+                            : RouteService{.service = service, .since = now};
+  }
+  this->route_services = std::move(updated);
+  std::erase_if(this->versions, [&](const auto& entry) {
+    return std::ranges::none_of(
+        this->route_services | std::views::values,
+        [&](const RouteService& item) { return item.service == entry.first; });
+  });
+}
+
+std::optional<SoleOrigin> SoleOrigins::Find(const RouteId& route) const {
+  const auto found = this->route_services.find(route);
+  if (found == this->route_services.end() || !found->second.service) {
+    return std::nullopt;
+  }
+  const ServiceId& service = *found->second.service;
+  const auto version = this->versions.find(service);
+  if (version == this->versions.end() || version->second.software.empty()) {
+    return std::nullopt;
+  }
+  return SoleOrigin{
+      .origin = {.service = service, .software = version->second.software},
+      .since = std::max(found->second.since, version->second.since)};
+}
+
+}  // namespace cicadaloft
--- /dev/null
+++ b/entry/tests/sole_origin_test.cc
@@ -0,0 +1,155 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "resumption_fixture.h"
+
+namespace cicadaloft {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Names = std::vector<std::string>;
+
+const TargetRecord kTarget1 = MakeVersionedTarget("p1", "plain", "v1");
+const TargetRecord kTarget2 = MakeVersionedTarget("p2", "plain", "v1");
+
+/// An entry whose only service has had one version, for no time yet.
+class SoleOriginFixture : public ResumptionFixture {
+ public:
+  SoleOriginFixture() {
+    this->targets = {kTarget1, kTarget2};
+    this->Start();
+  }
+
+  /// @return whether a take-up without a record goes on.
+  bool GoesOn(const std::string& route = "stream") {
+    this->effects.clear();
+    const RequestId id = this->SendTakeUp("first", route);
+    this->NotRecorded(id);
+    const bool is_sent = this->EffectsOf<Dispatch>().size() == 1;
+    if (is_sent) {
+      this->EndAttempt(this->LastDispatchOf(id), AttemptOutcome::kCompleted,
+                       200);
+    } else {
+      BOOST_TEST((this->RefusalKind() == ErrorKind::kStreamOriginUnknown));
+      BOOST_TEST(!this->EffectsOf<Refuse>()[0].retry_after.has_value());
+    }
+    return is_sent;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(sole_origin)
+
+// Guards against guesses of the version while there are two.
+BOOST_AUTO_TEST_CASE(UnknownOriginWithTwoVersionsIsRefused) {
+  SoleOriginFixture entry;
+  entry.SetTargets({kTarget1, MakeVersionedTarget("p2", "plain", "v2")});
+  entry.Wait(seconds(500));
+  BOOST_TEST(!entry.GoesOn());
+  BOOST_TEST(entry.LastOutcome() == "stream_origin_unknown");
+}
+
+// Guards against streams of the version before that are joined to those of the
+// present one.
+BOOST_AUTO_TEST_CASE(SoleVersionMustHaveLastedLongerThanAStream) {
+  SoleOriginFixture entry;
+  entry.Wait(seconds(60));
+  BOOST_TEST(!entry.GoesOn());
+  entry.Wait(milliseconds(10));
+  BOOST_TEST(entry.GoesOn());
+  BOOST_TEST(entry.LastOutcome() == "pinned");
+  BOOST_TEST(entry.Logged(event_names::kStreamResume, "known_from") ==
+             Names{"sole_version"});
+  // Twice the time limit of the route.
+  BOOST_TEST(!entry.GoesOn("slow"));
+  entry.Wait(seconds(20));
+  BOOST_TEST(entry.GoesOn("slow"));
+}
+
+// Guards against take-ups that are refused although they name no first request
+// and all targets are alike, and against their retry at a newer version.
+BOOST_AUTO_TEST_CASE(TakeUpThatNamesNoFirstRequestIsPinnedToTheSoleVersion) {
+  SoleOriginFixture entry;
+  entry.SendTakeUp("");
+  BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamOriginUnknown));
+  entry.Wait(seconds(61));
+  entry.effects.clear();
+  const RequestId id = entry.SendTakeUp("");
+  BOOST_TEST(entry.EffectsOf<LookUpOrigin>().empty());
+  BOOST_REQUIRE(entry.TargetsOf(id).size() == 1);
+  entry.SetTargets({MakeVersionedTarget("p3", "plain", "v2")});
+  entry.EndAttempt(entry.LastDispatchOf(id), AttemptOutcome::kNotSent);
+  BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamVersionGone));
+}
+
+// Guards against a sole version that lasts through others, however short.
+BOOST_AUTO_TEST_CASE(OtherOrUnknownVersionEndsTheSoleVersion) {
+  for (const std::string version : {"v2", ""}) {
+    SoleOriginFixture entry;
+    entry.Wait(seconds(100));
+    BOOST_TEST(entry.GoesOn());
+    entry.SetTargets(
+        {kTarget1, kTarget2, MakeVersionedTarget("p3", "plain", version)});
+    BOOST_TEST(!entry.GoesOn());
+    entry.SetTargets({kTarget1, kTarget2});
+    BOOST_TEST(!entry.GoesOn());
+    entry.Wait(seconds(61));
+    BOOST_TEST(entry.GoesOn());
+  }
+}
+
+// Guards against targets of other services that end the sole version, and
+// against those of no known version that are taken for one.
+BOOST_AUTO_TEST_CASE(OnlyTheTargetsOfTheServiceCount) {
+  SoleOriginFixture entry;
+  entry.SetTargets(
+      {kTarget1, kTarget2, MakeVersionedTarget("o1", "other", "v2")});
+  entry.Wait(seconds(61));
+  BOOST_TEST(entry.GoesOn());
+  entry.SetTargets({MakeVersionedTarget("p1", "plain", ""),
+                    MakeVersionedTarget("p2", "plain", "")});
+  entry.Wait(seconds(200));
+  BOOST_TEST(!entry.GoesOn());
+}
+
+// Guards against refusals after a moment without targets, in which no stream
+// can have begun.
+BOOST_AUTO_TEST_CASE(ServiceWithoutTargetsKeepsItsVersion) {
+  SoleOriginFixture entry;
+  entry.Wait(seconds(61));
+  entry.SetTargets({});
+  entry.SetTargets({kTarget1});
+  BOOST_TEST(entry.GoesOn());
+  entry.SetTargets({});
+  entry.SetTargets({MakeVersionedTarget("p1", "plain", "v2")});
+  BOOST_TEST(!entry.GoesOn());
+}
+
+// Guards against streams of one service that go on at another one.
+BOOST_AUTO_TEST_CASE(RouteWithSeveralServicesHasNoSoleOrigin) {
+  SoleOriginFixture entry;
+  entry.SetTargets(
+      {kTarget1, kTarget2, MakeVersionedTarget("o1", "other", "v1")});
+  entry.Wait(seconds(500));
+  BOOST_TEST(!entry.GoesOn("split"));
+  BOOST_TEST(entry.GoesOn("stream"));
+}
+
+// Guards against streams that began before the route led to another service.
+BOOST_AUTO_TEST_CASE(RouteMustHaveLedToItsServiceForAsLong) {
+  SoleOriginFixture entry;
+  entry.SetTargets({kTarget1, MakeVersionedTarget("o1", "other", "v1")});
+  entry.Wait(seconds(500));
+  entry.Feed(ConfigurationChanged{.configuration =
+                                      MakeStreamConfiguration(2, "other")});
+  BOOST_TEST(!entry.GoesOn());
+  entry.Feed(ConfigurationChanged{.configuration =
+                                      MakeStreamConfiguration(3, "other")});
+  entry.Wait(seconds(61));
+  BOOST_TEST(entry.GoesOn());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cicadaloft
