Let a stream go on only at the software version that began it

Callers that took a stream up again got text joined from two software versions of a service. Cause: hosts didn't know versions; a take-up was sent like a new request, and nothing that a host might have kept of a stream outlived its process.

Before the first byte of a stream goes to its caller, the exchange asks the task that keeps origins to record where the stream began, and waits 100 ms for the store at most. A take-up is looked up there and goes to targets of that origin only; what isn't recorded is refused, unless the service has had a single version for longer than a stream may last.

--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -31,9 +31,11 @@
  public:
   EffectExecutor(boost::asio::any_io_executor executor,
                  std::shared_ptr<EntryTaskMailbox> entry_inbox,
+                 std::shared_ptr<OriginTaskMailbox> origins,
                  const TargetLimits& limits)
       : executor(std::move(executor)),
         entry_inbox(std::move(entry_inbox)),
+        origins(std::move(origins)),
         limits(limits),
         pool(limits) {}
   EffectExecutor(EffectExecutor&&) = delete;
@@ -80,7 +82,8 @@
             dispatch.address, received.request->arrival.caller_request_id, now),
         .entry_inbox = this->entry_inbox,
         .session = received.session,
-        .cancel = std::move(cancel)});
+        .cancel = std::move(cancel),
+        .origins = this->origins});
     Spawn(
         this->executor, "exchange with " + dispatch.address,
         RunExchange<Protocol>(params, this->limits),
@@ -103,6 +106,12 @@
     }
   }
 
+  /// A lookup that is dropped ends by the entry's time limit.
+  /// @return whether it was sent.
+  bool Execute(const LookUpOrigin& lookup) {
+    return this->origins != nullptr && TrySend(*this->origins, lookup);
+  }
+
   /// Removes an attempt whose exchange has ended.
   void RemoveAttempt(const AttemptEnded& ended) {
     this->attempts.erase(AttemptKey(ended.request, ended.attempt));
@@ -158,6 +167,7 @@
 
   const boost::asio::any_io_executor executor;
   const std::shared_ptr<EntryTaskMailbox> entry_inbox;
+  const std::shared_ptr<OriginTaskMailbox> origins;
   const TargetLimits limits;
   TargetConnectionPool pool;
   std::map<RequestId, OpenRequest> requests;
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -70,6 +70,8 @@
   /// To the host's control task.
   const std::shared_ptr<EntryNotificationMailbox> notifications;
   const std::shared_ptr<DrainedMailbox> drained;  ///< To the main program.
+  /// To the task that keeps the origins of streams; null: there is none.
+  const std::shared_ptr<OriginTaskMailbox> origins;
 };
 
 /// Messages that may queue in the entry task's mailbox.
@@ -93,7 +95,10 @@
         mailboxes(std::move(mailboxes)),
         clock(std::move(clock)),
         sink(std::move(sink)),
-        effect_executor(std::move(executor), this->mailboxes.inbox, limits) {}
+        effect_executor(std::move(executor),
+                        this->mailboxes.inbox,
+                        this->mailboxes.origins,
+                        limits) {}
 
   /// Runs until the inbox is closed.
   boost::asio::awaitable<void> Run() {
@@ -239,7 +244,11 @@
     this->NotifyControl(report);
   }
   void Execute(const QuotaHistory& history) { this->NotifyControl(history); }
-  void Execute(const LookUpOrigin&) {}
+  void Execute(const LookUpOrigin& lookup) {
+    if (!this->effect_executor.Execute(lookup)) {
+      this->metrics.CountDroppedMessage();
+    }
+  }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
   void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
--- a/forwarding/include/cicadaloft/forwarding/exchange_params.h
+++ b/forwarding/include/cicadaloft/forwarding/exchange_params.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cicadaloft/forwarding/entry_task_messages.h"
+#include "cicadaloft/forwarding/origin_messages.h"
 #include "cicadaloft/forwarding/target_connection.h"
 
 namespace cicadaloft {
@@ -26,6 +27,8 @@
   const std::shared_ptr<EntryTaskMailbox> entry_inbox;
   const std::shared_ptr<SessionMailbox> session;
   const std::shared_ptr<CancelMailbox> cancel;
+  /// Of the task that records origins; null: none does.
+  const std::shared_ptr<OriginTaskMailbox> origins;
 
   friend auto operator<=>(const ExchangeParams&,
                           const ExchangeParams&) = default;
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -65,6 +65,9 @@
       boost::asio::as_tuple(boost::asio::use_awaitable);
   /// Responses to earlier requests that are skipped before the matching one.
   static constexpr int kMaxStaleResponses = 3;
+  /// Longest time for which a response waits for the record of its origin. The
+  /// platform takes an event for late that is held for 120 ms.
+  static constexpr Duration kMaxOriginWait = std::chrono::milliseconds(100);
 
   // Never throws, and stores its result in `outcome` or `failure`: a
   // cancellation may arrive at the same time as the end of the attempt, and
@@ -232,6 +235,7 @@
                                    .has_run = this->metadata.is_stamped});
     co_await Send(*this->params->entry_inbox, message);
     this->has_response_started = true;
+    co_await this->RecordOrigin();
     bool is_session_open =
         co_await Send(*this->params->session, this->MakeResponseHead());
     while (!this->response->IsDone()) {
@@ -254,6 +258,24 @@
     co_return AttemptOutcome::kCompleted;
   }
 
+  // Without an acknowledgement in time the stream goes on; other hosts can't
+  // find its origin then.
+  boost::asio::awaitable<void> RecordOrigin() {
+    const auto& origin = this->params->dispatch.origin;
+    constexpr int kRedirection = 300;
+    const bool is_stream = this->response->IsEventStream() &&
+                           this->response->status() < kRedirection;
+    if (!origin || this->params->origins == nullptr || !is_stream) {
+      co_return;
+    }
+    const auto reply = std::make_shared<OriginRecordedMailbox>(
+        co_await boost::asio::this_coro::executor, 1);
+    const auto call = OriginRecordCall{.record = *origin, .reply_to = reply};
+    if (TrySend(*this->params->origins, call)) {
+      co_await WithTimeout(kMaxOriginWait, Receive(*reply));
+    }
+  }
+
   boost::asio::awaitable<bool> ForwardPiece(std::string bytes) {
     if (bytes.empty()) {
       co_return true;
--- a/forwarding/include/cicadaloft/forwarding/target_response_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/target_response_reader.h
@@ -57,6 +57,8 @@
   /// @return whether the body was an event stream that broke off, although its
   /// framing does not show it.
   bool IsEventMissing() const;
+  /// @return whether the last head begins a stream of events.
+  bool IsEventStream() const { return this->is_event_stream; }
   /// @return the complete events so far; 0 if the body is no event stream.
   std::uint64_t EventCount() const {
     return this->is_event_stream ? this->event_stream_end.event_count() : 0;
--- a/forwarding/tests/direct_state.h
+++ b/forwarding/tests/direct_state.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -25,6 +26,7 @@
   bool cancels_attempts = true;
   bool refuses_requests = false;    ///< Refuses each request with kRateLimited.
   bool accepts_after_stop = false;  ///< Accepts requests after a stop as well.
+  std::optional<OriginRecord> origin;  ///< Of each dispatch.
   std::vector<EntryEvent> events;
 
   template <typename E>
@@ -128,7 +130,8 @@
         .target = TargetId("t1"),
         .address = this->plan->address,
         .response_timeout = this->plan->response_timeout,
-        .withholds_error_response = this->plan->withholds_error_response};
+        .withholds_error_response = this->plan->withholds_error_response,
+        .origin = this->plan->origin};
   }
 
   std::shared_ptr<DirectPlan> plan;
--- a/forwarding/tests/entry_fixture.h
+++ b/forwarding/tests/entry_fixture.h
@@ -93,6 +93,9 @@
                                                  kEntryTaskMailboxCapacity)),
         drained(
             std::make_shared<DrainedMailbox>(this->context.get_executor(), 1)),
+        origins(
+            std::make_shared<OriginTaskMailbox>(this->context.get_executor(),
+                                                kOriginTaskMailboxCapacity)),
         acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(
             this->context,
             boost::asio::ip::tcp::endpoint(
@@ -108,7 +111,8 @@
                 .notifications = std::make_shared<EntryNotificationMailbox>(
                     this->context.get_executor(),
                     1),
-                .drained = this->drained},
+                .drained = this->drained,
+                .origins = this->origins},
             target_limits,
             BootClock{},
             &IgnoreRecord) {
@@ -190,6 +194,7 @@
   boost::asio::io_context context;
   std::shared_ptr<EntryTaskMailbox> inbox;
   std::shared_ptr<DrainedMailbox> drained;
+  std::shared_ptr<OriginTaskMailbox> origins;
   std::shared_ptr<StopMailbox> stop =
       std::make_shared<StopMailbox>(this->context.get_executor(), 1);
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -24,6 +24,7 @@
 #include "cicadaloft/forwarding/caller_listener.h"
 #include "cicadaloft/forwarding/descriptor_limits.h"
 #include "cicadaloft/forwarding/entry_task.h"
+#include "cicadaloft/forwarding/origin_task.h"
 #include "cicadaloft/own_interface/native_protocol.h"
 #include "cicadaloft/platform/configuration_codec.h"
 #include "cicadaloft/platform/protocols.h"
@@ -113,6 +114,8 @@
 using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
+using HostOriginTask =
+    OriginTask<platform::StoreClient, BootClock, OriginReplies>;
 
 }  // namespace
 
@@ -136,6 +139,9 @@
             this->executor,
             kControlMailboxCapacity)),
         drained(std::make_shared<DrainedMailbox>(this->executor, 1)),
+        origin_mailbox(
+            std::make_shared<OriginTaskMailbox>(this->executor,
+                                                kOriginTaskMailboxCapacity)),
         entry_task(
             this->executor,
             EntryState(
@@ -150,7 +156,8 @@
                               .counts_usage = ReportsUsage(settings)}),
             EntryTaskMailboxes{.inbox = this->entry_mailbox,
                                .notifications = this->entry_notifications,
-                               .drained = this->drained},
+                               .drained = this->drained,
+                               .origins = this->origin_mailbox},
             TargetLimits{.memory = this->memory},
             BootClock{},
             DecisionLog()) {}
@@ -177,6 +184,18 @@
                             .registry_resync = this->registry_resync,
                             .operator_relay = this->operator_relay,
                             .registry_relay = this->registry_relay});
+    this->OpenOriginTask();
+  }
+
+  void OpenOriginTask() {
+    const auto make_store = [this] {
+      return platform::StoreClient(this->executor, this->settings.store,
+                                   this->memory, this->CountStoreCalls());
+    };
+    // Reads don't wait for appends.
+    this->origin_task.emplace(this->executor, make_store(), make_store(),
+                              this->origin_mailbox, BootClock{},
+                              OriginReplies(this->entry_mailbox));
   }
 
   void Start() {
@@ -185,6 +204,7 @@
     this->Start("entry ticks", RunTicks(this->entry_mailbox));
     this->Start("control", this->control_task->Run());
     this->Start("control ticks", this->SendControlTicks());
+    this->Start("stream origins", this->origin_task->Run());
     this->Start("entry notifications", this->ForwardEntryNotifications());
     this->SpawnFollowers();
     const CallerLimits limits{
@@ -347,6 +367,7 @@
   const std::shared_ptr<ControlMailbox> control_mailbox;
   const std::shared_ptr<EntryNotificationMailbox> entry_notifications;
   const std::shared_ptr<DrainedMailbox> drained;
+  const std::shared_ptr<OriginTaskMailbox> origin_mailbox;
   const std::shared_ptr<Mailbox<ResyncRequest>> operator_resync =
       std::make_shared<Mailbox<ResyncRequest>>(this->executor, 1);
   const std::shared_ptr<Mailbox<ResyncRequest>> registry_resync =
@@ -362,6 +383,7 @@
   HostEntryTask entry_task;
   std::shared_ptr<PeerLinks> peers;
   std::optional<ControlTask> control_task;
+  std::optional<HostOriginTask> origin_task;
 };
 
 HostRuntime::HostRuntime(std::shared_ptr<Tasks> tasks)
--- a/resumption/include/cicadaloft/resumption/known_origins.h
+++ b/resumption/include/cicadaloft/resumption/known_origins.h
@@ -22,7 +22,7 @@
 class KnownOrigins {
  public:
   /// With one origin.
-  static constexpr std::size_t kMaxStreams = 65'536;
+  static constexpr std::size_t kMaxStreams = 32'768;
   static constexpr std::size_t kMaxContradictoryStreams = 8192;
   /// Counted from the last record of the stream.
   static constexpr Duration kRetention = std::chrono::seconds(60);
--- a/resumption/include/cicadaloft/resumption/origin_state.h
+++ b/resumption/include/cicadaloft/resumption/origin_state.h
@@ -22,7 +22,7 @@
  public:
   static constexpr std::size_t kMaxRecordsPerAppend = 1024;
   /// Records that are to be appended.
-  static constexpr std::size_t kMaxWaitingRecords = 65'536;
+  static constexpr std::size_t kMaxWaitingRecords = 8192;
   static constexpr std::size_t kMaxQuestions = 8192;
   /// After a failed append, records are not acknowledged for this time, and no
   /// append is sent.
