--- a/entry/tests/resumption_test.cc
+++ b/entry/tests/resumption_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 
+#include "overload_simulation.h"
 #include "resumption_fixture.h"
 
 namespace cicadaloft {
@@ -272,6 +273,41 @@
   }
 }
 
+// Guards against take-ups that are refused early because their model is loaded
+// at another version, too late for them, and against lost ranks.
+BOOST_AUTO_TEST_CASE(LoadAtAnotherVersionRefusesNoTakeUpEarly) {
+  Engine engine;
+  engine.models.push_back(Model{.id = ModelId("m")});
+  Configuration configuration = MakeRankedConfiguration()->value();
+  configuration.services.push_back(
+      {.id = ServiceId("engine"), .engine = engine});
+  for (Route& route : configuration.routes) {
+    route.retry_policy = RetryPolicy::kResumable;
+    route.services = {{.service = ServiceId("engine")}};
+  }
+  configuration.customers[0].keys = {"key-c"};
+  ResumptionFixture entry;
+  entry.Feed(ConfigurationChanged{
+      .configuration =
+          std::make_shared<const ActiveConfiguration>(configuration)});
+  entry.Feed(SharesChanged{.host_count = 1, .default_share = 1});
+  entry.SetTargets({MakeVersionedTarget("e1", "engine", "v1"),
+                    MakeVersionedTarget("e2", "engine", "v2")});
+  entry.Feed(PlacementChange{.target = TargetId("e2"),
+                             .instance = TargetInstance(1),
+                             .path = kModel,
+                             .is_load = true,
+                             .ready_in = seconds(10)});
+  const RequestId id = entry.SendTakeUp("first", "stream", "c", kModel);
+  entry.Found(id, "v1", "engine");
+  entry.RunFor(seconds(1));
+  BOOST_TEST(entry.EffectsOf<Refuse>().empty());
+  BOOST_TEST(entry.Logged(event_names::kWait, "rank").at(0) != "-");
+  entry.targets[0].loaded = {kModel};
+  entry.UpdateFleet();
+  BOOST_TEST(entry.TargetsOf(id) == Names{"e1"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
