Read the log of origins before going by the sole version

A host that is cut off from the store may not have seen that its service has a second version, and took the one it knew for the only one when a take-up named no first request: such a request had no look-up that could fail. It looks up its own id now, and is refused while the log can't be read.

--- a/entry/entry_resumption.cc
+++ b/entry/entry_resumption.cc
@@ -41,12 +41,12 @@
          !request.queue_key.software;
 }
 
+// A take-up that names no first request looks up its own id: that the log can
+// be read shows that this host isn't cut off, and its registry not outdated.
 void EntryCore::FindOrigin(OpenRequest& request) {
-  const RequestId& first_request = request.arrival.resumption->first_request;
-  if (first_request.empty()) {
-    this->PinToSoleOrigin(request);
-    return;
-  }
+  const RequestId& named = request.arrival.resumption->first_request;
+  const RequestId& first_request =
+      named.empty() ? request.arrival.caller_request_id : named;
   request.origin_deadline =
       std::min(request.wait_deadline, this->now + kOriginReplyTimeout);
   this->expiries.emplace(*request.origin_deadline, request.arrival.request);
--- a/entry/tests/sole_origin_test.cc
+++ b/entry/tests/sole_origin_test.cc
@@ -70,18 +70,32 @@
 // and all targets are alike, and against their retry at a newer version.
 BOOST_AUTO_TEST_CASE(TakeUpThatNamesNoFirstRequestIsPinnedToTheSoleVersion) {
   SoleOriginFixture entry;
-  entry.SendTakeUp("");
+  entry.NotRecorded(entry.SendTakeUp(""));
   BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamOriginUnknown));
   entry.Wait(seconds(61));
   entry.effects.clear();
   const RequestId id = entry.SendTakeUp("");
-  BOOST_TEST(entry.EffectsOf<LookUpOrigin>().empty());
+  BOOST_TEST(entry.EffectsOf<LookUpOrigin>().size() == 1);
+  entry.NotRecorded(id);
   BOOST_REQUIRE(entry.TargetsOf(id).size() == 1);
   entry.SetTargets({MakeVersionedTarget("p3", "plain", "v2")});
   entry.EndAttempt(entry.LastDispatchOf(id), AttemptOutcome::kNotSent);
   BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamVersionGone));
 }
 
+// Guards against a host that is cut off from the store, whose registry may lack
+// another version, and that takes the one it knows for the only one.
+BOOST_AUTO_TEST_CASE(SoleVersionDoesNotCountWhileTheLogIsUnreachable) {
+  for (const std::string first_request : {"", "first"}) {
+    SoleOriginFixture entry;
+    entry.Wait(seconds(61));
+    const RequestId id = entry.SendTakeUp(first_request);
+    entry.Feed(OriginLookedUp{.request = id, .result = OriginLogUnreachable{}});
+    BOOST_TEST(entry.EffectsOf<Dispatch>().empty());
+    BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamOriginUnreachable));
+  }
+}
+
 // Guards against a sole version that lasts through others, however short.
 BOOST_AUTO_TEST_CASE(OtherOrUnknownVersionEndsTheSoleVersion) {
   for (const std::string version : {"v2", ""}) {
