Repeat a failed append of origins at any later event

A record whose append had failed was repeated only when another stream began on the host: without one it stayed unknown to other hosts after the store was back, which refused its take-up.

Two tests expected no effect but the reply at such a moment. They now expect the repeated append as well, with its records.

--- a/resumption/include/cicadaloft/resumption/origin_state.h
+++ b/resumption/include/cicadaloft/resumption/origin_state.h
@@ -56,6 +56,8 @@
   void Handle(const OriginReadFailed& failed);
 
   bool HasAppendFailedLately() const;
+  /// Appends what waits, also after a failure once the time for it has come.
+  void RetryAppend();
   /// Appends the records that wait, unless an append is under way.
   void StartAppend();
   /// Sends the reply to the record's ticket if it has had none.
--- a/resumption/origin_state.cc
+++ b/resumption/origin_state.cc
@@ -14,6 +14,7 @@
   state.now = now;
   state.DropExpired();
   std::visit([&](const auto& item) { state.Handle(item); }, event);
+  state.RetryAppend();
   std::vector<OriginEffect> effects = std::exchange(state.effects, {});
   return Step<OriginState, OriginEffect>{.state = std::move(state),
                                          .effects = std::move(effects)};
@@ -28,15 +29,17 @@
     this->Reply(added, false);
     return;
   }
-  const bool has_failed = this->HasAppendFailedLately();
-  if (has_failed) {
+  if (this->HasAppendFailedLately()) {
     this->Reply(added, false);
   }
   this->waiting.push_back(std::move(added));
   if (this->waiting.size() > kMaxWaitingRecords) {
     this->DropOldestWaitingRecord();
   }
-  if (!has_failed) {
+}
+
+void OriginState::RetryAppend() {
+  if (!this->HasAppendFailedLately()) {
     this->StartAppend();
   }
 }
@@ -48,7 +51,6 @@
   if (ended.is_acknowledged) {
     this->append_failed_at.reset();
     this->appending.clear();
-    this->StartAppend();
     return;
   }
   this->append_failed_at = this->now;
