--- a/routing/include/cicadaloft/routing/model_locations.h
+++ b/routing/include/cicadaloft/routing/model_locations.h
@@ -1,9 +1,11 @@
 #ifndef CICADALOFT_ROUTING_MODEL_LOCATIONS_H_
 #define CICADALOFT_ROUTING_MODEL_LOCATIONS_H_
 
+#include <concepts>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "cicadaloft/core/model_path.h"
@@ -27,6 +29,11 @@
                          const PlacementChange&) = default;
 };
 
+/// Selects all targets.
+struct AnyTarget {
+  bool operator()(const TargetId&) const { return true; }
+};
+
 /// Tracks on which targets each model and adapter is loaded. The targets' own
 /// records are corrected by orders that may not show in a record yet, and by
 /// denials, that is, responses in which a target says that it doesn't have the
@@ -59,10 +66,22 @@
   /// @return targets with a denial of the path that has not expired.
   std::vector<TargetId> DenyingTargets(const ModelPath& path,
                                        TimePoint now) const;
+  /// @param may_serve selects the targets whose loads count.
   /// @return the earliest time at which a pending load is expected to be done;
   /// none if no load is pending.
-  std::optional<TimePoint> ExpectedReadyAt(const ModelPath& path,
-                                           TimePoint now) const;
+  template <std::predicate<const TargetId&> MayServe = AnyTarget>
+  std::optional<TimePoint> ExpectedReadyAt(
+      const ModelPath& path,
+      TimePoint now,
+      const MayServe& may_serve = {}) const {
+    std::optional<TimePoint> earliest;
+    for (const auto& [target, ready_at] : this->PendingLoads(path, now)) {
+      if (may_serve(target) && (!earliest || ready_at < *earliest)) {
+        earliest = ready_at;
+      }
+    }
+    return earliest;
+  }
 
  private:
   struct PendingChange {
@@ -79,6 +98,11 @@
   static bool HasLoaded(const TargetState& target,
                         const ModelPath& path,
                         TimePoint now);
+  /// @return the targets that load the path, with when that is expected to be
+  /// done.
+  std::vector<std::pair<TargetId, TimePoint>> PendingLoads(
+      const ModelPath& path,
+      TimePoint now) const;
   void AddCandidate(const TargetId& id, const ModelPath& path);
   void RemoveSettledChanges(TargetState& target, TimePoint now);
 
--- a/routing/model_locations.cc
+++ b/routing/model_locations.cc
@@ -95,12 +95,13 @@
   return denying_targets;
 }
 
-std::optional<TimePoint> ModelLocations::ExpectedReadyAt(const ModelPath& path,
-                                                         TimePoint now) const {
-  std::optional<TimePoint> earliest;
+std::vector<std::pair<TargetId, TimePoint>> ModelLocations::PendingLoads(
+    const ModelPath& path,
+    TimePoint now) const {
+  std::vector<std::pair<TargetId, TimePoint>> loads;
   const auto found = this->candidates.find(path);
   if (found == this->candidates.end()) {
-    return earliest;
+    return loads;
   }
   for (const TargetId& id : found->second) {
     const auto target = this->targets.find(id);
@@ -111,11 +112,11 @@
     const bool is_loading = change != target->second.changes.end() &&
                             change->second.is_load &&
                             change->second.ready_at > now;
-    if (is_loading && (!earliest || change->second.ready_at < *earliest)) {
-      earliest = change->second.ready_at;
+    if (is_loading) {
+      loads.emplace_back(id, change->second.ready_at);
     }
   }
-  return earliest;
+  return loads;
 }
 
 bool ModelLocations::HasLoaded(const TargetState& target,
