Add the software version to requests for model loads

A stream that is taken up needs its model on a target of the version that began it. Hosts of the earlier version refuse unknown fields, so the field is left out of requests that any version serves.

--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -304,6 +304,8 @@
   /// Targets that are expected to have it, but have denied having it or are
   /// ejected.
   const std::vector<TargetId> denied_by;
+  /// Only targets of this version may serve the requests; none: any may.
+  const std::optional<SoftwareVersion> software;
 
   friend auto operator<=>(const ModelLoadRequest&,
                           const ModelLoadRequest&) = default;
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -57,7 +57,8 @@
                Required("path", &ModelLoadRequest::path),
                Required("waiting", &ModelLoadRequest::waiting),
                Required("latency_aim", &ModelLoadRequest::latency_objective),
-               Required("denied_by", &ModelLoadRequest::denied_by));
+               Required("denied_by", &ModelLoadRequest::denied_by),
+               Defaulted("software", &ModelLoadRequest::software));
 
 template <>
 inline constexpr auto kJsonFields<PlacementChange> =
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
+#include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +56,9 @@
                        .waiting = DrawCount(),
                        .latency_objective = Duration(DrawCount()),
                        .denied_by = {TargetId(DrawName())}},
+      ModelLoadRequest{.service = ServiceId(DrawName()),
+                       .path = DrawPath(),
+                       .software = SoftwareVersion(DrawName())},
       PlacementChange{.target = TargetId(DrawName()),
                       .instance = TargetInstance(DrawCount()),
                       .path = DrawPath(),
@@ -139,6 +144,25 @@
   }
 }
 
+// Guards against requests that hosts of the earlier version can't read, since
+// they refuse fields that they don't know.
+RC_BOOST_PROP(LoadRequestForAnyVersionHasTheEarlierFields, ()) {
+  const auto fields_of = [](const ModelLoadRequest& request) {
+    const auto json = nlohmann::json::from_cbor(EncodePeerMessage(request));
+    std::set<std::string> names;
+    for (const auto& [name, value] : json.at("model_wanted").items()) {
+      names.insert(name);
+    }
+    return names;
+  };
+  const ServiceId service(DrawName());
+  const std::set<std::string> earlier = {"service", "path", "waiting",
+                                         "latency_aim", "denied_by"};
+  RC_ASSERT(fields_of({.service = service, .path = DrawPath()}) == earlier);
+  RC_ASSERT(fields_of({.service = service, .software = SoftwareVersion("v")})
+                .size() == earlier.size() + 1);
+}
+
 RC_BOOST_PROP(ArbitraryBytesYieldMessageOrError, (const Bytes& bytes)) {
   const Result<PeerMessage> message = DecodePeerMessage(bytes);
   if (!IsOk(message)) {
