Load models on targets of the requested software version

Requests for a version have demands of their own, so that neither they nor requests for any version wait for targets that only the others need. A load ends all demands that it serves. A demand gives up a target that frees memory for it once the target has another version.

--- a/placement/placement_candidate.cc
+++ b/placement/placement_candidate.cc
@@ -81,8 +81,7 @@
     const std::chrono::duration<double> time_until_free =
         tracker.TimeUntilFree(this->now);
     if (time_until_free > kMaxTimeUntilFree ||
-        tracker.record().service != demand.service ||
-        !this->IsUsable(tracker) || demand.denied_by.contains(id) ||
+        !this->MayServe(tracker, demand) || demand.denied_by.contains(id) ||
         this->IsReserved(id, demand)) {
       continue;
     }
--- a/placement/placement_core.cc
+++ b/placement/placement_core.cc
@@ -98,9 +98,11 @@
   if (this->token == FencingToken()) {
     return;
   }
-  Demand& demand = this->demands[request.path];
+  const DemandKey key{.path = request.path, .software = request.software};
+  Demand& demand = this->demands[key];
   const bool is_new = demand.last_requested_at == TimePoint{};
   demand.service = request.service;
+  demand.software = request.software;
   demand.latency_objective =
       is_new ? request.latency_objective
              : std::min(demand.latency_objective, request.latency_objective);
@@ -121,7 +123,7 @@
       found->second.MarkStateUnknown(this->now);
     }
   }
-  this->ServeByDeadline({request.path});
+  this->ServeByDeadline({key});
 }
 
 void PlacementCore::Handle(const ModelUsageReport& report) {
@@ -181,7 +183,7 @@
       this->NotifyHosts(tracker, order.path, is_load, ready_in,
                         this->InterestedHosts(order.path));
       if (is_load) {
-        this->demands.erase(order.path);
+        this->EndDemands(order.path, tracker);
       }
       break;
     case OrderOutcome::kAlready:
@@ -247,7 +249,7 @@
 
 // Demands for which this target was freeing memory select another target.
 void PlacementCore::ReleaseReservations(const TargetId& target) {
-  for (auto& [path, demand] : this->demands) {
+  for (auto& [key, demand] : this->demands) {
     if (demand.reserved_target == target) {
       demand.reserved_target.reset();
     }
@@ -271,6 +273,13 @@
   return !record.is_draining && !this->evacuated.contains(record.data_centre);
 }
 
+bool PlacementCore::MayServe(const TargetTracker& tracker,
+                             const Demand& demand) const {
+  return tracker.record().service == demand.service &&
+         (!demand.software || tracker.record().software == *demand.software) &&
+         this->IsUsable(tracker);
+}
+
 std::uint32_t PlacementCore::LoadedTargetCount(const ServiceId& service,
                                                const ModelPath& path) const {
   return static_cast<std::uint32_t>(std::ranges::count_if(
@@ -341,8 +350,8 @@
 
 std::set<HostId> PlacementCore::InterestedHosts(const ModelPath& path) const {
   std::set<HostId> hosts = this->history.HostsUsing(path, this->now);
-  const auto demand = this->demands.find(path);
-  if (demand != this->demands.end()) {
+  for (auto demand = this->demands.lower_bound({.path = path});
+       demand != this->demands.end() && demand->first.path == path; ++demand) {
     hosts.insert(demand->second.requested_by.begin(),
                  demand->second.requested_by.end());
   }
--- a/placement/placement_core.h
+++ b/placement/placement_core.h
@@ -37,9 +37,19 @@
   }
 
  private:
+  /// What hosts request. Requests for a version and those for any version are
+  /// served apart, so that neither wait for targets that only the others need.
+  struct DemandKey {
+    ModelPath path;
+    std::optional<SoftwareVersion> software;  ///< None: any version serves.
+
+    friend auto operator<=>(const DemandKey&, const DemandKey&) = default;
+    friend bool operator==(const DemandKey&, const DemandKey&) = default;
+  };
   /// A model or adapter that hosts request and that is not placed yet.
   struct Demand {
     ServiceId service;
+    std::optional<SoftwareVersion> software;  ///< None: any version serves.
     Duration latency_objective{};
     TimePoint last_requested_at{};
     TimePoint first_requested_at{};
@@ -60,6 +70,8 @@
   const Model* FindModel(const ServiceId& service, const ModelId& model) const;
   const Engine* FindEngine(const ServiceId& service) const;
   bool IsUsable(const TargetTracker& tracker) const;
+  /// @return whether the target could serve those who wait for the demand.
+  bool MayServe(const TargetTracker& tracker, const Demand& demand) const;
   std::uint32_t LoadedTargetCount(const ServiceId& service,
                                   const ModelPath& path) const;
   double UsedMb(const TargetTracker& tracker) const;
@@ -79,14 +91,16 @@
   void Plan();
   void RequestReports();
   void DropExpiredDemands();
-  void ServeByDeadline(const std::vector<ModelPath>& paths);
+  void ServeByDeadline(const std::vector<DemandKey>& keys);
   void ServeDemandsOrderedOn(const TargetId& target);
   void ReleaseReservations(const TargetId& target);
   void RecordOutcome(TargetTracker& tracker,
                      const SendOrder& order,
                      OrderOutcome outcome);
   bool Serve(const ModelPath& path, Demand& demand);
-  bool IsLoadOrderPending(const ModelPath& path) const;
+  bool IsLoadOrderPending(const ModelPath& path, const Demand& demand) const;
+  /// Ends the demands that a load of the path on the target serves.
+  void EndDemands(const ModelPath& path, const TargetTracker& tracker);
   bool AnnounceLoaded(const ModelPath& path, const Demand& demand);
   bool PlaceModel(const ModelPath& path, Demand& demand);
   bool IsReserved(const TargetId& target, const Demand& demand) const;
@@ -134,7 +148,7 @@
   std::map<TargetId, TargetTracker> trackers;
   TargetIndex<ModelPath> loaded_targets;   ///< Loaded, or ordered.
   TargetIndex<ModelId> targets_with_copy;  ///< In memory or on disk.
-  std::map<ModelPath, Demand> demands;
+  std::map<DemandKey, Demand> demands;
   UsageHistory history;
   StoreLoadBudget store_load_budget;
   StoreLoadMonitor store_loads;
--- a/placement/placement_plan.cc
+++ b/placement/placement_plan.cc
@@ -40,10 +40,9 @@
   }
   this->RequestReports();
   this->DropExpiredDemands();
-  std::vector<ModelPath> paths;
-  std::ranges::copy(this->demands | std::views::keys,
-                    std::back_inserter(paths));
-  this->ServeByDeadline(paths);
+  std::vector<DemandKey> keys;
+  std::ranges::copy(this->demands | std::views::keys, std::back_inserter(keys));
+  this->ServeByDeadline(keys);
   this->LogWaiting();
   this->FillFreeMemory();
 }
@@ -55,34 +54,34 @@
 }
 
 // Serves the demand with the earliest deadline first.
-void PlacementCore::ServeByDeadline(const std::vector<ModelPath>& paths) {
+void PlacementCore::ServeByDeadline(const std::vector<DemandKey>& keys) {
   if (this->token == FencingToken() || !this->configuration) {
     return;
   }
-  std::vector<std::pair<TimePoint, ModelPath>> by_deadline;
-  by_deadline.reserve(paths.size());
-  for (const ModelPath& path : paths) {
-    const Demand& demand = this->demands.at(path);
+  std::vector<std::pair<TimePoint, DemandKey>> by_deadline;
+  by_deadline.reserve(keys.size());
+  for (const DemandKey& key : keys) {
+    const Demand& demand = this->demands.at(key);
     by_deadline.emplace_back(
-        demand.first_requested_at + demand.latency_objective, path);
+        demand.first_requested_at + demand.latency_objective, key);
   }
   std::ranges::sort(by_deadline);
-  for (const auto& [deadline, path] : by_deadline) {
-    if (this->Serve(path, this->demands.at(path))) {
-      this->demands.erase(path);
+  for (const auto& [deadline, key] : by_deadline) {
+    if (this->Serve(key.path, this->demands.at(key))) {
+      this->demands.erase(key);
     }
   }
 }
 
 // Continues with the demands for which an order on this target has ended.
 void PlacementCore::ServeDemandsOrderedOn(const TargetId& target) {
-  std::vector<ModelPath> paths;
-  for (const auto& [path, demand] : this->demands) {
+  std::vector<DemandKey> keys;
+  for (const auto& [key, demand] : this->demands) {
     if (demand.ordered_target == target) {
-      paths.push_back(path);
+      keys.push_back(key);
     }
   }
-  this->ServeByDeadline(paths);
+  this->ServeByDeadline(keys);
 }
 
 void PlacementCore::LogWaiting() {
@@ -130,7 +129,7 @@
   if (this->FindModel(demand.service, path.model) == nullptr) {
     return true;
   }
-  if (this->IsLoadOrderPending(path)) {
+  if (this->IsLoadOrderPending(path, demand)) {
     return false;
   }
   if (this->AnnounceLoaded(path, demand)) {
@@ -140,16 +139,27 @@
                           : this->PlaceModel(path, demand);
 }
 
-// Whether an order to load the path is unanswered.
-bool PlacementCore::IsLoadOrderPending(const ModelPath& path) const {
+// Whether an order to load the path where it serves the demand is unanswered.
+bool PlacementCore::IsLoadOrderPending(const ModelPath& path,
+                                       const Demand& demand) const {
   return std::ranges::any_of(
       this->loaded_targets.TargetsWith(path), [&](const TargetId& target) {
-        const auto& pending_order = this->trackers.at(target).pending_order();
+        const TargetTracker& tracker = this->trackers.at(target);
+        const auto& pending_order = tracker.pending_order();
         return pending_order && pending_order->kind == OrderKind::kLoad &&
-               pending_order->path == path;
+               pending_order->path == path &&
+               (!demand.software ||
+                tracker.record().software == *demand.software);
       });
 }
 
+void PlacementCore::EndDemands(const ModelPath& path,
+                               const TargetTracker& tracker) {
+  this->demands.erase(DemandKey{.path = path});
+  this->demands.erase(
+      DemandKey{.path = path, .software = tracker.record().software});
+}
+
 // Notifies the requesting hosts again of where the path is or will be loaded:
 // they have missed the first notification.
 bool PlacementCore::AnnounceLoaded(const ModelPath& path,
@@ -157,8 +167,7 @@
   bool is_loaded = false;
   for (const TargetId& id : this->loaded_targets.TargetsWith(path)) {
     const TargetTracker& tracker = this->trackers.at(id);
-    if (tracker.record().service != demand.service ||
-        !this->IsUsable(tracker)) {
+    if (!this->MayServe(tracker, demand)) {
       continue;
     }
     if (tracker.IsLoadingOrOrdered(path)) {
@@ -180,7 +189,7 @@
   if (demand.reserved_target) {
     const auto reserved_target = this->trackers.find(*demand.reserved_target);
     if (reserved_target == this->trackers.end() ||
-        !this->IsUsable(reserved_target->second)) {
+        !this->MayServe(reserved_target->second, demand)) {
       demand.reserved_target.reset();
     }
   }
@@ -243,8 +252,7 @@
   bool is_base_loaded = false;
   for (const TargetId& id : this->loaded_targets.TargetsWith(path.Base())) {
     TargetTracker& tracker = this->trackers.at(id);
-    if (tracker.record().service != demand.service ||
-        !this->IsUsable(tracker)) {
+    if (!this->MayServe(tracker, demand)) {
       continue;
     }
     is_base_loaded = true;
--- a/placement/tests/simulated_placement.h
+++ b/placement/tests/simulated_placement.h
@@ -135,6 +135,19 @@
                                          .denied_by = std::move(denied_by)}});
   }
 
+  /// Requests the path of a target with the version, or of any target.
+  void RequestModelOf(const std::optional<SoftwareVersion>& software,
+                      const ModelPath& path,
+                      const HostId& host = kHost) {
+    this->Feed(
+        HostModelLoadRequest{.host = host,
+                             .request = {.service = kService,
+                                         .path = path,
+                                         .waiting = 1,
+                                         .latency_objective = milliseconds(250),
+                                         .software = software}});
+  }
+
   void RunFor(Duration time) {
     const TimePoint end = this->now + time;
     while (this->now < end) {
@@ -153,7 +166,11 @@
       this->state = std::move(step.state);
       for (const PlacementEffect& effect : step.effects) {
         if (const auto* order = std::get_if<SendOrder>(&effect)) {
-          events.push_back(this->SendToRunner(*order));
+          if (this->silent_targets.contains(order->target)) {
+            this->orders.push_back(*order);
+          } else {
+            events.push_back(this->SendToRunner(*order));
+          }
         } else if (const auto* report_request =
                        std::get_if<RequestTargetReport>(&effect)) {
           events.push_back(this->Report(report_request->target));
@@ -190,6 +207,8 @@
   std::vector<SendPlacementChange> sent_changes;
   std::vector<SendOrder> orders;
   std::vector<TimePoint> store_loads;
+  /// Their orders stay unanswered.
+  std::set<TargetId> silent_targets;
   /// Fraction of the orders that get no answer, and arrive late or never.
   double lost_order_fraction = 0;
   std::mt19937 random{1};
