Request models for the version of a take-up

A queue for one version requested no loads while its service had targets of other versions, so a stream whose model was loaded on none of its own targets could not go on. The request now names the version. Loads on other versions no longer count as expected for the queue, neither for further requests nor for the estimated wait and Retry-After.

The test that expected no request in this case is replaced by one that compares the whole request.

--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -210,12 +210,8 @@
     return std::nullopt;
   }
   Duration wait = kMinRetryAfter;
-  if (request.queue_key.model) {
-    const auto expected = this->model_locations.ExpectedReadyAt(
-        *request.queue_key.model, this->now);
-    if (expected) {
-      wait = std::max(wait, *expected - this->now);
-    }
+  if (const auto expected = this->ExpectedReadyAt(request.queue_key)) {
+    wait = std::max(wait, *expected - this->now);
   }
   return request.ranked_place ? this->RankedRetryAfter(request, wait) : wait;
 }
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -166,6 +166,10 @@
                     WaitQueue& queue,
                     const std::vector<RankContender>& contenders);
 
+  /// @return when the model of the queue is expected to be loaded on a further
+  /// target that may serve it; none if no such load is known.
+  std::optional<TimePoint> ExpectedReadyAt(const QueueKey& key) const;
+
   // Estimates of waits, in ranked services.
   EstimateBasis EstimateBasisOf(const QueueKey& key,
                                 const Candidates& candidates) const;
@@ -191,7 +195,6 @@
   void PinToSoleOrigin(OpenRequest& request);
   bool IsVersionGone(const QueueKey& key) const;
   bool RefuseIfVersionGone(const QueueKey& key);
-  bool HasOtherVersions(const QueueKey& key) const;
   void RefuseTakeUp(const OpenRequest& request, const Error& error);
   void LogTakeUp(const OpenRequest& request, std::string_view outcome);
 
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -285,15 +285,13 @@
 void EntryCore::RequestModelLoad(const QueueKey& key,
                                  WaitQueue& queue,
                                  const Candidates& candidates) {
-  // The lease holder chooses targets without regard to their versions.
-  if (!key.model || !this->configuration || this->HasOtherVersions(key)) {
+  if (!key.model || !this->configuration) {
     return;
   }
   const bool is_requested =
       queue.model_requested_at &&
       this->now - *queue.model_requested_at < kModelLoadRequestInterval;
-  const bool is_loading =
-      this->model_locations.ExpectedReadyAt(*key.model, this->now).has_value();
+  const bool is_loading = this->ExpectedReadyAt(key).has_value();
   const bool is_loaded = std::ranges::any_of(
       candidates,
       [this](const TargetView* target) { return this->IsUsable(*target); });
@@ -303,15 +301,17 @@
   queue.model_requested_at = this->now;
   const auto oldest = queue.requests.Oldest();
   const OpenRequest& request = this->requests.at(*oldest);
-  this->Log(
-      event_names::kModelLoadRequest, request.arrival.caller_request_id,
-      {{"model", key.model->ToString()}, {"waiting", queue.requests.size()}});
+  this->Log(event_names::kModelLoadRequest, request.arrival.caller_request_id,
+            {{"model", key.model->ToString()},
+             {"software", key.software ? key.software->value() : "-"},
+             {"waiting", queue.requests.size()}});
   this->effects.emplace_back(ModelLoadRequest{
       .service = key.service,
       .path = *key.model,
       .waiting = static_cast<std::uint32_t>(queue.requests.size()),
       .latency_objective = request.route->latency_objective,
-      .denied_by = this->UnusableTargets(key, candidates)});
+      .denied_by = this->UnusableTargets(key, candidates),
+      .software = key.software});
 }
 
 // Targets that have denied having the model, and candidates that are ejected
--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -24,6 +24,19 @@
 
 }  // namespace
 
+std::optional<TimePoint> EntryCore::ExpectedReadyAt(const QueueKey& key) const {
+  if (!key.model) {
+    return std::nullopt;
+  }
+  return this->model_locations.ExpectedReadyAt(
+      *key.model, this->now, [&](const TargetId& id) {
+        const auto found = this->targets.find(id);
+        return !key.software ||
+               (found != this->targets.end() &&
+                found->second.record().software == *key.software);
+      });
+}
+
 // Estimates are made only where no other capacity can be expected than that
 // which has served the queue lately.
 EntryCore::EstimateBasis EntryCore::EstimateBasisOf(
@@ -41,11 +54,7 @@
   const bool is_served = std::ranges::any_of(
       candidates,
       [this](const TargetView* target) { return this->IsUsable(*target); });
-  // A load that takes place may be on a target of another version.
-  const auto load_end =
-      key.model && !key.software
-          ? this->model_locations.ExpectedReadyAt(*key.model, this->now)
-          : std::nullopt;
+  const auto load_end = this->ExpectedReadyAt(key);
   return EstimateBasis{.is_rate_known = is_served && !load_end,
                        .load_end = is_served ? std::nullopt : load_end};
 }
--- a/entry/entry_resumption.cc
+++ b/entry/entry_resumption.cc
@@ -148,15 +148,6 @@
   return true;
 }
 
-// Whether the queue is for one version, and its service has others as well.
-bool EntryCore::HasOtherVersions(const QueueKey& key) const {
-  const auto ids = this->targets_by_service.find(key.service);
-  return key.software && ids != this->targets_by_service.end() &&
-         std::ranges::any_of(ids->second, [&](const TargetId& id) {
-           return this->targets.at(id).record().software != *key.software;
-         });
-}
-
 void EntryCore::RefuseTakeUp(const OpenRequest& request, const Error& error) {
   this->LogTakeUp(request, GetErrorInfo(error.kind).token);
   this->RefuseOpenRequest(request, error);
--- a/entry/tests/resumption_test.cc
+++ b/entry/tests/resumption_test.cc
@@ -13,6 +13,15 @@
 using std::chrono::seconds;
 using Names = std::vector<std::string>;
 
+TargetRecord MakeLoadedTarget(const std::string& id,
+                              const std::string& software,
+                              bool is_draining) {
+  TargetRecord target = MakeVersionedTarget(id, "engine", software);
+  target.loaded = {kModel};
+  target.is_draining = is_draining;
+  return target;
+}
+
 BOOST_AUTO_TEST_SUITE(resumption)
 
 // Guards against a take-up that is sent to any target before its origin is
@@ -253,19 +262,23 @@
 
 // Guards against orders to load a model on targets that may not serve the
 // stream, and against take-ups that wait for a model that nobody requests.
-BOOST_AUTO_TEST_CASE(ModelIsRequestedWhereAllTargetsMayServeTheTakeUp) {
+BOOST_AUTO_TEST_CASE(ModelIsRequestedForTheVersionOfTheTakeUp) {
   for (const std::string other : {"v1", "v2"}) {
     ResumptionFixture entry;
     entry.Start();
-    auto loaded = MakeVersionedTarget("e2", "engine", other);
-    loaded.loaded = {kModel};
-    loaded.is_draining = other == "v1";
-    entry.SetTargets({MakeVersionedTarget("e1", "engine", "v1"), loaded});
+    entry.SetTargets({MakeVersionedTarget("e1", "engine", "v1"),
+                      MakeLoadedTarget("e2", other, other == "v1")});
     const RequestId id = entry.SendTakeUp("first", "chat", "c", kModel);
     entry.Found(id, "v1", "engine");
     entry.RunFor(milliseconds(100));
-    BOOST_TEST(entry.EffectsOf<ModelLoadRequest>().size() ==
-               (other == "v1" ? 1U : 0U));
+    const auto requests = entry.EffectsOf<ModelLoadRequest>();
+    BOOST_REQUIRE(requests.size() == 1);
+    BOOST_TEST(
+        (requests[0] == ModelLoadRequest{.service = ServiceId("engine"),
+                                         .path = kModel,
+                                         .waiting = 1,
+                                         .latency_objective = milliseconds(250),
+                                         .software = SoftwareVersion("v1")}));
     BOOST_TEST(entry.TargetsOf(id).empty());
     entry.targets[0].loaded = {kModel};
     entry.UpdateFleet();
@@ -308,6 +321,44 @@
   BOOST_TEST(entry.TargetsOf(id) == Names{"e1"});
 }
 
+// Guards against new requests that wait for a version that they don't need.
+BOOST_AUTO_TEST_CASE(ModelIsRequestedForAnyVersionByNewRequests) {
+  ResumptionFixture entry;
+  entry.Start();
+  entry.SetTargets({MakeVersionedTarget("e1", "engine", "v1"),
+                    MakeVersionedTarget("e2", "engine", "v2")});
+  entry.SendRequest("chat", kModel, "key-c");
+  const auto requests = entry.EffectsOf<ModelLoadRequest>();
+  BOOST_REQUIRE(requests.size() == 1);
+  BOOST_TEST(!requests[0].software.has_value());
+}
+
+// Guards against take-ups that wait for a load on a target of another version
+// as if it were on one of theirs.
+BOOST_AUTO_TEST_CASE(LoadOnAnotherVersionIsNotWaitedFor) {
+  for (const std::string target : {"e1", "e2"}) {
+    ResumptionFixture entry;
+    entry.Start();
+    entry.SetTargets({MakeVersionedTarget("e1", "engine", "v1"),
+                      MakeVersionedTarget("e2", "engine", "v2")});
+    entry.Feed(PlacementChange{.target = TargetId(target),
+                               .instance = TargetInstance(1),
+                               .path = kModel,
+                               .is_load = true,
+                               .ready_in = seconds(20)});
+    const RequestId id = entry.SendTakeUp("first", "chat", "c", kModel);
+    entry.Found(id, "v1", "engine");
+    entry.RunFor(milliseconds(1000));
+    BOOST_TEST(entry.EffectsOf<ModelLoadRequest>().size() ==
+               (target == "e1" ? 0U : 3U));
+    entry.RunFor(seconds(3));
+    BOOST_TEST((entry.RefusalKind() == ErrorKind::kNoCapacity));
+    const auto retry_after = entry.EffectsOf<Refuse>()[0].retry_after;
+    BOOST_REQUIRE(retry_after.has_value());
+    BOOST_TEST((*retry_after > seconds(10)) == (target == "e1"));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
