Report only denials of the version that a take-up needs

The lease holder doubts its state of targets that a request for a load names as denying the model. A take-up has no use for targets of other versions, so their short denials must not pause orders to them.

--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -166,6 +166,9 @@
                     WaitQueue& queue,
                     const std::vector<RankContender>& contenders);
 
+  /// @return whether the target has the version that the queue requires, if
+  /// any.
+  bool HasVersionFor(const QueueKey& key, const TargetId& id) const;
   /// @return when the model of the queue is expected to be loaded on a further
   /// target that may serve it; none if no such load is known.
   std::optional<TimePoint> ExpectedReadyAt(const QueueKey& key) const;
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -321,6 +321,9 @@
     const Candidates& candidates) const {
   std::vector<TargetId> unusable =
       this->model_locations.DenyingTargets(*key.model, this->now);
+  std::erase_if(unusable, [&](const TargetId& id) {
+    return !this->HasVersionFor(key, id);
+  });
   for (const TargetView* target : candidates) {
     if (target->ejection().IsEjected(this->now) ||
         target->notices().IsResting(this->now)) {
--- a/entry/entry_estimates.cc
+++ b/entry/entry_estimates.cc
@@ -29,12 +29,8 @@
     return std::nullopt;
   }
   return this->model_locations.ExpectedReadyAt(
-      *key.model, this->now, [&](const TargetId& id) {
-        const auto found = this->targets.find(id);
-        return !key.software ||
-               (found != this->targets.end() &&
-                found->second.record().software == *key.software);
-      });
+      *key.model, this->now,
+      [&](const TargetId& id) { return this->HasVersionFor(key, id); });
 }
 
 // Estimates are made only where no other capacity can be expected than that
--- a/entry/entry_resumption.cc
+++ b/entry/entry_resumption.cc
@@ -148,6 +148,12 @@
   return true;
 }
 
+bool EntryCore::HasVersionFor(const QueueKey& key, const TargetId& id) const {
+  const auto found = this->targets.find(id);
+  return !key.software || (found != this->targets.end() &&
+                           found->second.record().software == *key.software);
+}
+
 void EntryCore::RefuseTakeUp(const OpenRequest& request, const Error& error) {
   this->LogTakeUp(request, GetErrorInfo(error.kind).token);
   this->RefuseOpenRequest(request, error);
--- a/entry/tests/resumption_test.cc
+++ b/entry/tests/resumption_test.cc
@@ -333,6 +333,34 @@
   BOOST_TEST(!requests[0].software.has_value());
 }
 
+// Guards against a lease holder that doubts the state of targets of other
+// versions since a take-up waits.
+BOOST_AUTO_TEST_CASE(DenialsOfOtherVersionsAreNotReported) {
+  for (const std::string denying : {"e1", "e2"}) {
+    ResumptionFixture entry;
+    entry.Start();
+    const auto loaded = MakeLoadedTarget(denying, denying == "e1" ? "v1" : "v2",
+                                         /*is_draining=*/false);
+    entry.SetTargets({MakeVersionedTarget("e0", "engine", "v1"), loaded});
+    entry.SendRequest("chat", kModel, "key-c");
+    entry.EndAttempt(entry.EffectsOf<Dispatch>().at(0),
+                     AttemptOutcome::kNotLoaded);
+    entry.effects.clear();
+    const RequestId id = entry.SendTakeUp("first", "chat", "c", kModel);
+    entry.Found(id, "v1", "engine");
+    entry.RunFor(milliseconds(50));
+    const auto requests = entry.EffectsOf<ModelLoadRequest>();
+    const auto pinned = std::ranges::find(
+        requests, SoftwareVersion("v1"), [](const ModelLoadRequest& request) {
+          return request.software.value_or(SoftwareVersion());
+        });
+    BOOST_REQUIRE((pinned != requests.end()));
+    BOOST_TEST(
+        (pinned->denied_by == (denying == "e1" ? std::vector{TargetId("e1")}
+                                               : std::vector<TargetId>())));
+  }
+}
+
 // Guards against take-ups that wait for a load on a target of another version
 // as if it were on one of theirs.
 BOOST_AUTO_TEST_CASE(LoadOnAnotherVersionIsNotWaitedFor) {
