Let unnamed take-ups go on after the first start of all hosts

When the whole system has just started for the first time, no stream is older than the process, so the version that a service or route has first is the one that it has always had.

sole_origin_test/FirstVersionAfterTheFirstStartHasAlwaysBeen fails before. The other cases of sole_origin_test begin at a version of their own, so that they test the wait as before.

--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -55,6 +55,7 @@
 
 EntryCore::EntryCore(const EntrySettings& settings)
     : settings(settings),
+      sole_origins(settings.is_first_start),
       quota_charges(settings.limit_window + kMaxHolderChangeTime) {}
 
 std::size_t EntryCore::WaitingRequestCount() const {
--- a/entry/sole_origins.cc
+++ b/entry/sole_origins.cc
@@ -18,12 +18,22 @@
   for (const auto& [service, software] : current) {
     Version& version = this->versions[service];
     if (version.software != software) {
-      version = Version{.software = software, .since = now};
+      version =
+          Version{.software = software, .since = this->SinceFor(service, now)};
     }
   }
 }
 
+TimePoint SoleOrigins::SinceFor(const ServiceId& service, TimePoint now) {
+  const bool is_new = this->seen_services.size() < kMaxServices &&
+                      this->seen_services.insert(service).second;
+  return is_new && this->is_first_start ? now - kTimeBeforeFirstStart : now;
+}
+
 void SoleOrigins::Update(const std::vector<Route>& routes, TimePoint now) {
+  const bool has_always_been = this->is_first_start && !this->has_routes;
+  this->has_routes = true;
+  const TimePoint since = has_always_been ? now - kTimeBeforeFirstStart : now;
   std::map<RouteId, RouteService> updated;
   for (const Route& route : routes) {
     const auto service = route.services.size() == 1
@@ -34,7 +44,7 @@
         found != this->route_services.end() && found->second.service == service;
     updated[route.id] = is_unchanged
                             ? found->second
-                            : RouteService{.service = service, .since = now};
+                            : RouteService{.service = service, .since = since};
   }
   this->route_services = std::move(updated);
   std::erase_if(this->versions, [&](const auto& entry) {
--- a/entry/sole_origins.h
+++ b/entry/sole_origins.h
@@ -1,9 +1,12 @@
 #ifndef CICADALOFT_ENTRY_SOLE_ORIGINS_H_
 #define CICADALOFT_ENTRY_SOLE_ORIGINS_H_
 
+#include <chrono>
 #include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "cicadaloft/configuration/configuration.h"
@@ -26,6 +29,11 @@
 /// seen from this host.
 class SoleOrigins {
  public:
+  /// @param is_first_start no stream has begun before this process, on any
+  /// host: what a service or route has when it is first seen, it has always
+  /// had.
+  explicit SoleOrigins(bool is_first_start) : is_first_start(is_first_start) {}
+
   /// Takes the versions of all targets into account. A service that has no
   /// target keeps what it had.
   void Update(const Fleet& fleet, TimePoint now);
@@ -46,6 +54,18 @@
     TimePoint since{};
   };
 
+  /// Long before any stream that could still be taken up.
+  static constexpr Duration kTimeBeforeFirstStart = std::chrono::hours(24);
+  /// Services that can count as seen for the first time.
+  static constexpr std::size_t kMaxServices = 1024;
+
+  /// @return since when a service that was just found to have another version
+  /// has had it.
+  TimePoint SinceFor(const ServiceId& service, TimePoint now);
+
+  bool is_first_start;
+  std::set<ServiceId> seen_services;
+  bool has_routes = false;
   std::map<ServiceId, Version> versions;
   std::map<RouteId, RouteService> route_services;
 };
--- a/entry/tests/sole_origin_test.cc
+++ b/entry/tests/sole_origin_test.cc
@@ -13,12 +13,17 @@
 const TargetRecord kTarget1 = MakeVersionedTarget("p1", "plain", "v1");
 const TargetRecord kTarget2 = MakeVersionedTarget("p2", "plain", "v1");
 
-/// An entry whose only service has had one version, for no time yet.
+/// An entry whose only service has had one version, for no time yet, or as its
+/// first one.
 class SoleOriginFixture : public ResumptionFixture {
  public:
-  SoleOriginFixture() {
+  explicit SoleOriginFixture(bool is_first_version = false) {
     this->targets = {kTarget1, kTarget2};
+    if (!is_first_version) {
+      this->targets = {MakeVersionedTarget("p1", "plain", "v0")};
+    }
     this->Start();
+    this->SetTargets({kTarget1, kTarget2});
   }
 
   /// @return whether a take-up without a record goes on.
@@ -66,6 +71,21 @@
   BOOST_TEST(entry.GoesOn("slow"));
 }
 
+// Guards against refusals after the first start of all hosts, before which no
+// stream can have begun, and against taking a later version for the first one.
+BOOST_AUTO_TEST_CASE(FirstVersionAfterTheFirstStartHasAlwaysBeen) {
+  SoleOriginFixture entry(true);
+  BOOST_TEST(entry.GoesOn());
+  entry.SetTargets({kTarget1, MakeVersionedTarget("p2", "plain", "v2")});
+  BOOST_TEST(!entry.GoesOn());
+  entry.SetTargets({MakeVersionedTarget("p2", "plain", "v2")});
+  BOOST_TEST(!entry.GoesOn());
+  entry.SetTargets({kTarget1});
+  BOOST_TEST(!entry.GoesOn());
+  entry.Wait(seconds(61));
+  BOOST_TEST(entry.GoesOn());
+}
+
 // Guards against take-ups that are refused although they name no first request
 // and all targets are alike, and against their retry at a newer version.
 BOOST_AUTO_TEST_CASE(TakeUpThatNamesNoFirstRequestIsPinnedToTheSoleVersion) {
