Decode and log the era of the store

The logs couldn't tell this from a store that only lost its history: the header Store-Era, which rises by one each time, was not read.

Control logs store.era_changed, and store.era_outdated once for each run of answers that state a lower one. Nothing decides by it yet.

store_client_test and control_test pass (x86-64).

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "cicadaloft/core/result.h"
+#include "cicadaloft/store/store_era.h"
 
 namespace cicadaloft {
 namespace {
@@ -85,6 +86,25 @@
       .fields = {{"why", reachability.reason}}});
 }
 
+void ControlState::Handle(const StoreEraSeen& seen) {
+  const EraChange change =
+      CompareEras(this->store_era.value_or(seen.era), seen.era);
+  const bool was_outdated = std::exchange(this->is_store_era_outdated,
+                                          change == EraChange::kOutdated);
+  if (change == EraChange::kNew) {
+    this->effects.emplace_back(
+        DecisionRecord{.event = "store.era_changed",
+                       .fields = {{"known", this->store_era->value()},
+                                  {"stated", seen.era.value()}}});
+  } else if (change == EraChange::kOutdated && !was_outdated) {
+    this->effects.emplace_back(
+        DecisionRecord{.event = "store.era_outdated",
+                       .fields = {{"known", this->store_era->value()},
+                                  {"stated", seen.era.value()}}});
+  }
+  this->store_era = std::max(this->store_era.value_or(seen.era), seen.era);
+}
+
 void ControlState::Handle(const FleetEvent& event) {
   // Published with the next tick: a large site gets tens of records per second.
   this->is_fleet_changed |= this->fleet_tracker.Apply(event, this->now);
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -56,6 +56,7 @@
   void Handle(const RecordRejected& rejected);
   void Handle(const OperatorTopicReachability& reachability);
   void Handle(const FleetEvent& event);
+  void Handle(const StoreEraSeen& seen);
   void Handle(const StoreRead& read);
   // From this host's entry.
   void Handle(const ModelLoadRequest& request);
@@ -158,6 +159,8 @@
   bool is_fleet_changed = false;    ///< Since the fleet was last published.
   bool has_reported_usage = false;  ///< The last UsageReport had usages.
   bool is_operator_topic_reachable = false;
+  std::optional<StoreEra> store_era;   ///< The highest one seen.
+  bool is_store_era_outdated = false;  ///< In the last answer of the store.
   /// The newest version that another host has reported.
   ConfigurationVersion reported_version;
   TimePoint reported_version_at{};
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -14,6 +14,7 @@
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
 #include "cicadaloft/scaling/messages.h"
+#include "cicadaloft/store/messages.h"
 #include "cicadaloft/usage/messages.h"
 
 namespace cicadaloft {
@@ -111,6 +112,7 @@
                                   RecordRejected,
                                   OperatorTopicReachability,
                                   FleetEvent,
+                                  StoreEraSeen,
                                   StoreRead,
                                   ModelLoadRequest,
                                   UsageReport,
--- a/core/include/cicadaloft/core/id.h
+++ b/core/include/cicadaloft/core/id.h
@@ -60,6 +60,9 @@
 
 /// Position of a record in the append-only log; the first record is at 0.
 using LogOffset = Number<struct LogOffsetTag>;
+/// Rises by one each time the store comes back from an older copy of its logs:
+/// offsets of different eras can't be compared. 0: the store states none.
+using StoreEra = Number<struct StoreEraTag>;
 using ConfigurationVersion = Number<struct ConfigurationVersionTag>;
 /// Offset of the record that granted a lease; a higher token invalidates all
 /// lower ones.
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -176,7 +176,7 @@
         this->executor, lease, this->settings.limit_window,
         RelayInterval(this->settings.drain_time),
         MakeUsageSettings(this->settings), this->settings.duties,
-        this->settings.store, this->memory, this->CountStoreCalls(),
+        this->settings.store, this->memory, this->ReportStoreCalls(),
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
@@ -190,7 +190,7 @@
   void OpenOriginTask() {
     const auto make_store = [this] {
       return platform::StoreClient(this->executor, this->settings.store,
-                                   this->memory, this->CountStoreCalls());
+                                   this->memory, this->ReportStoreCalls());
     };
     // Reads don't wait for appends.
     this->origin_task.emplace(this->executor, make_store(), make_store(),
@@ -323,15 +323,20 @@
                       const RelayedStoreSettings& store_settings) {
     return HostStore(
         platform::StoreClient(this->executor, this->settings.store,
-                              this->memory, this->CountStoreCalls()),
+                              this->memory, this->ReportStoreCalls()),
         store_settings, relay, BootClock{},
         StoreReadFeed(this->control_mailbox));
   }
 
-  // The entry task renders the metrics.
-  StoreCallSink CountStoreCalls() const {
-    return [inbox = this->entry_mailbox](const StoreCallEnded& ended) {
-      Post(*inbox, EntryTaskMessage(ended));
+  // The entry task renders the metrics; the control task follows the store's
+  // era.
+  StoreCallSink ReportStoreCalls() const {
+    return [entry = this->entry_mailbox,
+            control = this->control_mailbox](const StoreCallEnded& ended) {
+      Post(*entry, EntryTaskMessage(ended));
+      if (ended.era) {
+        Post(*control, ControlEvent(StoreEraSeen{.era = *ended.era}));
+      }
     };
   }
 
--- a/store/include/cicadaloft/store/messages.h
+++ b/store/include/cicadaloft/store/messages.h
@@ -24,6 +24,7 @@
 struct NewestRecords {
   const std::vector<KeyedRecord> records;
   const LogOffset end_offset;  ///< A read from here misses no record.
+  const StoreEra era;
 
   friend auto operator<=>(const NewestRecords&, const NewestRecords&) = default;
   friend bool operator==(const NewestRecords&, const NewestRecords&) = default;
@@ -34,14 +35,17 @@
   const std::vector<std::string> records;
   const LogOffset next_offset;  ///< Offset after the last of `records`.
   const LogOffset end_offset;   ///< End of the log at the time of the read.
+  const StoreEra era;
 
   friend auto operator<=>(const LogRecords&, const LogRecords&) = default;
   friend bool operator==(const LogRecords&, const LogRecords&) = default;
 };
 
-/// The log has been trimmed beyond the requested offset.
+/// The log doesn't have the requested offset: it has been trimmed beyond it, or
+/// the store has come back from a copy that ends before it.
 struct LogTrimmed {
   const LogOffset first_offset;  ///< Of the oldest record that is left.
+  const StoreEra era;
 
   friend auto operator<=>(const LogTrimmed&, const LogTrimmed&) = default;
   friend bool operator==(const LogTrimmed&, const LogTrimmed&) = default;
@@ -51,6 +55,7 @@
 
 struct Appended {
   const LogOffset offset;
+  const StoreEra era;
 
   friend auto operator<=>(const Appended&, const Appended&) = default;
   friend bool operator==(const Appended&, const Appended&) = default;
@@ -59,6 +64,7 @@
 /// The log doesn't end at the expected offset; nothing was written.
 struct AppendConflict {
   const LogOffset end_offset;
+  const StoreEra era;
 
   friend auto operator<=>(const AppendConflict&,
                           const AppendConflict&) = default;
@@ -68,6 +74,14 @@
 
 using AppendOutcome = std::variant<Appended, AppendConflict>;
 
+/// The store has answered a call of this host.
+struct StoreEraSeen {
+  const StoreEra era;
+
+  friend auto operator<=>(const StoreEraSeen&, const StoreEraSeen&) = default;
+  friend bool operator==(const StoreEraSeen&, const StoreEraSeen&) = default;
+};
+
 }  // namespace cicadaloft
 
 #endif  // CICADALOFT_STORE_MESSAGES_H_
--- a/store/include/cicadaloft/store/store_call.h
+++ b/store/include/cicadaloft/store/store_call.h
@@ -3,10 +3,13 @@
 
 #include <compare>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "cicadaloft/core/id.h"
+
 namespace cicadaloft {
 
 enum class StoreCallKind {
@@ -65,6 +68,7 @@
   StoreCallKind call = StoreCallKind::kRead;
   std::string topic;
   StoreCallOutcome outcome = StoreCallOutcome::kUnanswered;
+  std::optional<StoreEra> era;  ///< None if no valid one was stated.
 
   friend auto operator<=>(const StoreCallEnded&,
                           const StoreCallEnded&) = default;
@@ -91,6 +95,7 @@
   StoreCallReport& operator=(const StoreCallReport&) = delete;
 
   void SetOutcome(StoreCallOutcome outcome) { this->ended.outcome = outcome; }
+  void SetEra(StoreEra era) { this->ended.era = era; }
 
  private:
   const StoreCallSink& sink;
