--- a/lease/include/cicadaloft/lease/lease_log_client.h
+++ b/lease/include/cicadaloft/lease/lease_log_client.h
@@ -31,7 +31,8 @@
       co_return LeaseEvent(LeaseReadFailed{});
     }
     if (const auto* trimmed = std::get_if<LogTrimmed>(&ValueOf(outcome))) {
-      co_return LeaseEvent(LeaseLogRead{.next_offset = trimmed->first_offset});
+      co_return LeaseEvent(LeaseLogRead{.next_offset = trimmed->first_offset,
+                                        .era = trimmed->era});
     }
     const auto& records = std::get<LogRecords>(ValueOf(outcome));
     std::vector<LeaseLogEntry> entries;
@@ -45,7 +46,8 @@
       ++offset;
     }
     co_return LeaseEvent(LeaseLogRead{.entries = std::move(entries),
-                                      .next_offset = records.next_offset});
+                                      .next_offset = records.next_offset,
+                                      .era = records.era});
   }
 
   /// @param now when the call is sent; the lease's validity counts from then.
@@ -64,12 +66,15 @@
     const auto* appended = std::get_if<Appended>(&ValueOf(outcome));
     if (appended == nullptr) {
       co_return LeaseEvent(LeaseAppendEnded{
-          .outcome = LeaseAppendOutcome::kConflict, .sent_at = now});
+          .outcome = LeaseAppendOutcome::kConflict,
+          .sent_at = now,
+          .era = std::get<AppendConflict>(ValueOf(outcome)).era});
     }
     co_return LeaseEvent(
         LeaseAppendEnded{.outcome = LeaseAppendOutcome::kWritten,
                          .offset = appended->offset,
-                         .sent_at = now});
+                         .sent_at = now,
+                         .era = appended->era});
   }
 
  private:
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -40,6 +40,9 @@
   /// Upper bound of the drift between two hosts' clocks over one TTL, and of
   /// the transit time of a message that was sent before the lease expired.
   Duration clock_drift_margin = std::chrono::milliseconds(300);
+  /// Whether the system has never run before, so that an empty log has had no
+  /// holder.
+  bool is_first_start = false;
   /// Whether a host that shuts down still follows the log, so that it connects
   /// to a new holder.
   bool follows_log_while_stopping = false;
@@ -77,6 +80,7 @@
   void Handle(const LeaseLogRead& read);
   void Handle(const LeaseAppendEnded& ended);
   void Handle(const LeaseReadFailed& failed);
+  void Handle(const StoreEraSeen& seen);
   void Handle(const HolderHeartbeat& heartbeat);
   void Handle(const HolderDisconnected& disconnected);
   void Handle(const LeaseStop& stop);
--- a/lease/include/cicadaloft/lease/messages.h
+++ b/lease/include/cicadaloft/lease/messages.h
@@ -12,6 +12,7 @@
 #include "cicadaloft/core/decision_record.h"
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/store/messages.h"
 
 namespace cicadaloft {
 
@@ -51,6 +52,7 @@
 struct LeaseLogRead {
   const std::vector<LeaseLogEntry> entries;
   const LogOffset next_offset;
+  const StoreEra era;
 
   friend auto operator<=>(const LeaseLogRead&, const LeaseLogRead&) = default;
   friend bool operator==(const LeaseLogRead&, const LeaseLogRead&) = default;
@@ -68,6 +70,7 @@
   const LeaseAppendOutcome outcome = LeaseAppendOutcome::kUnknown;
   const LogOffset offset;     ///< Offset of the record, if it was written.
   const TimePoint sent_at{};  ///< Taken before the first byte was sent.
+  const std::optional<StoreEra> era;  ///< None without a valid answer.
 
   friend auto operator<=>(const LeaseAppendEnded&,
                           const LeaseAppendEnded&) = default;
@@ -115,6 +118,7 @@
 using LeaseEvent = std::variant<LeaseLogRead,
                                 LeaseAppendEnded,
                                 LeaseReadFailed,
+                                StoreEraSeen,
                                 HolderHeartbeat,
                                 HolderDisconnected,
                                 LeaseStop,
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -159,6 +159,8 @@
   this->last_call_at = this->now;
 }
 
+void LeaseState::Handle(const StoreEraSeen&) {}
+
 void LeaseState::Handle(const HolderHeartbeat& heartbeat) {
   if (this->newest_entry &&
       this->newest_entry->record.holder == heartbeat.holder) {
