Keep the lease safe when the store comes back from an older copy

Cause: a fencing token was the offset of the record that began the term, and a host never read the log from a lower offset. After the store has come back from an older copy offsets are given out again, and appends at the old end meet a conflict for good.

A token is the era and the offset now. A new era in any answer of the store ends the term; the log is read anew. What a lost record may still have permitted is covered by waiting, unless a native record (one whose writer had read the log in this era) shows what came after. A holder whose lease was valid when it learned of the era claims again at once. An empty log permits orders at once only at the first start of the system: records are also lost when the copy is older than the first one, or when the history is dropped.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -103,6 +103,7 @@
                                   {"stated", seen.era.value()}}});
   }
   this->store_era = std::max(this->store_era.value_or(seen.era), seen.era);
+  this->FeedLease(seen);
 }
 
 void ControlState::Handle(const FleetEvent& event) {
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -321,7 +321,11 @@
 // process started.
 void ControlState::RecordPreviousHolder() {
   const auto& last = this->lease.last_entry();
-  if (!last || last->offset == this->previous_holder_offset ||
+  if (!last) {
+    this->previous_holder_offset.reset();
+    return;
+  }
+  if (last->offset == this->previous_holder_offset ||
       last->record.secret == this->lease_settings.secret) {
     return;
   }
--- a/control/tests/control_test.cc
+++ b/control/tests/control_test.cc
@@ -21,9 +21,11 @@
 
 /// One host's control with a lease log that accepts each append.
 struct Host {
-  ControlState state{
-      LeaseSettings{.self = kSelf, .address = "127.0.0.1:1", .secret = "own"},
-      seconds(8)};
+  ControlState state{LeaseSettings{.self = kSelf,
+                                   .address = "127.0.0.1:1",
+                                   .secret = "own",
+                                   .is_first_start = true},
+                     seconds(8)};
   TimePoint now{seconds(1000)};
   std::optional<ShareGrant> last_grant;    ///< The newest grant to host "d".
   std::optional<LeaseRecord> last_record;  ///< The newest record in the log.
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -53,13 +53,13 @@
   /// Starts a new process without any state of the previous one.
   void Restart(const SharedLimit& limit) {
     ++this->process;
-    this->control.emplace(
-        LeaseSettings{
-            .self = this->id,
-            .address = "10.0.0.1:1",
-            .secret = this->id.value() + "." + std::to_string(this->process)},
-        kLimitWindow, kDefaultRelayInterval, std::nullopt,
-        this->orders_target_counts);
+    this->control.emplace(LeaseSettings{.self = this->id,
+                                        .address = "10.0.0.1:1",
+                                        .secret = this->id.value() + "." +
+                                                  std::to_string(this->process),
+                                        .is_first_start = this->process == 1},
+                          kLimitWindow, kDefaultRelayInterval, std::nullopt,
+                          this->orders_target_counts);
     this->entry.emplace(EntrySettings{.host = this->id,
                                       .data_centre = DataCentreId("dc"),
                                       .limit_overshoot = limit.overshoot,
--- a/control/tests/usage_duties_test.cc
+++ b/control/tests/usage_duties_test.cc
@@ -23,7 +23,8 @@
   explicit Host(const std::optional<UsageSettings>& usage)
       : state(LeaseSettings{.self = kSelf,
                             .address = "127.0.0.1:1",
-                            .secret = "own"},
+                            .secret = "own",
+                            .is_first_start = true},
               seconds(8),
               kDefaultRelayInterval,
               usage) {}
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -169,6 +169,7 @@
         .secret = MakeSecret(),
         .cores = this->settings.cores,
         .handover_delay = this->settings.handover_delay,
+        .is_first_start = this->settings.is_first_start,
         .follows_log_while_stopping = ReportsUsage(this->settings)};
     this->peers = PeerLinks::Open(std::move(*this->listeners.peer), lease,
                                   this->control_mailbox, this->memory);
--- a/lease/include/cicadaloft/lease/lease_state.h
+++ b/lease/include/cicadaloft/lease/lease_state.h
@@ -56,7 +56,13 @@
 /// where its writer expected the end of the log, and the last record names the
 /// holder. A successor claims the lease once the lease of the last writer has
 /// expired for certain, and sends orders once the platform's delay between two
-/// holders has passed as well.
+/// two holders has passed as well.
+///
+/// When the store comes back from an older copy, its era rises and the term
+/// ends, because the last records may be gone and their offsets given to
+/// others. A record counts as native if its writer had read the log in the
+/// present era; only native records shorten the time for which a lease that was
+/// lost may still be in use. docs/design/store-eras.md has the rules.
 class LeaseState {
  public:
   explicit LeaseState(LeaseSettings settings);
@@ -86,13 +92,19 @@
   void Handle(const LeaseStop& stop);
   void Handle(const LeaseTick& tick);
 
+  /// @return whether an answer of this era to the current call may be used.
+  bool UseAnswer(StoreEra stated);
+  void BeginEra(StoreEra era);
   void OnLogEntry(const LeaseLogEntry& entry);
+  void AnnounceHolder(const LeaseLogEntry& entry);
+  bool IsNative(const LeaseRecord& record) const;
   void ExtendLease(const LeaseLogEntry& entry, TimePoint sent_at);
   void StartDueCall();
   void ReadLog();
   void AppendRecord(bool is_release);
   bool IsOwnRecord(const LeaseRecord& record) const;
   bool IsClaimDue() const;
+  TimePoint EmptyLogExpiry() const;
   Duration ClaimDelay() const;
   TimePoint LastLeaseExpiry() const;
   TimePoint OrdersAllowedFrom() const;
@@ -106,6 +118,15 @@
   LeaseSettings settings;
   TimePoint now{};
   std::vector<LeaseEffect> effects;
+  std::optional<StoreEra> era;  ///< The highest one seen.
+  TimePoint era_seen_at{};
+  bool has_seen_restore = false;  ///< The era has risen since the start.
+  /// This host held the lease when it learned of the era: no other host can
+  /// have claimed it before the store stepped back.
+  bool is_reclaiming = false;
+  /// Until then no host can have held the lease but this one.
+  TimePoint reclaim_until{};
+  TimePoint reclaim_orders_from{};
   LogOffset next_offset;  ///< All entries before it have been read.
   bool has_read = false;
   std::optional<LeaseLogEntry> newest_entry;
@@ -119,6 +140,10 @@
   /// It is not known whether the pending append was written.
   bool is_append_in_doubt = false;
   bool is_call_pending = false;  ///< A call to the log has not ended yet.
+  /// The pending call was sent before the era was known.
+  bool is_call_outdated = false;
+  HostId announced_holder;       ///< By the last HolderChanged.
+  std::string announced_secret;  ///< The same.
   std::optional<AppendLeaseRecord> pending_append;
   TimePoint pending_append_sent_at{};
   FencingToken current_token;
--- a/lease/include/cicadaloft/lease/messages.h
+++ b/lease/include/cicadaloft/lease/messages.h
@@ -22,7 +22,9 @@
   HostId holder;
   std::string address;  ///< "IP:port" where the holder accepts links.
   std::string secret;   ///< Proves on a link that the peer can read this log.
-  FencingToken token;   ///< 0 in the record that begins a term.
+  /// By EraOf(), the era of the log that the writer had read; in later records
+  /// of a term the token of the term.
+  FencingToken token;
   bool is_released = false;
   /// Time from the writing of the record until the holder may send orders. A
   /// new process on the same machine that continues as the holder waits for the
--- a/lease/lease_state.cc
+++ b/lease/lease_state.cc
@@ -5,6 +5,8 @@
 #include <variant>
 
 #include "cicadaloft/core/rendezvous.h"
+#include "cicadaloft/lease/fencing_tokens.h"
+#include "cicadaloft/store/store_era.h"
 
 namespace cicadaloft {
 namespace {
@@ -51,7 +53,9 @@
 }
 
 void LeaseState::Handle(const LeaseLogRead& read) {
-  this->is_call_pending = false;
+  if (!this->UseAnswer(read.era)) {
+    return;
+  }
   this->is_append_in_doubt = false;
   this->last_read_at = this->now;
   if (!this->has_read) {
@@ -70,22 +74,81 @@
   }
 }
 
+bool LeaseState::UseAnswer(StoreEra stated) {
+  this->is_call_pending = false;
+  const bool is_outdated = std::exchange(this->is_call_outdated, false);
+  if (!this->era) {
+    this->era = stated;
+    this->era_seen_at = this->now;
+  }
+  switch (CompareEras(*this->era, stated)) {
+    case EraChange::kNone:
+      return !is_outdated;
+    case EraChange::kNew:
+      this->BeginEra(stated);
+      return false;
+    case EraChange::kOutdated:
+      this->last_call_at = this->now;
+      return false;
+  }
+  return false;
+}
+
+void LeaseState::Handle(const StoreEraSeen& seen) {
+  if (!this->era) {
+    this->era = seen.era;
+    this->era_seen_at = this->now;
+  } else if (CompareEras(*this->era, seen.era) == EraChange::kNew) {
+    this->is_call_outdated = this->is_call_pending;
+    this->BeginEra(seen.era);
+  }
+}
+
+// Everything that was read from the log may be gone. A pending append may still
+// be executed, but its record isn't native then.
+void LeaseState::BeginEra(StoreEra new_era) {
+  if (this->current_token != FencingToken()) {
+    this->is_reclaiming = true;
+    this->reclaim_until = this->lease_valid_until;
+    this->reclaim_orders_from = this->orders_allowed_from;
+  }
+  this->is_reclaiming &= this->now < this->reclaim_until;
+  // Covers orders of the last term that are on their way.
+  this->reclaim_orders_from = std::max(
+      this->reclaim_orders_from, this->now + this->settings.clock_drift_margin);
+  this->LoseLease("the store came back from an older copy");
+  this->era = new_era;
+  this->era_seen_at = this->now;
+  this->has_seen_restore = true;
+  this->next_offset = LogOffset();
+  this->has_read = false;
+  this->newest_entry.reset();
+  this->newest_entry_at = this->now;
+  this->last_call_at = TimePoint{};
+  this->pending_append.reset();
+  this->is_append_in_doubt = false;
+}
+
+bool LeaseState::IsNative(const LeaseRecord& record) const {
+  return this->era && EraOf(record.token) == *this->era;
+}
+
 void LeaseState::OnLogEntry(const LeaseLogEntry& entry) {
   const bool is_known =
       this->newest_entry && entry.offset <= this->newest_entry->offset;
   if (is_known) {
     return;
   }
-  const bool is_new_holder =
-      !this->newest_entry ||
-      this->newest_entry->record.holder != entry.record.holder ||
-      this->newest_entry->record.secret != entry.record.secret;
+  // A record of the copy may be older than the last holder that hosts know.
+  const bool may_be_outdated = this->has_seen_restore && !this->newest_entry &&
+                               !this->IsNative(entry.record);
   this->newest_entry = entry;
   this->newest_entry_at = this->now;
   const bool is_own_write =
       this->pending_append &&
       this->pending_append->expected_end == entry.offset &&
       this->IsOwnRecord(entry.record);
+  this->is_reclaiming &= is_own_write || !this->IsNative(entry.record);
   if (is_own_write) {
     this->ExtendLease(entry, this->pending_append_sent_at);
     return;
@@ -94,19 +157,38 @@
       this->current_token != FencingToken()) {
     this->LoseLease("another host holds the lease");
   }
-  if (is_new_holder && !entry.record.is_released) {
-    this->effects.emplace_back(HolderChanged{
-        .record = entry.record, .token = FencingToken(entry.offset.value())});
-    this->LogDecision("lease.holder", {{"holder", entry.record.holder.value()},
-                                       {"offset", entry.offset.value()}});
+  if (!may_be_outdated && !entry.record.is_released) {
+    this->AnnounceHolder(entry);
+  }
+}
+
+void LeaseState::AnnounceHolder(const LeaseLogEntry& entry) {
+  const LeaseRecord& record = entry.record;
+  if (record.holder == this->announced_holder &&
+      record.secret == this->announced_secret) {
+    return;
   }
+  this->announced_holder = record.holder;
+  this->announced_secret = record.secret;
+  this->effects.emplace_back(HolderChanged{
+      .record = record, .token = FencingToken(entry.offset.value())});
+  this->LogDecision("lease.holder",
+                    {{"holder", record.holder.value()},
+                     {"offset", entry.offset.value()},
+                     {"era", this->era.value_or(StoreEra()).value()},
+                     {"era_of_record", EraOf(record.token).value()}});
 }
 
 void LeaseState::Handle(const LeaseAppendEnded& ended) {
-  this->is_call_pending = false;
+  const bool is_usable =
+      this->UseAnswer(ended.era.value_or(this->era.value_or(StoreEra())));
   if (!this->pending_append) {
     return;
   }
+  if (!is_usable) {
+    this->is_append_in_doubt = true;
+    return;
+  }
   switch (ended.outcome) {
     case LeaseAppendOutcome::kWritten: {
       const LeaseLogEntry entry{.offset = this->pending_append->expected_end,
@@ -141,11 +223,17 @@
   }
   const bool is_new_term = this->current_token == FencingToken();
   if (is_new_term) {
-    // Offsets begin at 0, tokens at 1.
-    this->current_token = FencingToken(entry.offset.value() + 1);
+    this->current_token =
+        MakeFencingToken(this->era.value_or(StoreEra()), entry.offset);
+    this->is_reclaiming = false;
+    this->announced_holder = entry.record.holder;
+    this->announced_secret = entry.record.secret;
     this->effects.emplace_back(
         HolderChanged{.record = entry.record, .token = this->current_token});
-    this->LogDecision("lease.gained", {{"token", this->current_token.value()}});
+    this->LogDecision("lease.gained",
+                      {{"token", this->current_token.value()},
+                       {"era", this->era.value_or(StoreEra()).value()},
+                       {"offset", entry.offset.value()}});
   }
   this->lease_valid_until = sent_at + this->settings.ttl;
   this->effects.emplace_back(
@@ -159,8 +247,6 @@
   this->last_call_at = this->now;
 }
 
-void LeaseState::Handle(const StoreEraSeen&) {}
-
 void LeaseState::Handle(const HolderHeartbeat& heartbeat) {
   if (this->newest_entry &&
       this->newest_entry->record.holder == heartbeat.holder) {
@@ -257,13 +343,14 @@
 }
 
 bool LeaseState::IsClaimDue() const {
+  if (this->is_reclaiming) {
+    return true;
+  }
   if (!this->newest_entry) {
-    // No host has ever held the lease, or so long ago that the log no longer
-    // has its records.
-    return this->now - this->newest_entry_at >= this->ClaimDelay();
+    return this->now >= this->EmptyLogExpiry() + this->ClaimDelay();
   }
   const LeaseRecord& last = this->newest_entry->record;
-  if (last.holder == this->settings.self) {
+  if (last.holder == this->settings.self && this->IsNative(last)) {
     // An earlier process on this machine was the last holder; no other host can
     // have acted since.
     return true;
@@ -278,20 +365,40 @@
   return this->now >= this->LastLeaseExpiry() + this->ClaimDelay();
 }
 
-// Includes the margin for clock drift.
+// Includes the margin for clock drift. A record that isn't native may have had
+// a successor that was lost.
 TimePoint LeaseState::LastLeaseExpiry() const {
-  const Duration validity = this->newest_entry->record.is_released
+  const LeaseRecord& last = this->newest_entry->record;
+  const Duration validity = last.is_released && this->IsNative(last)
                                 ? Duration::zero()
                                 : this->settings.ttl;
   return this->newest_entry_at + validity + this->settings.clock_drift_margin;
 }
 
+// The log has no records: the system has never run, or they were lost or are
+// too old to be kept.
+TimePoint LeaseState::EmptyLogExpiry() const {
+  const bool has_had_no_holder =
+      this->settings.is_first_start && !this->has_seen_restore;
+  return this->newest_entry_at +
+         (has_had_no_holder
+              ? Duration::zero()
+              : this->settings.ttl + this->settings.clock_drift_margin);
+}
+
 TimePoint LeaseState::OrdersAllowedFrom() const {
+  if (this->is_reclaiming) {
+    return this->reclaim_orders_from;
+  }
   if (!this->newest_entry) {
-    return this->now;
+    const bool has_had_no_holder =
+        this->EmptyLogExpiry() == this->newest_entry_at;
+    return has_had_no_holder
+               ? this->now
+               : this->EmptyLogExpiry() + this->settings.handover_delay;
   }
   const LeaseRecord& last = this->newest_entry->record;
-  if (last.holder == this->settings.self) {
+  if (last.holder == this->settings.self && this->IsNative(last)) {
     return this->newest_entry_at + last.order_delay;
   }
   return this->LastLeaseExpiry() + this->settings.handover_delay;
@@ -315,7 +422,9 @@
           .holder = this->settings.self,
           .address = this->settings.address,
           .secret = this->settings.secret,
-          .token = this->current_token,
+          .token = this->current_token != FencingToken()
+                       ? this->current_token
+                       : MakeTokenOfNewTerm(this->era.value_or(StoreEra())),
           .is_released = is_release,
           .order_delay = std::max(Duration::zero(),
                                   this->orders_allowed_from - this->now)}};
--- a/lease/tests/lease_codec_property_test.cc
+++ b/lease/tests/lease_codec_property_test.cc
@@ -20,7 +20,9 @@
       .holder = HostId(*rc::gen::string<std::string>()),
       .address = *rc::gen::string<std::string>(),
       .secret = *rc::gen::string<std::string>(),
-      .token = FencingToken(*rc::gen::inRange<std::uint64_t>(0, 1'000'000)),
+      // Up to the token of the highest era and offset.
+      .token = FencingToken(
+          *rc::gen::inRange<std::uint64_t>(0, (std::uint64_t{1} << 52U) + 1)),
       .is_released = *rc::gen::arbitrary<bool>(),
       .order_delay = Duration(*rc::gen::inRange<std::int64_t>(0, 1'000'000)),
       .host_count = *rc::gen::inRange<std::uint32_t>(0, 1'000'000)};
--- a/lease/tests/lease_test.cc
+++ b/lease/tests/lease_test.cc
@@ -25,7 +25,8 @@
 LeaseSettings SettingsOf(const std::string& host) {
   return LeaseSettings{.self = HostId(host),
                        .address = "127.0.0.1:1",
-                       .secret = "secret of " + host};
+                       .secret = "secret of " + host,
+                       .is_first_start = true};
 }
 
 /// The lease's log in memory.
--- a/usage/tests/usage_simulation.h
+++ b/usage/tests/usage_simulation.h
@@ -90,6 +90,7 @@
         .self = host.id,
         .address = "10.0.0.1:1",
         .secret = host.id.value() + "." + std::to_string(host.process),
+        .is_first_start = host.process == 1,
         .follows_log_while_stopping = true});
     host.usage.emplace(UsageSettings{.host = host.id, .process = host.process});
     const Duration phase =
