--- a/lease/tests/lease_restore_test.cc
+++ b/lease/tests/lease_restore_test.cc
@@ -288,7 +288,8 @@
   for (const HostFault before : kHostFaults) {
     for (const Duration before_restore :
          {milliseconds(1500), milliseconds(6500)}) {
-      for (const Duration lost : {milliseconds(800), milliseconds(8000)}) {
+      for (const Duration lost :
+           {milliseconds(0), milliseconds(800), milliseconds(8000)}) {
         for (const Duration away :
              {milliseconds(0), milliseconds(1000), milliseconds(3000)}) {
           for (const HostFault at_restore : kHostFaults) {
