--- a/lease/include/cicadaloft/lease/messages.h
+++ b/lease/include/cicadaloft/lease/messages.h
@@ -12,6 +12,7 @@
 #include "cicadaloft/core/decision_record.h"
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/store/messages.h"
 
 namespace cicadaloft {
 
@@ -21,7 +22,9 @@
   HostId holder;
   std::string address;  ///< "IP:port" where the holder accepts links.
   std::string secret;   ///< Proves on a link that the peer can read this log.
-  FencingToken token;   ///< 0 in the record that begins a term.
+  /// By EraOf(), the era of the log that the writer had read; in later records
+  /// of a term the token of the term.
+  FencingToken token;
   bool is_released = false;
   /// Time from the writing of the record until the holder may send orders. A
   /// new process on the same machine that continues as the holder waits for the
@@ -51,6 +54,7 @@
 struct LeaseLogRead {
   const std::vector<LeaseLogEntry> entries;
   const LogOffset next_offset;
+  const StoreEra era;
 
   friend auto operator<=>(const LeaseLogRead&, const LeaseLogRead&) = default;
   friend bool operator==(const LeaseLogRead&, const LeaseLogRead&) = default;
@@ -68,6 +72,7 @@
   const LeaseAppendOutcome outcome = LeaseAppendOutcome::kUnknown;
   const LogOffset offset;     ///< Offset of the record, if it was written.
   const TimePoint sent_at{};  ///< Taken before the first byte was sent.
+  const std::optional<StoreEra> era;  ///< None without a valid answer.
 
   friend auto operator<=>(const LeaseAppendEnded&,
                           const LeaseAppendEnded&) = default;
@@ -115,6 +120,7 @@
 using LeaseEvent = std::variant<LeaseLogRead,
                                 LeaseAppendEnded,
                                 LeaseReadFailed,
+                                StoreEraSeen,
                                 HolderHeartbeat,
                                 HolderDisconnected,
                                 LeaseStop,
