--- a/tests/stand_ins/fake_runner.cc
+++ b/tests/stand_ins/fake_runner.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -34,6 +33,7 @@
               [--models NAMES] [--disk NAMES] [--load-ms N] [--event-ms N]
               [--work-ms N] [--slots N] [--event-tokens N]
               [--runs FILE] [--until-close] [--software VERSION]
+              [--drop-after-ms N] [--orders FILE]
 
 Options:
   --listen ADDRESS  Address to listen on, "IP:port".
@@ -54,6 +54,11 @@
   --until-close   The end of the connection marks the end of a stream.
   --software VERSION  Version of its software, which is in the registry and in
                   each event of a stream [default: v1].
+  --drop-after-ms N  N ms after the load of a model is complete it goes on as a
+                  process that has just started, without models, so that orders
+                  never end; 0: models stay loaded [default: 0].
+  --orders FILE   Appends a JSON line for each order: the time of the steady
+                  clock in ms, its fields, and the status of the response.
 
   GET /seen           returns the ids of all requests that were executed
   GET /turned_away    returns those that were turned away during a rest
@@ -85,43 +90,52 @@
   std::string runs_file;
   bool is_until_close = false;
   std::string software;
+  milliseconds drop_after{};
+  std::string orders_file;
 };
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+long NowMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             Clock::now().time_since_epoch())
+      .count();
+}
+
+/// Between two attempts to write the registry record.
+constexpr milliseconds kRegisterInterval{100};
+
 class FakeRunner {
  public:
-  FakeRunner(Settings settings,
+  FakeRunner(asio::io_context& context,
+             Settings settings,
              std::vector<std::string> models,
              std::vector<std::string> disk)
-      : settings(std::move(settings)),
+      : context(context),
+        settings(std::move(settings)),
         loaded(models.begin(), models.end()),
         disk(disk.begin(), disk.end()),
-        started_unix_ms(std::chrono::duration_cast<milliseconds>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count()) {
+        started_unix_ms(UnixMs()) {
     if (!this->settings.runs_file.empty()) {
       this->runs.open(this->settings.runs_file, std::ios::app);
     }
+    if (!this->settings.orders_file.empty()) {
+      this->orders.open(this->settings.orders_file, std::ios::app);
+    }
   }
 
-  /// Writes this runner's record to the registry.
-  void Register() const {
-    asio::io_context context;
-    Socket socket(context);
-    const std::size_t colon = this->settings.store.rfind(':');
-    asio::ip::tcp::resolver resolver(context);
-    asio::connect(socket,
-                  resolver.resolve(this->settings.store.substr(0, colon),
-                                   this->settings.store.substr(colon + 1)));
-    Request request(http::verb::post,
-                    "/admin/put?topic=keyed.servers&key=" + this->settings.id,
-                    11);
-    request.set(http::field::host, this->settings.store);
-    request.body() = this->RegistryRecord().dump();
-    request.prepare_payload();
-    http::write(socket, request);
-    boost::beast::flat_buffer buffer;
-    Response response;
-    http::read(socket, buffer, response);
+  /// Writes this runner's record to the registry, again until the store has
+  /// accepted it.
+  asio::awaitable<void> Register() {
+    asio::steady_timer timer(this->context);
+    while (!co_await this->WriteRecord()) {
+      timer.expires_after(kRegisterInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
   }
 
   asio::awaitable<bool> Handle(const Request& request, Socket& socket) {
@@ -166,6 +180,52 @@
   }
 
  private:
+  asio::awaitable<bool> WriteRecord() {
+    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+    const std::string& store = this->settings.store;
+    const std::size_t colon = store.rfind(':');
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(store.substr(0, colon)),
+        static_cast<unsigned short>(std::stoi(store.substr(colon + 1))));
+    Socket socket(this->context);
+    const auto [connect_error] =
+        co_await socket.async_connect(endpoint, kAsTuple);
+    if (connect_error) {
+      co_return false;
+    }
+    Request request(http::verb::post,
+                    "/admin/put?topic=keyed.servers&key=" + this->settings.id,
+                    11);
+    request.set(http::field::host, store);
+    request.body() = this->RegistryRecord().dump();
+    request.prepare_payload();
+    const auto [write_error, written] =
+        co_await http::async_write(socket, request, kAsTuple);
+    boost::beast::flat_buffer buffer;
+    Response response;
+    const auto [read_error, read] =
+        co_await http::async_read(socket, buffer, response, kAsTuple);
+    co_return !write_error && !read_error &&
+        response.result() == http::status::ok;
+  }
+
+  asio::awaitable<void> DropLater() {
+    asio::steady_timer timer(
+        this->context, this->settings.load_time + this->settings.drop_after);
+    co_await timer.async_wait(asio::use_awaitable);
+    this->loaded.clear();
+    this->loading.clear();
+    this->sequence = 0;
+    this->started_unix_ms = UnixMs();
+    co_await this->Register();
+  }
+
+  void Unload(const std::string& path) {
+    std::erase_if(this->loaded, [&](const std::string& item) {
+      return item == path || item.starts_with(path + "/");
+    });
+  }
+
   json RegistryRecord() const {
     std::map<std::string, json> models;
     for (const std::string& path : this->loaded) {
@@ -209,6 +269,17 @@
 
   Response ExecuteOrder(const std::string& body) {
     const json order = json::parse(body, nullptr, false);
+    Response response = this->ExecuteOrder(order);
+    if (this->orders.is_open()) {
+      json line = order.is_object() ? order : json::object();
+      line["at_ms"] = NowMs();
+      line["status"] = response.result_int();
+      this->orders << line.dump() << std::endl;
+    }
+    return response;
+  }
+
+  Response ExecuteOrder(const json& order) {
     if (!order.is_object() || !order.contains("holder") ||
         !order.contains("fencing_token")) {
       return MakeResponse(400);
@@ -228,16 +299,16 @@
     }
     ++this->sequence;
     if (!is_load) {
-      std::erase_if(this->loaded, [&](const std::string& item) {
-        return item == path ||
-               (adapter.empty() && item.starts_with(model + "/"));
-      });
+      this->Unload(path);
       return MakeResponse(adapter.empty() ? 202 : 200);
     }
     this->loaded.insert(path);
     if (adapter.empty()) {
       this->busy_until = Clock::now() + this->settings.load_time;
       this->loading = path;
+      if (this->settings.drop_after > milliseconds(0)) {
+        asio::co_spawn(this->context, this->DropLater(), asio::detached);
+      }
     }
     return MakeResponse(202);
   }
@@ -268,10 +339,7 @@
     const std::string id(request["Request-Id"]);
     this->executed_requests.push_back(id);
     if (this->runs.is_open()) {
-      this->runs << std::chrono::duration_cast<milliseconds>(
-                        Clock::now().time_since_epoch())
-                        .count()
-                 << " " << id << std::endl;
+      this->runs << NowMs() << " " << id << std::endl;
     }
     if (model.empty()) {
       asio::steady_timer timer(socket.get_executor(), this->settings.work_time);
@@ -343,16 +411,18 @@
     co_return is_open&& is_chunked;
   }
 
+  asio::io_context& context;
   const Settings settings;
   std::set<std::string> loaded;  ///< "MODEL" and "MODEL/ADAPTER".
   const std::set<std::string> disk;
-  const std::int64_t started_unix_ms;
+  std::int64_t started_unix_ms;
   std::uint64_t sequence = 0;  ///< Number of orders that changed the state.
   Clock::time_point busy_until{};
   std::string loading;
   std::vector<std::string> executed_requests;  ///< Their ids.
   std::vector<std::string> turned_away;
   std::ofstream runs;
+  std::ofstream orders;
   bool is_leaving = false;
   int rest_seconds = 0;
   Clock::time_point rests_until{};
@@ -378,11 +448,17 @@
       .runs_file = options["--runs"].isString() ? options["--runs"].asString()
                                                 : std::string(),
       .is_until_close = options["--until-close"].asBool(),
-      .software = options["--software"].asString()};
-  FakeRunner runner(settings, Split(options["--models"].asString()),
-                    Split(options["--disk"].asString()));
-  runner.Register();
+      .software = options["--software"].asString(),
+      .drop_after = milliseconds(options["--drop-after-ms"].asLong()),
+      .orders_file = options["--orders"].isString()
+                         ? options["--orders"].asString()
+                         : std::string()};
   boost::asio::io_context context(1);
+  FakeRunner runner(context, settings, Split(options["--models"].asString()),
+                    Split(options["--disk"].asString()));
+  boost::asio::co_spawn(context, runner.Register(), boost::asio::detached);
+  context.run();
+  context.restart();
   Serve(context, settings.address,
         [&runner](const Request& request, Socket& socket) {
           return runner.Handle(request, socket);
