--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -7,18 +7,22 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <concepts>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/core/backoff.h"
 #include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/store/messages.h"
 #include "cicadaloft/store/store.h"
+#include "cicadaloft/store/topic_position.h"
 
 namespace cicadaloft {
 
@@ -26,6 +30,9 @@
 /// no record.
 struct TopicSnapshot {
   std::vector<KeyedRecord> records;
+  /// The store has come back from an older copy since the last snapshot, so
+  /// that records may be missing that were there before.
+  bool is_restored = false;
 };
 
 /// A key has a new record, or was deleted.
@@ -70,7 +77,8 @@
 
 /// Task that reports the content of a keyed topic: first a snapshot, then each
 /// change. It takes a new snapshot when the log has been trimmed beyond its
-/// position, when several reads in a row have failed, and on request.
+/// position, when the store has come back from an older copy, when several
+/// reads in a row have failed, and on request.
 template <Store S, KeyedDecoder Decode, std::invocable<FollowerEvent> Sink>
 class KeyedFollower {
  public:
@@ -97,17 +105,22 @@
         co_await this->HandleFailure(ErrorOf(newest));
         continue;
       }
-      this->HandleSuccess();
-      if (ValueOf(newest).end_offset < this->next_offset) {
-        // Logs don't shrink, so this snapshot is older than the records that
-        // have been read already.
-        this->sink(RecordSkipped{
-            .reason = "snapshot is older than the records already read"});
-        co_await this->Sleep(kMinBackoff);
+      const SnapshotKind kind =
+          this->position.OnSnapshot(ValueOf(newest), Now());
+      if (kind == SnapshotKind::kOutdated) {
+        co_await this->HandleFailure(OutdatedAnswer());
         continue;
       }
-      this->sink(TopicSnapshot{.records = ValueOf(newest).records});
-      this->next_offset = ValueOf(newest).end_offset;
+      this->ReportReachable();
+      if (kind == SnapshotKind::kOlder) {
+        this->ReportOlderSnapshot();
+        co_await this->Sleep(this->backoff.Next());
+        continue;
+      }
+      this->backoff.Reset();
+      this->has_older_snapshot = false;
+      this->sink(TopicSnapshot{.records = ValueOf(newest).records,
+                               .is_restored = kind == SnapshotKind::kRestored});
       co_await this->FollowChanges();
     }
   }
@@ -129,10 +142,10 @@
     bool is_following = true;
     int failed_reads = 0;
     while (is_following) {
-      auto first_completed =
-          co_await (this->store.Read(this->settings.topic, this->next_offset,
-                                     this->settings.long_poll_timeout) ||
-                    Receive(*this->resync_requests));
+      auto first_completed = co_await (
+          this->store.Read(this->settings.topic, this->position.next_offset(),
+                           this->settings.long_poll_timeout) ||
+          Receive(*this->resync_requests));
       if (first_completed.index() != 0) {
         co_return;
       }
@@ -141,17 +154,39 @@
       if (!IsOk(outcome)) {
         co_await this->HandleFailure(ErrorOf(outcome));
         is_following = ++failed_reads < kMaxFailedReads;
-      } else if (const auto* records =
-                     std::get_if<LogRecords>(&ValueOf(outcome))) {
-        failed_reads = 0;
-        this->HandleSuccess();
-        this->HandleRecords(*records);
-      } else {
-        is_following = false;
+        continue;
+      }
+      const EraChange change = this->position.OnAnswer(EraOf(ValueOf(outcome)));
+      if (change == EraChange::kOutdated) {
+        co_await this->HandleFailure(OutdatedAnswer());
+        is_following = ++failed_reads < kMaxFailedReads;
+        continue;
+      }
+      const auto* records = std::get_if<LogRecords>(&ValueOf(outcome));
+      if (change == EraChange::kNew || records == nullptr) {
+        co_return;
       }
+      failed_reads = 0;
+      this->ReportReachable();
+      this->backoff.Reset();
+      this->HandleRecords(*records);
     }
   }
 
+  static StoreEra EraOf(const LogReadOutcome& outcome) {
+    return std::visit([](const auto& item) { return item.era; }, outcome);
+  }
+
+  static Error OutdatedAnswer() {
+    return MakeError(ErrorKind::kStoreUnanswered,
+                     "the answer is of an outdated era of the store");
+  }
+
+  static TimePoint Now() {
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  }
+
   void HandleRecords(const LogRecords& records) {
     for (const std::string& bytes : records.records) {
       const Result<KeyedRecord> record = this->decode(bytes);
@@ -161,11 +196,18 @@
         this->sink(RecordSkipped{.reason = ErrorOf(record).message});
       }
     }
-    this->next_offset = records.next_offset;
+    this->position.MoveTo(records.next_offset);
+  }
+
+  // Reports the first one in a row only: it is read again until it is newer.
+  void ReportOlderSnapshot() {
+    if (!std::exchange(this->has_older_snapshot, true)) {
+      this->sink(RecordSkipped{
+          .reason = "snapshot is older than the records already read"});
+    }
   }
 
-  void HandleSuccess() {
-    this->backoff.Reset();
+  void ReportReachable() {
     if (!this->is_reachable) {
       this->is_reachable = true;
       this->sink(StoreReachability{.is_reachable = true});
@@ -194,7 +236,8 @@
   const Decode decode;
   const Sink sink;
   Backoff backoff;
-  LogOffset next_offset;
+  TopicPosition position;
+  bool has_older_snapshot = false;  ///< The last one was older.
   bool is_reachable = false;
 };
 
