Tell relayed records of different eras of the store apart

Relayed records were used by their offsets alone. After the store came back from an older copy, a host added records of one history to those of the other, or took an offset for known whose record it had never seen, and relays of the restored log counted as complete up to a time before it.

Each relayed topic now states the era in which its records were read. A host uses only those of the era that it has read last itself, ignores earlier ones, and reads the store at once when a later one is relayed; a store that goes on stating an earlier era is read at the usual interval. Publisher, buffer and the comparison with repeated records start anew at a new era; the publisher also when a log that states none ends lower.

The field is left out for era 0. Hosts of the earlier version skip relays with it, keep their links, and read the store themselves at the interval of hosts to which nothing is relayed. Their own relays are of era 0, so hosts of this version ignore them once the store has stated an era.

--- a/codec/include/cicadaloft/codec/json_codec.h
+++ b/codec/include/cicadaloft/codec/json_codec.h
@@ -100,6 +100,17 @@
   }
 };
 
+/// 0, which stands for no era, is null, and omitted from an enclosing object.
+template <>
+struct JsonCodec<StoreEra> {
+  static Json Encode(StoreEra era) {
+    return era == StoreEra() ? Json() : Json(era.value());
+  }
+  static StoreEra Decode(const Json& json, JsonReader& reader) {
+    return StoreEra(FromJson<std::uint64_t>(json, reader));
+  }
+};
+
 /// Decodes an integer from 0 to `max`.
 std::uint64_t DecodeUnsigned(const Json& json,
                              std::uint64_t max,
--- a/control/tests/simulated_follower.h
+++ b/control/tests/simulated_follower.h
@@ -129,7 +129,7 @@
     const LogOffset from = this->next;
     const LogOffset end = this->topic->End();
     std::vector<std::string> records;
-    this->repeated.OnRead(from, end.value() - from.value());
+    this->repeated.OnRead(StoreEra(), from, end.value() - from.value());
     for (std::uint64_t i = from.value(); i < end.value(); ++i) {
       const SimulatedTopic::Record& record = this->topic->records.at(i);
       records.push_back(this->repeated.IsRepeated(record.key, record.value)
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -120,7 +120,7 @@
     SendToControl(*this->control_mailbox, read);
     return;
   }
-  this->registry_records.OnRead(read.from, read.records.size());
+  this->registry_records.OnRead(read.era, read.from, read.records.size());
   std::vector<std::string> compact;
   std::ranges::transform(
       read.records, std::back_inserter(compact),
@@ -128,7 +128,8 @@
   SendToControl(*this->control_mailbox, StoreRead{.topic = read.topic,
                                                   .from = read.from,
                                                   .records = std::move(compact),
-                                                  .sent_at = read.sent_at});
+                                                  .sent_at = read.sent_at,
+                                                  .era = read.era});
 }
 
 std::string StoreReadFeed::Compact(const std::string& record) {
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -171,7 +171,8 @@
     std::tuple(Required("topic", &RelayedTopic::topic),
                Required("from", &RelayedTopic::from),
                Required("records", &RelayedTopic::records),
-               Required("complete_at", &RelayedTopic::complete_at));
+               Required("complete_at", &RelayedTopic::complete_at),
+               Defaulted("era", &RelayedTopic::era));
 
 template <>
 inline constexpr auto kJsonFields<StoreRelay> =
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -105,7 +105,8 @@
                      .topic = DrawName(),
                      .from = LogOffset(DrawCount()),
                      .records = {DrawName(), std::string("\x03") + "k\xff{}"},
-                     .complete_at = Duration(DrawCount())}}},
+                     .complete_at = Duration(DrawCount()),
+                     .era = StoreEra(DrawCount())}}},
       QuotaHistory{.host = HostId(DrawName()),
                    .customers = {{.customer = CustomerId(DrawName()),
                                   .charges = {{.age = Duration(DrawCount()),
@@ -163,6 +164,43 @@
                 .size() == earlier.size() + 1);
 }
 
+// Guards against relays that hosts of the earlier version skip although the
+// store states no era, since they refuse fields that they don't know.
+RC_BOOST_PROP(RelayWithoutAnEraHasTheEarlierFields, ()) {
+  const auto fields_of = [](const RelayedTopic& topic) {
+    const auto json = nlohmann::json::from_cbor(
+        EncodePeerMessage(StoreRelay{.topics = {topic}}));
+    std::set<std::string> names;
+    for (const auto& [name, value] :
+         json.at("store_relay").at("topics").at(0).items()) {
+      names.insert(name);
+    }
+    return names;
+  };
+  const std::set<std::string> earlier = {"topic", "from", "records",
+                                         "complete_at"};
+  const RelayedTopic topic{.topic = DrawName(),
+                           .from = LogOffset(DrawCount()),
+                           .records = {DrawName()}};
+  RC_ASSERT(fields_of(topic) == earlier);
+  RelayedTopic with_era = topic;
+  with_era.era = StoreEra(1);
+  std::set<std::string> later = earlier;
+  later.insert("era");
+  RC_ASSERT(fields_of(with_era) == later);
+}
+
+// Guards against relays of the earlier version that this one refuses.
+RC_BOOST_PROP(RelayWithoutAnEraIsOfEraZero, ()) {
+  nlohmann::json json = nlohmann::json::from_cbor(EncodePeerMessage(StoreRelay{
+      .topics = {RelayedTopic{.topic = DrawName(), .era = StoreEra(3)}}}));
+  json.at("store_relay").at("topics").at(0).erase("era");
+  const auto decoded = DecodePeerMessage(nlohmann::json::to_cbor(json));
+  RC_ASSERT(IsOk(decoded));
+  RC_ASSERT(std::get<StoreRelay>(ValueOf(decoded)).topics.at(0).era ==
+            StoreEra());
+}
+
 RC_BOOST_PROP(ArbitraryBytesYieldMessageOrError, (const Bytes& bytes)) {
   const Result<PeerMessage> message = DecodePeerMessage(bytes);
   if (!IsOk(message)) {
--- a/relay/include/cicadaloft/relay/messages.h
+++ b/relay/include/cicadaloft/relay/messages.h
@@ -40,6 +40,10 @@
   /// On the holder's clock: the sending of a read of the log that returned all
   /// records after these. They were complete then.
   Duration complete_at{};
+  /// Of the store when the records were read. 0 is left out on the wire, since
+  /// hosts of the earlier version skip messages with fields that they don't
+  /// know.
+  StoreEra era;
 
   LogOffset End() const {
     return LogOffset(this->from.value() + this->records.size());
@@ -63,6 +67,7 @@
   LogOffset from;
   std::vector<std::string> records;
   TimePoint sent_at{};  ///< When the call was sent.
+  StoreEra era;
 
   friend auto operator<=>(const StoreRead&, const StoreRead&) = default;
   friend bool operator==(const StoreRead&, const StoreRead&) = default;
--- a/relay/include/cicadaloft/relay/relay_buffer.h
+++ b/relay/include/cicadaloft/relay/relay_buffer.h
@@ -23,6 +23,7 @@
 
   /// Adds records that are newer than those in the buffer. Records between
   /// them that were not relayed leave a gap: the buffer starts again after it.
+  /// It also starts again at a new era; messages of an earlier one are ignored.
   void Add(const RelayReceived& received);
 
   /// @return whether the relayed records are complete up to a recent time.
@@ -31,6 +32,8 @@
     return this->complete_at ? *this->complete_at + this->max_age : TimePoint{};
   }
 
+  /// @return the highest era of a relayed message.
+  StoreEra era() const { return this->newest_era; }
   /// @return whether no record from `offset` on is missing.
   bool Covers(LogOffset offset) const { return offset >= this->first; }
   /// @return the records from `offset` on, which must be covered.
@@ -42,6 +45,7 @@
   }
 
   Duration max_age;
+  StoreEra newest_era;
   LogOffset first;
   std::deque<std::string> records;
   std::optional<TimePoint> complete_at;
--- a/relay/include/cicadaloft/relay/relay_publisher.h
+++ b/relay/include/cicadaloft/relay/relay_publisher.h
@@ -33,6 +33,8 @@
   /// @return the answer to the host.
   RelayWelcome OnRequest(const RelayRequest& request, TimePoint now);
   void OnLinkDown(const HostId& host) { this->subscribed.erase(host); }
+  /// Reads of an earlier era than the newest one of the topic are ignored; at a
+  /// new era what is pending is left out.
   void OnRead(const StoreRead& read);
 
   /// @return what was read since the last call; none if nothing was, or less
@@ -62,6 +64,7 @@
 
   std::size_t MaxPendingBytes(const Pending& item, const StoreRead& read) const;
   static void StartAt(Pending& item, LogOffset offset);
+  static void StartEra(Pending& item, StoreEra era);
   static RelayedTopic TakeMessage(Pending& item, std::size_t max_bytes);
   /// Of the records of one topic in one message to one host.
   std::size_t MaxMessageBytes() const {
--- a/relay/include/cicadaloft/relay/relay_reader.h
+++ b/relay/include/cicadaloft/relay/relay_reader.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_RELAY_RELAY_READER_H_
 #define CICADALOFT_RELAY_RELAY_READER_H_
 
+#include <algorithm>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,10 +55,16 @@
       : settings(settings), buffer(settings.max_relay_age) {}
 
   void OnInput(const RelayInput& input);
+  /// The store has answered this host. Relayed records of another era don't
+  /// follow on those that this host has read.
+  void OnAnswer(StoreEra era) { this->era = std::max(this->era, era); }
+  /// @return the era of what this host reads.
+  StoreEra answer_era() const { return this->era; }
   /// A call of the store has ended.
   void OnStoreCall(TimePoint sent_at, TimePoint ended_at) {
     this->last_call_sent_at = sent_at;
     this->last_call_ended_at = ended_at;
+    this->era_at_last_call = this->buffer.era();
   }
 
   /// @param from first record to read.
@@ -71,6 +78,10 @@
  private:
   RelayedStoreSettings settings;
   RelayBuffer buffer;
+  StoreEra era;  ///< The highest one of the store's answers to this host.
+  /// The highest relayed one at the last call. A store that goes on stating a
+  /// lower one is read at the usual interval.
+  StoreEra era_at_last_call;
   bool is_reader = false;
   TimePoint last_call_sent_at{};
   TimePoint last_call_ended_at{};
--- a/relay/include/cicadaloft/relay/relayed_store.h
+++ b/relay/include/cicadaloft/relay/relayed_store.h
@@ -52,9 +52,11 @@
     Result<NewestRecords> newest = co_await this->store.ReadNewest(topic);
     this->reader.OnStoreCall(sent_at, this->clock.Now());
     if (IsOk(newest)) {
+      this->reader.OnAnswer(ValueOf(newest).era);
       this->sink(StoreRead{.topic = topic,
                            .from = ValueOf(newest).end_offset,
-                           .sent_at = sent_at});
+                           .sent_at = sent_at,
+                           .era = ValueOf(newest).era});
     }
     co_return newest;
   }
@@ -72,7 +74,8 @@
         co_return LogReadOutcome(
             LogRecords{.records = std::move(answer->records),
                        .next_offset = end,
-                       .end_offset = end});
+                       .end_offset = end,
+                       .era = this->reader.answer_era()});
       }
       if (const auto* read = std::get_if<ReadFromStore>(&step)) {
         co_return co_await this->ReadStore(topic, from, read->wait);
@@ -97,6 +100,7 @@
     // A failed call is repeated after the follower's backoff, not after the
     // interval between reads: changes would be known too late.
     if (IsOk(outcome)) {
+      this->reader.OnAnswer(EraOf(ValueOf(outcome)));
       this->reader.OnStoreCall(sent_at, this->clock.Now());
     }
     const auto* records =
@@ -107,7 +111,8 @@
       this->sink(StoreRead{.topic = topic,
                            .from = from,
                            .records = records->records,
-                           .sent_at = is_complete ? sent_at : TimePoint{}});
+                           .sent_at = is_complete ? sent_at : TimePoint{},
+                           .era = records->era});
     }
     co_return outcome;
   }
--- a/relay/include/cicadaloft/relay/repeated_records.h
+++ b/relay/include/cicadaloft/relay/repeated_records.h
@@ -17,9 +17,10 @@
  public:
   /// Records are about to be read. Without some record between the last read
   /// and this one, nothing is known of the previous records of any key.
+  /// @param era in which they were read; those of another era say nothing.
   /// @param from of the first record.
   /// @param count number of records that are passed to IsRepeated() next.
-  void OnRead(LogOffset from, std::size_t count);
+  void OnRead(StoreEra era, LogOffset from, std::size_t count);
 
   /// @param record without what hosts don't need; none: the key was deleted.
   /// @return whether it repeats the previous one of its key.
@@ -27,6 +28,7 @@
                   const std::optional<std::string>& record);
 
  private:
+  StoreEra era;
   LogOffset next_offset;
   std::map<std::string, std::string> newest;
 };
--- a/relay/relay_buffer.cc
+++ b/relay/relay_buffer.cc
@@ -3,10 +3,20 @@
 #include <algorithm>
 #include <iterator>
 
+#include "cicadaloft/store/store_era.h"
+
 namespace cicadaloft {
 
 void RelayBuffer::Add(const RelayReceived& received) {
   const RelayedTopic& topic = received.topic;
+  const EraChange change = CompareEras(this->newest_era, topic.era);
+  if (change == EraChange::kOutdated) {
+    return;
+  }
+  if (change == EraChange::kNew) {
+    *this = RelayBuffer(this->max_age);
+    this->newest_era = topic.era;
+  }
   const bool has_gap = !this->complete_at || topic.from > this->End();
   if (has_gap) {
     this->first = topic.from;
--- a/relay/relay_publisher.cc
+++ b/relay/relay_publisher.cc
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <utility>
 
+#include "cicadaloft/store/store_era.h"
+
 namespace cicadaloft {
 
 RelayWelcome RelayPublisher::OnRequest(const RelayRequest& request,
@@ -21,6 +23,15 @@
   item.bytes = 0;
 }
 
+// Nothing is known of when records of another era were complete.
+void RelayPublisher::StartEra(Pending& item, StoreEra era) {
+  item.topic.era = era;
+  item.topic.records.clear();
+  item.bytes = 0;
+  item.reads.clear();
+  item.complete_at = {};
+}
+
 // What the next two messages can carry may wait. If there is more, hosts have
 // to call the store in any case.
 std::size_t RelayPublisher::MaxPendingBytes(const Pending& item,
@@ -37,6 +48,15 @@
 void RelayPublisher::OnRead(const StoreRead& read) {
   Pending& item = this->pending[read.topic];
   item.topic.topic = read.topic;
+  const EraChange change = CompareEras(item.topic.era, read.era);
+  if (change == EraChange::kOutdated) {
+    return;
+  }
+  // A log that ends below what was read from it has come back from a copy also
+  // if it states no era.
+  if (change == EraChange::kNew || read.from < item.topic.End()) {
+    StartEra(item, read.era);
+  }
   if (item.topic.End() != read.from) {
     StartAt(item, read.from);
   }
@@ -81,6 +101,7 @@
       .from = topic.from,
       .records = {std::make_move_iterator(topic.records.begin()),
                   std::make_move_iterator(end)},
+      .era = topic.era,
   };
   topic.records.erase(topic.records.begin(), end);
   topic.from = message.End();
--- a/relay/relay_reader.cc
+++ b/relay/relay_reader.cc
@@ -19,7 +19,8 @@
                                 Duration wait,
                                 TimePoint deadline,
                                 TimePoint now) const {
-  const bool is_relayed = !this->is_reader && this->buffer.IsFresh(now) &&
+  const bool is_relayed = !this->is_reader && this->buffer.era() == this->era &&
+                          this->buffer.IsFresh(now) &&
                           this->buffer.Covers(from);
   if (is_relayed) {
     std::vector<std::string> records = this->buffer.RecordsFrom(from);
@@ -28,6 +29,11 @@
     }
     return WaitForRelay{.until = std::min(deadline, this->buffer.FreshUntil())};
   }
+  const bool is_in_older_era = this->buffer.era() > this->era &&
+                               this->buffer.era() > this->era_at_last_call;
+  if (is_in_older_era) {
+    return ReadFromStore{};
+  }
   const TimePoint due =
       this->is_reader
           ? this->last_call_sent_at + this->settings.reader_interval
--- a/relay/repeated_records.cc
+++ b/relay/repeated_records.cc
@@ -2,10 +2,11 @@
 
 namespace cicadaloft {
 
-void RepeatedRecords::OnRead(LogOffset from, std::size_t count) {
-  if (from != this->next_offset) {
+void RepeatedRecords::OnRead(StoreEra era, LogOffset from, std::size_t count) {
+  if (era != this->era || from != this->next_offset) {
     this->newest.clear();
   }
+  this->era = era;
   this->next_offset = LogOffset(from.value() + count);
 }
 
--- a/relay/tests/relay_test.cc
+++ b/relay/tests/relay_test.cc
@@ -258,18 +258,18 @@
 // it was compared with one that isn't the previous one of its key.
 BOOST_AUTO_TEST_CASE(OnlyRepetitionsOfThePreviousRecordCountAsRepeated) {
   RepeatedRecords records;
-  records.OnRead(LogOffset(5), 4);
+  records.OnRead(StoreEra(), LogOffset(5), 4);
   BOOST_TEST(!records.IsRepeated("a", "1"));
   BOOST_TEST(records.IsRepeated("a", "1"));
   BOOST_TEST(!records.IsRepeated("b", "1"));
   BOOST_TEST(!records.IsRepeated("a", "2"));
-  records.OnRead(LogOffset(9), 4);
+  records.OnRead(StoreEra(), LogOffset(9), 4);
   BOOST_TEST(records.IsRepeated("a", "2"));
   BOOST_TEST(!records.IsRepeated("a", "1"));
   BOOST_TEST(!records.IsRepeated("a", std::nullopt));
   BOOST_TEST(!records.IsRepeated("a", "1"));
   // A gap: the records between may have changed the key.
-  records.OnRead(LogOffset(14), 1);
+  records.OnRead(StoreEra(), LogOffset(14), 1);
   BOOST_TEST(!records.IsRepeated("a", "1"));
 }
 
--- a/relay/tests/relayed_store_test.cc
+++ b/relay/tests/relayed_store_test.cc
@@ -28,6 +28,7 @@
   int reads = 0;
   Duration last_wait{};
   bool is_failing = false;
+  StoreEra era;
 };
 
 /// A store whose reads return at once.
@@ -37,7 +38,8 @@
   boost::asio::awaitable<Result<NewestRecords>> ReadNewest(std::string) {
     ++this->log->reads;
     co_return NewestRecords{.records = {},
-                            .end_offset = LogOffset(this->log->records.size())};
+                            .end_offset = LogOffset(this->log->records.size()),
+                            .era = this->log->era};
   }
   boost::asio::awaitable<Result<LogReadOutcome>> Read(std::string,
                                                       LogOffset from,
@@ -53,7 +55,8 @@
     co_return LogReadOutcome(
         LogRecords{.records = {first, this->log->records.end()},
                    .next_offset = end,
-                   .end_offset = end});
+                   .end_offset = end,
+                   .era = this->log->era});
   }
   boost::asio::awaitable<Result<AppendOutcome>> AppendAt(std::string,
                                                          LogOffset offset,
@@ -102,12 +105,17 @@
     return !IsOk(future.get());
   }
 
-  void Relay(std::uint64_t from, std::vector<std::string> records) {
-    TrySend(*this->inbox,
-            RelayInput(RelayReceived{.topic = {.topic = kTopic,
-                                               .from = LogOffset(from),
-                                               .records = std::move(records)},
-                                     .complete_at = SteadyTime{}.Now()}));
+  void Relay(std::uint64_t from,
+             std::vector<std::string> records,
+             StoreEra era = {}) {
+    // A wait that has ended leaves the channel without capacity until the
+    // next one (Boost 1.81), so TrySend() would drop the message.
+    Post(*this->inbox,
+         RelayInput(RelayReceived{.topic = {.topic = kTopic,
+                                            .from = LogOffset(from),
+                                            .records = std::move(records),
+                                            .era = era},
+                                  .complete_at = SteadyTime{}.Now()}));
   }
 
   boost::asio::io_context context;
@@ -181,6 +189,33 @@
   BOOST_TEST(fixture.reads->at(0).records.size() == 2U);
 }
 
+// Guards against a host that goes on with what was relayed before the store
+// came back, while its own offset belongs to another record now.
+BOOST_AUTO_TEST_CASE(RelayedRecordsOfAnotherEraAreNotTheAnswerOfARead) {
+  Fixture fixture;
+  fixture.log->records = {"0", "1"};
+  fixture.log->era = StoreEra(2);
+  BOOST_TEST((fixture.Read(0).era == StoreEra(2)));
+  BOOST_TEST((fixture.reads->back().era == StoreEra(2)));
+  fixture.Relay(2, {"x"}, StoreEra(1));
+  fixture.log->records.push_back("2");
+  BOOST_TEST((fixture.Read(2).records == std::vector<std::string>{"2"}));
+  fixture.Relay(3, {"3"}, StoreEra(2));
+  const LogRecords relayed = fixture.Read(3);
+  BOOST_TEST((relayed.records == std::vector<std::string>{"3"}));
+  BOOST_TEST((relayed.era == StoreEra(2)));
+  BOOST_TEST(fixture.log->reads == 2);
+  // The holder has seen a newer era: this host asks the store.
+  fixture.log->era = StoreEra(3);
+  fixture.log->records = {"0", "1", "2", "3", "new"};
+  fixture.Relay(4, {"relayed"}, StoreEra(3));
+  const TimePoint began = SteadyTime{}.Now();
+  BOOST_TEST((fixture.Read(4).era == StoreEra(3)));
+  BOOST_TEST(fixture.log->reads == 3);
+  BOOST_TEST((fixture.log->last_wait == Duration::zero()));
+  BOOST_TEST((SteadyTime{}.Now() - began < milliseconds(40)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -173,10 +173,6 @@
     }
   }
 
-  static StoreEra EraOf(const LogReadOutcome& outcome) {
-    return std::visit([](const auto& item) { return item.era; }, outcome);
-  }
-
   static Error OutdatedAnswer() {
     return MakeError(ErrorKind::kStoreUnanswered,
                      "the answer is of an outdated era of the store");
--- a/store/include/cicadaloft/store/messages.h
+++ b/store/include/cicadaloft/store/messages.h
@@ -53,6 +53,11 @@
 
 using LogReadOutcome = std::variant<LogRecords, LogTrimmed>;
 
+/// @return the era that the answer states.
+inline StoreEra EraOf(const LogReadOutcome& outcome) {
+  return std::visit([](const auto& item) { return item.era; }, outcome);
+}
+
 struct Appended {
   const LogOffset offset;
   const StoreEra era;
