--- a/fleet/fleet_tracker.cc
+++ b/fleet/fleet_tracker.cc
@@ -62,6 +62,9 @@
 }
 
 bool FleetTracker::Handle(const RegistryRead& read, TimePoint now) {
+  if (read.is_restored) {
+    this->reachable_since = now;
+  }
   bool has_changed = false;
   std::set<TargetId> present;
   for (const TargetRecordPtr& record : read.records) {
@@ -91,14 +94,19 @@
       leaving.instance != TargetInstance() || known == nullptr
           ? leaving.instance
           : known->instance;
+  this->MarkLeaving(leaving.target, instance);
+  return known != nullptr && this->Upsert(known);
+}
+
+void FleetTracker::MarkLeaving(const TargetId& target,
+                               TargetInstance instance) {
   if (this->leaving.size() >= kMaxLeavingTargets) {
     std::erase_if(this->leaving, [this](const auto& entry) {
       return !this->targets.contains(entry.first);
     });
   }
-  TargetInstance& newest = this->leaving[leaving.target];
+  TargetInstance& newest = this->leaving[target];
   newest = std::max(newest, instance);
-  return known != nullptr && this->Upsert(known);
 }
 
 // A process that has said that it leaves counts as draining.
@@ -155,9 +163,16 @@
 }
 
 bool FleetTracker::Remove(const TargetId& target, const char* event) {
-  if (this->targets.erase(target) == 0) {
+  const TargetRecordPtr known = this->Find(target);
+  if (known == nullptr) {
     return false;
   }
+  this->targets.erase(target);
+  // A restored registry may bring back a record from before it drained. Targets
+  // that don't number their processes start again under the same number.
+  if (known->is_draining && known->instance != TargetInstance()) {
+    this->MarkLeaving(target, known->instance);
+  }
   this->cached_fleet.reset();
   this->decision_records.push_back(
       DecisionRecord{.event = event, .fields = {{"target", target.value()}}});
--- a/fleet/include/cicadaloft/fleet/fleet_tracker.h
+++ b/fleet/include/cicadaloft/fleet/fleet_tracker.h
@@ -33,6 +33,8 @@
 /// removed.
 struct RegistryRead {
   std::vector<TargetRecordPtr> records;
+  /// The registry has come back from an older copy since it was read last.
+  bool is_restored = false;
 
   friend auto operator<=>(const RegistryRead&, const RegistryRead&) = default;
   friend bool operator==(const RegistryRead&, const RegistryRead&) = default;
@@ -67,9 +69,10 @@
                                 TargetSaidLeaving>;
 
 /// Tracks which targets are alive. A removal may be caused by the registry
-/// itself, when it was unreachable and missed the targets' heartbeats. Such a
-/// removal takes effect only if the target has not reappeared
-/// kRemovalGracePeriod after the registry became reachable again.
+/// itself, when it was unreachable and missed the targets' heartbeats, or has
+/// come back from an older copy. Such a removal takes effect only if the target
+/// has not reappeared kRemovalGracePeriod after the registry became reachable
+/// again or its restored records were read.
 class FleetTracker {
  public:
   /// By the platform's contract, records of live targets reappear within two
@@ -89,7 +92,8 @@
   bool IsEmpty() const { return this->targets.empty(); }
   /// @return the target's newest record; null if the target is unknown.
   TargetRecordPtr Find(const TargetId& target) const;
-  /// @return the newest process of each target that has said that it leaves.
+  /// @return the newest process of each target that has said that it leaves, or
+  /// was removed while it drained.
   const std::map<TargetId, TargetInstance>& Leaving() const {
     return this->leaving;
   }
@@ -102,6 +106,7 @@
   bool Handle(const RegistryRead& read, TimePoint now);
   bool Handle(const RegistryReachability& change, TimePoint now);
   bool Handle(const TargetSaidLeaving& leaving, TimePoint now);
+  void MarkLeaving(const TargetId& target, TargetInstance instance);
   TargetRecordPtr Corrected(TargetRecordPtr record);
   bool Upsert(const TargetRecordPtr& read);
   bool Remove(const TargetId& target, const char* event);
@@ -112,11 +117,13 @@
   /// demand, since records change more often than the fleet is read.
   mutable FleetPtr cached_fleet;
   bool is_registry_reachable = false;
-  /// When the registry became reachable last; none if it never was.
+  /// When the registry became reachable last, or its restored records were
+  /// read; none if it never was.
   std::optional<TimePoint> reachable_since;
   /// Removed during or right after an outage; still in the fleet.
   std::set<TargetId> pending_removals;
-  /// Newest process of each target that has said that it leaves.
+  /// Newest process of each target that has said that it leaves, or was removed
+  /// while it drained.
   std::map<TargetId, TargetInstance> leaving;
   std::vector<DecisionRecord> decision_records;
 };
--- a/fleet/tests/fleet_test.cc
+++ b/fleet/tests/fleet_test.cc
@@ -47,6 +47,25 @@
   BOOST_TEST(Contains(tracker, "u"));
 }
 
+// Guards against targets that hosts drop because the registry has come back
+// from a copy in which they were not yet registered.
+BOOST_AUTO_TEST_CASE(TargetsThatARestoredRegistryLacksHaveTimeToReappear) {
+  FleetTracker tracker = TrackerWithReachableRegistry();
+  tracker.Apply(TargetUpdated{.record = Record("gone")}, kNow - seconds(1));
+  const RegistryRead restored{.records = {Record("u")}, .is_restored = true};
+  tracker.Apply(restored, kNow);
+  // Read again for some other reason.
+  tracker.Apply(RegistryRead{.records = {Record("u")}}, kNow + seconds(1));
+  BOOST_TEST(Contains(tracker, "t"));
+  BOOST_TEST(Contains(tracker, "gone"));
+  BOOST_TEST(Contains(tracker, "u"));
+  tracker.Apply(TargetUpdated{.record = Record("t")}, kNow + seconds(2));
+  BOOST_TEST(!tracker.Tick(kNow + seconds(2)));
+  BOOST_TEST(tracker.Tick(kNow + FleetTracker::kRemovalGracePeriod));
+  BOOST_TEST(Contains(tracker, "t"));
+  BOOST_TEST(!Contains(tracker, "gone"));
+}
+
 bool IsDraining(const FleetTracker& tracker, const std::string& id) {
   return tracker.fleet()->targets.at(TargetId(id))->is_draining;
 }
@@ -143,5 +162,23 @@
   BOOST_TEST(!tracker.Apply(TargetUpdated{.record = Record("t", 4)}, kNow));
 }
 
+// Guards against requests to a process that has drained or ended, whose record
+// from before comes back with a restored registry.
+BOOST_AUTO_TEST_CASE(RestoredRecordOfADrainedProcessDoesNotMakeItUsable) {
+  for (const bool is_removed : {false, true}) {
+    FleetTracker tracker = TrackerWithReachableRegistry();
+    tracker.Apply(TargetUpdated{.record = Record("t", 1, true)}, kNow);
+    if (is_removed) {
+      tracker.Apply(TargetRemoved{.target = TargetId("t")}, kNow);
+      BOOST_TEST(!Contains(tracker, "t"));
+    }
+    tracker.Apply(RegistryRead{.records = {Record("t")}, .is_restored = true},
+                  kNow + seconds(1));
+    BOOST_TEST(IsDraining(tracker, "t"));
+    tracker.Apply(TargetUpdated{.record = Record("t", 2)}, kNow + seconds(2));
+    BOOST_TEST(!IsDraining(tracker, "t"));
+  }
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -88,7 +88,8 @@
     }
   }
   SendToControl(mailbox,
-                FleetEvent(RegistryRead{.records = std::move(records)}));
+                FleetEvent(RegistryRead{.records = std::move(records),
+                                        .is_restored = snapshot.is_restored}));
 }
 
 }  // namespace
