Read all topics again as soon as one answer states a new era

A follower that waits for records learns of a step back of the store only when its long poll ends, up to 3.5 s later, although another call of the host, or a relay of the lease holder, has stated the new era already.

A follower that has reached that era ignores the request.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -96,6 +96,7 @@
         DecisionRecord{.event = "store.era_changed",
                        .fields = {{"known", this->store_era->value()},
                                   {"stated", seen.era.value()}}});
+    this->RereadInEra(seen.era);
   } else if (change == EraChange::kOutdated && !was_outdated) {
     this->effects.emplace_back(
         DecisionRecord{.event = "store.era_outdated",
@@ -303,6 +304,14 @@
 void ControlState::PublishFleet() {
   const FleetChanged change{.fleet = this->fleet_tracker.fleet()};
   this->FeedPlacement(change);
+// A read that waits for records would learn of the new era only when it ends.
+void ControlState::RereadInEra(StoreEra era) {
+  if (era > this->reread_era) {
+    this->reread_era = era;
+    this->effects.emplace_back(RereadTopics{.era = era});
+  }
+}
+
   this->FeedScaling(change);
   this->NotifyEntry(change);
   for (DecisionRecord& record : this->fleet_tracker.TakeDecisionRecords()) {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -147,6 +147,7 @@
   void RecordReportedVersion(ConfigurationVersion version);
   void RereadIfBehind();
 
+  void RereadInEra(StoreEra era);
   LeaseSettings lease_settings;
   Duration limit_window;
   Duration relay_interval;
@@ -161,6 +162,7 @@
   bool is_operator_topic_reachable = false;
   std::optional<StoreEra> store_era;   ///< The highest one seen.
   bool is_store_era_outdated = false;  ///< In the last answer of the store.
+  StoreEra reread_era;                 ///< The highest one of a RereadTopics.
   /// The newest version that another host has reported.
   ConfigurationVersion reported_version;
   TimePoint reported_version_at{};
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -151,6 +151,15 @@
 
 /// Keep a link to this holder, and to no other host.
 struct ConnectToHolder {
+/// The store has come back from an older copy: read all topics again now,
+/// unless that has been done in this era or a later one.
+struct RereadTopics {
+  StoreEra era;
+
+  friend auto operator<=>(const RereadTopics&, const RereadTopics&) = default;
+  friend bool operator==(const RereadTopics&, const RereadTopics&) = default;
+};
+
   const LeaseRecord record;
 
   friend auto operator<=>(const ConnectToHolder&,
@@ -199,6 +208,7 @@
                                    RereadOperatorTopic,
                                    ConnectToHolder,
                                    SendToHolder,
+                                   RereadTopics,
                                    SendToHost,
                                    SendToAllHosts,
                                    SendToHosts,
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -89,6 +89,9 @@
     return;
   }
   for (const RelayedTopic& topic : relay.topics) {
+    if (this->store_era && topic.era > *this->store_era) {
+      this->RereadInEra(topic.era);
+    }
     if (const auto complete_at = this->relay_clock.ToLocal(topic.complete_at)) {
       this->effects.emplace_back(
           RelayReceived{.topic = topic, .complete_at = *complete_at});
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -287,6 +287,7 @@
     }
     this->FeedEntry(host, send.event);
   }
+  void Execute(Host&, const RereadTopics&) {}
   void Execute(Host& host, const RelayReceived& received) {
     host.relayed.insert_or_assign(received.topic.topic, received);
   }
--- a/control/tests/simulated_follower.h
+++ b/control/tests/simulated_follower.h
@@ -13,6 +13,7 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/relay/relay_reader.h"
 #include "cicadaloft/relay/repeated_records.h"
+#include "cicadaloft/store/topic_position.h"
 #include "hosts_simulation.h"
 #include "simulated_topic.h"
 
@@ -41,8 +42,7 @@
     ++this->calls;
     this->hosts->Schedule(kCallTime, [this, number, sent_at] {
       if (number == this->step_number) {
-        this->next = this->topic->End();
-        this->EndCall(sent_at, {});
+        this->EndSnapshot(sent_at);
       }
     });
   }
@@ -57,6 +57,21 @@
     }
   }
 
+  void OnReread(const RereadTopics& reread) {
+    if (!this->position.HasReached(reread.era)) {
+      this->Start();
+    }
+  }
+
+  /// @return whether all records of the topic as it is now are known.
+  bool IsUpToDate() const {
+    return this->position.HasReached(this->topic->era) &&
+           this->next == this->topic->End();
+  }
+  bool HasReached(StoreEra era) const { return this->position.HasReached(era); }
+  /// @return the value of the newest record that is known.
+  const std::string& newest_value() const { return this->value; }
+
   /// @return the highest age at which a record became known since the last
   /// call.
   Duration TakeHighestAge() {
@@ -70,10 +85,47 @@
   std::size_t calls = 0;
 
  private:
+  static inline const std::string kRepeated = std::string(1, '\0');
+
   const SimulatedTopic::Record& Record(LogOffset offset) const {
     return this->topic->records.at(offset.value());
   }
 
+  bool IsStoreReachable() const {
+    return this->hosts->ReachesStore(this->host) && !this->topic->is_away;
+  }
+
+  // The store has answered.
+  void OnAnswer() {
+    this->reader.OnAnswer(this->topic->era);
+    this->hosts->Feed(this->host, StoreEraSeen{.era = this->topic->era});
+  }
+
+  void EndSnapshot(TimePoint sent_at) {
+    const SnapshotKind kind =
+        this->IsStoreReachable()
+            ? this->position.OnSnapshot(
+                  NewestRecords{.end_offset = this->topic->End(),
+                                .era = this->topic->era},
+                  this->hosts->Now())
+            : SnapshotKind::kOutdated;
+    if (kind == SnapshotKind::kOutdated || kind == SnapshotKind::kOlder) {
+      const std::uint64_t number = this->step_number;
+      this->hosts->Schedule(kRetryInterval, [this, number] {
+        if (number == this->step_number) {
+          this->Start();
+        }
+      });
+      return;
+    }
+    this->OnAnswer();
+    this->next = this->position.next_offset();
+    if (!this->topic->records.empty()) {
+      this->value = this->topic->records.back().value;
+    }
+    this->EndCall(sent_at, {});
+  }
+
   void Step() {
     const std::uint64_t number = ++this->step_number;
     if (!this->hosts->IsRunning(this->host)) {
@@ -84,6 +136,7 @@
     const RelayReadStep step = this->reader.Next(
         this->next, kLongPoll, this->deadline, this->hosts->Now());
     if (const auto* answer = std::get_if<AnswerFromRelay>(&step)) {
+      this->Learn(answer->records);
       this->AdvanceTo(LogOffset(this->next.value() + answer->records.size()));
       this->deadline = this->hosts->Now() + kLongPoll;
       this->Step();
@@ -122,25 +175,35 @@
   }
 
   void EndRead(TimePoint sent_at) {
-    if (!this->hosts->ReachesStore(this->host)) {
+    if (!this->IsStoreReachable()) {
       this->EndFailedCall(sent_at);
       return;
     }
+    this->OnAnswer();
+    const bool is_restored =
+        this->position.OnAnswer(this->topic->era) == EraChange::kNew;
+    if (is_restored || this->next > this->topic->End()) {
+      this->is_calling = false;
+      this->Start();
+      return;
+    }
     const LogOffset from = this->next;
     const LogOffset end = this->topic->End();
     std::vector<std::string> records;
-    this->repeated.OnRead(StoreEra(), from, end.value() - from.value());
+    this->repeated.OnRead(this->topic->era, from, end.value() - from.value());
     for (std::uint64_t i = from.value(); i < end.value(); ++i) {
       const SimulatedTopic::Record& record = this->topic->records.at(i);
       records.push_back(this->repeated.IsRepeated(record.key, record.value)
-                            ? std::string(1, '\0')
+                            ? kRepeated
                             : record.value);
     }
+    this->Learn(records);
     this->AdvanceTo(end);
     this->EndCall(sent_at, StoreRead{.topic = this->topic->name,
                                      .from = from,
                                      .records = std::move(records),
-                                     .sent_at = sent_at});
+                                     .sent_at = sent_at,
+                                     .era = this->topic->era});
   }
 
   void EndFailedCall(TimePoint sent_at) {
@@ -155,14 +218,25 @@
     this->is_calling = false;
     this->reader.OnStoreCall(sent_at, this->hosts->Now());
     if (read.topic.empty()) {
-      read = StoreRead{
-          .topic = this->topic->name, .from = this->next, .sent_at = sent_at};
+      read = StoreRead{.topic = this->topic->name,
+                       .from = this->next,
+                       .sent_at = sent_at,
+                       .era = this->topic->era};
     }
     this->hosts->Feed(this->host, read);
     this->deadline = this->hosts->Now() + kLongPoll;
     this->Step();
   }
 
+  // A record without content repeats the previous one of its key.
+  void Learn(const std::vector<std::string>& records) {
+    for (const std::string& record : records) {
+      if (record != kRepeated) {
+        this->value = record;
+      }
+    }
+  }
+
   void AdvanceTo(LogOffset end) {
     for (; this->next < end; this->next = this->next.Next()) {
       this->highest_age =
@@ -176,7 +250,9 @@
   HostId host;
   RelayReader reader;
   RepeatedRecords repeated;
+  TopicPosition position;
   LogOffset next;
+  std::string value;
   TimePoint deadline{};
   bool is_calling = false;
   std::uint64_t step_number = 0;
--- a/control/tests/simulated_topic.h
+++ b/control/tests/simulated_topic.h
@@ -20,9 +20,20 @@
   void Write(std::string key, std::string value, TimePoint now) {
     this->records.push_back(
         {.key = std::move(key), .value = std::move(value), .written_at = now});
-    for (const auto& wake : std::exchange(this->waiting, {})) {
-      wake();
-    }
+    this->WakeAll();
+  }
+
+  /// All calls fail from now on.
+  void GoAway() {
+    this->is_away = true;
+    this->WakeAll();
+  }
+  /// Comes back from a copy that ends at `end`.
+  void ComeBack(LogOffset end) {
+    this->is_away = false;
+    this->records.resize(end.value());
+    this->era = StoreEra(this->era.value() + 1);
+    this->WakeAll();
   }
 
   LogOffset End() const { return LogOffset(this->records.size()); }
@@ -39,8 +50,16 @@
 
   std::string name;
   std::vector<Record> records;
+  StoreEra era{1};
+  bool is_away = false;
 
  private:
+  void WakeAll() {
+    for (const auto& wake : std::exchange(this->waiting, {})) {
+      wake();
+    }
+  }
+
   std::vector<std::function<void()>> waiting;
 };
 
--- a/control/tests/store_calls_simulation.h
+++ b/control/tests/store_calls_simulation.h
@@ -45,8 +45,40 @@
   }
 
   /// Writes a small record, such as an evacuation.
-  void WriteOperatorRecord() {
-    this->operator_topic.Write("k", "v", this->hosts.Now());
+  void WriteOperatorRecord(const std::string& value = "v") {
+    this->operator_topic.Write("k", value, this->hosts.Now());
+  }
+
+  /// Targets' heartbeats are lost meanwhile.
+  void TakeStoreAway() {
+    this->registry.GoAway();
+    this->operator_topic.GoAway();
+  }
+  /// The store comes back as it was at the last call of CopyStore().
+  void BringStoreBack() {
+    this->registry.ComeBack(this->registry_copy);
+    this->operator_topic.ComeBack(this->operator_copy);
+  }
+  void CopyStore() {
+    this->registry_copy = this->registry.End();
+    this->operator_copy = this->operator_topic.End();
+  }
+
+  /// @return the running hosts that don't know all that the store has now.
+  std::size_t CountHostsBehind() {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->followers, [this](const auto& entry) {
+          const SimulatedFollower& follower = *entry.second;
+          const bool is_operator_topic =
+              entry.first.second == this->operator_topic.name;
+          const bool is_known =
+              is_operator_topic
+                  ? follower.IsUpToDate() &&
+                        follower.newest_value() ==
+                            this->operator_topic.records.back().value
+                  : follower.HasReached(this->registry.era);
+          return this->hosts.IsRunning(entry.first.first) && !is_known;
+        }));
   }
 
   /// @return the calls of the store per second and host in this time.
@@ -91,8 +123,10 @@
   void Beat(int target, int number) {
     std::string value(kRecordBytes, 'r');
     value += std::to_string((number + target) / kHeartbeatsPerChange);
-    this->registry.Write(std::to_string(target), std::move(value),
-                         this->hosts.Now());
+    if (!this->registry.is_away) {
+      this->registry.Write(std::to_string(target), std::move(value),
+                           this->hosts.Now());
+    }
     this->hosts.Schedule(
         kHeartbeat, [this, target, number] { this->Beat(target, number + 1); });
   }
@@ -103,6 +137,9 @@
     } else if (const auto* role = std::get_if<RelayRole>(&effect)) {
       this->followers.at({host, this->registry.name})->OnInput(*role);
       this->followers.at({host, this->operator_topic.name})->OnInput(*role);
+    } else if (const auto* reread = std::get_if<RereadTopics>(&effect)) {
+      this->followers.at({host, this->registry.name})->OnReread(*reread);
+      this->followers.at({host, this->operator_topic.name})->OnReread(*reread);
     } else if (std::holds_alternative<ReadLeaseLog>(effect) ||
                std::holds_alternative<AppendLeaseRecord>(effect)) {
       ++this->lease_calls;
@@ -119,6 +156,8 @@
 
   SimulatedTopic registry{"registry"};
   SimulatedTopic operator_topic{"operator"};
+  LogOffset registry_copy;
+  LogOffset operator_copy;
   std::map<std::pair<HostId, std::string>, std::unique_ptr<SimulatedFollower>>
       followers;
   std::size_t lease_calls = 0;
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -123,6 +123,11 @@
   void Execute(const RereadOperatorTopic&) {
     TrySend(*this->channels.operator_resync, ResyncRequest{});
   }
+  // Waits for a follower that doesn't read at this moment.
+  void Execute(const RereadTopics& reread) {
+    Post(*this->channels.operator_resync, ResyncRequest{.era = reread.era});
+    Post(*this->channels.registry_resync, ResyncRequest{.era = reread.era});
+  }
   void Execute(const ConnectToHolder& effect) {
     this->channels.peers->Execute(effect);
   }
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -54,7 +54,11 @@
 
 /// Asks a follower to read a new snapshot of the topic now, because other hosts
 /// have read newer records.
-struct ResyncRequest {};
+struct ResyncRequest {
+  /// A snapshot of this era or a later one that has been read suffices; 0: none
+  /// does.
+  StoreEra era;
+};
 
 using FollowerEvent =
     std::variant<TopicSnapshot, KeyChanged, StoreReachability, RecordSkipped>;
@@ -146,6 +150,10 @@
           this->store.Read(this->settings.topic, this->position.next_offset(),
                            this->settings.long_poll_timeout) ||
           Receive(*this->resync_requests));
+      if (first_completed.index() == 2) {
+        is_following = this->HasAnswered(std::get<2>(first_completed).get());
+        continue;
+      }
       if (first_completed.index() != 0) {
         co_return;
       }
@@ -173,6 +181,12 @@
     }
   }
 
+  // @return whether no snapshot has to be read for the request.
+  bool HasAnswered(const ResyncRequest* request) const {
+    return request != nullptr && request->era != StoreEra() &&
+           this->position.HasReached(request->era);
+  }
+
   static Error OutdatedAnswer() {
     return MakeError(ErrorKind::kStoreUnanswered,
                      "the answer is of an outdated era of the store");
--- a/store/include/cicadaloft/store/topic_position.h
+++ b/store/include/cicadaloft/store/topic_position.h
@@ -54,6 +54,10 @@
   /// All records before `offset` have been read.
   void MoveTo(LogOffset offset) { this->next = offset; }
 
+  /// @return whether the position is of this era or a later one.
+  bool HasReached(StoreEra wanted) const {
+    return this->era && *this->era >= wanted;
+  }
   LogOffset next_offset() const { return this->next; }
 
  private:
--- a/store/tests/keyed_follower_test.cc
+++ b/store/tests/keyed_follower_test.cc
@@ -135,9 +135,7 @@
                                             .reads = std::move(reads)})),
         follower(ScriptedStore{this->script},
                  FollowerSettings{.topic = "t"},
-                 std::make_shared<Mailbox<ResyncRequest>>(
-                     this->context.get_executor(),
-                     1),
+                 this->resync,
                  &DecodeText,
                  EventSink{this->events}) {
     boost::asio::co_spawn(this->context, this->follower.Run(),
@@ -152,6 +150,8 @@
 
   boost::asio::io_context context;
   std::shared_ptr<Script> script;
+  std::shared_ptr<Mailbox<ResyncRequest>> resync =
+      std::make_shared<Mailbox<ResyncRequest>>(this->context.get_executor(), 1);
   std::shared_ptr<Texts> events = std::make_shared<Texts>();
   Follower follower;
 };
@@ -251,6 +251,22 @@
              boost::test_tools::per_element());
 }
 
+// Guards against a host that waits for its long poll to end although another
+// one has told it that the store came back, and against a second snapshot of
+// each topic when the follower has seen that itself.
+BOOST_AUTO_TEST_CASE(RequestForAnEraEndsTheReadUnlessItHasBeenReached) {
+  Fixture fixture({Snapshot({"a=2"}, 10, 1), Snapshot({"a=1"}, 4, 2)}, {});
+  fixture.RunFor(milliseconds(20));
+  for (int i = 0; i < 2; ++i) {
+    Post(*fixture.resync, ResyncRequest{.era = StoreEra(2)});
+    BOOST_TEST(fixture.RunFor(milliseconds(20)) ==
+                   (Texts{"up", "snapshot a=2", "restored snapshot a=1"}),
+               boost::test_tools::per_element());
+  }
+  Post(*fixture.resync, ResyncRequest{});
+  BOOST_TEST(fixture.RunFor(milliseconds(20)).size() == 4U);
+}
+
 // Guards against a snapshot of the era before the one that a read has stated:
 // it was sent before the store stepped back again.
 BOOST_AUTO_TEST_CASE(SnapshotOfAnEarlierEraThanTheReadIsRepeated) {
