Keep evacuations that a restored store lacks for 2 s

One that has come back although it was withdrawn is in force until its deletion is written again, since nothing tells them apart.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -58,15 +58,15 @@
 
 void ControlState::Handle(const EvacuationRequest& request) {
   if (request.is_requested) {
-    this->evacuated.insert(request.data_centre);
+    this->evacuations.Add(request.data_centre);
   } else {
-    this->evacuated.erase(request.data_centre);
+    this->evacuations.Remove(request.data_centre);
   }
   this->PublishEvacuations();
 }
 
 void ControlState::Handle(const EvacuationsRead& read) {
-  this->evacuated = read.data_centres;
+  this->evacuations.OnRead(read, this->now);
   this->PublishEvacuations();
 }
 
@@ -256,6 +256,9 @@
   if (std::exchange(this->is_fleet_changed, false)) {
     this->PublishFleet();
   }
+  if (this->evacuations.Tick(this->now)) {
+    this->PublishEvacuations();
+  }
   this->RereadIfBehind();
   this->FeedLease(LeaseTick{});
   this->FeedUsage(UsageTick{.host_count = this->AssumedHostCount()});
@@ -301,9 +304,6 @@
   this->effects.emplace_back(RereadOperatorTopic{});
 }
 
-void ControlState::PublishFleet() {
-  const FleetChanged change{.fleet = this->fleet_tracker.fleet()};
-  this->FeedPlacement(change);
 // A read that waits for records would learn of the new era only when it ends.
 void ControlState::RereadInEra(StoreEra era) {
   if (era > this->reread_era) {
@@ -312,6 +312,9 @@
   }
 }
 
+void ControlState::PublishFleet() {
+  const FleetChanged change{.fleet = this->fleet_tracker.fleet()};
+  this->FeedPlacement(change);
   this->FeedScaling(change);
   this->NotifyEntry(change);
   for (DecisionRecord& record : this->fleet_tracker.TakeDecisionRecords()) {
@@ -320,7 +323,8 @@
 }
 
 void ControlState::PublishEvacuations() {
-  const EvacuationsChanged change{.data_centres = this->evacuated};
+  const EvacuationsChanged change{.data_centres =
+                                      this->evacuations.data_centres()};
   this->FeedPlacement(change);
   this->FeedScaling(change);
   this->NotifyEntry(change);
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cicadaloft/admission/share_ledger.h"
+#include "cicadaloft/control/evacuation_tracker.h"
 #include "cicadaloft/control/messages.h"
 #include "cicadaloft/core/step.h"
 #include "cicadaloft/core/time.h"
@@ -146,8 +147,8 @@
   ConfigurationVersion CurrentVersion() const;
   void RecordReportedVersion(ConfigurationVersion version);
   void RereadIfBehind();
-
   void RereadInEra(StoreEra era);
+
   LeaseSettings lease_settings;
   Duration limit_window;
   Duration relay_interval;
@@ -155,14 +156,14 @@
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
-  std::set<DataCentreId> evacuated;
+  EvacuationTracker evacuations;
   FleetTracker fleet_tracker;
   bool is_fleet_changed = false;    ///< Since the fleet was last published.
   bool has_reported_usage = false;  ///< The last UsageReport had usages.
   bool is_operator_topic_reachable = false;
   std::optional<StoreEra> store_era;   ///< The highest one seen.
-  bool is_store_era_outdated = false;  ///< In the last answer of the store.
   StoreEra reread_era;                 ///< The highest one of a RereadTopics.
+  bool is_store_era_outdated = false;  ///< In the last answer of the store.
   /// The newest version that another host has reported.
   ConfigurationVersion reported_version;
   TimePoint reported_version_at{};
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -44,6 +44,8 @@
 /// All evacuations that are requested now have been read.
 struct EvacuationsRead {
   const std::set<DataCentreId> data_centres;
+  /// The topic has come back from an older copy since it was read last.
+  const bool is_restored = false;
 
   friend auto operator<=>(const EvacuationsRead&,
                           const EvacuationsRead&) = default;
@@ -149,8 +151,6 @@
                          const RereadOperatorTopic&) = default;
 };
 
-/// Keep a link to this holder, and to no other host.
-struct ConnectToHolder {
 /// The store has come back from an older copy: read all topics again now,
 /// unless that has been done in this era or a later one.
 struct RereadTopics {
@@ -160,6 +160,8 @@
   friend bool operator==(const RereadTopics&, const RereadTopics&) = default;
 };
 
+/// Keep a link to this holder, and to no other host.
+struct ConnectToHolder {
   const LeaseRecord record;
 
   friend auto operator<=>(const ConnectToHolder&,
@@ -206,9 +208,9 @@
 
 using ControlEffect = std::variant<SendToEntry,
                                    RereadOperatorTopic,
+                                   RereadTopics,
                                    ConnectToHolder,
                                    SendToHolder,
-                                   RereadTopics,
                                    SendToHost,
                                    SendToAllHosts,
                                    SendToHosts,
--- a/control/tests/restored_store_test.cc
+++ b/control/tests/restored_store_test.cc
@@ -16,6 +16,11 @@
 
 const HostId kSelf("b");
 const HostId kHolder("a");
+using DataCentres = std::set<DataCentreId>;
+
+const DataCentres kNone;
+const DataCentres kNorth = {DataCentreId("north")};
+const DataCentres kBoth = {DataCentreId("north"), DataCentreId("south")};
 
 /// One host's control.
 struct Host {
@@ -24,6 +29,7 @@
       seconds(8)};
   TimePoint now{seconds(1000)};
   std::vector<StoreEra> rereads;
+  DataCentres evacuated;  ///< As the entry was told last.
 
   void Feed(const ControlEvent& event) {
     auto step = Decide(std::move(this->state), event, this->now);
@@ -31,6 +37,11 @@
     for (const ControlEffect& effect : step.effects) {
       if (const auto* reread = std::get_if<RereadTopics>(&effect)) {
         this->rereads.push_back(reread->era);
+      } else if (const auto* send = std::get_if<SendToEntry>(&effect)) {
+        if (const auto* change =
+                std::get_if<EvacuationsChanged>(&send->event)) {
+          this->evacuated = change->data_centres;
+        }
       }
     }
   }
@@ -95,5 +106,58 @@
   BOOST_TEST((host.rereads == std::vector{StoreEra(5)}));
 }
 
+// Guards against traffic that returns to a data centre because the request to
+// evacuate it was lost, until the operator has written it again.
+BOOST_AUTO_TEST_CASE(LostEvacuationStaysInForceForAWhile) {
+  for (const bool is_written_again : {true, false}) {
+    Host host;
+    host.Feed(EvacuationsRead{.data_centres = kBoth});
+    host.Feed(EvacuationsRead{.data_centres = kNorth, .is_restored = true});
+    host.RunFor(seconds(1));
+    // Read again for some other reason.
+    host.Feed(EvacuationsRead{.data_centres = kNorth});
+    BOOST_TEST((host.evacuated == kBoth));
+    if (is_written_again) {
+      host.Feed(EvacuationRequest{.data_centre = DataCentreId("south"),
+                                  .is_requested = true});
+    }
+    host.RunFor(milliseconds(900));
+    BOOST_TEST((host.evacuated == kBoth));
+    host.RunFor(milliseconds(600));
+    BOOST_TEST((host.evacuated == (is_written_again ? kBoth : kNorth)));
+  }
+}
+
+// Guards against an evacuation that stays although the operator withdraws it
+// while it may still be written again.
+BOOST_AUTO_TEST_CASE(WithdrawalEndsALostEvacuationAtOnce) {
+  Host host;
+  host.Feed(EvacuationsRead{.data_centres = kNorth});
+  host.Feed(EvacuationsRead{.data_centres = kNone, .is_restored = true});
+  host.Feed(EvacuationRequest{.data_centre = DataCentreId("north")});
+  BOOST_TEST(host.evacuated.empty());
+}
+
+// Guards against a snapshot that brings back withdrawn evacuations and is
+// ignored: nothing tells that they were withdrawn.
+BOOST_AUTO_TEST_CASE(
+    RestoredEvacuationIsInForceUntilItsDeletionIsWrittenAgain) {
+  Host host;
+  host.Feed(EvacuationsRead{.data_centres = kNone});
+  host.Feed(EvacuationsRead{.data_centres = kNorth, .is_restored = true});
+  BOOST_TEST((host.evacuated == kNorth));
+  host.Feed(EvacuationRequest{.data_centre = DataCentreId("north")});
+  BOOST_TEST(host.evacuated.empty());
+}
+
+// Guards against evacuations that stay although the topic, which was read again
+// for another reason, no longer has them.
+BOOST_AUTO_TEST_CASE(EvacuationThatALaterSnapshotLacksEndsAtOnce) {
+  Host host;
+  host.Feed(EvacuationsRead{.data_centres = kBoth});
+  host.Feed(EvacuationsRead{.data_centres = kNorth});
+  BOOST_TEST((host.evacuated == kNorth));
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -62,7 +62,8 @@
       SendOperatorRecord(mailbox, record);
     }
   }
-  SendToControl(mailbox, EvacuationsRead{.data_centres = std::move(evacuated)});
+  SendToControl(mailbox, EvacuationsRead{.data_centres = std::move(evacuated),
+                                         .is_restored = snapshot.is_restored});
 }
 
 void SendRegistryRecord(ControlMailbox& mailbox, const KeyedRecord& record) {
