Test that a restored older configuration is not adopted

Control passes each configuration on, also an older one. Placement, scaling and entry each refuse a version below their own, so a withdrawn key stays withdrawn, and the newer version stays in force until the operator writes it again.

--- a/control/tests/restored_store_test.cc
+++ b/control/tests/restored_store_test.cc
@@ -159,5 +159,62 @@
   BOOST_TEST((host.evacuated == kNorth));
 }
 
+ActiveConfigurationPtr WithKey(std::uint64_t version, const std::string& key) {
+  Configuration configuration =
+      MakeSimulatedConfiguration(SharedLimit{}, ColdRateLimit{})->value();
+  configuration.version = ConfigurationVersion(version);
+  configuration.customers.at(0).keys = {key};
+  return std::make_shared<const ActiveConfiguration>(std::move(configuration));
+}
+
+/// @return whether the entry refuses a request with the key.
+bool IsRefused(EntryState& entry, const std::string& key, TimePoint now) {
+  static int number = 0;
+  auto step = Decide(
+      std::move(entry),
+      EntryEvent(MakeArrival(SimulatedRequest{
+          .id = RequestId(std::to_string(++number)), .credential = key})),
+      now);
+  entry = std::move(step.state);
+  return std::ranges::any_of(step.effects, [](const EntryEffect& effect) {
+    const auto* refusal = std::get_if<Refuse>(&effect);
+    return refusal != nullptr &&
+           refusal->error.kind == ErrorKind::kUnauthenticated;
+  });
+}
+
+// Guards against a withdrawn key that is valid again because the store has come
+// back from a copy with the version before.
+BOOST_AUTO_TEST_CASE(RestoredOlderConfigurationDoesNotReplaceTheOneInForce) {
+  Host host;
+  EntryState entry(
+      EntrySettings{.host = kSelf, .data_centre = DataCentreId("dc")});
+  const auto read = [&](const ActiveConfigurationPtr& configuration) {
+    auto step =
+        Decide(std::move(host.state),
+               ControlEvent(ConfigurationRead{configuration}), host.now);
+    host.state = std::move(step.state);
+    for (const ControlEffect& effect : step.effects) {
+      if (const auto* send = std::get_if<SendToEntry>(&effect)) {
+        entry = Decide(std::move(entry), send->event, host.now).state;
+      }
+    }
+  };
+  const ActiveConfigurationPtr before = WithKey(5, "withdrawn");
+  const ActiveConfigurationPtr lost = WithKey(6, "valid");
+  read(before);
+  BOOST_TEST(!IsRefused(entry, "withdrawn", host.now));
+  read(lost);
+  read(before);
+  for (int i = 0; i < 2; ++i) {
+    BOOST_TEST(IsRefused(entry, "withdrawn", host.now));
+    BOOST_TEST(!IsRefused(entry, "valid", host.now));
+    read(lost);
+  }
+  read(WithKey(7, "newest"));
+  BOOST_TEST(IsRefused(entry, "valid", host.now));
+  BOOST_TEST(!IsRefused(entry, "newest", host.now));
+}
+
 }  // namespace
 }  // namespace cicadaloft
