Repeat failed reads of a topic from their offset

Cause: operator|| of awaitables takes each alternative of a std::variant that its left side returns for the result of one more operation.

--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -140,38 +140,31 @@
   /// relayed without any.
   static constexpr int kMaxFailedReads = 4;
 
+  struct ReadEnded {
+    Result<LogReadOutcome> outcome;
+  };
+
   // Returns when a new snapshot is needed.
   boost::asio::awaitable<void> FollowChanges() {
     using boost::asio::experimental::awaitable_operators::operator||;
     bool is_following = true;
     int failed_reads = 0;
     while (is_following) {
-      auto first_completed = co_await (
-          this->store.Read(this->settings.topic, this->position.next_offset(),
-                           this->settings.long_poll_timeout) ||
-          Receive(*this->resync_requests));
-      if (first_completed.index() == 2) {
-        is_following = this->HasAnswered(std::get<2>(first_completed).get());
-        continue;
-      }
+      auto first_completed =
+          co_await (this->ReadOn() || Receive(*this->resync_requests));
       if (first_completed.index() != 0) {
-        co_return;
+        is_following = this->HasAnswered(std::get<1>(first_completed).get());
+        continue;
       }
       const Result<LogReadOutcome> outcome =
-          std::get<0>(std::move(first_completed));
+          std::get<0>(std::move(first_completed)).outcome;
       if (!IsOk(outcome)) {
         co_await this->HandleFailure(ErrorOf(outcome));
         is_following = ++failed_reads < kMaxFailedReads;
         continue;
       }
-      const EraChange change = this->position.OnAnswer(EraOf(ValueOf(outcome)));
-      if (change == EraChange::kOutdated) {
-        co_await this->HandleFailure(OutdatedAnswer());
-        is_following = ++failed_reads < kMaxFailedReads;
-        continue;
-      }
       const auto* records = std::get_if<LogRecords>(&ValueOf(outcome));
-      if (change == EraChange::kNew || records == nullptr) {
+      if (records == nullptr || !this->position.HasReached(records->era)) {
         co_return;
       }
       failed_reads = 0;
@@ -181,6 +174,18 @@
     }
   }
 
+  // An awaitable of a std::variant, which a Result is, would have each of its
+  // alternatives as one of the results of operator||.
+  boost::asio::awaitable<ReadEnded> ReadOn() {
+    Result<LogReadOutcome> outcome = co_await this->store.Read(
+        this->settings.topic, this->position.next_offset(),
+        this->settings.long_poll_timeout);
+    const bool is_outdated =
+        IsOk(outcome) && this->position.OnAnswer(EraOf(ValueOf(outcome))) ==
+                             EraChange::kOutdated;
+    co_return ReadEnded{is_outdated ? OutdatedAnswer() : std::move(outcome)};
+  }
+
   // @return whether no snapshot has to be read for the request.
   bool HasAnswered(const ResyncRequest* request) const {
     return request != nullptr && request->era != StoreEra() &&
--- a/store/tests/keyed_follower_test.cc
+++ b/store/tests/keyed_follower_test.cc
@@ -267,6 +267,19 @@
   BOOST_TEST(fixture.RunFor(milliseconds(20)).size() == 4U);
 }
 
+// Guards against a snapshot for each failed read, which costs two calls where
+// one is enough, and against a failure that is not reported.
+BOOST_AUTO_TEST_CASE(FailedReadIsRepeatedFromItsOffset) {
+  Fixture fixture({Snapshot({"a=1"}, 10, 1)},
+                  {MakeError(ErrorKind::kStoreUnanswered, "no response"),
+                   Records({"a=2"}, 11, 1)});
+  BOOST_TEST(fixture.RunFor(milliseconds(300)) ==
+                 (Texts{"up", "snapshot a=1", "down", "up", "a=2"}),
+             boost::test_tools::per_element());
+  BOOST_TEST((fixture.script->read_from.at(1) == LogOffset(10)));
+  BOOST_TEST(fixture.script->snapshots_read == 1U);
+}
+
 // Guards against a snapshot of the era before the one that a read has stated:
 // it was sent before the store stepped back again.
 BOOST_AUTO_TEST_CASE(SnapshotOfAnEarlierEraThanTheReadIsRepeated) {
