Read the log of stream origins anew at a new era of the store

After the store came back from an older copy, hosts read the log of origins on from the offset where they had stopped, which belonged to other records now. Streams whose records were below it were refused for good, and the records that the store had lost stayed lost although the hosts that had written them knew them.

Reads, trims and acknowledgements of the log now state their era, and the task learns of the era of any other call of the host. At a new era the log is read from its start, and questions are answered only by a read of that era; what was known stays known. An acknowledgement of an earlier era counts as none. A log without an era that ends below what was read is treated in the same way.

--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -328,14 +328,16 @@
         StoreReadFeed(this->control_mailbox));
   }
 
-  // The entry task renders the metrics; the control task follows the store's
-  // era.
+  // The entry task renders the metrics; the control task and the task of the
+  // stream origins follow the store's era.
   StoreCallSink ReportStoreCalls() const {
-    return [entry = this->entry_mailbox,
-            control = this->control_mailbox](const StoreCallEnded& ended) {
+    return [entry = this->entry_mailbox, control = this->control_mailbox,
+            origins = this->origin_mailbox](const StoreCallEnded& ended) {
       Post(*entry, EntryTaskMessage(ended));
       if (ended.era) {
-        Post(*control, ControlEvent(StoreEraSeen{.era = *ended.era}));
+        const StoreEraSeen seen{.era = *ended.era};
+        Post(*control, ControlEvent(seen));
+        Post(*origins, OriginTaskMessage(OriginEvent(seen)));
       }
     };
   }
--- a/resumption/include/cicadaloft/resumption/known_origins.h
+++ b/resumption/include/cicadaloft/resumption/known_origins.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/resumption/messages.h"
@@ -41,6 +42,10 @@
   std::optional<OriginResult> Find(const StreamKey& stream,
                                    TimePoint now) const;
 
+  /// @return the origins that were recorded by this host, those with the oldest
+  /// last records first.
+  std::vector<OriginRecord> OwnRecords() const;
+
   /// Drops the streams whose last record is older than kRetention.
   void DropExpired(TimePoint now);
 
--- a/resumption/include/cicadaloft/resumption/messages.h
+++ b/resumption/include/cicadaloft/resumption/messages.h
@@ -10,6 +10,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/resumption/stream_origin.h"
+#include "cicadaloft/store/messages.h"
 
 namespace cicadaloft {
 
@@ -109,6 +110,7 @@
 
 struct OriginAppendEnded {
   bool is_acknowledged = false;
+  StoreEra era;  ///< Of the acknowledgement.
 
   friend auto operator<=>(const OriginAppendEnded&,
                           const OriginAppendEnded&) = default;
@@ -120,6 +122,7 @@
   std::vector<OriginRecord> records;
   LogOffset next;  ///< After the last of them.
   LogOffset end;   ///< Of the log at the time of the read.
+  StoreEra era;
 
   friend auto operator<=>(const OriginsRead&, const OriginsRead&) = default;
   friend bool operator==(const OriginsRead&, const OriginsRead&) = default;
@@ -128,6 +131,7 @@
 /// The log doesn't hold the requested offset; it holds those from `first` on.
 struct OriginsTrimmed {
   LogOffset first;
+  StoreEra era;
 
   friend auto operator<=>(const OriginsTrimmed&,
                           const OriginsTrimmed&) = default;
@@ -147,7 +151,8 @@
                                  OriginAppendEnded,
                                  OriginsRead,
                                  OriginsTrimmed,
-                                 OriginReadFailed>;
+                                 OriginReadFailed,
+                                 StoreEraSeen>;
 
 using OriginEffect =
     std::variant<AppendOrigins, ReadOrigins, OriginRecorded, OriginLookedUp>;
--- a/resumption/include/cicadaloft/resumption/origin_log_client.h
+++ b/resumption/include/cicadaloft/resumption/origin_log_client.h
@@ -38,7 +38,9 @@
   boost::asio::awaitable<OriginEvent> Execute(AppendOrigins append) {
     const Result<Appended> outcome = co_await this->store.Append(
         kTopic, EncodeOriginRecords(append.records));
-    co_return OriginEvent(OriginAppendEnded{.is_acknowledged = IsOk(outcome)});
+    co_return OriginEvent(OriginAppendEnded{
+        .is_acknowledged = IsOk(outcome),
+        .era = IsOk(outcome) ? ValueOf(outcome).era : StoreEra()});
   }
 
   boost::asio::awaitable<OriginEvent> Execute(ReadOrigins read) {
@@ -48,10 +50,13 @@
       co_return OriginEvent(OriginReadFailed{});
     }
     if (const auto* trimmed = std::get_if<LogTrimmed>(&ValueOf(outcome))) {
-      co_return OriginEvent(OriginsTrimmed{.first = trimmed->first_offset});
+      co_return OriginEvent(
+          OriginsTrimmed{.first = trimmed->first_offset, .era = trimmed->era});
     }
     const auto& records = std::get<LogRecords>(ValueOf(outcome));
-    OriginsRead origins{.next = records.next_offset, .end = records.end_offset};
+    OriginsRead origins{.next = records.next_offset,
+                        .end = records.end_offset,
+                        .era = records.era};
     for (const std::string& bytes : records.records) {
       Result<std::vector<OriginRecord>> batch = DecodeOriginRecords(bytes);
       if (IsOk(batch)) {
--- a/resumption/include/cicadaloft/resumption/origin_state.h
+++ b/resumption/include/cicadaloft/resumption/origin_state.h
@@ -12,6 +12,7 @@
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/resumption/known_origins.h"
 #include "cicadaloft/resumption/messages.h"
+#include "cicadaloft/store/store_era.h"
 
 namespace cicadaloft {
 
@@ -54,6 +55,7 @@
   void Handle(const OriginsRead& read);
   void Handle(const OriginsTrimmed& trimmed);
   void Handle(const OriginReadFailed& failed);
+  void Handle(const StoreEraSeen& seen);
 
   bool HasAppendFailedLately() const;
   /// Appends what waits, also after a failure once the time for it has come.
@@ -65,6 +67,15 @@
   void DropOldestWaitingRecord();
   void DropExpired();
 
+  /// Starts anew at a new era.
+  /// @return what the era of an answer says.
+  EraChange OnEra(StoreEra stated);
+  /// The log may lack records that it had.
+  void OnStepBack();
+  /// @return whether the answer to the read that is under way is of the log as
+  /// it is now, and of an offset in it.
+  bool IsCurrentAnswer(StoreEra stated);
+
   /// Reads the log for all questions.
   void StartRead();
   void ReadOnIfNeeded();
@@ -80,6 +91,9 @@
   KnownOrigins known;
 
   std::deque<WaitingRecord> waiting;  ///< In the order of their arrival.
+  /// Of this host; the store may have lost them. Appended after those that
+  /// wait.
+  std::deque<OriginRecord> repeated;
   std::vector<WaitingRecord> appending;
   std::optional<TimePoint>
       append_failed_at;  ///< None after an acknowledged one.
@@ -88,7 +102,10 @@
   std::vector<Question> next_asked;  ///< The next read is for these.
   /// Of the read that is under way, if any.
   std::optional<LogOffset> reading_from;
+  std::optional<StoreEra> reading_era;  ///< Of `reading_from`.
   LogOffset next_offset;  ///< After the last record that has been read.
+  /// The highest one that the store has stated; none before its first answer.
+  std::optional<StoreEra> era;
   int fruitless_reads = 0;
 };
 
--- a/resumption/known_origins.cc
+++ b/resumption/known_origins.cc
@@ -61,6 +61,16 @@
                      .age = now - found->known_since};
 }
 
+std::vector<OriginRecord> KnownOrigins::OwnRecords() const {
+  std::vector<OriginRecord> own;
+  for (const Stream& stream : this->known) {
+    if (stream.source == OriginSource::kThisHost) {
+      own.push_back({.stream = stream.key, .origin = stream.origin});
+    }
+  }
+  return own;
+}
+
 void KnownOrigins::DropExpired(TimePoint now) {
   DropExpired(this->known, now);
   DropExpired(this->contradictory, now);
--- a/resumption/origin_state.cc
+++ b/resumption/origin_state.cc
@@ -45,8 +45,12 @@
 }
 
 void OriginState::Handle(const OriginAppendEnded& ended) {
+  // An acknowledgement of an earlier era says nothing of the log as it is now;
+  // the records are repeated.
+  const bool is_recorded =
+      ended.is_acknowledged && this->OnEra(ended.era) != EraChange::kOutdated;
   for (WaitingRecord& record : this->appending) {
-    this->Reply(record, ended.is_acknowledged);
+    this->Reply(record, is_recorded);
   }
   if (ended.is_acknowledged) {
     this->append_failed_at.reset();
@@ -71,7 +75,8 @@
 }
 
 void OriginState::StartAppend() {
-  if (!this->appending.empty() || this->waiting.empty()) {
+  const bool has_records = !this->waiting.empty() || !this->repeated.empty();
+  if (!this->appending.empty() || !has_records) {
     return;
   }
   const auto end =
@@ -79,6 +84,12 @@
                                   this->waiting.size(), kMaxRecordsPerAppend));
   std::move(this->waiting.begin(), end, std::back_inserter(this->appending));
   this->waiting.erase(this->waiting.begin(), end);
+  while (!this->repeated.empty() &&
+         this->appending.size() < kMaxRecordsPerAppend) {
+    this->appending.push_back(WaitingRecord{
+        .record = std::move(this->repeated.front()), .recorded_at = this->now});
+    this->repeated.pop_front();
+  }
   AppendOrigins append;
   std::ranges::transform(this->appending, std::back_inserter(append.records),
                          &WaitingRecord::record);
@@ -125,15 +136,20 @@
   if (!this->reading_from) {
     return;
   }
+  const bool is_current = this->IsCurrentAnswer(read.era);
   const LogOffset from = *std::exchange(this->reading_from, std::nullopt);
   std::ranges::for_each(read.records, [this](const OriginRecord& record) {
     this->known.Add(record, OriginSource::kLog, this->now);
   });
   this->AnswerKnown();
+  if (!is_current) {
+    this->OnFruitlessRead();
+    return;
+  }
   if (read.end < from) {
     // The store has come back from an older copy, which may differ from what
     // was read before.
-    this->next_offset = LogOffset();
+    this->OnStepBack();
     this->OnFruitlessRead();
     return;
   }
@@ -153,8 +169,15 @@
   if (!this->reading_from) {
     return;
   }
-  this->reading_from.reset();
-  this->next_offset = trimmed.first;
+  const bool is_outdated = this->OnEra(trimmed.era) == EraChange::kOutdated;
+  const LogOffset from = *std::exchange(this->reading_from, std::nullopt);
+  if (!is_outdated && this->reading_era == this->era && trimmed.first < from) {
+    // The log ends before what was read.
+    this->OnStepBack();
+  }
+  if (!is_outdated) {
+    this->next_offset = trimmed.first;
+  }
   this->OnFruitlessRead();
 }
 
@@ -168,6 +191,33 @@
   this->ReadOnIfNeeded();
 }
 
+void OriginState::Handle(const StoreEraSeen& seen) {
+  this->OnEra(seen.era);
+}
+
+EraChange OriginState::OnEra(StoreEra stated) {
+  const EraChange change = CompareEras(this->era.value_or(stated), stated);
+  this->era = std::max(this->era.value_or(stated), stated);
+  if (change == EraChange::kNew) {
+    this->OnStepBack();
+  }
+  return change;
+}
+
+void OriginState::OnStepBack() {
+  this->next_offset = LogOffset();
+  std::vector<OriginRecord> own = this->known.OwnRecords();
+  this->repeated.assign(std::make_move_iterator(own.begin()),
+                        std::make_move_iterator(own.end()));
+}
+
+bool OriginState::IsCurrentAnswer(StoreEra stated) {
+  const bool is_outdated = this->OnEra(stated) == EraChange::kOutdated;
+  const bool has_offset_of_era = this->reading_from == LogOffset() ||
+                                 this->reading_era.value_or(stated) == stated;
+  return !is_outdated && has_offset_of_era;
+}
+
 void OriginState::OnFruitlessRead() {
   ++this->fruitless_reads;
   if (this->fruitless_reads >= kMaxFruitlessReads) {
@@ -188,6 +238,7 @@
   std::ranges::move(this->next_asked, std::back_inserter(this->asked));
   this->next_asked.clear();
   this->reading_from = this->next_offset;
+  this->reading_era = this->era;
   this->effects.emplace_back(ReadOrigins{.from = this->next_offset});
 }
 
--- a/resumption/tests/origin_host.h
+++ b/resumption/tests/origin_host.h
@@ -31,10 +31,12 @@
 
 inline OriginsRead Read(std::vector<OriginRecord> records,
                         std::uint64_t next,
-                        std::uint64_t end) {
+                        std::uint64_t end,
+                        std::uint64_t era = 0) {
   return OriginsRead{.records = std::move(records),
                      .next = LogOffset(next),
-                     .end = LogOffset(end)};
+                     .end = LogOffset(end),
+                     .era = StoreEra(era)};
 }
 
 inline OriginEffect ReadFrom(std::uint64_t offset) {
--- a/resumption/tests/origin_hosts_test.cc
+++ b/resumption/tests/origin_hosts_test.cc
@@ -32,8 +32,12 @@
 class Simulation {
  public:
   /// @param goes_back whether the log may come back from an older copy.
-  Simulation(std::uint32_t seed, bool goes_back)
-      : random(seed), hosts(kHosts), goes_back(goes_back) {}
+  /// @param states_era whether the store states its era.
+  Simulation(std::uint32_t seed, bool goes_back, bool states_era = false)
+      : random(seed),
+        hosts(kHosts),
+        goes_back(goes_back),
+        states_era(states_era) {}
 
   void Run() {
     for (int step = 0; step < kSteps; ++step) {
@@ -109,6 +113,7 @@
     }
     if (this->HasFault(100)) {
       this->log.first = this->log.records.size();
+      this->lost.insert(this->acknowledged.begin(), this->acknowledged.end());
       this->acknowledged.clear();
     }
     if (!this->goes_back) {
@@ -118,10 +123,23 @@
       this->older_copy = this->log;
     }
     if (this->HasFault(200)) {
-      this->log = this->older_copy;
+      this->StepBack();
     }
   }
 
+  void StepBack() {
+    this->log = this->older_copy;
+    this->era += this->states_era ? 1 : 0;
+    std::set<std::uint64_t> left;
+    for (std::size_t i = this->log.first; i < this->log.records.size(); ++i) {
+      for (const OriginRecord& record : this->log.records[i]) {
+        left.insert(record.stream.low);
+      }
+    }
+    std::ranges::set_difference(this->acknowledged, left,
+                                std::inserter(this->lost, this->lost.end()));
+  }
+
   void BeginStream(Host& host) {
     const OriginTicket ticket(this->next_stream);
     host.open_tickets.insert(ticket);
@@ -160,7 +178,8 @@
       this->acknowledged.insert(record.stream.low);
       this->ever_acknowledged.insert(record.stream.low);
     }
-    this->Feed(host, OriginAppendEnded{.is_acknowledged = true});
+    this->Feed(host, OriginAppendEnded{.is_acknowledged = true,
+                                       .era = StoreEra(this->era)});
   }
 
   void EndRead(Host& host) {
@@ -181,9 +200,10 @@
       return OriginReadFailed{};
     }
     if (from < this->log.first || from > end) {
-      return OriginsTrimmed{.first = LogOffset(this->log.first)};
+      return OriginsTrimmed{.first = LogOffset(this->log.first),
+                            .era = StoreEra(this->era)};
     }
-    OriginsRead read{.end = LogOffset(end)};
+    OriginsRead read{.end = LogOffset(end), .era = StoreEra(this->era)};
     std::uint64_t next = from;
     for (; next < std::min(end, from + kMaxBatchesPerRead); ++next) {
       std::ranges::copy(this->log.records[next],
@@ -229,8 +249,11 @@
       BOOST_TEST((origin->origin == TrueRecord(stream).origin));
       BOOST_TEST(stream < this->next_stream);
     } else if (std::holds_alternative<OriginNotRecorded>(looked_up.result)) {
-      // In a log that has gone back, a host may have passed over the offset.
-      BOOST_TEST((this->goes_back || !was_acknowledged ||
+      // In a log that has gone back without telling, a host may have passed
+      // over the offset.
+      const bool may_be_passed_over = this->goes_back && !this->states_era;
+      BOOST_TEST((may_be_passed_over || !was_acknowledged ||
+                  this->lost.contains(stream) ||
                   !this->acknowledged.contains(stream)));
     }
   }
@@ -246,7 +269,12 @@
   std::set<std::uint64_t> ever_acknowledged;  ///< Also those trimmed since.
   std::uint64_t next_stream = 0;
   std::uint64_t next_request = 0;
+  /// Acknowledged ones that the log has lost at some time; hosts may have
+  /// appended them again since.
+  std::set<std::uint64_t> lost;
+  std::uint64_t era = 0;
   bool goes_back = false;
+  bool states_era = false;
   bool has_faults = true;
 };
 
@@ -257,6 +285,7 @@
     BOOST_TEST_CONTEXT("seed " << seed) {
       Simulation(seed, false).Run();
       Simulation(seed, true).Run();
+      Simulation(seed, true, true).Run();
     }
   }
 }
--- a/resumption/tests/origin_log_client_test.cc
+++ b/resumption/tests/origin_log_client_test.cc
@@ -16,6 +16,7 @@
   std::vector<std::string> records;
   std::uint64_t first = 0;
   bool is_away = false;
+  StoreEra era{3};
   std::string last_topic;
   Duration last_wait = Duration::max();
 };
@@ -35,8 +36,8 @@
       co_return MakeError(ErrorKind::kStoreUnanswered, "store: no response");
     }
     if (from.value() < this->log->first) {
-      co_return LogReadOutcome(
-          LogTrimmed{.first_offset = LogOffset(this->log->first)});
+      co_return LogReadOutcome(LogTrimmed{
+          .first_offset = LogOffset(this->log->first), .era = this->log->era});
     }
     // One record a call.
     const auto& records = this->log->records;
@@ -46,7 +47,8 @@
         LogRecords{.records = has_record ? std::vector{records.at(from.value())}
                                          : std::vector<std::string>{},
                    .next_offset = has_record ? from.Next() : from,
-                   .end_offset = end});
+                   .end_offset = end,
+                   .era = this->log->era});
   }
   boost::asio::awaitable<Result<AppendOutcome>> AppendAt(std::string,
                                                          LogOffset,
@@ -60,7 +62,8 @@
       co_return MakeError(ErrorKind::kStoreUnavailable, "store: status 503");
     }
     this->log->records.push_back(std::move(record));
-    co_return Appended{.offset = LogOffset(this->log->records.size() - 1)};
+    co_return Appended{.offset = LogOffset(this->log->records.size() - 1),
+                       .era = this->log->era};
   }
 };
 
@@ -96,14 +99,16 @@
                  std::uint64_t end) {
   return OriginsRead{.records = std::move(records),
                      .next = LogOffset(next),
-                     .end = LogOffset(end)};
+                     .end = LogOffset(end),
+                     .era = StoreEra(3)};
 }
 
 // Guards against records that other hosts don't find, and against a read that
 // passes for complete before the end of the log.
 BOOST_AUTO_TEST_CASE(AppendedBatchesAreReadOneByOne) {
   Fixture fixture;
-  const OriginEvent acknowledged = OriginAppendEnded{.is_acknowledged = true};
+  const OriginEvent acknowledged =
+      OriginAppendEnded{.is_acknowledged = true, .era = StoreEra(3)};
   BOOST_TEST((fixture.Execute(AppendOrigins{{RecordOf(1), RecordOf(2)}}) ==
               acknowledged));
   BOOST_TEST((fixture.Execute(AppendOrigins{{RecordOf(3)}}) == acknowledged));
@@ -135,8 +140,9 @@
 BOOST_AUTO_TEST_CASE(FailuresAndTrimsAreToldApart) {
   Fixture fixture;
   fixture.log->first = 7;
-  BOOST_TEST((fixture.Execute(ReadOrigins{.from = LogOffset(3)}) ==
-              OriginEvent(OriginsTrimmed{.first = LogOffset(7)})));
+  BOOST_TEST(
+      (fixture.Execute(ReadOrigins{.from = LogOffset(3)}) ==
+       OriginEvent(OriginsTrimmed{.first = LogOffset(7), .era = StoreEra(3)})));
   fixture.log->is_away = true;
   BOOST_TEST(
       (fixture.Execute(ReadOrigins{}) == OriginEvent(OriginReadFailed{})));
--- a/store/include/cicadaloft/store/messages.h
+++ b/store/include/cicadaloft/store/messages.h
@@ -81,7 +81,7 @@
 
 /// The store has answered a call of this host.
 struct StoreEraSeen {
-  const StoreEra era;
+  StoreEra era;
 
   friend auto operator<=>(const StoreEraSeen&, const StoreEraSeen&) = default;
   friend bool operator==(const StoreEraSeen&, const StoreEraSeen&) = default;
