Report no usage window whose record the store may have lost

After the store came back from an older copy without the records of the newest windows, the next holder summed these windows again and reported them with other counts than the last holder had: two contents of one window.

A host that begins a term without knowing what was recorded in the era before now skips the windows that ended before it saw the era, unless the topic has their record. It knows if it held the lease, with the topic read, when it saw the new era. A holder writes the records that the topic lacks again, with the same counts and before later ones, and reports them only then; calls under way at a new era don't count, and an answer of an earlier era is a failed read.

What it costs: a host that becomes the holder shortly after it has started can't know either, and skips the windows that ended before its start without a record.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -87,6 +87,8 @@
 }
 
 void ControlState::Handle(const StoreEraSeen& seen) {
+  // First, while the term that may end because of it is still valid.
+  this->FeedUsage(seen);
   const EraChange change =
       CompareEras(this->store_era.value_or(seen.era), seen.era);
   const bool was_outdated = std::exchange(this->is_store_era_outdated,
--- a/usage/include/cicadaloft/usage/messages.h
+++ b/usage/include/cicadaloft/usage/messages.h
@@ -12,6 +12,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/duties/messages.h"
+#include "cicadaloft/store/messages.h"
 
 namespace cicadaloft {
 
@@ -120,6 +121,7 @@
   /// Slots whose record can't be read; see UsageSlot().
   std::set<std::uint64_t> unreadable_slots;
   LogOffset end;
+  StoreEra era;
 
   friend auto operator<=>(const UsageTopicRead&,
                           const UsageTopicRead&) = default;
@@ -169,6 +171,7 @@
                                 UsageTopicReadFailed,
                                 UsageAppendEnded,
                                 UsageReportEnded,
+                                StoreEraSeen,
                                 UsageTick>;
 
 /// Send counts to the lease holder.
--- a/usage/include/cicadaloft/usage/usage_reporter.h
+++ b/usage/include/cicadaloft/usage/usage_reporter.h
@@ -17,13 +17,19 @@
 
 /// Records closed windows in the store and reports them to the platform, while
 /// this host holds the lease. A window is reported only after its record has
-/// been acknowledged or read, with exactly the recorded counts.
+/// been acknowledged or read, with exactly the recorded counts. Records that
+/// the store has lost by coming back from an older copy are written again,
+/// before later ones, by the host that knows them.
 class UsageReporter {
  public:
   explicit UsageReporter(UsageSettings settings);
 
   void OnTerm(const UsageTerm& term, TimePoint now);
   void OnTermEnded();
+  /// The store has stated its era.
+  void OnEra(StoreEra stated, TimePoint now);
+  /// @param current the window that has not ended yet.
+  void OnWindow(UsageWindow current);
   void OnTopicRead(const UsageTopicRead& read, TimePoint now);
   void OnReadFailed(TimePoint now);
   void OnAppendEnded(const UsageAppendEnded& ended, TimePoint now);
@@ -41,6 +47,9 @@
   /// @return the newest window that is recorded or closed; none if there is
   /// none.
   std::optional<UsageWindow> LastWindow() const;
+  /// @return the first window of which this host knows that nobody has recorded
+  /// it in an earlier era of the store, unless it is in the topic.
+  UsageWindow unknown_before() const { return this->first_known; }
   /// @return whether the store may hold another record of the window, which
   /// can't be read.
   bool IsUnreadable(UsageWindow window) const {
@@ -67,6 +76,8 @@
   enum class StoreCall { kNone, kRead, kAppend };
 
   void AddRecord(const UsageRecord& record, std::optional<Duration> input_age);
+  /// Puts the records that the store has lost before those of closed windows.
+  void RepeatLostRecords(const UsageTopicRead& read);
   UsageWindow SettledBefore() const;
   void StartStoreCall(TimePoint now);
   void StartReport(TimePoint now);
@@ -97,7 +108,15 @@
     UsageRecord record;
     Duration input_age{};
   };
-  std::deque<Closed> closed;  ///< Not recorded yet, oldest first.
+  /// Not recorded yet, or lost by the store; oldest first.
+  std::deque<Closed> closed;
+
+  std::optional<StoreEra> era;  ///< The highest one that the store has stated.
+  /// The topic was read in this term, so all that is recorded is known.
+  bool has_read = false;
+  /// A new era was seen, and OnWindow() has not followed yet.
+  bool is_era_unknown = false;
+  UsageWindow first_known;
 
   bool is_report_pending = false;
   TimePoint next_report_at{};
--- a/usage/include/cicadaloft/usage/usage_state.h
+++ b/usage/include/cicadaloft/usage/usage_state.h
@@ -41,6 +41,7 @@
   void Handle(const UsageTopicReadFailed& failed);
   void Handle(const UsageAppendEnded& ended);
   void Handle(const UsageReportEnded& ended);
+  void Handle(const StoreEraSeen& seen);
   void Handle(const UsageTick& tick);
 
   void SendCounts(bool has_all_windows);
@@ -53,6 +54,8 @@
   std::optional<UsageWindow> FirstOpenWindow() const;
   /// @return the next window to close.
   std::optional<UsageWindow> NextWindow() const;
+  /// Skips the windows whose records the store may have lost.
+  void SkipUnknown();
   /// Skips the windows before the next one.
   void SkipOld(UsageWindow next);
   /// @return whether the window was closed or skipped.
--- a/usage/include/cicadaloft/usage/usage_topic_client.h
+++ b/usage/include/cicadaloft/usage/usage_topic_client.h
@@ -39,7 +39,8 @@
     if (!IsOk(outcome)) {
       co_return UsageEvent(UsageTopicReadFailed{});
     }
-    UsageTopicRead read{.end = ValueOf(outcome).end_offset};
+    UsageTopicRead read{.end = ValueOf(outcome).end_offset,
+                        .era = ValueOf(outcome).era};
     for (const KeyedRecord& keyed : ValueOf(outcome).records) {
       const auto slot = ParseUsageSlot(keyed.key);
       if (!slot || !keyed.value) {
--- a/usage/tests/simulated_store.h
+++ b/usage/tests/simulated_store.h
@@ -40,12 +40,13 @@
 }
 
 /// @return the newest record of each slot, in the order of slots.
-inline UsageTopicRead ReadNewest(const SimulatedLog<UsageRecord>& log) {
+inline UsageTopicRead ReadNewest(const SimulatedLog<UsageRecord>& log,
+                                 StoreEra era) {
   std::map<std::uint64_t, UsageRecord> newest;
   for (const UsageRecord& record : log.All()) {
     newest.insert_or_assign(UsageSlot(record.window), record);
   }
-  UsageTopicRead read{.end = log.End()};
+  UsageTopicRead read{.end = log.End(), .era = era};
   std::ranges::transform(newest, std::back_inserter(read.records),
                          [](const auto& entry) { return entry.second; });
   return read;
--- a/usage/tests/usage_property_test.cc
+++ b/usage/tests/usage_property_test.cc
@@ -31,6 +31,8 @@
   kLoseReportAnswers,
   kPlatformDown,
   kClockJump,
+  kCopyStore,
+  kStepBack,
   kCount,
 };
 
@@ -94,6 +96,15 @@
     case Fault::kClockJump:
       host.clock_error = milliseconds(*rc::gen::inRange(-9000, 9000));
       break;
+    case Fault::kCopyStore:
+      simulation.CopyStore();
+      break;
+    case Fault::kStepBack:
+      // Without an era a step back can't be told from other records.
+      if (simulation.era != StoreEra()) {
+        simulation.StepBack();
+      }
+      break;
     case Fault::kCount:
       break;
   }
@@ -104,6 +115,7 @@
 RC_BOOST_PROP(NoScheduleOfFaultsBreaksARule, ()) {
   const auto count = *rc::gen::inRange<std::size_t>(2, 7);
   UsageSimulation simulation(count);
+  simulation.era = StoreEra(*rc::gen::inRange(0, 2));
   simulation.connect_time = milliseconds(*rc::gen::inRange(1, 400));
   simulation.RunFor(seconds(8));
   const int fault_count = *rc::gen::inRange(1, 25);
--- a/usage/tests/usage_simulation.h
+++ b/usage/tests/usage_simulation.h
@@ -185,6 +185,16 @@
   std::function<void(std::size_t)> on_report;
   /// Called when a host begins to connect for a report.
   std::function<void(std::size_t)> on_connect;
+  void CopyStore() { this->usage_copy = this->usage_log; }
+  /// The topic of windows comes back as it was at the last CopyStore(). The
+  /// lease is left out.
+  void StepBack() {
+    this->usage_log = this->usage_copy;
+    this->era = StoreEra(this->era.value() + 1);
+  }
+
+  StoreEra era;  ///< 0: the store states none.
+  SimulatedLog<UsageRecord> usage_copy;
   /// Appends take effect without an answer.
   bool loses_append_answers = false;
   bool loses_appends = false;  ///< They have no effect and no answer.
@@ -287,8 +297,16 @@
     }
   }
 
+  // Each answer of the store states its era.
+  void FeedEra(Host& host) {
+    if (!host.is_cut_from_store) {
+      this->FeedUsage(host, StoreEraSeen{.era = this->era});
+    }
+  }
+
   void Execute(Host& host, const ReadLeaseLog& read) {
     this->ScheduleAt(host, kDelay, [this, &host, read] {
+      this->FeedEra(host);
       this->FeedLease(host,
                       host.is_cut_from_store
                           ? LeaseEvent(LeaseReadFailed{})
@@ -307,6 +325,7 @@
           this->lease_log.Append(complete.expected_end, complete.record);
       this->RunAt(
           host, process, [this, &host, is_written, is_cut, complete, sent_at] {
+            this->FeedEra(host);
             this->FeedLease(
                 host, LeaseAppendEnded{
                           .outcome = is_written ? LeaseAppendOutcome::kWritten
@@ -437,9 +456,11 @@
 
   void Execute(Host& host, const ReadUsageTopic&) {
     this->ScheduleAt(host, kDelay, [this, &host] {
-      this->FeedUsage(host, host.is_cut_from_store
-                                ? UsageEvent(UsageTopicReadFailed{})
-                                : UsageEvent(ReadNewest(this->usage_log)));
+      this->FeedEra(host);
+      this->FeedUsage(host,
+                      host.is_cut_from_store
+                          ? UsageEvent(UsageTopicReadFailed{})
+                          : UsageEvent(ReadNewest(this->usage_log, this->era)));
     });
   }
   void Execute(Host& host, const AppendUsageRecord& append) {
@@ -473,6 +494,7 @@
                                    : UsageAppendOutcome::kConflict;
     if (!has_timed_out) {
       this->RunAt(host, process, [this, &host, outcome] {
+        this->FeedEra(host);
         this->FeedUsage(host, UsageAppendEnded{.outcome = outcome});
       });
     }
--- a/usage/usage_closing.cc
+++ b/usage/usage_closing.cc
@@ -63,6 +63,7 @@
   bool has_closed = true;
   while (has_closed && this->reporter.MayClose() &&
          this->now - this->term_began_at >= kGatherTime) {
+    this->SkipUnknown();
     const auto window = this->NextWindow();
     if (window) {
       this->SkipOld(*window);
@@ -85,6 +86,17 @@
   return first ? std::optional(std::max(*first, oldest)) : std::nullopt;
 }
 
+// Another holder may have recorded and reported them with other counts.
+void UsageState::SkipUnknown() {
+  const auto first = this->FirstOpenWindow();
+  const UsageWindow unknown_before = this->reporter.unknown_before();
+  if (first && *first < unknown_before) {
+    this->Skip(UsageWindow(unknown_before.value() - 1),
+               "the store may have lost its record",
+               {{"first_window", first->value()}});
+  }
+}
+
 void UsageState::SkipOld(UsageWindow next) {
   const UsageWindow first = this->FirstOpenWindow().value_or(next);
   if (first < next) {
--- a/usage/usage_reporter.cc
+++ b/usage/usage_reporter.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "cicadaloft/store/store_era.h"
 #include "cicadaloft/usage/usage_counter.h"
 
 namespace cicadaloft {
@@ -29,6 +30,7 @@
     return;
   }
   this->needs_read = true;
+  this->has_read = false;
   this->is_store_call_stale = this->store_call != StoreCall::kNone;
   this->closed.clear();
   this->report_retry_delay = Duration::zero();
@@ -40,16 +42,47 @@
 void UsageReporter::OnTermEnded() {
   this->term.reset();
   this->needs_read = true;
+  this->has_read = false;
   this->is_store_call_stale = this->store_call != StoreCall::kNone;
   this->closed.clear();
 }
 
+// Whoever holds the lease with the topic read when the store steps back knows
+// all windows that were recorded before. Any other host doesn't: the topic may
+// lack some, and this host's counts may differ from theirs. A window that was
+// recorded has ended before its record, and so before any host saw the new era.
+void UsageReporter::OnEra(StoreEra stated, TimePoint now) {
+  const EraChange change = CompareEras(this->era.value_or(StoreEra()), stated);
+  if (!this->era || change == EraChange::kNew) {
+    this->era = stated;
+  }
+  if (change != EraChange::kNew) {
+    return;
+  }
+  this->is_era_unknown |= !this->has_read || !this->IsTermValid(now);
+  this->needs_read = true;
+  this->is_store_call_stale = this->store_call != StoreCall::kNone;
+}
+
+void UsageReporter::OnWindow(UsageWindow current) {
+  if (std::exchange(this->is_era_unknown, false)) {
+    this->first_known = std::max(this->first_known, current);
+  }
+}
+
 void UsageReporter::OnTopicRead(const UsageTopicRead& read, TimePoint now) {
   this->store_call = StoreCall::kNone;
   if (std::exchange(this->is_store_call_stale, false) || !this->term) {
     return;
   }
+  if (CompareEras(this->era.value_or(read.era), read.era) ==
+      EraChange::kOutdated) {
+    this->OnReadFailed(now);
+    return;
+  }
   this->needs_read = false;
+  this->has_read = true;
+  this->RepeatLostRecords(read);
   this->next_store_call_at = now;
   this->end = read.end;
   this->unreadable_slots = read.unreadable_slots;
@@ -58,6 +91,26 @@
   });
 }
 
+// Windows before the newest one in the topic are never recorded any more.
+void UsageReporter::RepeatLostRecords(const UsageTopicRead& read) {
+  const auto newest =
+      std::ranges::max_element(read.records, {}, &UsageRecord::window);
+  const auto first_lost = newest == read.records.end()
+                              ? this->recorded.begin()
+                              : this->recorded.upper_bound(newest->window);
+  std::erase_if(this->closed, [&](const Closed& each) {
+    return this->recorded.contains(each.record.window);
+  });
+  std::deque<Closed> lost;
+  for (auto each = first_lost; each != this->recorded.end(); ++each) {
+    lost.push_back(Closed{
+        .record =
+            UsageRecord{.window = each->first, .counts = each->second.counts},
+        .input_age = each->second.input_age.value_or(Duration())});
+  }
+  this->closed.insert(this->closed.begin(), lost.begin(), lost.end());
+}
+
 void UsageReporter::OnReadFailed(TimePoint now) {
   this->store_call = StoreCall::kNone;
   this->is_store_call_stale = false;
@@ -160,7 +213,7 @@
   } else if (!this->closed.empty()) {
     this->store_call = StoreCall::kAppend;
     UsageRecord record = this->closed.front().record;
-    record.settled_before = this->SettledBefore();
+    record.settled_before = std::min(this->SettledBefore(), record.window);
     this->closed.front().record.settled_before = record.settled_before;
     this->effects.emplace_back(AppendUsageRecord{.expected_end = this->end,
                                                  .record = std::move(record)});
@@ -174,7 +227,9 @@
   }
   const auto open = std::ranges::find_if(
       this->recorded, [](const auto& each) { return !each.second.is_settled; });
-  if (open == this->recorded.end()) {
+  const bool is_lost = open != this->recorded.end() && !this->closed.empty() &&
+                       open->first >= this->closed.front().record.window;
+  if (open == this->recorded.end() || is_lost) {
     return;
   }
   const std::uint64_t age = this->last_recorded->value() - open->first.value();
--- a/usage/usage_state.cc
+++ b/usage/usage_state.cc
@@ -129,6 +129,7 @@
 }
 
 void UsageState::Handle(const UsageTopicRead& read) {
+  this->reporter.OnEra(read.era, this->now);
   this->reporter.OnTopicRead(read, this->now);
 }
 
@@ -144,11 +145,16 @@
   this->reporter.OnReportEnded(ended, this->Time(), this->now);
 }
 
+void UsageState::Handle(const StoreEraSeen& seen) {
+  this->reporter.OnEra(seen.era, this->now);
+}
+
 void UsageState::Handle(const UsageTick& tick) {
   this->host_count = tick.host_count;
   if (!this->clock.IsKnown()) {
     return;
   }
+  this->reporter.OnWindow(WindowAt(this->Time(), this->settings.window));
   this->LogEndedWindow();
   if (this->now - this->counts_sent_at >=
       UsageCountInterval(this->host_count)) {
