Don't wait for relays of a log without an era that ends lower

Hosts to which a topic is relayed call the store only when relays stop or leave a gap. After a store that states no era had come back with a lower end, relays of its end went on to count as recent, and hosts waited for records at their own offset until the log had grown beyond it: the follower's rule for such a store never came into play on them.

A buffer starts again when what is relayed has ended lower for 2 s, and then doesn't cover offsets beyond its end, so that the host reads the store.

--- a/relay/include/cicadaloft/relay/relay_buffer.h
+++ b/relay/include/cicadaloft/relay/relay_buffer.h
@@ -24,6 +24,8 @@
   /// Adds records that are newer than those in the buffer. Records between
   /// them that were not relayed leave a gap: the buffer starts again after it.
   /// It also starts again at a new era; messages of an earlier one are ignored.
+  /// Without an era it starts again when what is relayed has ended lower for
+  /// TopicPosition::kMaxTimeBehind.
   void Add(const RelayReceived& received);
 
   /// @return whether the relayed records are complete up to a recent time.
@@ -34,12 +36,18 @@
 
   /// @return the highest era of a relayed message.
   StoreEra era() const { return this->newest_era; }
-  /// @return whether no record from `offset` on is missing.
-  bool Covers(LogOffset offset) const { return offset >= this->first; }
+  /// @return whether no record from `offset` on is missing. A log that has gone
+  /// back has no such offset if it ends before.
+  bool Covers(LogOffset offset) const {
+    return offset >= this->first &&
+           (!this->has_gone_back || offset <= this->End());
+  }
   /// @return the records from `offset` on, which must be covered.
   std::vector<std::string> RecordsFrom(LogOffset offset) const;
 
  private:
+  bool HasGoneBack(const RelayReceived& received) const;
+  void StartAgain(StoreEra era);
   LogOffset End() const {
     return LogOffset(this->first.value() + this->records.size());
   }
@@ -49,6 +57,8 @@
   LogOffset first;
   std::deque<std::string> records;
   std::optional<TimePoint> complete_at;
+  TimePoint end_complete_at{};  ///< Of the newest message up to the end.
+  bool has_gone_back = false;   ///< A log without an era.
 };
 
 }  // namespace cicadaloft
--- a/relay/relay_buffer.cc
+++ b/relay/relay_buffer.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "cicadaloft/store/store_era.h"
+#include "cicadaloft/store/topic_position.h"
 
 namespace cicadaloft {
 
@@ -14,8 +15,10 @@
     return;
   }
   if (change == EraChange::kNew) {
-    *this = RelayBuffer(this->max_age);
-    this->newest_era = topic.era;
+    this->StartAgain(topic.era);
+  } else if (this->HasGoneBack(received)) {
+    this->StartAgain(topic.era);
+    this->has_gone_back = true;
   }
   const bool has_gap = !this->complete_at || topic.from > this->End();
   if (has_gap) {
@@ -34,6 +37,23 @@
   }
   this->complete_at = std::max(this->complete_at.value_or(received.complete_at),
                                received.complete_at);
+  if (topic.End() >= this->End()) {
+    this->end_complete_at =
+        std::max(this->end_complete_at, received.complete_at);
+  }
+}
+
+// A holder may lag behind the one before.
+bool RelayBuffer::HasGoneBack(const RelayReceived& received) const {
+  return this->newest_era == StoreEra() && this->complete_at &&
+         received.topic.End() < this->End() &&
+         received.complete_at - this->end_complete_at >=
+             TopicPosition::kMaxTimeBehind;
+}
+
+void RelayBuffer::StartAgain(StoreEra era) {
+  *this = RelayBuffer(this->max_age);
+  this->newest_era = era;
 }
 
 std::vector<std::string> RelayBuffer::RecordsFrom(LogOffset offset) const {
--- a/relay/tests/relay_eras_test.cc
+++ b/relay/tests/relay_eras_test.cc
@@ -119,6 +119,30 @@
   BOOST_TEST((wait->until == kNow + kReadInterval));
 }
 
+// Guards against hosts that wait for good for relayed records at their offset,
+// since a store that states no era has come back with a lower end.
+BOOST_AUTO_TEST_CASE(RelaysOfALogThatEndsLowerAreNoAnswer) {
+  RelayReader reader = MakeReader();
+  reader.OnStoreCall(kNow - kReadInterval, kNow - kReadInterval);
+  const auto relay = [&](std::uint64_t from, Records records, TimePoint at) {
+    RelayReceived received = Received(0, from, std::move(records));
+    received.complete_at = at;
+    reader.OnInput(received);
+  };
+  const auto reads_at = [&](TimePoint now) {
+    return std::holds_alternative<ReadFromStore>(
+        reader.Next(LogOffset(8), kWait, now + kWait, now));
+  };
+  relay(7, {"7"}, kNow);
+  // An earlier holder may lag behind.
+  relay(5, {}, kNow + seconds(1));
+  BOOST_TEST(!reads_at(kNow + seconds(1)));
+  relay(5, {}, kNow + seconds(2));
+  BOOST_TEST(reads_at(kNow + seconds(2)));
+  relay(5, {"5", "6", "7", "8"}, kNow + seconds(3));
+  BOOST_TEST(!reads_at(kNow + seconds(3)));
+}
+
 // Guards against one message with records of two eras, and against a time at
 // which records of the earlier era were complete.
 BOOST_AUTO_TEST_CASE(PublisherStartsAnewAtANewEra) {
