--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -58,15 +58,15 @@
 
 void ControlState::Handle(const EvacuationRequest& request) {
   if (request.is_requested) {
-    this->evacuated.insert(request.data_centre);
+    this->evacuations.Add(request.data_centre);
   } else {
-    this->evacuated.erase(request.data_centre);
+    this->evacuations.Remove(request.data_centre);
   }
   this->PublishEvacuations();
 }
 
 void ControlState::Handle(const EvacuationsRead& read) {
-  this->evacuated = read.data_centres;
+  this->evacuations.OnRead(read, this->now);
   this->PublishEvacuations();
 }
 
@@ -87,6 +87,8 @@
 }
 
 void ControlState::Handle(const StoreEraSeen& seen) {
+  // First, while the term that may end because of it is still valid.
+  this->FeedUsage(seen);
   const EraChange change =
       CompareEras(this->store_era.value_or(seen.era), seen.era);
   const bool was_outdated = std::exchange(this->is_store_era_outdated,
@@ -96,6 +98,7 @@
         DecisionRecord{.event = "store.era_changed",
                        .fields = {{"known", this->store_era->value()},
                                   {"stated", seen.era.value()}}});
+    this->RereadInEra(seen.era);
   } else if (change == EraChange::kOutdated && !was_outdated) {
     this->effects.emplace_back(
         DecisionRecord{.event = "store.era_outdated",
@@ -256,6 +259,9 @@
   if (std::exchange(this->is_fleet_changed, false)) {
     this->PublishFleet();
   }
+  if (this->evacuations.Tick(this->now)) {
+    this->PublishEvacuations();
+  }
   this->RereadIfBehind();
   this->FeedLease(LeaseTick{});
   this->FeedUsage(UsageTick{.host_count = this->AssumedHostCount()});
@@ -301,6 +307,14 @@
   this->effects.emplace_back(RereadOperatorTopic{});
 }
 
+// A read that waits for records would learn of the new era only when it ends.
+void ControlState::RereadInEra(StoreEra era) {
+  if (era > this->reread_era) {
+    this->reread_era = era;
+    this->effects.emplace_back(RereadTopics{.era = era});
+  }
+}
+
 void ControlState::PublishFleet() {
   const FleetChanged change{.fleet = this->fleet_tracker.fleet()};
   this->FeedPlacement(change);
@@ -312,7 +326,8 @@
 }
 
 void ControlState::PublishEvacuations() {
-  const EvacuationsChanged change{.data_centres = this->evacuated};
+  const EvacuationsChanged change{.data_centres =
+                                      this->evacuations.data_centres()};
   this->FeedPlacement(change);
   this->FeedScaling(change);
   this->NotifyEntry(change);
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -44,6 +44,8 @@
 /// All evacuations that are requested now have been read.
 struct EvacuationsRead {
   const std::set<DataCentreId> data_centres;
+  /// The topic has come back from an older copy since it was read last.
+  const bool is_restored = false;
 
   friend auto operator<=>(const EvacuationsRead&,
                           const EvacuationsRead&) = default;
@@ -149,6 +151,15 @@
                          const RereadOperatorTopic&) = default;
 };
 
+/// The store has come back from an older copy: read all topics again now,
+/// unless that has been done in this era or a later one.
+struct RereadTopics {
+  StoreEra era;
+
+  friend auto operator<=>(const RereadTopics&, const RereadTopics&) = default;
+  friend bool operator==(const RereadTopics&, const RereadTopics&) = default;
+};
+
 /// Keep a link to this holder, and to no other host.
 struct ConnectToHolder {
   const LeaseRecord record;
@@ -197,6 +208,7 @@
 
 using ControlEffect = std::variant<SendToEntry,
                                    RereadOperatorTopic,
+                                   RereadTopics,
                                    ConnectToHolder,
                                    SendToHolder,
                                    SendToHost,
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -62,7 +62,8 @@
       SendOperatorRecord(mailbox, record);
     }
   }
-  SendToControl(mailbox, EvacuationsRead{.data_centres = std::move(evacuated)});
+  SendToControl(mailbox, EvacuationsRead{.data_centres = std::move(evacuated),
+                                         .is_restored = snapshot.is_restored});
 }
 
 void SendRegistryRecord(ControlMailbox& mailbox, const KeyedRecord& record) {
@@ -88,7 +89,8 @@
     }
   }
   SendToControl(mailbox,
-                FleetEvent(RegistryRead{.records = std::move(records)}));
+                FleetEvent(RegistryRead{.records = std::move(records),
+                                        .is_restored = snapshot.is_restored}));
 }
 
 }  // namespace
@@ -120,7 +122,7 @@
     SendToControl(*this->control_mailbox, read);
     return;
   }
-  this->registry_records.OnRead(read.from, read.records.size());
+  this->registry_records.OnRead(read.era, read.from, read.records.size());
   std::vector<std::string> compact;
   std::ranges::transform(
       read.records, std::back_inserter(compact),
@@ -128,7 +130,8 @@
   SendToControl(*this->control_mailbox, StoreRead{.topic = read.topic,
                                                   .from = read.from,
                                                   .records = std::move(compact),
-                                                  .sent_at = read.sent_at});
+                                                  .sent_at = read.sent_at,
+                                                  .era = read.era});
 }
 
 std::string StoreReadFeed::Compact(const std::string& record) {
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -7,18 +7,22 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <concepts>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "cicadaloft/core/backoff.h"
 #include "cicadaloft/core/mailbox.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/store/messages.h"
 #include "cicadaloft/store/store.h"
+#include "cicadaloft/store/topic_position.h"
 
 namespace cicadaloft {
 
@@ -26,6 +30,9 @@
 /// no record.
 struct TopicSnapshot {
   std::vector<KeyedRecord> records;
+  /// The store has come back from an older copy since the last snapshot, so
+  /// that records may be missing that were there before.
+  bool is_restored = false;
 };
 
 /// A key has a new record, or was deleted.
@@ -47,7 +54,11 @@
 
 /// Asks a follower to read a new snapshot of the topic now, because other hosts
 /// have read newer records.
-struct ResyncRequest {};
+struct ResyncRequest {
+  /// A snapshot of this era or a later one that has been read suffices; 0: none
+  /// does.
+  StoreEra era;
+};
 
 using FollowerEvent =
     std::variant<TopicSnapshot, KeyChanged, StoreReachability, RecordSkipped>;
@@ -70,7 +81,8 @@
 
 /// Task that reports the content of a keyed topic: first a snapshot, then each
 /// change. It takes a new snapshot when the log has been trimmed beyond its
-/// position, when several reads in a row have failed, and on request.
+/// position, when the store has come back from an older copy, when several
+/// reads in a row have failed, and on request.
 template <Store S, KeyedDecoder Decode, std::invocable<FollowerEvent> Sink>
 class KeyedFollower {
  public:
@@ -97,17 +109,22 @@
         co_await this->HandleFailure(ErrorOf(newest));
         continue;
       }
-      this->HandleSuccess();
-      if (ValueOf(newest).end_offset < this->next_offset) {
-        // Logs don't shrink, so this snapshot is older than the records that
-        // have been read already.
-        this->sink(RecordSkipped{
-            .reason = "snapshot is older than the records already read"});
-        co_await this->Sleep(kMinBackoff);
+      const SnapshotKind kind =
+          this->position.OnSnapshot(ValueOf(newest), Now());
+      if (kind == SnapshotKind::kOutdated) {
+        co_await this->HandleFailure(OutdatedAnswer());
+        continue;
+      }
+      this->ReportReachable();
+      if (kind == SnapshotKind::kOlder) {
+        this->ReportOlderSnapshot();
+        co_await this->Sleep(this->backoff.Next());
         continue;
       }
-      this->sink(TopicSnapshot{.records = ValueOf(newest).records});
-      this->next_offset = ValueOf(newest).end_offset;
+      this->backoff.Reset();
+      this->has_older_snapshot = false;
+      this->sink(TopicSnapshot{.records = ValueOf(newest).records,
+                               .is_restored = kind == SnapshotKind::kRestored});
       co_await this->FollowChanges();
     }
   }
@@ -123,6 +140,10 @@
   /// relayed without any.
   static constexpr int kMaxFailedReads = 4;
 
+  struct ReadEnded {
+    Result<LogReadOutcome> outcome;
+  };
+
   // Returns when a new snapshot is needed.
   boost::asio::awaitable<void> FollowChanges() {
     using boost::asio::experimental::awaitable_operators::operator||;
@@ -130,28 +151,57 @@
     int failed_reads = 0;
     while (is_following) {
       auto first_completed =
-          co_await (this->store.Read(this->settings.topic, this->next_offset,
-                                     this->settings.long_poll_timeout) ||
-                    Receive(*this->resync_requests));
+          co_await (this->ReadOn() || Receive(*this->resync_requests));
       if (first_completed.index() != 0) {
-        co_return;
+        is_following = this->HasAnswered(std::get<1>(first_completed).get());
+        continue;
       }
       const Result<LogReadOutcome> outcome =
-          std::get<0>(std::move(first_completed));
+          std::get<0>(std::move(first_completed)).outcome;
       if (!IsOk(outcome)) {
         co_await this->HandleFailure(ErrorOf(outcome));
         is_following = ++failed_reads < kMaxFailedReads;
-      } else if (const auto* records =
-                     std::get_if<LogRecords>(&ValueOf(outcome))) {
-        failed_reads = 0;
-        this->HandleSuccess();
-        this->HandleRecords(*records);
-      } else {
-        is_following = false;
+        continue;
       }
+      const auto* records = std::get_if<LogRecords>(&ValueOf(outcome));
+      if (records == nullptr || !this->position.HasReached(records->era)) {
+        co_return;
+      }
+      failed_reads = 0;
+      this->ReportReachable();
+      this->backoff.Reset();
+      this->HandleRecords(*records);
     }
   }
 
+  // An awaitable of a std::variant, which a Result is, would have each of its
+  // alternatives as one of the results of operator||.
+  boost::asio::awaitable<ReadEnded> ReadOn() {
+    Result<LogReadOutcome> outcome = co_await this->store.Read(
+        this->settings.topic, this->position.next_offset(),
+        this->settings.long_poll_timeout);
+    const bool is_outdated =
+        IsOk(outcome) && this->position.OnAnswer(EraOf(ValueOf(outcome))) ==
+                             EraChange::kOutdated;
+    co_return ReadEnded{is_outdated ? OutdatedAnswer() : std::move(outcome)};
+  }
+
+  // @return whether no snapshot has to be read for the request.
+  bool HasAnswered(const ResyncRequest* request) const {
+    return request != nullptr && request->era != StoreEra() &&
+           this->position.HasReached(request->era);
+  }
+
+  static Error OutdatedAnswer() {
+    return MakeError(ErrorKind::kStoreUnanswered,
+                     "the answer is of an outdated era of the store");
+  }
+
+  static TimePoint Now() {
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  }
+
   void HandleRecords(const LogRecords& records) {
     for (const std::string& bytes : records.records) {
       const Result<KeyedRecord> record = this->decode(bytes);
@@ -161,11 +211,18 @@
         this->sink(RecordSkipped{.reason = ErrorOf(record).message});
       }
     }
-    this->next_offset = records.next_offset;
+    this->position.MoveTo(records.next_offset);
+  }
+
+  // Reports the first one in a row only: it is read again until it is newer.
+  void ReportOlderSnapshot() {
+    if (!std::exchange(this->has_older_snapshot, true)) {
+      this->sink(RecordSkipped{
+          .reason = "snapshot is older than the records already read"});
+    }
   }
 
-  void HandleSuccess() {
-    this->backoff.Reset();
+  void ReportReachable() {
     if (!this->is_reachable) {
       this->is_reachable = true;
       this->sink(StoreReachability{.is_reachable = true});
@@ -194,7 +251,8 @@
   const Decode decode;
   const Sink sink;
   Backoff backoff;
-  LogOffset next_offset;
+  TopicPosition position;
+  bool has_older_snapshot = false;  ///< The last one was older.
   bool is_reachable = false;
 };
 
--- a/store/include/cicadaloft/store/messages.h
+++ b/store/include/cicadaloft/store/messages.h
@@ -53,6 +53,11 @@
 
 using LogReadOutcome = std::variant<LogRecords, LogTrimmed>;
 
+/// @return the era that the answer states.
+inline StoreEra EraOf(const LogReadOutcome& outcome) {
+  return std::visit([](const auto& item) { return item.era; }, outcome);
+}
+
 struct Appended {
   const LogOffset offset;
   const StoreEra era;
@@ -76,7 +81,7 @@
 
 /// The store has answered a call of this host.
 struct StoreEraSeen {
-  const StoreEra era;
+  StoreEra era;
 
   friend auto operator<=>(const StoreEraSeen&, const StoreEraSeen&) = default;
   friend bool operator==(const StoreEraSeen&, const StoreEraSeen&) = default;
