Draw steps back of the store in the soak, and check orders

The soak had no store that comes back from an older copy, and judged no orders.

Runners write down their orders. The new check ONE finds tokens that go down at a runner, tokens of two holders, and orders of two holders that are less than 3 s apart. Two runners lose each model 1.5 s after its load, so that there are orders all the time.

--- a/tests/soak/checks.cc
+++ b/tests/soak/checks.cc
@@ -32,6 +32,13 @@
                                                : "");
 }
 
+std::string Describe(const Order& order, Millis origin) {
+  return "order of " + order.holder + " with token " +
+         std::to_string(order.token) + " to runner " +
+         std::to_string(order.runner) + " at " +
+         std::to_string(order.at - origin) + " ms";
+}
+
 Millis OriginOf(const Evidence& evidence) {
   return evidence.lives.empty() ? 0 : evidence.lives.front().started_at;
 }
@@ -172,6 +179,38 @@
   return found;
 }
 
+std::vector<Violation> CheckOrders(const Evidence& evidence) {
+  std::vector<Violation> found;
+  const Millis origin = OriginOf(evidence);
+  std::map<int, std::uint64_t> highest;  // Of each runner.
+  std::map<std::uint64_t, std::string> holders;
+  for (const Order& order : evidence.orders) {
+    std::uint64_t& last = highest[order.runner];
+    if (order.token < last) {
+      found.push_back({"ONE", Describe(order, origin) + ", after token " +
+                                  std::to_string(last)});
+    }
+    last = std::max(last, order.token);
+    const auto [entry, is_new] = holders.emplace(order.token, order.holder);
+    if (entry->second != order.holder) {
+      found.push_back({"ONE", Describe(order, origin) +
+                                  ", which is a token of " + entry->second});
+    }
+  }
+  std::vector<Order> orders = evidence.orders;
+  std::ranges::sort(orders, {}, &Order::at);
+  for (std::size_t i = 1; i < orders.size(); ++i) {
+    const Order& previous = orders[i - 1];
+    const Millis gap = orders[i].at - previous.at;
+    if (previous.holder != orders[i].holder && gap < kHandoverDelay) {
+      found.push_back({"ONE", Describe(orders[i], origin) + ", " +
+                                  std::to_string(gap) + " ms after one of " +
+                                  previous.holder});
+    }
+  }
+  return found;
+}
+
 std::vector<Violation> CheckResponses(const Evidence& evidence) {
   std::vector<Violation> found;
   for (const Call& call : evidence.calls) {
@@ -205,8 +244,8 @@
 
 std::vector<Violation> CheckAll(const Evidence& evidence) {
   std::vector<Violation> found;
-  for (const auto check :
-       {CheckFaults, CheckLost, CheckRuns, CheckResponses, CheckRecovery}) {
+  for (const auto check : {CheckFaults, CheckLost, CheckRuns, CheckOrders,
+                           CheckResponses, CheckRecovery}) {
     std::ranges::copy(check(evidence), std::back_inserter(found));
   }
   return found;
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -15,6 +15,7 @@
 constexpr Millis kRecovery = 12000;
 constexpr Millis kReadyWithin = 10000;
 constexpr int kMemoryMb = 260;
+constexpr Millis kHandoverDelay = 3000;
 
 /// Hosts that end by themselves, end otherwise than asked, don't become ready
 /// or exceed their memory.
@@ -26,6 +27,10 @@
 /// Requests that ran more often than they may, or although they were refused.
 std::vector<Violation> CheckRuns(const Evidence& evidence);
 
+/// Orders whose fencing token is lower than an earlier one of their runner,
+/// tokens of two holders, and orders of two holders that are too close.
+std::vector<Violation> CheckOrders(const Evidence& evidence);
+
 /// Responses that are wrong by themselves.
 std::vector<Violation> CheckResponses(const Evidence& evidence);
 
--- a/tests/soak/checks_test.cc
+++ b/tests/soak/checks_test.cc
@@ -144,6 +144,27 @@
   ExpectKept(With({Answered(502)}, {kRun}));
 }
 
+// Guards against a soak that takes orders of a wrong holder for sound.
+BOOST_AUTO_TEST_CASE(OneIfTokensGoDownAreSharedOrFollowTooSoon) {
+  const auto with_orders = [](std::vector<Order> orders) {
+    Evidence evidence = With({}, {});
+    evidence.orders = std::move(orders);
+    return evidence;
+  };
+  const Order first{.runner = 1, .at = kSentAt, .holder = "h1", .token = 7};
+  Order next{.runner = 1, .at = kSentAt + 3000, .holder = "h2", .token = 9};
+  ExpectKept(with_orders({first, next}));
+  next.token = 6;
+  ExpectBroken("ONE", with_orders({first, next}));
+  next.runner = 2;
+  ExpectKept(with_orders({first, next}));
+  next.token = 7;
+  ExpectBroken("ONE", with_orders({first, next}));
+  next.token = 9;
+  next.at = kSentAt + 2999;
+  ExpectBroken("ONE", with_orders({first, next}));
+}
+
 BOOST_AUTO_TEST_CASE(RecoverIfNotServedLongAfterTheLastFault) {
   Evidence evidence = With({Answered(503)}, {});
   evidence.spans.front().to = kSentAt - kRecovery - 1;
--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -21,6 +21,9 @@
 constexpr double kRunnerMb = 160000;
 constexpr double kModelMb = 65100;
 
+constexpr int kDroppingRunners = 2;
+constexpr const char* kDropAfterMs = "1500";
+
 constexpr int kStorePort = 8225;
 constexpr int kRunnerPort = 8301;
 constexpr int kListenPort = 8221;
@@ -141,6 +144,8 @@
                                  this->store().Text(),
                                  "--runs",
                                  this->RunsPath(runner),
+                                 "--orders",
+                                 this->OrdersPath(runner),
                                  "--load-ms",
                                  "760",
                                  "--event-ms",
@@ -151,8 +156,13 @@
                                  "60",
                                  "--slots",
                                  is_plain ? "6" : "48"};
+  // Some runners lose each model soon after its load, so that orders never end.
+  const bool is_dropping = !is_plain && runner.index <= kDroppingRunners;
+  if (is_dropping) {
+    words.insert(words.end(), {"--drop-after-ms", kDropAfterMs});
+  }
   // Runners restart without models, but keep their disk.
-  if (!is_plain && is_first) {
+  if (!is_plain && is_first && !is_dropping) {
     words.insert(words.end(), {"--models", models});
   }
   if (!is_plain) {
@@ -201,6 +211,10 @@
   return this->all_paths.logs + "/" + runner.id + ".runs";
 }
 
+std::string Deployment::OrdersPath(const RunnerPlace& runner) const {
+  return this->all_paths.logs + "/" + runner.id + ".orders";
+}
+
 std::string ConfigurationRecord(int version) {
   json models = json::array();
   for (int i = 0; i < kModels; ++i) {
@@ -259,4 +273,21 @@
   return runs;
 }
 
+std::vector<Order> ReadOrders(const std::string& path, int runner) {
+  std::vector<Order> orders;
+  std::ifstream file(path);
+  std::string line;
+  while (std::getline(file, line)) {
+    const json order = json::parse(line, nullptr, false);
+    // The last line is incomplete if the runner was killed meanwhile.
+    if (order.is_object() && order.contains("fencing_token")) {
+      orders.push_back({.runner = runner,
+                        .at = order.at("at_ms"),
+                        .holder = order.at("holder"),
+                        .token = order.at("fencing_token")});
+    }
+  }
+  return orders;
+}
+
 }  // namespace cicadaloft::soak
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -60,6 +60,8 @@
   std::string Settings(const HostPlace& host, bool is_first) const;
   /// File to which the runner appends each request that it executes.
   std::string RunsPath(const RunnerPlace& runner) const;
+  /// File to which the runner appends each order that it gets.
+  std::string OrdersPath(const RunnerPlace& runner) const;
 
  private:
   std::string Ip(int last) const;
@@ -78,6 +80,9 @@
 /// @return the executions in a runner's file.
 std::vector<Run> ReadRuns(const std::string& path, int runner);
 
+/// @return the orders in a runner's file.
+std::vector<Order> ReadOrders(const std::string& path, int runner);
+
 }  // namespace cicadaloft::soak
 
 #endif  // CICADALOFT_TESTS_SOAK_DEPLOYMENT_H_
--- a/tests/soak/director.cc
+++ b/tests/soak/director.cc
@@ -12,6 +12,8 @@
 namespace asio = boost::asio;
 
 constexpr Millis kCallTimeout = 2000;
+/// Age of the copy from which the store comes back.
+constexpr Millis kRestoredAge = 8000;
 
 }  // namespace
 
@@ -84,7 +86,8 @@
   if (fault.kind == FaultKind::kConfigure) {
     co_await this->Configure();
   } else if (fault.kind == FaultKind::kStore ||
-             fault.kind == FaultKind::kTrim) {
+             fault.kind == FaultKind::kTrim ||
+             fault.kind == FaultKind::kRestore) {
     co_await this->CarryOutOnStore(fault);
   } else if (IsOfRunner(fault.kind)) {
     co_await this->CarryOutOnRunner(fault);
@@ -135,8 +138,12 @@
     co_return;
   }
   this->AddSpan(SpanKind::kStoreFault, 0, fault.length);
-  const std::string path = "/admin/fault?kind=" + fault.detail +
-                           "&for_ms=" + std::to_string(fault.length);
+  const std::string length = std::to_string(fault.length);
+  const std::string path =
+      fault.kind == FaultKind::kRestore
+          ? "/admin/restore?back_ms=" + std::to_string(kRestoredAge) +
+                "&away_ms=" + length
+          : "/admin/fault?kind=" + fault.detail + "&for_ms=" + length;
   co_await CallOnce(this->deployment.store(), "POST", path, "", kCallTimeout);
   co_await Sleep(fault.length);
 }
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -141,6 +141,9 @@
       std::ranges::copy(
           ReadRuns(this->deployment.RunsPath(runner), runner.index),
           std::back_inserter(this->evidence.runs));
+      std::ranges::copy(
+          ReadOrders(this->deployment.OrdersPath(runner), runner.index),
+          std::back_inserter(this->evidence.orders));
     }
     return this->evidence;
   }
@@ -216,8 +219,8 @@
     std::cout << " " << what << " " << count;
   }
   std::cout << "; " << evidence.runs.size() << " runs, "
-            << evidence.lives.size() << " lives of hosts, at most " << peak
-            << " MB" << std::endl;
+            << evidence.orders.size() << " orders, " << evidence.lives.size()
+            << " lives of hosts, at most " << peak << " MB" << std::endl;
 }
 
 void PrintViolations(const std::vector<Violation>& violations) {
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -36,6 +36,16 @@
   bool operator==(const Run&) const = default;
 };
 
+/// One order as the runner saw it.
+struct Order {
+  int runner = 0;
+  Millis at = 0;
+  std::string holder;
+  std::uint64_t token = 0;
+
+  bool operator==(const Order&) const = default;
+};
+
 enum class SpanKind {
   kHostStop,
   kHostFault,
@@ -77,6 +87,7 @@
 struct Evidence {
   std::vector<Call> calls;
   std::vector<Run> runs;
+  std::vector<Order> orders;  ///< Those of each runner as they came.
   std::vector<Span> spans;
   std::vector<Life> lives;
   Millis stopped_at = 0;  ///< When the last planned stop of all hosts began.
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -28,6 +28,7 @@
     Weighted{FaultKind::kConfigure, "configure", 4, true, 0, 0},
     Weighted{FaultKind::kStore, "store", 3, false, 500, 5000},
     Weighted{FaultKind::kTrim, "trim", 1, false, 0, 0},
+    Weighted{FaultKind::kRestore, "restore", 2, false, 100, 2000},
     Weighted{FaultKind::kRunnerCrash, "runner-crash", 3, false, 200, 3000},
     Weighted{FaultKind::kRunnerRest, "runner-rest", 2, true, 1000, 3000},
     Weighted{FaultKind::kRunnerLeave, "runner-leave", 2, true, 2500, 4000},
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -21,6 +21,7 @@
   kConfigure,       ///< A new version of the configuration.
   kStore,           ///< A fault of the store.
   kTrim,            ///< The store drops its history.
+  kRestore,         ///< The store comes back from an older copy.
   kRunnerCrash,     ///< A crash, then a restart.
   kRunnerRest,      ///< A runner turns requests away.
   kRunnerLeave,     ///< A runner says that it leaves, ends and is restarted.
