Let fake runners cut off one host, and be brittle

No stand-in could take one host's links to all targets away, and none crashed for what it had to turn away.

A fake runner cuts the connections of one source address: they hang, or are reset, or new ones and half of the others are reset. All hosts connect from 127.0.0.1 otherwise, so the library connect_source, loaded with LD_PRELOAD, gives a host an address of its own. A connection that is made in a hanging cut is accepted by the kernel and then silent; a link that is really gone would leave the attempt to connect without an answer.

The runner's slots bind if it is told how many requests may wait. Once it is brittle, it announces Server-Brittle, and crashes if it turns away too many requests in a second.

Callers with kept connections can write down each request, and connect anew for each.

--- a/tests/stand_ins/fake_runner.cc
+++ b/tests/stand_ins/fake_runner.cc
@@ -5,18 +5,24 @@
 #include <docopt/docopt.h>
 
 #include <algorithm>
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "http_server.h"
+#include "links.h"
+#include "registry_writer.h"
+#include "room.h"
+#include "runner_models.h"
+#include "runner_settings.h"
 
 namespace cicadaloft::stand_ins {
 namespace {
@@ -26,120 +32,62 @@
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
-constexpr char kUsage[] = R"(A fake runner.
-
-Usage:
-  fake_runner --listen ADDRESS --id ID --service NAME --zone NAME --store ADDRESS
-              [--models NAMES] [--disk NAMES] [--load-ms N] [--event-ms N]
-              [--work-ms N] [--slots N] [--event-tokens N]
-              [--runs FILE] [--until-close] [--software VERSION]
-              [--drop-after-ms N] [--orders FILE]
-
-Options:
-  --listen ADDRESS  Address to listen on, "IP:port".
-  --id ID         Its name in the registry.
-  --service NAME  The service that it belongs to.
-  --zone NAME     Its data centre.
-  --store ADDRESS Address of the fake store.
-  --models NAMES  Models loaded at the start, separated by commas [default: ].
-  --disk NAMES    Models on the disk, separated by commas [default: ].
-  --load-ms N     Duration of a load in ms [default: 400].
-  --event-ms N    Interval between two events of a stream in ms [default: 20].
-  --work-ms N     Time until a plain response in ms [default: 0].
-  --slots N       Number of slots that it registers [default: 8].
-  --event-tokens N  Tokens of Token-Counts per event of a stream; 0: a stream
-                  has 8 events [default: 0].
-  --runs FILE     Appends the time of the steady clock in ms and the id of each
-                  request that it executes; kept when the process ends.
-  --until-close   The end of the connection marks the end of a stream.
-  --software VERSION  Version of its software, which is in the registry and in
-                  each event of a stream [default: v1].
-  --drop-after-ms N  N ms after the load of a model is complete it goes on as a
-                  process that has just started, without models, so that orders
-                  never end; 0: models stay loaded [default: 0].
-  --orders FILE   Appends a JSON line for each order: the time of the steady
-                  clock in ms, its fields, and the status of the response.
-
-  GET /seen           returns the ids of all requests that were executed
-  GET /turned_away    returns those that were turned away during a rest
-  POST /admin/crash   ends the process immediately
-  POST /admin/leaving says in every response that the runner leaves
-  POST /admin/rest?seconds=N
-                      turns requests away with 503 and Retry-After for N seconds
-)";
-
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> parts;
-  if (!text.empty()) {
-    boost::split(parts, text, boost::is_any_of(","));
-  }
-  return parts;
-}
-
-struct Settings {
-  std::string address;
-  std::string id;
-  std::string service;
-  std::string zone;
-  std::string store;
-  milliseconds load_time{};
-  milliseconds event_interval{};
-  milliseconds work_time{};
-  long slots = 0;
-  long event_tokens = 0;
-  std::string runs_file;
-  bool is_until_close = false;
-  std::string software;
-  milliseconds drop_after{};
-  std::string orders_file;
-};
-
 std::int64_t UnixMs() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
-long NowMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             Clock::now().time_since_epoch())
-      .count();
-}
+/// From a crash for too many rejections until the runner is back.
+constexpr milliseconds kDownTime{4000};
 
 /// Between two attempts to write the registry record.
 constexpr milliseconds kRegisterInterval{100};
 
 class FakeRunner {
  public:
-  FakeRunner(asio::io_context& context,
-             Settings settings,
-             std::vector<std::string> models,
-             std::vector<std::string> disk)
+  FakeRunner(asio::io_context& context, Settings settings)
       : context(context),
         settings(std::move(settings)),
-        loaded(models.begin(), models.end()),
-        disk(disk.begin(), disk.end()),
+        models(this->settings.models,
+               this->settings.load_time,
+               this->settings.orders_file),
+        room(context,
+             static_cast<std::size_t>(this->settings.slots),
+             this->settings.waiting < 0
+                 ? std::nullopt
+                 : std::optional<std::size_t>(this->settings.waiting)),
         started_unix_ms(UnixMs()) {
+    this->room.OnCrash([this] { this->Crash(); });
     if (!this->settings.runs_file.empty()) {
       this->runs.open(this->settings.runs_file, std::ios::app);
     }
-    if (!this->settings.orders_file.empty()) {
-      this->orders.open(this->settings.orders_file, std::ios::app);
-    }
   }
 
   /// Writes this runner's record to the registry, again until the store has
   /// accepted it.
   asio::awaitable<void> Register() {
     asio::steady_timer timer(this->context);
-    while (!co_await this->WriteRecord()) {
+    while (!co_await WriteRegistryRecord(this->context, this->settings.store,
+                                         this->settings.id,
+                                         this->RegistryRecord().dump())) {
       timer.expires_after(kRegisterInterval);
       co_await timer.async_wait(asio::use_awaitable);
     }
   }
 
+  Links& connections() { return this->links; }
+
   asio::awaitable<bool> Handle(const Request& request, Socket& socket) {
     const std::string path = PathOf(std::string(request.target()));
+    if (path == "/admin/cut" || path == "/admin/brittle") {
+      this->Disturb(path, QueryOf(std::string(request.target())));
+      co_return co_await this->Write(socket, MakeResponse(200));
+    }
+    if (path == "/crashes") {
+      co_return co_await this->Write(
+          socket, MakeResponse(200, std::to_string(this->room.crash_count())));
+    }
     if (path == "/admin/leaving") {
       this->is_leaving = true;
       co_return co_await this->Write(socket, MakeResponse(200));
@@ -153,8 +101,8 @@
     }
     if (path == "/report") {
       json report = this->RegistryRecord();
-      report["sequence"] = this->sequence;
-      report["busy"] = this->IsBusy();
+      report["sequence"] = this->models.sequence();
+      report["busy"] = this->models.IsBusy();
       co_return co_await this->Write(socket, MakeResponse(200, report.dump()));
     }
     if (path == "/seen") {
@@ -180,139 +128,86 @@
   }
 
  private:
-  asio::awaitable<bool> WriteRecord() {
-    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
-    const std::string& store = this->settings.store;
-    const std::size_t colon = store.rfind(':');
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(store.substr(0, colon)),
-        static_cast<unsigned short>(std::stoi(store.substr(colon + 1))));
-    Socket socket(this->context);
-    const auto [connect_error] =
-        co_await socket.async_connect(endpoint, kAsTuple);
-    if (connect_error) {
-      co_return false;
+  void Disturb(const std::string& path,
+               const std::map<std::string, std::string>& query) {
+    const milliseconds duration(std::stoi(query.at("for_ms")));
+    if (path == "/admin/brittle") {
+      this->room.BecomeBrittle({.rejections_per_s = std::stoul(query.at("n")),
+                                .waiting = std::stoul(query.at("waiting")),
+                                .from = Clock::now(),
+                                .until = Clock::now() + duration});
+      return;
     }
-    Request request(http::verb::post,
-                    "/admin/put?topic=keyed.servers&key=" + this->settings.id,
-                    11);
-    request.set(http::field::host, store);
-    request.body() = this->RegistryRecord().dump();
-    request.prepare_payload();
-    const auto [write_error, written] =
-        co_await http::async_write(socket, request, kAsTuple);
-    boost::beast::flat_buffer buffer;
-    Response response;
-    const auto [read_error, read] =
-        co_await http::async_read(socket, buffer, response, kAsTuple);
-    co_return !write_error && !read_error &&
-        response.result() == http::status::ok;
+    const std::string& how = query.at("how");
+    this->links.Cut(query.at("from"),
+                    how == "hang"    ? Links::CutKind::kHang
+                    : how == "reset" ? Links::CutKind::kReset
+                                     : Links::CutKind::kRefuse,
+                    duration);
   }
 
   asio::awaitable<void> DropLater() {
     asio::steady_timer timer(
         this->context, this->settings.load_time + this->settings.drop_after);
     co_await timer.async_wait(asio::use_awaitable);
-    this->loaded.clear();
-    this->loading.clear();
-    this->sequence = 0;
+    co_await this->StartAgain();
+  }
+
+  // Goes on as a process that has just started.
+  asio::awaitable<void> StartAgain() {
+    this->models.Clear();
     this->started_unix_ms = UnixMs();
     co_await this->Register();
   }
 
-  void Unload(const std::string& path) {
-    std::erase_if(this->loaded, [&](const std::string& item) {
-      return item == path || item.starts_with(path + "/");
-    });
+  void Crash() {
+    std::cout << "crash " << SteadyMs() << std::endl;
+    this->links.GoDown(kDownTime);
+    asio::co_spawn(
+        this->context,
+        [this]() -> asio::awaitable<void> {
+          co_await this->links.AwaitUp();
+          co_await this->StartAgain();
+        },
+        asio::detached);
   }
 
   json RegistryRecord() const {
-    std::map<std::string, json> models;
-    for (const std::string& path : this->loaded) {
-      const std::size_t slash = path.find('/');
-      json& model = models[path.substr(0, slash)];
-      model["name"] = path.substr(0, slash);
-      model["version"] = 1;
-      if (!model.contains("adapters")) {
-        model["adapters"] = json::array();
-      }
-      if (slash != std::string::npos) {
-        model["adapters"].push_back(path.substr(slash + 1));
-      }
-    }
-    json list = json::array();
-    for (const auto& [name, model] : models) {
-      list.push_back(model);
-    }
-    return {
-        {"service", this->settings.service},
-        {"address", this->settings.address},
-        {"zone", this->settings.zone},
-        {"version", this->settings.software},
-        {"slots", this->settings.slots},
-        {"state", "ready"},
-        {"cold_remaining_ms", 0},
-        {"born", this->started_unix_ms},
-        {"sequence", 1},
-        {"models", list},
-        {"at_hand", {{"in_memory", json::array()}, {"on_disk", this->disk}}}};
+    return {{"service", this->settings.service},
+            {"address", this->settings.address},
+            {"zone", this->settings.zone},
+            {"version", this->settings.software},
+            {"slots", this->settings.slots},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"born", this->started_unix_ms},
+            {"sequence", 1},
+            {"models", this->models.Record()},
+            {"at_hand",
+             {{"in_memory", json::array()}, {"on_disk", this->settings.disk}}}};
   }
 
   asio::awaitable<bool> Write(Socket& socket, Response response) {
     if (this->is_leaving) {
       response.set("Server-Leaving", "1");
     }
+    if (const auto rejections = this->room.announced()) {
+      response.set("Server-Brittle", std::to_string(*rejections));
+    }
+    co_await this->links.Pass(socket);
     co_return co_await stand_ins::Write(socket, std::move(response));
   }
 
-  bool IsBusy() const { return Clock::now() < this->busy_until; }
-
   Response ExecuteOrder(const std::string& body) {
-    const json order = json::parse(body, nullptr, false);
-    Response response = this->ExecuteOrder(order);
-    if (this->orders.is_open()) {
-      json line = order.is_object() ? order : json::object();
-      line["at_ms"] = NowMs();
-      line["status"] = response.result_int();
-      this->orders << line.dump() << std::endl;
+    const std::uint64_t loads = this->models.load_count();
+    Response response = this->models.Execute(body);
+    if (this->models.load_count() > loads &&
+        this->settings.drop_after > milliseconds(0)) {
+      asio::co_spawn(this->context, this->DropLater(), asio::detached);
     }
     return response;
   }
 
-  Response ExecuteOrder(const json& order) {
-    if (!order.is_object() || !order.contains("holder") ||
-        !order.contains("fencing_token")) {
-      return MakeResponse(400);
-    }
-    const bool has_conflict =
-        this->IsBusy() ||
-        order.value("expect", this->sequence) != this->sequence;
-    if (has_conflict) {
-      return MakeResponse(409);
-    }
-    const std::string model = order["model"];
-    const std::string adapter = order.value("adapter", "");
-    const std::string path = adapter.empty() ? model : model + "/" + adapter;
-    const bool is_load = order["operation"] == "load";
-    if (is_load == this->loaded.contains(path)) {
-      return MakeResponse(200);
-    }
-    ++this->sequence;
-    if (!is_load) {
-      this->Unload(path);
-      return MakeResponse(adapter.empty() ? 202 : 200);
-    }
-    this->loaded.insert(path);
-    if (adapter.empty()) {
-      this->busy_until = Clock::now() + this->settings.load_time;
-      this->loading = path;
-      if (this->settings.drop_after > milliseconds(0)) {
-        asio::co_spawn(this->context, this->DropLater(), asio::detached);
-      }
-    }
-    return MakeResponse(202);
-  }
-
   asio::awaitable<bool> Reject(Socket& socket, unsigned status) {
     Response response = MakeResponse(status);
     response.set("Not-Executed", "1");
@@ -322,7 +217,7 @@
 
   asio::awaitable<bool> ExecuteRequest(const Request& request, Socket& socket) {
     const std::string model(request["Model"]);
-    if (!model.empty() && !this->loaded.contains(model)) {
+    if (!model.empty() && !this->models.Has(model)) {
       co_return co_await this->Reject(socket, 421);
     }
     if (Clock::now() < this->rests_until) {
@@ -333,13 +228,17 @@
       this->turned_away.push_back(std::string(request["Request-Id"]));
       co_return co_await this->Write(socket, std::move(response));
     }
-    if (this->IsBusy() && model == this->loading) {
+    if (this->models.IsLoading(model)) {
       co_return co_await this->Reject(socket, 503);
     }
     const std::string id(request["Request-Id"]);
+    const auto slot = co_await this->room.Enter();
+    if (!slot) {
+      co_return co_await this->TurnAway(socket, id);
+    }
     this->executed_requests.push_back(id);
     if (this->runs.is_open()) {
-      this->runs << NowMs() << " " << id << std::endl;
+      this->runs << SteadyMs() << " " << id << std::endl;
     }
     if (model.empty()) {
       asio::steady_timer timer(socket.get_executor(), this->settings.work_time);
@@ -353,11 +252,18 @@
     co_return co_await this->WriteStream(request, id, socket);
   }
 
+  asio::awaitable<bool> TurnAway(Socket& socket, const std::string& id) {
+    Response response = MakeResponse(503);
+    this->SetCommonHeaders(response, id);
+    response.set("Not-Executed", "1");
+    co_return co_await this->Write(socket, std::move(response));
+  }
+
   void SetCommonHeaders(Response& response, const std::string& id) const {
     response.set("Request-Id", id);
     response.set("Server-Stamp", "stand-in." + this->settings.id);
     response.set("Keep-Alive", "timeout=5");
-    response.set("Instance-Load", "1,0,8");
+    response.set("Instance-Load", this->room.Load());
   }
 
   // The number of events of a stream, from "PROMPT,OUTPUT" tokens.
@@ -387,6 +293,7 @@
         this->settings.id + (this->is_leaving ? "\r\nServer-Leaving: 1" : "") +
         "\r\n\r\n";
     const auto write = [&](std::string text) -> asio::awaitable<bool> {
+      co_await this->links.Pass(socket);
       const auto [error, size] = co_await asio::async_write(
           socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
       co_return !error;
@@ -413,16 +320,13 @@
 
   asio::io_context& context;
   const Settings settings;
-  std::set<std::string> loaded;  ///< "MODEL" and "MODEL/ADAPTER".
-  const std::set<std::string> disk;
+  RunnerModels models;
+  Links links;
+  Room room;
   std::int64_t started_unix_ms;
-  std::uint64_t sequence = 0;  ///< Number of orders that changed the state.
-  Clock::time_point busy_until{};
-  std::string loading;
   std::vector<std::string> executed_requests;  ///< Their ids.
   std::vector<std::string> turned_away;
   std::ofstream runs;
-  std::ofstream orders;
   bool is_leaving = false;
   int rest_seconds = 0;
   Clock::time_point rests_until{};
@@ -433,34 +337,18 @@
 
 int main(int argc, char** argv) {
   using namespace cicadaloft::stand_ins;
-  auto options = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
-  const Settings settings{
-      .address = options["--listen"].asString(),
-      .id = options["--id"].asString(),
-      .service = options["--service"].asString(),
-      .zone = options["--zone"].asString(),
-      .store = options["--store"].asString(),
-      .load_time = milliseconds(options["--load-ms"].asLong()),
-      .event_interval = milliseconds(options["--event-ms"].asLong()),
-      .work_time = milliseconds(options["--work-ms"].asLong()),
-      .slots = options["--slots"].asLong(),
-      .event_tokens = options["--event-tokens"].asLong(),
-      .runs_file = options["--runs"].isString() ? options["--runs"].asString()
-                                                : std::string(),
-      .is_until_close = options["--until-close"].asBool(),
-      .software = options["--software"].asString(),
-      .drop_after = milliseconds(options["--drop-after-ms"].asLong()),
-      .orders_file = options["--orders"].isString()
-                         ? options["--orders"].asString()
-                         : std::string()};
+  auto options = docopt::docopt(kRunnerUsage, {argv + 1, argv + argc}, true);
+  const Settings settings = ReadSettings(options);
   boost::asio::io_context context(1);
-  FakeRunner runner(context, settings, Split(options["--models"].asString()),
-                    Split(options["--disk"].asString()));
-  boost::asio::co_spawn(context, runner.Register(), boost::asio::detached);
+  const auto runner = std::make_shared<FakeRunner>(context, settings);
+  boost::asio::co_spawn(context, runner->Register(), boost::asio::detached);
   context.run();
   context.restart();
-  Serve(context, settings.address,
-        [&runner](const Request& request, Socket& socket) {
-          return runner.Handle(request, socket);
-        });
+  Serve(
+      context, settings.address,
+      // Connections keep the runner until they have ended.
+      [runner](const Request& request, Socket& socket) {
+        return runner->Handle(request, socket);
+      },
+      runner->connections());
 }
--- a/tests/stand_ins/http_server.h
+++ b/tests/stand_ins/http_server.h
@@ -16,9 +16,12 @@
 #include <boost/beast/http/write.hpp>
 #include <csignal>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
+#include "links.h"
+
 namespace cicadaloft::stand_ins {
 
 namespace http = boost::beast::http;
@@ -57,7 +60,10 @@
 /// @tparam Handler takes a request and the socket; its awaited result is
 /// whether the connection stays open.
 template <typename Handler>
-boost::asio::awaitable<void> ServeConnection(Socket socket, Handler handler) {
+boost::asio::awaitable<void> ServeConnection(Socket socket,
+                                             Handler handler,
+                                             Links& links) {
+  const Links::Entry entry(links, socket);
   boost::beast::flat_buffer buffer;
   bool is_open = true;
   while (is_open) {
@@ -68,6 +74,7 @@
     if (error) {
       co_return;
     }
+    co_await links.Pass(socket);
     const Request request = parser.release();
     is_open = co_await handler(request, socket);
   }
@@ -82,23 +89,38 @@
   co_return !error;
 }
 
+/// @param address "IP:port".
+inline boost::asio::ip::tcp::endpoint ParseEndpoint(
+    const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  return {boost::asio::ip::make_address(address.substr(0, colon)),
+          static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+}
+
 /// Accepts connections on "IP:port" until SIGTERM or SIGINT.
 template <typename Handler>
 void Serve(boost::asio::io_context& context,
            const std::string& address,
-           Handler handler) {
-  const std::size_t colon = address.rfind(':');
-  const boost::asio::ip::tcp::endpoint endpoint(
-      boost::asio::ip::make_address(address.substr(0, colon)),
-      static_cast<unsigned short>(std::stoi(address.substr(colon + 1))));
+           Handler handler,
+           Links& links) {
+  const boost::asio::ip::tcp::endpoint endpoint = ParseEndpoint(address);
   boost::asio::ip::tcp::acceptor acceptor(context, endpoint);
+  links.Listen(acceptor);
   const auto accept = [&]() -> boost::asio::awaitable<void> {
     while (true) {
-      Socket socket =
-          co_await acceptor.async_accept(boost::asio::use_awaitable);
-      boost::asio::co_spawn(context,
-                            ServeConnection(std::move(socket), handler),
-                            boost::asio::detached);
+      auto [error, socket] = co_await acceptor.async_accept(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+      if (error && acceptor.is_open()) {
+        throw boost::system::system_error(error);
+      }
+      if (error) {
+        co_await links.AwaitUp();
+        acceptor = boost::asio::ip::tcp::acceptor(context, endpoint);
+      } else if (links.Admits(socket)) {
+        boost::asio::co_spawn(
+            context, ServeConnection(std::move(socket), handler, links),
+            boost::asio::detached);
+      }
     }
   };
   boost::asio::co_spawn(context, accept(), boost::asio::detached);
@@ -107,6 +129,21 @@
   context.run();
 }
 
+/// Serves without faults of links.
+template <typename Handler>
+void Serve(boost::asio::io_context& context,
+           const std::string& address,
+           Handler handler) {
+  const auto links = std::make_shared<Links>();
+  Serve(
+      context, address,
+      // Connections keep the links until they have ended.
+      [links, handler](const Request& request, Socket& socket) {
+        return handler(request, socket);
+      },
+      *links);
+}
+
 }  // namespace cicadaloft::stand_ins
 
 #endif  // CICADALOFT_TESTS_STAND_INS_HTTP_SERVER_H_
--- a/tests/stand_ins/kept_callers.cc
+++ b/tests/stand_ins/kept_callers.cc
@@ -19,6 +19,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstdint>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -54,6 +55,10 @@
   --model NAME      Header Model, for requests that need one.
   --key KEY         API key [default: demo-key].
   --body-bytes N    Size of a request's body [default: 1].
+  --log FILE        Appends a line for each request: when it was sent, on the
+                    steady clock in ms, its id, and its outcome.
+  --id-prefix TEXT  Of the requests' ids [default: c].
+  --reconnect       A new connection for each request.
   --eager           Open the next connection before the pause.
   --seed N          Of the pauses [default: 1].
 )";
@@ -73,8 +78,13 @@
   const std::string key;
   const std::size_t body_bytes;
   const bool is_eager;
+  const bool is_reconnecting;
+  const std::string id_prefix;
 };
 
+/// Where requests are written down; not open if that isn't asked for.
+using RequestLog = std::ofstream;
+
 std::vector<tcp::endpoint> ParseEndpoints(const std::string& list) {
   std::vector<tcp::endpoint> endpoints;
   std::size_t start = 0;
@@ -95,10 +105,15 @@
 
 class KeptCaller {
  public:
-  KeptCaller(const Settings& settings, int number, int seed, Counts& counts)
+  KeptCaller(const Settings& settings,
+             int number,
+             int seed,
+             Counts& counts,
+             RequestLog& log)
       : settings(settings),
         number(number),
         counts(counts),
+        log(log),
         random(static_cast<unsigned>(seed * 1000 + number)),
         host(static_cast<std::size_t>(number) % settings.hosts.size()) {}
 
@@ -118,7 +133,18 @@
         co_await timer.async_wait(kAsTuple);
         continue;
       }
-      ++this->counts[co_await this->SendRequest()];
+      const auto sent_at = Clock::now();
+      const std::string outcome = co_await this->SendRequest();
+      ++this->counts[outcome];
+      if (this->log.is_open()) {
+        this->log << std::chrono::duration_cast<milliseconds>(
+                         sent_at.time_since_epoch())
+                         .count()
+                  << " " << this->RequestId() << " " << outcome << std::endl;
+      }
+      if (this->settings.is_reconnecting) {
+        this->socket.reset();
+      }
     }
   }
 
@@ -142,14 +168,18 @@
     this->host = (this->host + 1) % this->settings.hosts.size();
   }
 
+  std::string RequestId() const {
+    return this->settings.id_prefix + std::to_string(this->number) + "-" +
+           std::to_string(this->last_id);
+  }
+
   std::string MakeRequest() {
+    ++this->last_id;
     std::string text =
         "POST " + this->settings.path +
         " HTTP/1.1\r\nHost: provador.example\r\nDeadline-Ms: 8000\r\n"
         "Authorization: Bearer " +
-        this->settings.key + "\r\nRequest-Id: c" +
-        std::to_string(this->number) + "-" + std::to_string(++this->last_id) +
-        "\r\n";
+        this->settings.key + "\r\nRequest-Id: " + this->RequestId() + "\r\n";
     if (!this->settings.model.empty()) {
       text += "Model: " + this->settings.model + "\r\nToken-Counts: 10,10\r\n";
     }
@@ -194,6 +224,7 @@
   const Settings& settings;
   const int number;
   Counts& counts;
+  RequestLog& log;
   std::mt19937 random;
   std::size_t host;
   std::uint64_t last_id = 0;
@@ -215,13 +246,20 @@
       .model = options["--model"] ? options["--model"].asString() : "",
       .key = options["--key"].asString(),
       .body_bytes = static_cast<std::size_t>(options["--body-bytes"].asLong()),
-      .is_eager = options["--eager"].asBool()};
+      .is_eager = options["--eager"].asBool(),
+      .is_reconnecting = options["--reconnect"].asBool(),
+      .id_prefix = options["--id-prefix"].asString()};
+  RequestLog log;
+  if (options["--log"]) {
+    log.open(options["--log"].asString(), std::ios::app);
+  }
   const int seed = static_cast<int>(options["--seed"].asLong());
   Counts counts;
   boost::asio::io_context context(1);
   std::vector<std::unique_ptr<KeptCaller>> callers;
   for (int i = 0; i < options["--callers"].asLong(); ++i) {
-    callers.push_back(std::make_unique<KeptCaller>(settings, i, seed, counts));
+    callers.push_back(
+        std::make_unique<KeptCaller>(settings, i, seed, counts, log));
     boost::asio::co_spawn(context, callers.back()->Run(),
                           boost::asio::detached);
   }
