Add the messages of detours around lost links to targets

Callers of a host that loses its links to all targets are hardly served (docs/incidents/2026-12-07-hosts-without-targets.md). This commit only sets down what the slices tell each other, as docs/design/detours.md has it: the probes of targets, the dispatch over a helping host, forwarded requests, and what hosts and the lease holder tell each other. All handlers do nothing, and nothing is sent yet.

The simulated hosts answer probes, since ProbeTarget is an effect of the entry that only the entry task executes.

Evidence: the program, control_test, limits_test, entry_test, poisoned_segment_test and link_codec_property_test build and pass. No behaviour changes.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -21,11 +21,13 @@
                            Duration limit_window,
                            Duration relay_interval,
                            const std::optional<UsageSettings>& usage_settings,
-                           bool orders_target_counts)
+                           bool orders_target_counts,
+                           std::string forward_address)
     : lease_settings(settings),
       limit_window(limit_window),
       relay_interval(relay_interval),
       orders_target_counts(orders_target_counts),
+      forward_address(std::move(forward_address)),
       lease(settings),
       ledger(limit_window) {
   if (usage_settings) {
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -38,11 +39,14 @@
   /// @param usage_settings none if the platform wants no usage reports.
   /// @param orders_target_counts whether the lease holder orders the number of
   /// targets of services with `scaling`.
+  /// @param forward_address where other hosts reach this host's listener for
+  /// forwarded requests; empty if it takes none, and then it offers none.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
                Duration relay_interval = kDefaultRelayInterval,
                const std::optional<UsageSettings>& usage_settings = {},
-               bool orders_target_counts = false);
+               bool orders_target_counts = false,
+               std::string forward_address = {});
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
@@ -67,6 +71,7 @@
   void Handle(const PoisonRefutation& refutation);
   void Handle(const TargetLeavingReport& report);
   void Handle(const QuotaHistory& history);
+  void Handle(const TargetReachabilityChanged& change);
   void MarkLeaving(const TargetLeavingReport& report);
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
@@ -107,6 +112,8 @@
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
   void OnPeerMessage(const HostId& host, const UsageCounts& counts);
   void OnPeerMessage(const HostId& host, const UsageClock& clock);
+  void OnPeerMessage(const HostId& host, const DetourOffer& offer);
+  void OnPeerMessage(const HostId& host, const DetourHosts& hosts);
   void UpdateRelay();
   void LogLeftOutRecords();
   void DecidePoison();
@@ -151,6 +158,7 @@
   Duration limit_window;
   Duration relay_interval;
   bool orders_target_counts;
+  std::string forward_address;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -272,6 +272,12 @@
   void ExecuteEntryEffect(Host&, const RunMeasured&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
   void ExecuteEntryEffect(Host&, const WaitMeasured&) {}
+  void ExecuteEntryEffect(Host& host, const ProbeTarget& probe) {
+    const TargetId target = probe.target;
+    this->Schedule(kLinkDelay, [this, &host, target] {
+      this->FeedEntry(host, TargetProbed{.target = target, .is_reached = true});
+    });
+  }
   // No route of the simulation has streams that are resumed.
   void ExecuteEntryEffect(Host&, const LookUpOrigin&) {}
   template <typename Message>
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -60,6 +60,8 @@
   void Handle(const PoisonBlock& block);
   void Handle(const OriginLookedUp& looked_up);
   void Handle(const QuotaHistoryRequest& request);
+  void Handle(const TargetProbed& probed);
+  void Handle(const DetourHostsChanged& change);
   void Handle(const EntryTick& tick);
   void Handle(const EntryStopRequested& stop);
 
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -17,6 +17,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/model_path.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/detour/detour_messages.h"
 #include "cicadaloft/duties/messages.h"
 #include "cicadaloft/fleet/target_record.h"
 #include "cicadaloft/poison/poison_messages.h"
@@ -97,6 +98,9 @@
   const std::uint64_t fingerprint = 0;  ///< Of customer key, path and body.
   /// None for a new stream and for other requests.
   const std::optional<StreamResumption> resumption;
+  /// The host that received the request from the caller and reaches no target;
+  /// none for a request that this host received from the caller.
+  const std::optional<HostId> forwarded_by;
 
   friend auto operator<=>(const RequestArrived&,
                           const RequestArrived&) = default;
@@ -106,9 +110,11 @@
 
 /// How one attempt to run a request on a target ended.
 enum class AttemptOutcome {
-  kCompleted,             ///< The complete response went to the caller.
-  kNotSent,               ///< No byte of the request was sent.
-  kShed,                  ///< Not run: the target reported overload.
+  kCompleted,  ///< The complete response went to the caller.
+  kNotSent,    ///< No byte of the request was sent.
+  /// Not run: the target reported overload, or a helping host has refused with
+  /// a refusal of its own that states this.
+  kShed,
   kNotLoaded,             ///< The target reports that it lacks the model.
   kOtherInstance,         ///< Another process than expected responded.
   kErrorResponse,         ///< Withheld, since another target may succeed.
@@ -243,21 +249,36 @@
                                 PoisonBlock,
                                 OriginLookedUp,
                                 QuotaHistoryRequest,
+                                TargetProbed,
+                                DetourHostsChanged,
                                 EntryTick,
                                 EntryStopRequested>;
 
-/// Sends the request to a target. An AttemptEnded always follows.
+/// Sends the request to a target, or to another host that does. An AttemptEnded
+/// always follows.
 struct Dispatch {
   const RequestId request;
   const AttemptNumber attempt;
-  /// A process with another id at the address must refuse the request.
+  /// A process with another id at the address must refuse the request. Empty if
+  /// the request goes to another host.
   const TargetId target;
+  /// Of the target, or of the helping host's listener for forwarded requests.
   const std::string address;
+  /// The helping host: the request goes to it as the caller sent it, with the
+  /// credential and with `response_timeout` as its timeout. It charges the
+  /// customer's limit and chooses the target; `target` and `origin` are empty.
+  /// The response is passed on unchanged, except for a refusal of the helping
+  /// host's own: 429, 503, 408 or 421 that states that the request has not run.
+  /// That one is withheld as kShed if `withholds_error_response` is set, and
+  /// passed on, with its Retry-After, as kCompleted otherwise. No other
+  /// response of a helping host is withheld.
+  const std::optional<HostId> via_host;
   const CustomerId customer;  ///< Empty if there is none, as on public routes.
   const int priority = 5;     ///< 0 is the highest.
   /// Remaining time for the complete response.
   const Duration response_timeout{};
-  /// Whether an error response is withheld because another target may succeed.
+  /// Whether an error response is withheld because another target, or another
+  /// helping host, may succeed.
   const bool withholds_error_response = false;
   /// Recorded before the response is passed on; none if it needs no record.
   const std::optional<OriginRecord> origin;
@@ -384,6 +405,8 @@
                                  TargetLeavingReport,
                                  QuotaHistory,
                                  LookUpOrigin,
+                                 ProbeTarget,
+                                 TargetReachabilityChanged,
                                  RequestsStarted,
                                  WaitMeasured,
                                  RunMeasured,
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -56,6 +56,7 @@
                                        PoisonRefutation,
                                        TargetLeavingReport,
                                        QuotaHistory,
+                                       TargetReachabilityChanged,
                                        RequestsStarted>;
 using EntryNotificationMailbox = Mailbox<EntryNotification>;
 /// No request is open, or the grace period has expired. Sent only after a
@@ -249,6 +250,10 @@
       this->metrics.CountDroppedMessage();
     }
   }
+  void Execute(const ProbeTarget&) {}
+  void Execute(const TargetReachabilityChanged& change) {
+    this->NotifyControl(change);
+  }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
   void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cicadaloft/admission/share_messages.h"
+#include "cicadaloft/detour/detour_messages.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/placement/messages.h"
 #include "cicadaloft/relay/messages.h"
@@ -37,7 +38,9 @@
                                  PoisonBlock,
                                  ServiceLoadReport,
                                  UsageCounts,
-                                 UsageClock>;
+                                 UsageClock,
+                                 DetourOffer,
+                                 DetourHosts>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -199,6 +199,23 @@
     std::tuple(Required("host", &ServiceLoadReport::host),
                Required("loads", &ServiceLoadReport::loads));
 
+template <>
+inline constexpr auto kJsonFields<DetourHost> =
+    std::tuple(Required("host", &DetourHost::host),
+               Required("address", &DetourHost::address));
+template <>
+inline constexpr bool kIsJsonRow<DetourHost> = true;
+
+template <>
+inline constexpr auto kJsonFields<DetourOffer> =
+    std::tuple(Required("host", &DetourOffer::host),
+               Required("address", &DetourOffer::address),
+               Required("reaches_targets", &DetourOffer::reaches_targets));
+
+template <>
+inline constexpr auto kJsonFields<DetourHosts> =
+    std::tuple(Required("hosts", &DetourHosts::hosts));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
@@ -209,7 +226,8 @@
          "target_leaving",   "relay_request",     "relay_welcome",
          "store_relay",      "quota_history",     "crash_evidence",
          "poison_suspects",  "poison_refutation", "poison_block",
-         "service_load",     "usage_counts",      "usage_clock"});
+         "service_load",     "usage_counts",      "usage_clock",
+         "detour_offer",     "detour_hosts"});
 
 }  // namespace cicadaloft
 
