--- /dev/null
+++ b/detour/tests/detour_ledger_test.cc
@@ -0,0 +1,115 @@
+#define BOOST_TEST_MODULE detour_ledger
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "cicadaloft/detour/detour_ledger.h"
+
+namespace cicadaloft {
+namespace {
+
+/// A ledger with offers of many hosts, and the lists that they were told.
+struct Offers {
+  void Offer(std::size_t index, bool reaches_targets = true) {
+    this->ledger.OnOffer(
+        DetourOffer{.host = HostId("host-" + std::to_string(index)),
+                    .address = "10.0.0." + std::to_string(index) + ":8080",
+                    .reaches_targets = reaches_targets});
+  }
+  /// @return the number of changed lists.
+  std::size_t Tell() {
+    this->now += DetourLedger::kListInterval;
+    const auto changes = this->ledger.TakeChanges(this->now);
+    for (const HostDetours& change : changes) {
+      this->lists[change.host] = change.helping;
+    }
+    return changes.size();
+  }
+
+  DetourLedger ledger;
+  TimePoint now{std::chrono::seconds(1000)};
+  std::map<HostId, std::vector<DetourHost>> lists;
+};
+
+// Guards against lists that grow with the number of hosts, and against hosts
+// that would carry the requests of many others.
+BOOST_FIXTURE_TEST_CASE(ListsAreBoundedAndSpread, Offers) {
+  constexpr std::size_t kHosts = 195;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    this->Offer(i);
+  }
+  BOOST_TEST(this->Tell() == kHosts);
+  std::map<HostId, std::size_t> helped;
+  for (const auto& [host, list] : this->lists) {
+    BOOST_TEST(list.size() == DetourLedger::kMaxHelpingHosts);
+    for (const DetourHost& helping : list) {
+      BOOST_TEST((helping.host != host));
+      ++helped[helping.host];
+    }
+  }
+  for (const auto& [host, count] : helped) {
+    BOOST_TEST(count <= 3 * DetourLedger::kMaxHelpingHosts);
+  }
+}
+
+// Guards against requests at hosts that are cut off themselves.
+BOOST_FIXTURE_TEST_CASE(HostsWithoutTargetsAreInNoList, Offers) {
+  for (std::size_t i = 0; i < 6; ++i) {
+    this->Offer(i);
+  }
+  this->Tell();
+  this->Offer(0, false);
+  this->Offer(1, false);
+  BOOST_TEST(this->Tell() == 6);
+  for (const auto& [host, list] : this->lists) {
+    BOOST_TEST(std::ranges::none_of(list, [](const DetourHost& helping) {
+      return helping.host == HostId("host-0") ||
+             helping.host == HostId("host-1");
+    }));
+  }
+  this->Offer(1, true);
+  this->Tell();
+  // All but itself.
+  BOOST_TEST(this->lists[HostId("host-0")].size() == 5);
+}
+
+// Guards against messages on calm days: offers are repeated every 5 s.
+BOOST_FIXTURE_TEST_CASE(RepeatedOfferChangesNoList, Offers) {
+  for (std::size_t i = 0; i < 20; ++i) {
+    this->Offer(i);
+  }
+  this->Tell();
+  for (std::size_t i = 0; i < 20; ++i) {
+    this->Offer(i);
+  }
+  BOOST_TEST(this->Tell() == 0);
+}
+
+// Guards against a host that doesn't learn whether the lease holder knows
+// detours: its first offer is answered, also by an empty list.
+BOOST_FIXTURE_TEST_CASE(FirstOfferOfALinkIsAnswered, Offers) {
+  this->Offer(0);
+  BOOST_TEST(this->Tell() == 1);
+  BOOST_TEST(this->lists.at(HostId("host-0")).empty());
+  this->ledger.OnLinkDown(HostId("host-0"));
+  this->Tell();
+  this->Offer(0);
+  BOOST_TEST(this->Tell() == 1);
+}
+
+// Guards against lists with hosts that have gone.
+BOOST_FIXTURE_TEST_CASE(HostWhoseLinkIsDownIsInNoList, Offers) {
+  this->Offer(0);
+  this->Offer(1);
+  this->Tell();
+  BOOST_TEST(this->lists.at(HostId("host-0")).size() == 1);
+  this->ledger.OnLinkDown(HostId("host-1"));
+  BOOST_TEST(this->Tell() == 1);
+  BOOST_TEST(this->lists.at(HostId("host-0")).empty());
+}
+
+}  // namespace
+}  // namespace cicadaloft
--- /dev/null
+++ b/detour/tests/helping_hosts_test.cc
@@ -0,0 +1,63 @@
+#define BOOST_TEST_MODULE helping_hosts
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "cicadaloft/detour/helping_hosts.h"
+
+namespace cicadaloft {
+namespace {
+
+const TimePoint kNow(std::chrono::seconds(1000));
+
+DetourHost MakeHost(const std::string& name) {
+  return DetourHost{.host = HostId(name), .address = name + ":1"};
+}
+
+// Guards against one helping host that gets all requests.
+BOOST_AUTO_TEST_CASE(RequestsAreSpreadByThoseInFlight) {
+  HelpingHosts hosts;
+  hosts.Replace({MakeHost("a"), MakeHost("b"), MakeHost("c")});
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 30; ++i) {
+    const auto host = hosts.Choose({}, kNow);
+    BOOST_REQUIRE(host.has_value());
+    hosts.OnSent(host->host);
+    ++sent[host->host.value()];
+    // Host "b" responds at once.
+    if (host->host == HostId("b")) {
+      hosts.OnEnded(host->host);
+    }
+  }
+  BOOST_TEST(sent["a"] == sent["c"]);
+  BOOST_TEST(sent["b"] > sent["a"]);
+}
+
+// Guards against requests at a host that has just refused, or is gone.
+BOOST_AUTO_TEST_CASE(HostThatFailedIsLeftOutForAWhile) {
+  HelpingHosts hosts;
+  hosts.Replace({MakeHost("a"), MakeHost("b")});
+  hosts.OnFailure(HostId("a"), kNow);
+  BOOST_TEST(hosts.Choose({}, kNow)->host.value() == "b");
+  BOOST_TEST(!hosts.Choose({HostId("b")}, kNow).has_value());
+  BOOST_TEST(!hosts.IsEmpty());
+  const TimePoint later = kNow + HelpingHosts::kFailureBackoff;
+  BOOST_TEST(hosts.Choose({HostId("b")}, later)->host.value() == "a");
+}
+
+// Guards against requests at hosts that the lease holder no longer names.
+BOOST_AUTO_TEST_CASE(ListReplacesTheEarlierOne) {
+  HelpingHosts hosts;
+  hosts.Replace({MakeHost("a")});
+  hosts.OnSent(HostId("a"));
+  hosts.Replace({MakeHost("b")});
+  BOOST_TEST(hosts.Choose({}, kNow)->host.value() == "b");
+  hosts.OnEnded(HostId("a"));
+  hosts.Replace({});
+  BOOST_TEST(hosts.IsEmpty());
+  BOOST_TEST(!hosts.Choose({}, kNow).has_value());
+}
+
+}  // namespace
+}  // namespace cicadaloft
