Send requests over other hosts while targets can't be reached

The entry probes targets when two fail or are silent. While all probes have failed and hosts are known that can help, new and waiting requests go to one of these. They don't charge this host's share of the limit and aren't counted as usage here, since the helping host does both. A request that may have run is not sent to a second host unless it is repeatable, within the retry budget.

Targets are not ejected for failures while links are suspected or lost. Repeatable requests that break at that moment wait for the probes: if targets have crashed, they need the retry budget as before, otherwise they go over a host without it. Evidence of crashes from that time is reported only if the registry shows that the process has ended.

--- a/detour/include/cicadaloft/detour/detour_messages.h
+++ b/detour/include/cicadaloft/detour/detour_messages.h
@@ -31,7 +31,7 @@
   friend bool operator==(const TargetProbed&, const TargetProbed&) = default;
 };
 
-/// Whether this host reaches targets, on each change and once at the start.
+/// Whether this host reaches targets, on each change; it does at the start.
 struct TargetReachabilityChanged {
   const bool reaches_targets = true;
 
--- a/detour/include/cicadaloft/detour/target_reachability.h
+++ b/detour/include/cicadaloft/detour/target_reachability.h
@@ -91,6 +91,8 @@
   TargetLinks links() const { return this->current_links; }
   /// @return when the present or the last suspicion or loss began.
   TimePoint suspected_at() const { return this->current_suspected_at; }
+  /// @return when the last suspicion or loss ended.
+  TimePoint settled_at() const { return this->ended_at; }
   TimePoint lost_at() const { return this->current_lost_at; }
   /// @return when a target was last reached; the epoch if never.
   TimePoint reached_at() const { return this->last_sign_at; }
@@ -148,7 +150,7 @@
   std::set<TargetId> unanswered;  ///< Of these.
   bool has_further_probes = false;
   TimePoint current_suspected_at{};
-  TimePoint settled_at{};  ///< The end of the last suspicion or loss.
+  TimePoint ended_at{};  ///< The end of the last suspicion or loss.
   TimePoint current_lost_at{};
   std::size_t probes_sent = 0;
 
--- a/detour/target_reachability.cc
+++ b/detour/target_reachability.cc
@@ -71,14 +71,14 @@
 }
 
 bool TargetReachability::AreTargetsSilent(TimePoint now) const {
-  const TimePoint heard_at = std::max(this->last_sign_at, this->settled_at);
+  const TimePoint heard_at = std::max(this->last_sign_at, this->ended_at);
   if (this->silent.empty() || now - heard_at < kMaxSilence) {
     return false;
   }
   TimePoint first = TimePoint::max();
   std::set<TargetId> targets;
   for (const SilentAttempt& attempt : this->silent | std::views::values) {
-    if (attempt.sent_at >= this->settled_at) {
+    if (attempt.sent_at >= this->ended_at) {
       first = std::min(first, attempt.sent_at);
       targets.insert(attempt.target);
     }
@@ -280,7 +280,7 @@
   this->current_links = links;
   this->probed.clear();
   this->unanswered.clear();
-  this->settled_at = now;
+  this->ended_at = now;
   this->successes.clear();
   this->last_reached.reset();
   if (links == TargetLinks::kLost) {
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -27,12 +27,23 @@
 }  // namespace
 
 void EntryCore::Handle(const RequestArrived& arrived) {
+  if (const auto refusal = this->CheckForwarded(arrived)) {
+    this->RefuseArrival(arrived, *refusal);
+    return;
+  }
   Admission admission = this->Admit(arrived);
   if (const auto* refusal = std::get_if<Refusal>(&admission)) {
     this->RefuseArrival(arrived, *refusal);
     return;
   }
   OpenRequest& admitted = std::get<OpenRequest>(admission);
+  if (this->UsesDetours()) {
+    this->RetryBudgetOf(admitted.queue_key.service).OnRequest();
+    this->TakeDetour(
+        this->requests.emplace(arrived.request, std::move(admitted))
+            .first->second);
+    return;
+  }
   const LimitCheck check = this->CheckLimit(admitted);
   if (const auto* refusal = std::get_if<Refusal>(&check)) {
     this->RefuseArrival(arrived, *refusal);
@@ -61,7 +72,10 @@
 void EntryCore::EnqueueForTarget(OpenRequest& request) {
   const QueueKey queue_key = request.queue_key;
   const RequestId id = request.arrival.request;
-  this->RetryBudgetOf(queue_key.service).OnRequest();
+  // The host that received it from its caller has counted it.
+  if (!request.arrival.forwarded_by) {
+    this->RetryBudgetOf(queue_key.service).OnRequest();
+  }
   this->AssignPlace(request);
   this->RecordUsage(request);
   this->Enqueue(request);
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -30,8 +30,7 @@
   return true;
 }
 
-Error ErrorAfter(AttemptOutcome outcome, const TargetId& target) {
-  const std::string name = "target " + target.value();
+Error ErrorAfter(AttemptOutcome outcome, const std::string& name) {
   switch (outcome) {
     case AttemptOutcome::kNotSent:
       return MakeError(ErrorKind::kTargetUnreachable, name + " is unreachable");
@@ -60,9 +59,13 @@
       found->second.attempt != started.attempt) {
     return;
   }
-  if (started.has_run && !found->second.has_response_started) {
+  const bool is_direct = !found->second.via_host;
+  if (started.has_run && is_direct && !found->second.has_response_started) {
     this->CountStarted(found->second);
   }
+  if (is_direct) {
+    this->reachability.OnSign(started.request, found->second.target, this->now);
+  }
   found->second.has_response_started = true;
   found->second.response_started_at = this->now;
   this->RecordNotice(found->second, started.notice);
@@ -99,16 +102,23 @@
 // Logs the outcome and updates the state of the target.
 void EntryCore::RecordOutcome(const OpenRequest& request,
                               const AttemptEnded& ended) {
-  this->Log(event_names::kAttemptEnded, request.arrival.caller_request_id,
-            {{"target", request.target.value()},
-             {"attempt", request.attempt.value()},
-             {"outcome", ToString(ended.outcome)},
-             {"status", ended.http_status},
-             {"response_bytes", ended.response_bytes},
-             {"response_ms", request.has_response_started
-                                 ? this->now - request.response_started_at
-                                 : Duration::zero()},
-             {"total_ms", this->now - request.arrived_at}});
+  this->Log(
+      event_names::kAttemptEnded, request.arrival.caller_request_id,
+      {{request.via_host ? "host" : "target",
+        request.via_host ? request.via_host->value() : request.target.value()},
+       {"attempt", request.attempt.value()},
+       {"outcome", ToString(ended.outcome)},
+       {"status", ended.http_status},
+       {"response_bytes", ended.response_bytes},
+       {"response_ms", request.has_response_started
+                           ? this->now - request.response_started_at
+                           : Duration::zero()},
+       {"total_ms", this->now - request.arrived_at}});
+  if (request.via_host) {
+    this->RecordDetour(request, ended);
+    return;
+  }
+  this->RecordLinks(request, ended);
   this->RecordPoisonEvidence(request, ended);
   const auto found = this->targets.find(request.target);
   if (found == this->targets.end() ||
@@ -135,14 +145,13 @@
                                        ModelLocations::kDenialTtl, this->now);
       }
       break;
-    case AttemptOutcome::kNotSent:
-      target.OnFailure(this->now);
-      break;
     case AttemptOutcome::kMemoryLimit:
     case AttemptOutcome::kCancelled:
       break;
     default:
-      target.OnFailure(this->now);
+      if (!this->AreLinksBlamed()) {
+        target.OnFailure(this->now);
+      }
       break;
   }
 }
@@ -196,32 +205,68 @@
   // the request later.
   const bool is_transient = ended.outcome == AttemptOutcome::kShed ||
                             ended.outcome == AttemptOutcome::kNotLoaded;
-  request.avoided_until[request.target] =
-      is_transient ? this->now + kTransientAvoidanceDuration : TimePoint::max();
+  if (request.via_host) {
+    request.tried_hosts.insert(*request.via_host);
+  } else {
+    request.avoided_until[request.target] =
+        is_transient ? this->now + kTransientAvoidanceDuration
+                     : TimePoint::max();
+  }
   if (may_have_run && !this->MayRunAgain(request)) {
-    this->RefuseOpenRequest(request, ErrorAfter(ended.outcome, request.target));
+    this->RefuseOpenRequest(
+        request, ErrorAfter(ended.outcome, request.DestinationText()));
     this->Close(request);
     return;
   }
   const bool was_delivered = ended.outcome != AttemptOutcome::kNotSent;
-  request.delivery_count += was_delivered ? 1 : 0;
-  this->TryRetry(request, ended, request.delivery_count > 0);
+  const bool may_be_links_fault = may_have_run && !request.via_host;
+  if (may_be_links_fault &&
+      this->reachability.links() == TargetLinks::kSuspected) {
+    request.suspended_after = ended.outcome;
+    this->expiries.emplace(request.wait_deadline, request.arrival.request);
+    return;
+  }
+  const bool is_links_fault = may_be_links_fault && this->UsesDetours();
+  request.delivery_count += was_delivered && !is_links_fault ? 1 : 0;
+  this->TryRetry(request, ended.outcome, request.delivery_count > 0);
+}
+
+// The links of this host were suspected when the attempts failed.
+void EntryCore::ResumeSuspended() {
+  std::vector<RequestId> ids;
+  for (const auto& [id, request] : this->requests) {
+    if (request.suspended_after) {
+      ids.push_back(id);
+    }
+  }
+  for (const RequestId& id : ids) {
+    OpenRequest& request = this->requests.at(id);
+    this->expiries.erase({request.wait_deadline, id});
+    const AttemptOutcome outcome = *request.suspended_after;
+    request.suspended_after.reset();
+    request.delivery_count += this->UsesDetours() ? 0 : 1;
+    this->TryRetry(request, outcome, request.delivery_count > 0);
+  }
 }
 
 void EntryCore::TryRetry(OpenRequest& request,
-                         const AttemptEnded& ended,
+                         AttemptOutcome outcome,
                          bool needs_budget) {
   const std::optional<Error> poison = this->CheckPoison(request);
   const bool has_budget =
       !needs_budget ||
       this->RetryBudgetOf(request.queue_key.service).TryAcquire();
   if (poison || !has_budget || this->now >= request.wait_deadline) {
-    this->RefuseOpenRequest(
-        request, poison.value_or(ErrorAfter(ended.outcome, request.target)));
+    this->RefuseOpenRequest(request, poison.value_or(ErrorAfter(
+                                         outcome, request.DestinationText())));
     this->Close(request);
     return;
   }
-  this->Enqueue(request);
+  if (this->NeedsDetour(request)) {
+    this->TakeDetour(request);
+  } else {
+    this->Enqueue(request);
+  }
 }
 
 bool EntryCore::MayRunAgain(const OpenRequest& request) const {
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -132,6 +132,7 @@
     }
     return is_removed;
   });
+  this->reachability.SetTargetCount(this->targets.size());
   this->DispatchFromAllQueues();
 }
 
@@ -169,6 +170,7 @@
 void EntryCore::Handle(const EntryTick&) {
   this->ReportStarted();
   this->HandleExpired();
+  this->ProbeTargets();
   this->ReportPoisonEvidence();
   this->DispatchFromAllQueues();
   if (this->now - this->usage_reported_at >= this->UsageReportInterval()) {
@@ -208,7 +210,7 @@
 
 void EntryCore::ReportUsage() {
   for (const auto& [id, request] : this->requests) {
-    if (request.is_running && request.queue_key.model) {
+    if (request.is_running && !request.via_host && request.queue_key.model) {
       ModelUsage& usage = this->model_usages[*request.queue_key.model];
       usage.path = *request.queue_key.model;
       ++usage.running;
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -22,6 +22,8 @@
 #include "cicadaloft/admission/request_queue.h"
 #include "cicadaloft/admission/service_ranks.h"
 #include "cicadaloft/core/result.h"
+#include "cicadaloft/detour/helping_hosts.h"
+#include "cicadaloft/detour/target_reachability.h"
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/poison/poison_guard.h"
@@ -277,10 +279,39 @@
   std::vector<ServiceLoad> TakeServiceLoads();
   Duration UsageReportInterval() const;
 
+  // This host's links to targets.
+  void RecordLinks(const OpenRequest& request, const AttemptEnded& ended);
+  /// Makes the probes that are due.
+  void ProbeTargets();
+  std::vector<ProbeCandidate> ProbeCandidates() const;
+  void FollowLinks();
+  void OnTargetsLost();
+  void OnTargetsReached();
+  /// Goes on with the requests that waited for probes.
+  void ResumeSuspended();
+  /// @return whether a failure is this host's own rather than the target's.
+  bool AreLinksBlamed() const;
+
+  // Requests over other hosts.
+  bool UsesDetours() const;
+  /// @return the refusal of a request that another host has forwarded; none if
+  /// this host takes it.
+  std::optional<Refusal> CheckForwarded(const RequestArrived& arrived) const;
+  /// @return whether the request must not wait for targets of this host. One
+  /// that was on a detour has not been charged here.
+  bool NeedsDetour(const OpenRequest& request) const;
+  void DetourWaitingRequests();
+  /// Sends a request that is in no queue over another host. One that was
+  /// forwarded to this host is refused instead.
+  void TakeDetour(OpenRequest& request);
+  void DispatchOverHost(OpenRequest& request);
+  void LogDetour(const OpenRequest& request);
+  void RecordDetour(const OpenRequest& request, const AttemptEnded& ended);
+
   // Ends of attempts and requests.
   void HandleFailure(OpenRequest& request, const AttemptEnded& ended);
   void TryRetry(OpenRequest& request,
-                const AttemptEnded& ended,
+                AttemptOutcome outcome,
                 bool needs_budget);
   void RecordOutcome(const OpenRequest& request, const AttemptEnded& ended);
   void RecordNotice(const OpenRequest& request, const TargetNotice& notice);
@@ -297,6 +328,10 @@
   void RecordPoisonEvidence(const OpenRequest& request,
                             const AttemptEnded& ended);
   void ReportPoisonEvidence();
+  void ReportEvidence(CrashEvidence evidence);
+  /// Reports what the registry confirms of the evidence from the time of a
+  /// loss of links.
+  void SettleDoubtfulEvidence();
   std::optional<Error> CheckPoison(const OpenRequest& request) const;
 
   std::optional<Duration> RetryAfter(const OpenRequest& request,
@@ -328,7 +363,13 @@
   QuotaCharges quota_charges;
   std::map<ServiceId, RetryBudget> retry_budgets;
   PoisonGuard poison_guard;
+  /// Evidence that may be due to this host's links, and its time.
+  std::vector<std::pair<TimePoint, CrashEvidence>> doubtful_evidence;
   WarmupPermits permits;
+  TargetReachability reachability;
+  TargetLinks followed_links = TargetLinks::kReached;
+  HelpingHosts helping_hosts;
+  std::size_t detour_count = 0;  ///< Since targets were lost.
 
   std::map<ModelPath, ModelUsage> model_usages;  ///< Since the last report.
   std::map<ServiceId, ServiceCounts> service_counts;  ///< Also since then.
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -174,6 +174,7 @@
     this->permits.OnSend(request.target);
   }
   target->OnDispatch();
+  this->reachability.OnSent(request.arrival.request, request.target, this->now);
   ++this->service_counts[request.queue_key.service].started;
   request.dispatched_at = this->now;
   request.size = this->SizeOf(request);
--- a/entry/entry_limits.cc
+++ b/entry/entry_limits.cc
@@ -135,7 +135,8 @@
   // than a message about it could take effect.
   const bool is_charged_to_share =
       request.customer != nullptr && request.customer->rate_per_second > 0 &&
-      !request.is_charged_to_pool && !request.quota_deadline;
+      !request.is_charged_to_pool && !request.is_charged_elsewhere &&
+      !request.quota_deadline;
   if (is_charged_to_share) {
     this->ShareOf(*request.customer).Refund(request.cost, request.arrived_at);
   }
--- a/entry/entry_poison.cc
+++ b/entry/entry_poison.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <numeric>
 #include <ranges>
@@ -15,6 +16,13 @@
 /// Bounds the length of a log line.
 constexpr std::size_t kMaxLoggedHashes = 32;
 
+/// Evidence kept until the registry shows whether targets have ended.
+constexpr std::size_t kMaxDoubtfulEvidence = 64;
+
+/// How much later than its links are back a host learns from the registry that
+/// a target's process has ended.
+constexpr Duration kMaxRegistryDelay = std::chrono::seconds(5);
+
 bool IsConnectionBroken(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kBrokenBeforeResponse ||
          outcome == AttemptOutcome::kBrokenDuringResponse;
@@ -70,15 +78,23 @@
 }
 
 void EntryCore::ReportPoisonEvidence() {
-  for (CrashEvidence& evidence : this->poison_guard.TakeEvidence()) {
-    this->Log(event_names::kTargetCrash, RequestId(),
-              {{"target", evidence.target.value()},
-               {"instance", evidence.instance.value()},
-               {"unreachable", evidence.is_unreachable ? "yes" : "no"},
-               {"requests", evidence.requests.size()},
-               {"fingerprints", Describe(EarliestBroken(evidence))}});
-    this->effects.emplace_back(std::move(evidence));
+  switch (this->reachability.links()) {
+    case TargetLinks::kReached:
+      for (CrashEvidence& evidence : this->poison_guard.TakeEvidence()) {
+        this->ReportEvidence(std::move(evidence));
+      }
+      break;
+    case TargetLinks::kSuspected:
+      break;
+    case TargetLinks::kLost:
+      for (CrashEvidence& evidence : this->poison_guard.TakeEvidence()) {
+        if (this->doubtful_evidence.size() < kMaxDoubtfulEvidence) {
+          this->doubtful_evidence.emplace_back(this->now, std::move(evidence));
+        }
+      }
+      break;
   }
+  this->SettleDoubtfulEvidence();
   if (auto refutation = this->poison_guard.TakeRefutation()) {
     this->Log(event_names::kPoisonRefuted, RequestId(),
               {{"fingerprints", Describe(refutation->fingerprints)},
@@ -87,6 +103,39 @@
   }
 }
 
+void EntryCore::ReportEvidence(CrashEvidence evidence) {
+  this->Log(event_names::kTargetCrash, RequestId(),
+            {{"target", evidence.target.value()},
+             {"instance", evidence.instance.value()},
+             {"unreachable", evidence.is_unreachable ? "yes" : "no"},
+             {"requests", evidence.requests.size()},
+             {"fingerprints", Describe(EarliestBroken(evidence))}});
+  this->effects.emplace_back(std::move(evidence));
+}
+
+// A host that has lost its links loses all targets, and that it can't connect
+// shows nothing. Targets may have crashed all the same; the registry shows it.
+void EntryCore::SettleDoubtfulEvidence() {
+  std::vector<std::pair<TimePoint, CrashEvidence>> unsettled;
+  for (const auto& [at, evidence] :
+       std::exchange(this->doubtful_evidence, {})) {
+    const auto target = this->targets.find(evidence.target);
+    const bool has_ended = target == this->targets.end() ||
+                           target->second.record().instance > evidence.instance;
+    if (has_ended) {
+      this->ReportEvidence(CrashEvidence{.target = evidence.target,
+                                         .instance = evidence.instance,
+                                         .requests = evidence.requests,
+                                         .age = this->now - at});
+    } else if (this->reachability.links() != TargetLinks::kReached ||
+               this->now - this->reachability.settled_at() <
+                   kMaxRegistryDelay) {
+      unsettled.emplace_back(at, evidence);
+    }
+  }
+  this->doubtful_evidence = std::move(unsettled);
+}
+
 std::optional<Error> EntryCore::CheckPoison(const OpenRequest& request) const {
   const auto blocked =
       this->poison_guard.FindBlocked(request.fingerprints, this->now);
--- a/entry/open_request.h
+++ b/entry/open_request.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -75,7 +76,15 @@
   std::uint32_t run_count = 0;  ///< Attempts that may have run.
   /// Attempts that may have reached a target.
   std::uint32_t delivery_count = 0;
-  TargetId target;  ///< Of the running attempt.
+  TargetId target;  ///< Of the running attempt; empty on a detour.
+  /// The host that the running attempt goes over; none on a direct way.
+  std::optional<HostId> via_host;
+  std::set<HostId> tried_hosts;  ///< That have failed to serve it.
+  /// The helping host charges the customer's limit.
+  bool is_charged_elsewhere = false;
+  /// How its last attempt has ended, while it waits for probes to show whether
+  /// that was the target or this host's links.
+  std::optional<AttemptOutcome> suspended_after;
   TimePoint dispatched_at{};
   RequestSize size;  ///< As it was expected at the dispatch.
   std::optional<TargetEstimate> estimate;  ///< Of the running attempt.
@@ -99,7 +108,13 @@
   bool IsBatch() const;
   /// @return whether it waits in a queue for a target.
   bool IsQueued() const {
-    return !this->is_running && !this->quota_deadline && !this->origin_deadline;
+    return !this->is_running && !this->quota_deadline &&
+           !this->origin_deadline && !this->suspended_after;
+  }
+  /// @return what the last attempt went to, for errors.
+  std::string DestinationText() const {
+    return this->via_host ? "host " + this->via_host->value()
+                          : "target " + this->target.value();
   }
   QueuePlace Place() const;
   /// @return the work that its customer is charged for when the queue divides
--- a/routing/ejection.cc
+++ b/routing/ejection.cc
@@ -20,10 +20,17 @@
   }
   const std::uint32_t doublings =
       std::min(this->consecutive_ejections++, kMaxDoublings);
+  this->ejected_at = now;
   this->ejected_until =
       now + std::min(kMaxBackoff, kMinBackoff * (1 << doublings));
 }
 
+void Ejection::LiftSince(TimePoint since) {
+  if (this->ejected_at >= since) {
+    *this = Ejection();
+  }
+}
+
 void Ejection::OnOverload(TimePoint now) {
   this->ejected_until = std::max(this->ejected_until, now + kOverloadBackoff);
 }
--- a/routing/include/cicadaloft/routing/ejection.h
+++ b/routing/include/cicadaloft/routing/ejection.h
@@ -21,6 +21,8 @@
   void OnFailure(TimePoint now);
   void OnOverload(TimePoint now);
   void OnSuccess();
+  /// Ends an ejection that began at `since` or later.
+  void LiftSince(TimePoint since);
 
   bool IsEjected(TimePoint now) const { return now < this->ejected_until; }
   TimePoint until() const { return this->ejected_until; }
@@ -28,6 +30,7 @@
  private:
   std::uint32_t consecutive_failures = 0;
   std::uint32_t consecutive_ejections = 0;
+  TimePoint ejected_at{};  ///< Begin of the last ejection.
   TimePoint ejected_until{};
 };
 
--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -35,6 +35,8 @@
   void OnSuccess() { this->ejection_state.OnSuccess(); }
   void OnFailure(TimePoint now) { this->ejection_state.OnFailure(now); }
   void OnOverload(TimePoint now) { this->ejection_state.OnOverload(now); }
+  /// Its failures since then were not its own.
+  void LiftEjection(TimePoint since) { this->ejection_state.LiftSince(since); }
   const Ejection& ejection() const { return this->ejection_state; }
 
   /// @return whether the target leaves by this notice and did not before.
