Don't send a request over its limit from helping host to helping host

A customer over its limit is so at each host. A caller would have got 503 after a second host in place of 429 after the first, and the shared retry budget would have been used up. A helping host's 429 is final now; the exchange passes it on, and where it reports it as kShed the entry refuses as rate limited.

Evidence: RequestOverItsLimitIsNotSentAgain; detour_test and entry_test pass.

--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -201,20 +201,9 @@
 void EntryCore::HandleFailure(OpenRequest& request, const AttemptEnded& ended) {
   const bool may_have_run = MayHaveRun(ended.outcome);
   request.run_count += may_have_run ? 1 : 0;
-  // A target that is only overloaded, or lacks the model at present, may serve
-  // the request later.
-  const bool is_transient = ended.outcome == AttemptOutcome::kShed ||
-                            ended.outcome == AttemptOutcome::kNotLoaded;
-  if (request.via_host) {
-    request.tried_hosts.insert(*request.via_host);
-  } else {
-    request.avoided_until[request.target] =
-        is_transient ? this->now + kTransientAvoidanceDuration
-                     : TimePoint::max();
-  }
-  if (may_have_run && !this->MayRunAgain(request)) {
-    this->RefuseOpenRequest(
-        request, ErrorAfter(ended.outcome, request.DestinationText()));
+  this->RecordAvoidance(request, ended.outcome);
+  if (const auto error = this->FinalError(request, ended)) {
+    this->RefuseOpenRequest(request, *error);
     this->Close(request);
     return;
   }
@@ -231,22 +220,35 @@
   this->TryRetry(request, ended.outcome, request.delivery_count > 0);
 }
 
-// The links of this host were suspected when the attempts failed.
-void EntryCore::ResumeSuspended() {
-  std::vector<RequestId> ids;
-  for (const auto& [id, request] : this->requests) {
-    if (request.suspended_after) {
-      ids.push_back(id);
-    }
-  }
-  for (const RequestId& id : ids) {
-    OpenRequest& request = this->requests.at(id);
-    this->expiries.erase({request.wait_deadline, id});
-    const AttemptOutcome outcome = *request.suspended_after;
-    request.suspended_after.reset();
-    request.delivery_count += this->UsesDetours() ? 0 : 1;
-    this->TryRetry(request, outcome, request.delivery_count > 0);
+// A target that is only overloaded, or lacks the model at present, may serve
+// the request later.
+void EntryCore::RecordAvoidance(OpenRequest& request,
+                                AttemptOutcome outcome) const {
+  if (request.via_host) {
+    request.tried_hosts.insert(*request.via_host);
+    return;
   }
+  const bool is_transient =
+      outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kNotLoaded;
+  request.avoided_until[request.target] =
+      is_transient ? this->now + kTransientAvoidanceDuration : TimePoint::max();
+}
+
+// @return the error with which a request ends that must not be sent again.
+std::optional<Error> EntryCore::FinalError(const OpenRequest& request,
+                                           const AttemptEnded& ended) const {
+  // Another host would find the customer over its limit as well.
+  constexpr int kTooManyRequests = 429;
+  if (request.via_host && ended.outcome == AttemptOutcome::kShed &&
+      ended.http_status == kTooManyRequests) {
+    return MakeError(ErrorKind::kRateLimited,
+                     request.DestinationText() + " reports that the customer " +
+                         "is over its rate limit");
+  }
+  if (MayHaveRun(ended.outcome) && !this->MayRunAgain(request)) {
+    return ErrorAfter(ended.outcome, request.DestinationText());
+  }
+  return std::nullopt;
 }
 
 void EntryCore::TryRetry(OpenRequest& request,
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -310,6 +310,9 @@
 
   // Ends of attempts and requests.
   void HandleFailure(OpenRequest& request, const AttemptEnded& ended);
+  void RecordAvoidance(OpenRequest& request, AttemptOutcome outcome) const;
+  std::optional<Error> FinalError(const OpenRequest& request,
+                                  const AttemptEnded& ended) const;
   void TryRetry(OpenRequest& request,
                 AttemptOutcome outcome,
                 bool needs_budget);
--- a/entry/entry_links.cc
+++ b/entry/entry_links.cc
@@ -103,6 +103,24 @@
   }
 }
 
+// The links of this host were suspected when the attempts failed.
+void EntryCore::ResumeSuspended() {
+  std::vector<RequestId> ids;
+  for (const auto& [id, request] : this->requests) {
+    if (request.suspended_after) {
+      ids.push_back(id);
+    }
+  }
+  for (const RequestId& id : ids) {
+    OpenRequest& request = this->requests.at(id);
+    this->expiries.erase({request.wait_deadline, id});
+    const AttemptOutcome outcome = *request.suspended_after;
+    request.suspended_after.reset();
+    request.delivery_count += this->UsesDetours() ? 0 : 1;
+    this->TryRetry(request, outcome, request.delivery_count > 0);
+  }
+}
+
 void EntryCore::OnTargetsLost() {
   this->Log(event_names::kTargetsLost, RequestId(),
             {{"failed_targets", this->reachability.FailedTargetCount()},
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -268,10 +268,11 @@
   /// credential and with `response_timeout` as its timeout. It charges the
   /// customer's limit and chooses the target; `target` and `origin` are empty.
   /// The response is passed on unchanged, except for a refusal of the helping
-  /// host's own: 429, 503, 408 or 421 that states that the request has not run.
-  /// That one is withheld as kShed if `withholds_error_response` is set, and
-  /// passed on, with its Retry-After, as kCompleted otherwise. No other
-  /// response of a helping host is withheld.
+  /// host's own: 503, 408 or 421 that states that the request has not run. That
+  /// one is withheld as kShed if `withholds_error_response` is set, and passed
+  /// on, with its Retry-After, as kCompleted otherwise. No other response of a
+  /// helping host is withheld; a customer over its limit (429) is so at all
+  /// hosts.
   const std::optional<HostId> via_host;
   const CustomerId customer;  ///< Empty if there is none, as on public routes.
   const int priority = 5;     ///< 0 is the highest.
--- a/entry/tests/detour_test.cc
+++ b/entry/tests/detour_test.cc
@@ -158,6 +158,17 @@
   }
 }
 
+// Guards against requests over a customer's limit that go from host to host,
+// use up the retry budget and end as 503.
+BOOST_FIXTURE_TEST_CASE(RequestOverItsLimitIsNotSentAgain, DetourFixture) {
+  this->LoseTargets();
+  this->SendRequest("any");
+  this->EndAttempt(this->LastDispatch(), AttemptOutcome::kShed, 429);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1);
+  BOOST_TEST((this->RefusalKind() == ErrorKind::kRateLimited));
+  BOOST_TEST((this->EffectsOf<Refuse>()[0].run_state == RunState::kNotRun));
+}
+
 // Guards against a request that waits where no host takes it: its caller should
 // come again, to another host.
 BOOST_FIXTURE_TEST_CASE(RequestThatNoHostTakesIsRefusedAtOnce, DetourFixture) {
