Tell hosts who can help them while they reach no target

Each host that takes forwarded requests makes an offer to the lease holder when its link is up, when it gains or loses its targets, when it stops, and every 5 s. A holder of the earlier version skips the message with a warning and keeps the link; it is sent one offer a link and change, since offers are repeated only to a holder that has answered. Hosts of the earlier version make no offer and are sent nothing.

The simulation of hosts forwards requests and answers probes by whether the host reaches the target. crashes_at_once_test has all targets crash at one moment; the simulated exchanges could not run the detours that follow.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -213,6 +213,7 @@
     this->linked_hosts.erase(change.host);
     this->ledger.OnLinkDown(change.host);
     this->relay_publisher.OnLinkDown(change.host);
+    this->detour_ledger.OnLinkDown(change.host);
   }
   if (change.is_up && this->is_limit_coordinator) {
     this->SendBlocks(change.host);
@@ -226,8 +227,10 @@
       this->connected_holder = change.host;
       this->FeedLease(HolderHeartbeat{.holder = change.host});
       this->RepeatPoisonReports();
+      this->SendDetourOffer();
     } else {
       this->connected_holder.reset();
+      this->knows_holder_detours = false;
       this->relay_clock.OnLinkDown();
       this->FeedLease(HolderDisconnected{});
     }
@@ -249,6 +252,8 @@
 }
 
 void ControlState::Handle(const ControlStop&) {
+  this->is_stopping = true;
+  this->SendDetourOffer();
   this->FeedLease(LeaseStop{});
 }
 
@@ -270,6 +275,7 @@
   this->SendWarmupGrants();
   this->PublishShares();
   this->UpdateRelay();
+  this->UpdateDetours();
   this->DecidePoison();
 }
 
--- a/control/detour_duties.cc
+++ b/control/detour_duties.cc
@@ -1,11 +1,74 @@
+#include <chrono>
+#include <utility>
+#include <vector>
+
 #include "cicadaloft/control/control_state.h"
 
 namespace cicadaloft {
+namespace {
+
+/// Interval of offers that say nothing new, in case that one was lost while the
+/// holder changed.
+constexpr Duration kDetourOfferInterval = std::chrono::seconds(5);
+
+}  // namespace
+
+void ControlState::Handle(const TargetReachabilityChanged& change) {
+  this->reaches_targets = change.reaches_targets;
+  this->SendDetourOffer();
+}
+
+void ControlState::SendDetourOffer() {
+  if (this->forward_address.empty() || !this->IsLeaseHolderReachable()) {
+    return;
+  }
+  this->detour_offered_at = this->now;
+  this->ReportToHolder(DetourOffer{
+      .host = this->lease_settings.self,
+      .address = this->forward_address,
+      .reaches_targets = this->reaches_targets && !this->is_stopping});
+}
+
+void ControlState::UpdateDetours() {
+  const bool may_repeat =
+      this->is_limit_coordinator || this->knows_holder_detours;
+  if (may_repeat &&
+      this->now - this->detour_offered_at >= kDetourOfferInterval) {
+    this->SendDetourOffer();
+  }
+  if (!this->is_limit_coordinator) {
+    return;
+  }
+  for (const HostDetours& detours :
+       this->detour_ledger.TakeChanges(this->now)) {
+    this->SendDetourHosts(detours);
+  }
+}
 
-void ControlState::Handle(const TargetReachabilityChanged&) {}
+void ControlState::SendDetourHosts(const HostDetours& detours) {
+  if (detours.host == this->lease_settings.self) {
+    this->NotifyEntry(DetourHostsChanged{.hosts = detours.helping});
+    return;
+  }
+  this->effects.emplace_back(SendToHost{
+      .host = detours.host, .message = DetourHosts{.hosts = detours.helping}});
+}
 
-void ControlState::OnPeerMessage(const HostId&, const DetourOffer&) {}
+// Offers may arrive before this host knows that its claim of the lease has
+// succeeded.
+void ControlState::OnPeerMessage(const HostId& host, const DetourOffer& offer) {
+  this->detour_ledger.OnOffer(
+      DetourOffer{.host = host,
+                  .address = offer.address,
+                  .reaches_targets = offer.reaches_targets});
+}
 
-void ControlState::OnPeerMessage(const HostId&, const DetourHosts&) {}
+void ControlState::OnPeerMessage(const HostId& host, const DetourHosts& hosts) {
+  if (this->connected_holder != host) {
+    return;
+  }
+  this->knows_holder_detours = true;
+  this->NotifyEntry(DetourHostsChanged{.hosts = hosts.hosts});
+}
 
 }  // namespace cicadaloft
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -51,9 +51,11 @@
   if (record.secret != this->lease_settings.secret) {
     this->is_limit_coordinator = false;
     this->has_begun_placement = false;
+    this->detour_ledger = DetourLedger();
   }
   this->holder = record.holder;
   this->connected_holder.reset();
+  this->knows_holder_detours = false;
   this->relay_clock.OnHolderChanged();
   this->FeedUsage(UsageHolderChanged{});
   this->effects.emplace_back(ConnectToHolder{.record = record});
@@ -76,6 +78,7 @@
                            this->now);
     this->NotifyEntry(QuotaHistoryRequest{});
     this->RepeatPoisonReports();
+    this->SendDetourOffer();
   }
   this->BeginPlacementIfDue();
   this->DivideShares();
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -14,6 +14,7 @@
 #include "cicadaloft/control/messages.h"
 #include "cicadaloft/core/step.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/detour/detour_ledger.h"
 #include "cicadaloft/fleet/fleet_tracker.h"
 #include "cicadaloft/lease/lease_state.h"
 #include "cicadaloft/placement/placement_state.h"
@@ -114,6 +115,10 @@
   void OnPeerMessage(const HostId& host, const UsageClock& clock);
   void OnPeerMessage(const HostId& host, const DetourOffer& offer);
   void OnPeerMessage(const HostId& host, const DetourHosts& hosts);
+  /// Tells the holder whether this host reaches targets, if it can be told.
+  void SendDetourOffer();
+  void UpdateDetours();
+  void SendDetourHosts(const HostDetours& detours);
   void UpdateRelay();
   void LogLeftOutRecords();
   void DecidePoison();
@@ -209,6 +214,14 @@
   std::deque<std::pair<TimePoint, CrashEvidence>> recent_evidence;
   std::size_t recent_fingerprints = 0;  ///< In all of `recent_evidence`.
 
+  DetourLedger detour_ledger;  ///< Used while this host divides limits.
+  bool reaches_targets = true;
+  bool is_stopping = false;
+  /// The connected holder has answered an offer: it isn't of an earlier
+  /// version, which logs each message that it doesn't know.
+  bool knows_holder_detours = false;
+  TimePoint detour_offered_at{};
+
   RelayPublisher relay_publisher;  ///< Used while this host divides limits.
   RelayClock relay_clock;          ///< Of the connected holder.
   bool is_relay_reader = false;    ///< As last announced by a RelayRole.
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -17,14 +17,16 @@
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/entry/entry_state.h"
 #include "sent_requests.h"
+#include "simulated_forwarding.h"
 #include "simulated_hosts.h"
 #include "simulated_surroundings.h"
+#include "simulation_hooks.h"
 
 namespace cicadaloft {
 
 /// Simulates entry and control of many hosts, with the links and the lease log
 /// between them, one customer, and one target that answers all requests.
-class HostsSimulation : public SimulatedHosts {
+class HostsSimulation : public SimulatedHosts, public SimulationHooks {
  public:
   static constexpr Duration kLinkDelay = milliseconds(2);
   static constexpr Duration kResponseTime = milliseconds(200);
@@ -162,13 +164,7 @@
   std::size_t refused_count = 0;
   std::map<RequestId, ErrorKind> refusals;
   SentRequests sent;
-  /// Sees the effects of each host's control, if set.
-  std::function<void(const HostId&, const ControlEffect&)> on_effect;
-  /// Runs attempts in place of the target that answers all requests, if set.
-  std::function<void(const HostId&, const Dispatch&)> run_attempt;
   std::mt19937 random{1};
-  /// Executes orders of target counts and ends them, if set.
-  std::function<void(const HostId&, const OrderTargetCount&)> order_targets;
 
  private:
   static constexpr double kMinCost = 300;
@@ -241,9 +237,13 @@
         host.Defers([=, this, &host] { this->FeedEntry(host, event); })) {
       return;
     }
+    this->forwarding.OnEvent(host.id, event);
     auto step = Decide(std::move(*host.entry), event, this->now);
     host.entry = std::move(step.state);
     for (const EntryEffect& effect : step.effects) {
+      if (this->on_entry_effect) {
+        this->on_entry_effect(host.id, effect);
+      }
       std::visit(
           [&](const auto& item) { this->ExecuteEntryEffect(host, item); },
           effect);
@@ -251,6 +251,12 @@
   }
 
   void ExecuteEntryEffect(Host& host, const Dispatch& dispatch) {
+    if (dispatch.via_host) {
+      this->Find(*dispatch.via_host)->costs[dispatch.request] =
+          host.costs[dispatch.request];
+      this->forwarding.Forward(host.id, dispatch);
+      return;
+    }
     this->sent.Add(this->now, host.costs[dispatch.request]);
     if (this->run_attempt) {
       this->run_attempt(host.id, dispatch);
@@ -264,18 +270,25 @@
                                          .http_status = 200});
     });
   }
-  void ExecuteEntryEffect(Host&, const Refuse& refusal) {
-    ++this->refused_count;
-    this->refusals.insert_or_assign(refusal.request, refusal.error.kind);
+  void ExecuteEntryEffect(Host& host, const Refuse& refusal) {
+    if (!this->forwarding.Execute(host.id, refusal)) {
+      ++this->refused_count;
+      this->refusals.insert_or_assign(refusal.request, refusal.error.kind);
+    }
+  }
+  void ExecuteEntryEffect(Host& host, const CancelAttempt& cancel) {
+    this->forwarding.Execute(host.id, cancel);
   }
-  void ExecuteEntryEffect(Host&, const CancelAttempt&) {}
   void ExecuteEntryEffect(Host&, const RunMeasured&) {}
   void ExecuteEntryEffect(Host&, const DecisionRecord&) {}
   void ExecuteEntryEffect(Host&, const WaitMeasured&) {}
   void ExecuteEntryEffect(Host& host, const ProbeTarget& probe) {
     const TargetId target = probe.target;
-    this->Schedule(kLinkDelay, [this, &host, target] {
-      this->FeedEntry(host, TargetProbed{.target = target, .is_reached = true});
+    const bool is_reached =
+        !this->reaches_target || this->reaches_target(host.id, target);
+    this->Schedule(kLinkDelay, [this, &host, target, is_reached] {
+      this->FeedEntry(host,
+                      TargetProbed{.target = target, .is_reached = is_reached});
     });
   }
   // No route of the simulation has streams that are resumed.
@@ -369,6 +382,12 @@
     });
   }
 
+  SimulatedForwarding forwarding{
+      [this](const HostId& host, const EntryEvent& event) {
+        this->Schedule(kLinkDelay, [=, this, to = this->Find(host)] {
+          this->FeedEntry(*to, event);
+        });
+      }};
   TargetRecord target = MakeSimulatedTarget();
   std::optional<Scaling> scaling;
   std::size_t last_request_number = 0;
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -59,7 +59,7 @@
             .address = "10.0.0.1:1",
             .secret = this->id.value() + "." + std::to_string(this->process)},
         kLimitWindow, kDefaultRelayInterval, std::nullopt,
-        this->orders_target_counts);
+        this->orders_target_counts, this->id.value() + ":1");
     this->entry.emplace(EntrySettings{.host = this->id,
                                       .data_centre = DataCentreId("dc"),
                                       .limit_overshoot = limit.overshoot,
--- a/control/tests/simulated_targets.h
+++ b/control/tests/simulated_targets.h
@@ -34,6 +34,9 @@
                                     const Dispatch& dispatch) {
       this->Run(host, dispatch);
     };
+    simulation.reaches_target = [this](const HostId&, const TargetId& target) {
+      return this->targets.at(target).is_up;
+    };
     simulation.FeedAll(FleetEvent(TargetRemoved{MakeSimulatedTarget().id}));
     for (std::size_t i = 0; i < count; ++i) {
       Target& target = this->targets[TargetId("t" + std::to_string(i))];
--- a/peering/tests/link_codec_property_test.cc
+++ b/peering/tests/link_codec_property_test.cc
@@ -3,12 +3,14 @@
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "cicadaloft/detour/detour_ledger.h"
 #include "cicadaloft/peering/link_codec.h"
 #include "generators.h"
 
@@ -128,7 +130,14 @@
                   .windows = {{UsageWindow(DrawCount()),
                                {{CustomerId(DrawName()), DrawCount()}}}}},
       UsageClock{.number = DrawCount(),
-                 .wall_time = *rc::gen::arbitrary<std::uint64_t>()}};
+                 .wall_time = *rc::gen::arbitrary<std::uint64_t>()},
+      DetourOffer{.host = HostId(DrawName()),
+                  .address = DrawName(),
+                  .reaches_targets = *rc::gen::arbitrary<bool>()},
+      DetourHosts{},
+      DetourHosts{
+          .hosts = {{.host = HostId(DrawName()), .address = DrawName()},
+                    {.host = HostId(DrawName()), .address = DrawName()}}}};
 }
 
 void CheckRoundTrip(const PeerMessage& message) {
@@ -163,6 +172,24 @@
                 .size() == earlier.size() + 1);
 }
 
+// Guards against lists of helping hosts that grow with the number of hosts: a
+// holder of 195 hosts sends one to each when it begins.
+BOOST_AUTO_TEST_CASE(ListOfHelpingHostsIsSmall) {
+  DetourLedger ledger;
+  for (int i = 0; i < 195; ++i) {
+    const std::string name = "host-of-a-data-centre-" + std::to_string(i);
+    ledger.OnOffer(DetourOffer{.host = HostId(name),
+                               .address = "[2001:db8:0:0:0:0:0:ffff]:65535"});
+  }
+  const auto changes = ledger.TakeChanges(TimePoint(std::chrono::seconds(1)));
+  BOOST_TEST(changes.size() == 195U);
+  for (const HostDetours& change : changes) {
+    constexpr std::size_t kMaxBytes = 1024;
+    BOOST_TEST(EncodePeerMessage(DetourHosts{.hosts = change.helping}).size() <=
+               kMaxBytes);
+  }
+}
+
 RC_BOOST_PROP(ArbitraryBytesYieldMessageOrError, (const Bytes& bytes)) {
   const Result<PeerMessage> message = DecodePeerMessage(bytes);
   if (!IsOk(message)) {
