--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -21,11 +21,13 @@
                            Duration limit_window,
                            Duration relay_interval,
                            const std::optional<UsageSettings>& usage_settings,
-                           bool orders_target_counts)
+                           bool orders_target_counts,
+                           std::string forward_address)
     : lease_settings(settings),
       limit_window(limit_window),
       relay_interval(relay_interval),
       orders_target_counts(orders_target_counts),
+      forward_address(std::move(forward_address)),
       lease(settings),
       ledger(limit_window) {
   if (usage_settings) {
@@ -215,6 +217,7 @@
     this->linked_hosts.erase(change.host);
     this->ledger.OnLinkDown(change.host);
     this->relay_publisher.OnLinkDown(change.host);
+    this->detour_ledger.OnLinkDown(change.host);
   }
   if (change.is_up && this->is_limit_coordinator) {
     this->SendBlocks(change.host);
@@ -228,8 +231,10 @@
       this->connected_holder = change.host;
       this->FeedLease(HolderHeartbeat{.holder = change.host});
       this->RepeatPoisonReports();
+      this->SendDetourOffer();
     } else {
       this->connected_holder.reset();
+      this->knows_holder_detours = false;
       this->relay_clock.OnLinkDown();
       this->FeedLease(HolderDisconnected{});
     }
@@ -251,6 +256,8 @@
 }
 
 void ControlState::Handle(const ControlStop&) {
+  this->is_stopping = true;
+  this->SendDetourOffer();
   this->FeedLease(LeaseStop{});
 }
 
@@ -275,6 +282,7 @@
   this->SendWarmupGrants();
   this->PublishShares();
   this->UpdateRelay();
+  this->UpdateDetours();
   this->DecidePoison();
 }
 
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "cicadaloft/control/messages.h"
 #include "cicadaloft/core/step.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/detour/detour_ledger.h"
 #include "cicadaloft/fleet/fleet_tracker.h"
 #include "cicadaloft/lease/lease_state.h"
 #include "cicadaloft/placement/placement_state.h"
@@ -39,11 +41,14 @@
   /// @param usage_settings none if the platform wants no usage reports.
   /// @param orders_target_counts whether the lease holder orders the number of
   /// targets of services with `scaling`.
+  /// @param forward_address where other hosts reach this host's listener for
+  /// forwarded requests; empty if it takes none, and then it offers none.
   ControlState(const LeaseSettings& lease_settings,
                Duration limit_window,
                Duration relay_interval = kDefaultRelayInterval,
                const std::optional<UsageSettings>& usage_settings = {},
-               bool orders_target_counts = false);
+               bool orders_target_counts = false,
+               std::string forward_address = {});
 
   friend Step<ControlState, ControlEffect> Decide(ControlState state,
                                                   const ControlEvent& event,
@@ -68,6 +73,7 @@
   void Handle(const PoisonRefutation& refutation);
   void Handle(const TargetLeavingReport& report);
   void Handle(const QuotaHistory& history);
+  void Handle(const TargetReachabilityChanged& change);
   void MarkLeaving(const TargetLeavingReport& report);
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
@@ -108,6 +114,12 @@
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
   void OnPeerMessage(const HostId& host, const UsageCounts& counts);
   void OnPeerMessage(const HostId& host, const UsageClock& clock);
+  void OnPeerMessage(const HostId& host, const DetourOffer& offer);
+  void OnPeerMessage(const HostId& host, const DetourHosts& hosts);
+  /// Tells the holder whether this host reaches targets, if it can be told.
+  void SendDetourOffer();
+  void UpdateDetours();
+  void SendDetourHosts(const HostDetours& detours);
   void UpdateRelay();
   void LogLeftOutRecords();
   void DecidePoison();
@@ -153,6 +165,7 @@
   Duration limit_window;
   Duration relay_interval;
   bool orders_target_counts;
+  std::string forward_address;
   TimePoint now{};
   std::vector<ControlEffect> effects;
   ActiveConfigurationPtr configuration;
@@ -204,6 +217,14 @@
   std::deque<std::pair<TimePoint, CrashEvidence>> recent_evidence;
   std::size_t recent_fingerprints = 0;  ///< In all of `recent_evidence`.
 
+  DetourLedger detour_ledger;  ///< Used while this host divides limits.
+  bool reaches_targets = true;
+  bool is_stopping = false;
+  /// The connected holder has answered an offer: it isn't of an earlier
+  /// version, which logs each message that it doesn't know.
+  bool knows_holder_detours = false;
+  TimePoint detour_offered_at{};
+
   RelayPublisher relay_publisher;  ///< Used while this host divides limits.
   RelayClock relay_clock;          ///< Of the connected holder.
   bool is_relay_reader = false;    ///< As last announced by a RelayRole.
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -59,7 +59,7 @@
                                                   std::to_string(this->process),
                                         .is_first_start = this->process == 1},
                           kLimitWindow, kDefaultRelayInterval, std::nullopt,
-                          this->orders_target_counts);
+                          this->orders_target_counts, this->id.value() + ":1");
     this->entry.emplace(EntrySettings{.host = this->id,
                                       .data_centre = DataCentreId("dc"),
                                       .limit_overshoot = limit.overshoot,
