Add the setting forward_listen

The address on which a host takes requests that other hosts forward (docs/design/detours.md). Without it, the host takes the port below that of peer_listen: on the platform, admin_listen and peer_listen are the first and the last port of the range that is reserved for a host, and the template can't calculate. A range of two ports has none in between, and the host then takes no forwarded requests. A port outside of the range is never taken by default, as another process may have it.

The stand-ins, the demo and the soak run state the address, since their admin and peer ports are adjacent.

Before the change forward_listen is an unknown field, which fails the new cases; that wasn't run.

--- a/host/host_settings.cc
+++ b/host/host_settings.cc
@@ -1,9 +1,12 @@
 #include "host_settings.h"
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <string_view>
 #include <vector>
 
+#include "cicadaloft/settings/socket_address.h"
 #include "cicadaloft/telemetry/log.h"
 
 namespace cicadaloft {
@@ -54,6 +57,23 @@
                                        kUsageDelayRange)};
 }
 
+/// @return the port below that of `peer_listen`, if it lies above that of
+/// `admin_listen` and the host has no other use for it; else an empty string.
+std::string DefaultForwardListen(const HostSettings& settings) {
+  const auto peer = ParseSocketAddress(settings.peer_listen);
+  const auto admin = ParseSocketAddress(settings.admin_listen);
+  if (!IsOk(peer) || !IsOk(admin) || ValueOf(peer).ip != ValueOf(admin).ip ||
+      ValueOf(peer).port <= ValueOf(admin).port + 1) {
+    return {};
+  }
+  std::string address =
+      ValueOf(peer).ip + ":" + std::to_string(ValueOf(peer).port - 1);
+  const std::array used = {settings.listen, settings.ready_listen,
+                           settings.own_listen, settings.store};
+  return std::ranges::find(used, address) == used.end() ? address
+                                                        : std::string();
+}
+
 }  // namespace
 
 Result<HostSettings> ReadHostSettings(SettingsReader reader) {
@@ -64,6 +84,7 @@
       .ready_listen = reader.Address("ready_listen"),
       .admin_listen = reader.Address("admin_listen"),
       .peer_listen = reader.Address("peer_listen"),
+      .forward_listen = reader.AddressOr("forward_listen", ""),
       .own_listen = reader.TextOr("own_listen", ""),
       .store = reader.Address("store"),
       .is_first_start = reader.BoolOr("first_start", false),
@@ -84,6 +105,10 @@
   if (!IsOk(done)) {
     return ErrorOf(done);
   }
+  if (settings.forward_listen.empty()) {
+    settings.forward_listen = DefaultForwardListen(settings);
+    settings.is_forward_listen_default = true;
+  }
   return settings;
 }
 
--- a/host/host_settings.h
+++ b/host/host_settings.h
@@ -21,8 +21,13 @@
   std::string ready_listen;  ///< Readiness probes.
   std::string admin_listen;  ///< For operators: metrics, status, explain.
   std::string peer_listen;   ///< Links from other hosts.
-  std::string own_listen;    ///< The native interface; not served if empty.
-  std::string store;         ///< Address of the metadata store.
+  /// Requests that other hosts forward; none are taken if empty.
+  std::string forward_listen;
+  /// Whether forward_listen is the default. Another process may have this port
+  /// then, and the host starts without it.
+  bool is_forward_listen_default = false;
+  std::string own_listen;  ///< The native interface; not served if empty.
+  std::string store;       ///< Address of the metadata store.
   /// Whether all hosts of a new system start together, so that customers can't
   /// have used any of their limits yet; not when a process restarts.
   bool is_first_start = false;
@@ -49,6 +54,10 @@
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
 };
 
+/// Without `forward_listen` it is the address of `peer_listen` with the port
+/// below, if that lies above the port of `admin_listen` at the same IP: the
+/// platform reserves a range of ports for traffic between hosts and operators,
+/// of which these two are the last and the first. Else it is empty.
 /// @return the settings, or kSettingsInvalid with one line that names the file,
 /// the field and what was expected.
 Result<HostSettings> ReadHostSettings(SettingsReader reader);
--- a/host/tests/host_settings_test.cc
+++ b/host/tests/host_settings_test.cc
@@ -162,6 +162,49 @@
   BOOST_TEST(!ValueOf(settings).duties->usage_reports);
 }
 
+// Guards against hosts of the platform that take no forwarded requests, and
+// against a listener on a port that the platform has not reserved.
+BOOST_AUTO_TEST_CASE(ForwardListenIsTheLastPortButOneOfTheRange) {
+  const auto forward_listen = [](int first, int last, int listen = 7001) {
+    json fields = PlatformFields();
+    fields["port_range"] = {first, last};
+    fields["listen"]["frontend"] = "127.0.0.1:" + std::to_string(listen);
+    const auto settings = ReadRendered(fields);
+    BOOST_REQUIRE_EQUAL(ErrorOrOk(settings), "ok");
+    BOOST_TEST(ValueOf(settings).is_forward_listen_default);
+    return ValueOf(settings).forward_listen;
+  };
+  BOOST_TEST(forward_listen(7600, 7699) == "127.0.0.1:7698");
+  BOOST_TEST(forward_listen(7600, 7602) == "127.0.0.1:7601");
+  BOOST_TEST(forward_listen(7600, 7601).empty());
+  BOOST_TEST(forward_listen(7601, 7600).empty());
+  BOOST_TEST(forward_listen(7600, 7602, 7601).empty());
+}
+
+/// @return the settings with this `forward_listen`.
+Result<HostSettings> ReadWithForwardListen(const std::string& address) {
+  const std::string text = R"({
+    "host": "a", "data_centre": "b", "listen": "127.0.0.1:1",
+    "ready_listen": "127.0.0.1:2", "admin_listen": "127.0.0.1:3",
+    "peer_listen": "127.0.0.1:9", "store": "127.0.0.1:5",
+    "forward_listen": ")" + address +
+                           "\"}";
+  return ReadHostSettings(SettingsReader::FromText("s.json", text));
+}
+
+// Guards against an address that is written down and not used.
+BOOST_AUTO_TEST_CASE(ForwardListenOfTheFileIsTaken) {
+  const auto settings = ReadWithForwardListen("127.0.0.1:4");
+  BOOST_REQUIRE_EQUAL(ErrorOrOk(settings), "ok");
+  BOOST_TEST(ValueOf(settings).forward_listen == "127.0.0.1:4");
+  BOOST_TEST(!ValueOf(settings).is_forward_listen_default);
+  BOOST_TEST(ErrorOrOk(ReadWithForwardListen("127.0.0.1:9")) ==
+             "s.json: forward_listen: expected an address other than that of "
+             "\"peer_listen\"");
+  BOOST_TEST(ErrorOrOk(ReadWithForwardListen("nowhere"))
+                 .starts_with("s.json: forward_listen: expected an IPv4"));
+}
+
 /// @return the error with this section, in settings that are valid otherwise.
 std::string ErrorWith(const json& duties) {
   json root = json::parse(R"({
--- a/settings/include/cicadaloft/settings/settings_reader.h
+++ b/settings/include/cicadaloft/settings/settings_reader.h
@@ -70,6 +70,8 @@
   bool BoolOr(std::string_view field, bool fallback);
   /// @return an "IPv4:port" that no other field has.
   std::string Address(std::string_view field);
+  /// @return as Address(), or `fallback` if the field is left out.
+  std::string AddressOr(std::string_view field, std::string_view fallback);
   /// @return the "IPv4:port" of another process; other fields may have it too.
   std::string PeerAddress(std::string_view field);
   /// @return whether the file has this section, which is an object of fields.
--- a/settings/settings_reader.cc
+++ b/settings/settings_reader.cc
@@ -359,6 +359,12 @@
   return text;
 }
 
+std::string SettingsReader::AddressOr(std::string_view field,
+                                      std::string_view fallback) {
+  return this->document->Find(field) == nullptr ? std::string(fallback)
+                                                : this->Address(field);
+}
+
 bool SettingsReader::is_whole() const {
   return this->document->is_whole;
 }
--- a/tests/process_functions.sh
+++ b/tests/process_functions.sh
@@ -46,7 +46,8 @@
   cat >"$dir/$1.json" <<JSON
 {"host": "$1", "data_centre": "a", "listen": "127.0.0.1:$2",
  "ready_listen": "127.0.0.1:$(($2 + 1))", "admin_listen": "127.0.0.1:$(($2 + 2))",
- "peer_listen": "127.0.0.1:$(($2 + 3))", "store": "$store", ${4-} "first_start": $3}
+ "peer_listen": "127.0.0.1:$(($2 + 3))", "forward_listen": "127.0.0.1:$(($2 + 4))",
+ "store": "$store", ${4-} "first_start": $3}
 JSON
   "$build/host/cicadaloft-host" --settings "$dir/$1.json" >>"$dir/$1.log" 2>&1 &
   pids+=($!)
--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -27,6 +27,7 @@
 constexpr int kReadyPort = 8224;
 constexpr int kAdminPort = 7600;
 constexpr int kPeerPort = 7601;
+constexpr int kForwardPort = 7602;
 
 constexpr std::array kDataCentres{"norte-a", "norte-b", "norte-c"};
 // The data centre of each host, then of the spares.
@@ -183,6 +184,7 @@
               {"ready_listen", host.ready.Text()},
               {"admin_listen", Address{host.listen.ip, kAdminPort}.Text()},
               {"peer_listen", Address{host.listen.ip, kPeerPort}.Text()},
+              {"forward_listen", Address{host.listen.ip, kForwardPort}.Text()},
               {"store", this->store().Text()},
               {"first_start", is_first},
               {"cores", kCores},
--- a/tests/truncated_stream_process_test.sh
+++ b/tests/truncated_stream_process_test.sh
@@ -19,7 +19,7 @@
 
 events=12
 port=$((base + 10))
-own=$((base + 14))
+own=$((base + 15))
 broken=0
 start() {  # STOP_TIME
   start_host host $port true "\"own_listen\": \"127.0.0.1:$own\", \"stop_time\": \"$1\","
