Exchange requests between hosts

The sending side: the exchange of a Dispatch with via_host sends the request as the caller sent it, with the credential, the remaining time as Deadline-Ms and Cicadaloft-Forwarded-By. The response is checked as that of a target: stamp, request id, framing and the end of an event stream. Loads and notices in it aren't taken for those of a target. A refusal that the helping host states to be its own is withheld as kShed while another host may be tried, else passed on with its Retry-After; no other response is withheld.

The status alone doesn't tell a host's refusal from a target's: a target may have run a request that it answers with an unstamped 503. Refusals on the listener for forwarded requests therefore carry Cicadaloft-Run-State. Fields that begin with Cicadaloft- are dropped from requests to targets and from responses to callers, so that neither can set them.

The taking side: a listener with the platform's client protocol, of at most 160 connections and a quarter of the host's own sockets, besides those of callers. If the default port of forward_listen is in use for two seconds, the host starts without the listener. A planned stop closes it as the listeners of callers.

Nothing dispatches over a host yet.

--- a/forwarding/caller_session.cc
+++ b/forwarding/caller_session.cc
@@ -402,7 +402,8 @@
     tcp::socket socket,
     std::string id_prefix,
     std::shared_ptr<EntryTaskMailbox> entry_inbox,
-    CallerLimits limits) {
+    CallerLimits limits,
+    ResponseFormat response_format) {
   const RequestId id(id_prefix + "-1");
   constexpr ErrorKind kKind = ErrorKind::kTooManyConnections;
   const auto rejection = CallerRejected{.request = id, .kind = kKind};
@@ -410,7 +411,7 @@
   const Error error =
       MakeError(kKind, "connection: the host's connection limit is reached");
   const std::string problem =
-      FormatProblem(MakeRefusal(id, error), ResponseFormat{}, false);
+      FormatProblem(MakeRefusal(id, error), response_format, false);
   if (!co_await WriteAll(socket, problem, limits.write_stall_timeout)) {
     co_return;
   }
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -68,6 +68,16 @@
   count("all", run.prompt_tokens);
 }
 
+void EntryMetrics::CountForwardedRequest() {
+  this->metrics.AddToCounter(
+      MetricKey{.name = "cicadaloft_entry_forwarded_requests_total"});
+}
+
+void EntryMetrics::CountTakenRequest() {
+  this->metrics.AddToCounter(
+      MetricKey{.name = "cicadaloft_entry_taken_requests_total"});
+}
+
 void EntryMetrics::CountDroppedMessage() {
   this->metrics.AddToCounter(
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
--- a/forwarding/header_rules.cc
+++ b/forwarding/header_rules.cc
@@ -91,6 +91,10 @@
 
 }  // namespace
 
+bool IsHostField(std::string_view name) {
+  return HasPrefix(name, kHostFieldPrefix);
+}
+
 std::vector<HeaderField> EndToEndFields(
     const std::vector<HeaderField>& fields) {
   return FilterEndToEnd(fields, [](const HeaderField&) { return false; });
@@ -103,7 +107,7 @@
         credential.size() >= kMinCredentialBytes &&
         field.value.find(credential) != std::string::npos;
     return contains_credential || HasPrefix(field.name, kInternalPrefix) ||
-           IsOneOf(field.name, kHiddenFromTarget) ||
+           IsHostField(field.name) || IsOneOf(field.name, kHiddenFromTarget) ||
            HasPrefix(field.name, kForwardedPrefix);
   });
 }
@@ -111,7 +115,7 @@
 std::vector<HeaderField> FieldsForCaller(
     const std::vector<HeaderField>& fields) {
   return FilterEndToEnd(fields, [](const HeaderField& field) {
-    return IsOneOf(field.name, kHiddenFromCaller);
+    return IsOneOf(field.name, kHiddenFromCaller) || IsHostField(field.name);
   });
 }
 
--- a/forwarding/include/cicadaloft/forwarding/caller_listener.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_listener.h
@@ -34,8 +34,6 @@
 
 /// After a failed accept, for example when no file descriptors are left.
 inline constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
-/// Connections over the limit that still get an error response.
-inline constexpr std::size_t kMaxRejectedConnections = 100;
 
 /// A listener's end: what it left behind.
 struct ListenerClosed {
@@ -178,16 +176,17 @@
     const std::string prefix =
         this->id_prefix + "-" + std::to_string(this->connection_count);
     if (this->open_count >=
-        this->limits.max_connections + kMaxRejectedConnections) {
+        this->limits.max_connections + this->limits.max_rejected_connections) {
       return;
     }
     const bool is_over_limit = this->open_count >= this->limits.max_connections;
     ++this->open_count;
     if (is_over_limit) {
       Spawn(executor, "rejection of " + prefix,
-            CountEndAfter(this->shared_from_this(),
-                          RejectConnection(std::move(socket), prefix,
-                                           this->entry_inbox, this->limits)),
+            CountEndAfter(
+                this->shared_from_this(),
+                RejectConnection(std::move(socket), prefix, this->entry_inbox,
+                                 this->limits, MakeResponseFormat<Protocol>())),
             LogTaskFailure{});
       return;
     }
--- a/forwarding/include/cicadaloft/forwarding/caller_session.h
+++ b/forwarding/include/cicadaloft/forwarding/caller_session.h
@@ -24,7 +24,8 @@
     boost::asio::ip::tcp::socket socket,
     std::string id_prefix,
     std::shared_ptr<EntryTaskMailbox> entry_inbox,
-    CallerLimits limits);
+    CallerLimits limits,
+    ResponseFormat response_format);
 
 }  // namespace cicadaloft
 
--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "cicadaloft/core/id.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/spawn.h"
 #include "cicadaloft/core/time.h"
@@ -29,11 +30,14 @@
 template <TargetProtocol Protocol>
 class EffectExecutor {
  public:
+  /// @param self this host, for requests that it forwards to other hosts.
   EffectExecutor(boost::asio::any_io_executor executor,
+                 HostId self,
                  std::shared_ptr<EntryTaskMailbox> entry_inbox,
                  std::shared_ptr<OriginTaskMailbox> origins,
                  const TargetLimits& limits)
       : executor(std::move(executor)),
+        self(std::move(self)),
         entry_inbox(std::move(entry_inbox)),
         origins(std::move(origins)),
         limits(limits),
@@ -75,6 +79,7 @@
     const RequestReceived& received = found->second.received;
     auto params = std::make_shared<const ExchangeParams>(ExchangeParams{
         .dispatch = dispatch,
+        .self = this->self,
         .request = received.request,
         .queue_time = now - found->second.arrival_time,
         .closes_connection = closes_connection,
@@ -166,6 +171,7 @@
   using AttemptKey = std::pair<RequestId, AttemptNumber>;
 
   const boost::asio::any_io_executor executor;
+  const HostId self;
   const std::shared_ptr<EntryTaskMailbox> entry_inbox;
   const std::shared_ptr<OriginTaskMailbox> origins;
   const TargetLimits limits;
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -25,6 +25,10 @@
   void RecordWait(const WaitMeasured& wait);
   /// Records the estimate of a run beside what happened.
   void RecordRun(const RunMeasured& run);
+  /// Counts an attempt over another host.
+  void CountForwardedRequest();
+  /// Counts a request that another host has forwarded to this one.
+  void CountTakenRequest();
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
   /// Counts a call of the store by this host.
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -86,7 +86,9 @@
           DecisionSink Sink>
 class EntryTask {
  public:
+  /// @param self this host, for requests that it forwards to other hosts.
   EntryTask(boost::asio::any_io_executor executor,
+            HostId self,
             State state,
             EntryTaskMailboxes mailboxes,
             const TargetLimits& limits,
@@ -97,6 +99,7 @@
         clock(std::move(clock)),
         sink(std::move(sink)),
         effect_executor(std::move(executor),
+                        std::move(self),
                         this->mailboxes.inbox,
                         this->mailboxes.origins,
                         limits) {}
@@ -121,6 +124,9 @@
   }
 
   void Handle(const RequestReceived& received) {
+    if (received.request->arrival.forwarded_by) {
+      this->metrics.CountTakenRequest();
+    }
     this->effect_executor.AddRequest(received, this->clock.Now());
     this->Handle(EntryEvent(received.request->arrival));
   }
@@ -211,6 +217,9 @@
   }
 
   void Execute(const Dispatch& dispatch) {
+    if (dispatch.via_host) {
+      this->metrics.CountForwardedRequest();
+    }
     const auto ended = this->effect_executor.Execute(
         dispatch, this->is_stopping, this->clock.Now());
     if (ended) {
--- a/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
+++ b/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
@@ -12,12 +12,23 @@
 namespace cicadaloft {
 
 inline constexpr std::size_t kMaxCallerConnections = 2000;
+/// Connections over the limit that still get an error response.
+inline constexpr std::size_t kMaxRejectedConnections = 100;
+/// Connections from other hosts. A host takes 80 forwarded requests at a time
+/// at most; the remainder is for connections that hosts keep for their next
+/// request.
+inline constexpr std::size_t kMaxForwardedConnections = 160;
+inline constexpr std::size_t kMaxRejectedForwardedConnections = 20;
+/// Hosts keep an idle connection to another host for less than
+/// TargetLimits::idle_timeout.
+inline constexpr Duration kForwardedIdleTimeout = std::chrono::seconds(5);
 
 /// Limits on one caller, and on all callers together.
 struct CallerLimits {
   const std::size_t max_header_bytes = std::size_t{16} * 1024;
   const std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   const std::size_t max_connections = kMaxCallerConnections;
+  const std::size_t max_rejected_connections = kMaxRejectedConnections;
   /// Limit for receiving a request's header, and separately for its body.
   const Duration read_timeout = std::chrono::seconds(10);
   const Duration idle_timeout = std::chrono::seconds(60);
--- a/forwarding/include/cicadaloft/forwarding/header_rules.h
+++ b/forwarding/include/cicadaloft/forwarding/header_rules.h
@@ -9,6 +9,16 @@
 
 namespace cicadaloft {
 
+/// Start of the names of the fields that hosts send each other. Neither targets
+/// nor callers see them, and neither can set them.
+inline constexpr std::string_view kHostFieldPrefix = "Cicadaloft-";
+/// Field of a host's own refusal of a request that another host has forwarded:
+/// the RunState as text.
+inline constexpr std::string_view kRunStateField = "Cicadaloft-Run-State";
+
+/// @return whether hosts send each other fields of this name.
+bool IsHostField(std::string_view name);
+
 /// @return the end-to-end fields, without the hop-by-hop ones.
 std::vector<HeaderField> EndToEndFields(const std::vector<HeaderField>& fields);
 
--- a/forwarding/include/cicadaloft/forwarding/messages.h
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -37,6 +37,8 @@
   const bool is_head = false;      ///< The response has no body.
   /// Retry-After may hold fractions of a second.
   const bool has_fractional_retry_after = false;
+  /// A refusal states in kRunStateField whether the request has run.
+  const bool has_run_state = false;
 
   friend auto operator<=>(const ResponseFormat&,
                           const ResponseFormat&) = default;
--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cicadaloft/core/id.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/entry/messages.h"
@@ -33,9 +34,21 @@
 concept CallerProtocol = requires(const RequestId& id, RawRequest raw) {
   { P::ParseRequest(id, raw) } -> std::same_as<Result<CallerRequest>>;
   { P::kHasFractionalRetryAfter } -> std::convertible_to<bool>;
+  { P::kHasRunState } -> std::convertible_to<bool>;
 };
 
-/// What the head of a target's response says in addition to plain HTTP.
+/// @return the format of the response to input from which nothing else is
+/// known.
+template <CallerProtocol P>
+constexpr ResponseFormat MakeResponseFormat() {
+  return ResponseFormat{
+      .has_fractional_retry_after = P::kHasFractionalRetryAfter,
+      .has_run_state = P::kHasRunState};
+}
+
+/// What the head of a response says in addition to plain HTTP. Over a helping
+/// host: the target's stamp, and was_not_run if the host itself has refused the
+/// request so that another one may take it; nothing about the target.
 struct ResponseMetadata {
   bool matches_request = true;  ///< False: the response to an earlier request.
   /// The response names the request that it belongs to.
@@ -55,16 +68,20 @@
                          const ResponseMetadata&) = default;
 };
 
-/// Protocol of the targets.
+/// Protocol of the targets, and of other hosts that forward to them.
 template <typename P>
 concept TargetProtocol = requires(const CallerRequest& request,
                                   const Dispatch& dispatch,
+                                  const HostId& self,
                                   Duration remaining_time,
                                   int status,
                                   const std::vector<HeaderField>& fields) {
   {
     P::FormatRequestHead(request, dispatch, remaining_time)
   } -> std::same_as<std::string>;
+  {
+    P::FormatForwardedHead(request, self, remaining_time)
+  } -> std::same_as<std::string>;
   {
     P::ParseResponseMetadata(request, dispatch, status, fields)
   } -> std::same_as<ResponseMetadata>;
--- a/forwarding/include/cicadaloft/forwarding/request_reader.h
+++ b/forwarding/include/cicadaloft/forwarding/request_reader.h
@@ -88,7 +88,7 @@
 
   // @return whether another request may follow.
   boost::asio::awaitable<bool> ReadAndSubmit() {
-    this->response_format.emplace();
+    this->response_format.emplace(MakeResponseFormat<Protocol>());
     const auto error = co_await this->ReadRequest();
     if (!error) {
       co_return co_await this->SubmitRequest();
@@ -259,7 +259,8 @@
         .keep_alive = request.keep_alive(),
         .is_http_1_0 = request.version() == kHttp10,
         .is_head = request.method() == boost::beast::http::verb::head,
-        .has_fractional_retry_after = Protocol::kHasFractionalRetryAfter});
+        .has_fractional_retry_after = Protocol::kHasFractionalRetryAfter,
+        .has_run_state = Protocol::kHasRunState});
     const RequestId id = this->NextId();
     Result<CallerRequest> parsed = Protocol::ParseRequest(
         id, RawRequest{.method = std::string(request.method_string()),
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -32,8 +32,9 @@
 
 namespace cicadaloft {
 
-/// Task of one attempt: sends the request, forwards the response as it arrives,
-/// and reports the attempt's outcome to the entry task exactly once.
+/// Task of one attempt: sends the request to a target or a helping host,
+/// forwards the response as it arrives, and reports the attempt's outcome to
+/// the entry task exactly once.
 template <TargetProtocol Protocol>
 class TargetExchange {
  public:
@@ -101,7 +102,7 @@
     constexpr int kServerError = 500;
     const int status = this->response->status();
     if (this->params->dispatch.withholds_error_response &&
-        status >= kServerError) {
+        !this->params->dispatch.via_host && status >= kServerError) {
       co_return co_await this->DiscardAndEnd(AttemptOutcome::kErrorResponse);
     }
     // A success status without the target's stamp counts as a failed attempt.
@@ -138,8 +139,13 @@
 
   boost::asio::awaitable<std::optional<AttemptOutcome>> WriteRequest() {
     const CallerRequest& request = *this->params->request;
-    const std::string header = Protocol::FormatRequestHead(
-        request, this->params->dispatch, this->RemainingTime());
+    const Dispatch& dispatch = this->params->dispatch;
+    const std::string header =
+        dispatch.via_host
+            ? Protocol::FormatForwardedHead(request, this->params->self,
+                                            this->RemainingTime())
+            : Protocol::FormatRequestHead(request, dispatch,
+                                          this->RemainingTime());
     const auto result = co_await WithTimeout(
         this->RemainingTime(), this->WriteAll(header, request.body));
     if (result && *result) {
@@ -207,6 +213,10 @@
   }
 
   std::optional<AttemptOutcome> RefusalOutcome() const {
+    const Dispatch& dispatch = this->params->dispatch;
+    if (dispatch.via_host && !dispatch.withholds_error_response) {
+      return std::nullopt;
+    }
     if (this->metadata.is_other_instance) {
       return AttemptOutcome::kOtherInstance;
     }
--- a/forwarding/problem_response.cc
+++ b/forwarding/problem_response.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "cicadaloft/core/error_kind.h"
+#include "cicadaloft/forwarding/header_rules.h"
 
 namespace cicadaloft {
 namespace {
@@ -67,6 +68,10 @@
         FormatSeconds(*refusal.retry_after, format.has_fractional_retry_after) +
         "\r\n";
   }
+  if (format.has_run_state) {
+    text += std::string(kRunStateField) + ": " +
+            std::string(ToString(refusal.run_state)) + "\r\n";
+  }
   if (!keep_alive) {
     text += "Connection: close\r\n";
   } else if (format.is_http_1_0) {
--- a/forwarding/tests/descriptor_limits_test.cc
+++ b/forwarding/tests/descriptor_limits_test.cc
@@ -21,6 +21,20 @@
   }
 }
 
+// Guards against forwarded requests that take the descriptors of callers, or
+// most of those that the host needs for its targets.
+BOOST_AUTO_TEST_CASE(ForwardedRequestsTakeAQuarterOfTheHostsOwnSockets) {
+  for (std::size_t limit = 0; limit < 6000; ++limit) {
+    const std::size_t own = OwnSockets(SocketDescriptors(limit));
+    const std::size_t served = MaxForwardedConnections(limit);
+    BOOST_TEST_REQUIRE(
+        (served == 0 || served + kMaxRejectedForwardedConnections <= own / 4));
+  }
+  BOOST_TEST(MaxForwardedConnections(4100) == kMaxForwardedConnections);
+  BOOST_TEST(MaxForwardedConnections(1024) == 83U);
+  BOOST_TEST(MaxForwardedConnections(0) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ManyDescriptorsChangeNothing) {
   BOOST_TEST(MaxCallerConnections(4100, 1) == kMaxCallerConnections);
   BOOST_TEST(MaxCallerConnections(std::numeric_limits<std::size_t>::max(), 2) ==
--- a/forwarding/tests/direct_state.h
+++ b/forwarding/tests/direct_state.h
@@ -27,6 +27,7 @@
   bool refuses_requests = false;    ///< Refuses each request with kRateLimited.
   bool accepts_after_stop = false;  ///< Accepts requests after a stop as well.
   std::optional<OriginRecord> origin;  ///< Of each dispatch.
+  std::optional<HostId> via_host;      ///< Of each dispatch.
   std::vector<EntryEvent> events;
 
   template <typename E>
@@ -129,6 +130,7 @@
         .attempt = attempt,
         .target = TargetId("t1"),
         .address = this->plan->address,
+        .via_host = this->plan->via_host,
         .response_timeout = this->plan->response_timeout,
         .withholds_error_response = this->plan->withholds_error_response,
         .origin = this->plan->origin};
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -33,6 +33,15 @@
     return text + "\r\n";
   }
 
+  static std::string FormatForwardedHead(const CallerRequest& request,
+                                         const HostId& self,
+                                         Duration) {
+    return request.method + " " + request.path +
+           " HTTP/1.1\r\nX-From: " + self.value() +
+           "\r\nContent-Length: " + std::to_string(request.body.size()) +
+           "\r\n\r\n";
+  }
+
   static ResponseMetadata ParseResponseMetadata(
       const CallerRequest&,
       const Dispatch&,
--- a/forwarding/tests/task_failure_test.cc
+++ b/forwarding/tests/task_failure_test.cc
@@ -29,6 +29,7 @@
 
 struct FaultyCallerProtocol {
   static constexpr bool kHasFractionalRetryAfter = false;
+  static constexpr bool kHasRunState = false;
 
   static Result<CallerRequest> ParseRequest(const RequestId& id,
                                             const RawRequest& raw) {
--- a/host/host_listeners.cc
+++ b/host/host_listeners.cc
@@ -1,11 +1,13 @@
 #include "host_listeners.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -31,7 +33,8 @@
 
 struct NamedEndpoint {
   const std::string name;
-  const tcp::endpoint endpoint;
+  const std::optional<tcp::endpoint> endpoint;  ///< None: it is not served.
+  const bool is_optional = false;  ///< The host also starts without it.
 };
 
 struct ListenFailure {
@@ -50,22 +53,26 @@
                        ": can't listen: " + failure.error.message());
 }
 
+// In the order of the members of HostListeners.
 Result<std::vector<NamedEndpoint>> ParseAddresses(
     const HostSettings& settings) {
-  std::vector<std::string> addresses = {settings.listen, settings.ready_listen,
-                                        settings.admin_listen,
-                                        settings.peer_listen};
-  if (!settings.own_listen.empty()) {
-    addresses.push_back(settings.own_listen);
-  }
+  const std::array addresses = {settings.listen,       settings.ready_listen,
+                                settings.admin_listen, settings.peer_listen,
+                                settings.own_listen,   settings.forward_listen};
+  constexpr std::size_t kRequired = 4;
   std::vector<NamedEndpoint> endpoints;
-  for (const std::string& address : addresses) {
+  for (std::size_t i = 0; i < addresses.size(); ++i) {
+    const std::string& address = addresses[i];
     const auto endpoint = ParseEndpoint(address);
-    if (!endpoint) {
+    if (!endpoint && (i < kRequired || !address.empty())) {
       return MakeError(ErrorKind::kSettingsInvalid,
                        "address " + address + ": expected IP:port");
     }
-    endpoints.push_back(NamedEndpoint{.name = address, .endpoint = *endpoint});
+    endpoints.push_back(NamedEndpoint{
+        .name = address,
+        .endpoint = endpoint,
+        .is_optional =
+            settings.is_forward_listen_default && i + 1 == addresses.size()});
   }
   return endpoints;
 }
@@ -85,20 +92,32 @@
 
 // Listens only once all are bound: a caller whose connection the kernel has
 // accepted would lose it if another address weren't there.
+// @param needs_optional whether the optional ones must be bound as well.
 std::variant<Acceptors, ListenFailure> Listen(
     const asio::any_io_executor& executor,
-    const std::vector<NamedEndpoint>& endpoints) {
+    const std::vector<NamedEndpoint>& endpoints,
+    bool needs_optional) {
   Acceptors acceptors;
   for (const NamedEndpoint& item : endpoints) {
-    acceptors.push_back(std::make_shared<tcp::acceptor>(executor));
-    if (const error_code error = Bind(*acceptors.back(), item.endpoint)) {
+    acceptors.push_back(
+        item.endpoint ? std::make_shared<tcp::acceptor>(executor) : nullptr);
+    const error_code error =
+        item.endpoint ? Bind(*acceptors.back(), *item.endpoint) : error_code();
+    if (error && (needs_optional || !item.is_optional)) {
       return ListenFailure{.address = item.name, .error = error};
     }
+    if (error) {
+      Log("host").Warn("starts without an address: " + item.name + ": " +
+                       error.message());
+      acceptors.back() = nullptr;
+    }
   }
   for (std::size_t i = 0; i < acceptors.size(); ++i) {
     error_code error;
-    std::ignore =
-        acceptors[i]->listen(asio::socket_base::max_listen_connections, error);
+    if (acceptors[i] != nullptr) {
+      std::ignore = acceptors[i]->listen(
+          asio::socket_base::max_listen_connections, error);
+    }
     if (error) {
       return ListenFailure{.address = endpoints[i].name, .error = error};
     }
@@ -107,14 +126,12 @@
 }
 
 HostListeners ToListeners(const Acceptors& acceptors) {
-  constexpr std::size_t kOwnIndex = 4;
   return HostListeners{.caller = acceptors[0],
                        .readiness = acceptors[1],
                        .admin = acceptors[2],
                        .peer = acceptors[3],
-                       .native_caller = acceptors.size() > kOwnIndex
-                                            ? acceptors[kOwnIndex]
-                                            : nullptr};
+                       .native_caller = acceptors[4],
+                       .forwarded = acceptors[5]};
 }
 
 }  // namespace
@@ -128,12 +145,15 @@
   }
   const Log log("host");
   const auto executor = co_await asio::this_coro::executor;
-  const auto deadline = std::chrono::steady_clock::now() + kAddressWait;
+  const auto start = std::chrono::steady_clock::now();
+  const auto deadline = start + kAddressWait;
   Backoff backoff(kMinListenDelay, kMaxListenDelay,
                   StableHash(settings.host.value()));
   bool is_waiting = false;
   while (true) {
-    const auto opened = Listen(executor, ValueOf(endpoints));
+    const bool needs_optional =
+        std::chrono::steady_clock::now() < start + kForwardAddressWait;
+    const auto opened = Listen(executor, ValueOf(endpoints), needs_optional);
     if (const auto* acceptors = std::get_if<Acceptors>(&opened)) {
       if (is_waiting) {
         log.Info("has all addresses now");
--- a/host/host_listeners.h
+++ b/host/host_listeners.h
@@ -19,6 +19,10 @@
 /// TIME_WAIT for 60 s.
 inline constexpr Duration kAddressWait = std::chrono::seconds(75);
 
+/// How long a start waits for the default of forward_listen, which the process
+/// before may still have.
+inline constexpr Duration kForwardAddressWait = std::chrono::seconds(2);
+
 /// The sockets on which a host accepts connections.
 struct HostListeners {
   using Acceptor = std::shared_ptr<boost::asio::ip::tcp::acceptor>;
@@ -28,13 +32,16 @@
   const Acceptor admin;
   const Acceptor peer;
   const Acceptor native_caller;  ///< Null without own_listen in the settings.
+  /// Null without forward_listen, or if its default is in use.
+  const Acceptor forwarded;
 
   friend auto operator<=>(const HostListeners&, const HostListeners&) = default;
   friend bool operator==(const HostListeners&, const HostListeners&) = default;
 };
 
 /// Opens the host's addresses, all or none, and waits while one of them is in
-/// use or isn't there. Accepts no connection before it has all.
+/// use or isn't there. Accepts no connection before it has all. Goes on without
+/// the default of forward_listen after kForwardAddressWait.
 /// @param stop ends the wait.
 /// @return the listeners, or kSettingsInvalid.
 boost::asio::awaitable<Result<HostListeners>> AwaitHostListeners(
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 #include <chrono>
+#include <cstddef>
+#include <limits>
 #include <optional>
 #include <random>
 #include <string>
@@ -93,20 +95,25 @@
   return secret;
 }
 
-/// @return the number of callers that a listener may serve with the descriptors
-/// that the process may open.
-std::size_t CallerConnectionLimit(std::size_t listener_count) {
+/// @return the number of descriptors that the process may open.
+std::size_t DescriptorLimit() {
   rlimit descriptors{};
   if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
     Log("host").Warn("the limit on descriptors can't be read");
-    return kMaxCallerConnections;
+    return std::numeric_limits<std::size_t>::max();
   }
-  const std::size_t limit =
-      MaxCallerConnections(descriptors.rlim_cur, listener_count);
+  return descriptors.rlim_cur;
+}
+
+/// @return the number of callers that a listener may serve with these
+/// descriptors.
+std::size_t CallerConnectionLimit(std::size_t descriptors,
+                                  std::size_t listener_count) {
+  const std::size_t limit = MaxCallerConnections(descriptors, listener_count);
   if (limit < kMaxCallerConnections) {
     Log("host").Warn("at most " + std::to_string(limit) +
                      " callers a listener, as the process has " +
-                     std::to_string(descriptors.rlim_cur) + " descriptors");
+                     std::to_string(descriptors) + " descriptors");
   }
   return limit;
 }
@@ -144,6 +151,7 @@
                                                 kOriginTaskMailboxCapacity)),
         entry_task(
             this->executor,
+            settings.host,
             EntryState(
                 EntrySettings{.host = settings.host,
                               .data_centre = settings.data_centre,
@@ -176,7 +184,8 @@
         this->executor, lease, this->settings.limit_window,
         RelayInterval(this->settings.drain_time),
         MakeUsageSettings(this->settings), this->settings.duties,
-        this->settings.store, this->memory, this->ReportStoreCalls(),
+        this->ForwardAddress(), this->settings.store, this->memory,
+        this->ReportStoreCalls(),
         ControlTaskChannels{.inbox = this->control_mailbox,
                             .entry = this->entry_mailbox,
                             .peers = this->peers,
@@ -187,6 +196,13 @@
     this->OpenOriginTask();
   }
 
+  /// @return where other hosts reach the listener for forwarded requests; empty
+  /// if there is none.
+  std::string ForwardAddress() const {
+    return this->listeners.forwarded != nullptr ? this->settings.forward_listen
+                                                : std::string();
+  }
+
   void OpenOriginTask() {
     const auto make_store = [this] {
       return platform::StoreClient(this->executor, this->settings.store,
@@ -207,21 +223,7 @@
     this->Start("stream origins", this->origin_task->Run());
     this->Start("entry notifications", this->ForwardEntryNotifications());
     this->SpawnFollowers();
-    const CallerLimits limits{
-        .max_connections = CallerConnectionLimit(
-            this->listeners.native_caller == nullptr ? 1 : 2),
-        .memory = this->memory};
-    this->Start("callers", RunCallerListener<platform::ClientProtocol>(
-                               this->listeners.caller,
-                               RequestIdPrefix(this->settings.host),
-                               this->entry_mailbox, this->caller_stop, limits));
-    if (this->listeners.native_caller != nullptr) {
-      this->Start("native callers",
-                  RunCallerListener<NativeProtocol>(
-                      this->listeners.native_caller,
-                      RequestIdPrefix(this->settings.host) + "-own",
-                      this->entry_mailbox, this->native_caller_stop, limits));
-    }
+    this->StartCallerListeners();
     this->Start(
         "readiness",
         RunAdminListener(this->listeners.readiness,
@@ -244,6 +246,7 @@
     co_await this->Sleep(std::min(kConnectionCloseDelay, grace_period));
     Post(*this->caller_stop, HostStopping{});
     Post(*this->native_caller_stop, HostStopping{});
+    Post(*this->forwarded_stop, HostStopping{});
     co_await this->Sleep(std::min(kDrainDelay, grace_period) -
                          std::min(kConnectionCloseDelay, grace_period));
     co_await Send(*this->entry_mailbox, EntryTaskMessage(DrainRequest{}));
@@ -273,6 +276,36 @@
   }
 
  private:
+  void StartCallerListeners() {
+    const std::size_t descriptors = DescriptorLimit();
+    const std::string prefix = RequestIdPrefix(this->settings.host);
+    const CallerLimits limits{
+        .max_connections = CallerConnectionLimit(
+            descriptors, this->listeners.native_caller == nullptr ? 1 : 2),
+        .memory = this->memory};
+    this->Start("callers", RunCallerListener<platform::ClientProtocol>(
+                               this->listeners.caller, prefix,
+                               this->entry_mailbox, this->caller_stop, limits));
+    if (this->listeners.native_caller != nullptr) {
+      this->Start("native callers",
+                  RunCallerListener<NativeProtocol>(
+                      this->listeners.native_caller, prefix + "-own",
+                      this->entry_mailbox, this->native_caller_stop, limits));
+    }
+    if (this->listeners.forwarded != nullptr) {
+      const CallerLimits forwarded_limits{
+          .max_connections = MaxForwardedConnections(descriptors),
+          .max_rejected_connections = kMaxRejectedForwardedConnections,
+          .idle_timeout = kForwardedIdleTimeout,
+          .memory = this->memory};
+      this->Start(
+          "forwarded requests",
+          RunCallerListener<platform::ForwardedProtocol>(
+              this->listeners.forwarded, prefix + "-fwd", this->entry_mailbox,
+              this->forwarded_stop, forwarded_limits));
+    }
+  }
+
   // Nothing restarts one of these tasks: without it the host would live on and
   // not serve.
   void Start(std::string name, asio::awaitable<void> task) {
@@ -289,6 +322,9 @@
     if (this->listeners.native_caller != nullptr) {
       listeners.push_back(this->native_caller_stop);
     }
+    if (this->listeners.forwarded != nullptr) {
+      listeners.push_back(this->forwarded_stop);
+    }
     return listeners;
   }
 
@@ -385,6 +421,8 @@
       std::make_shared<StopMailbox>(this->executor, 1);
   const std::shared_ptr<StopMailbox> native_caller_stop =
       std::make_shared<StopMailbox>(this->executor, 1);
+  const std::shared_ptr<StopMailbox> forwarded_stop =
+      std::make_shared<StopMailbox>(this->executor, 1);
   HostEntryTask entry_task;
   std::shared_ptr<PeerLinks> peers;
   std::optional<ControlTask> control_task;
--- a/own_interface/include/cicadaloft/own_interface/native_protocol.h
+++ b/own_interface/include/cicadaloft/own_interface/native_protocol.h
@@ -13,6 +13,7 @@
 /// first event.
 struct NativeProtocol {
   static constexpr bool kHasFractionalRetryAfter = false;
+  static constexpr bool kHasRunState = false;
 
   /// @return the request, or kMalformedRequest, kUnknownRoute or
   /// kMethodNotAllowed.
