Probe targets

A host that hasn't heard from any target for a while has to find out whether it reaches them at all (docs/design/detours.md, "Lost targets").

The metrics count probes by outcome, and show whether the host reaches targets.

--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -78,6 +78,17 @@
       MetricKey{.name = "cicadaloft_entry_taken_requests_total"});
 }
 
+void EntryMetrics::CountProbe(bool is_reached) {
+  this->metrics.AddToCounter(MetricKey{
+      .name = "cicadaloft_entry_target_probes_total",
+      .labels = {{"outcome", is_reached ? "reached" : "not_reached"}}});
+}
+
+void EntryMetrics::SetReachesTargets(bool reaches_targets) {
+  this->metrics.SetGauge(MetricKey{.name = "cicadaloft_entry_reaches_targets"},
+                         reaches_targets ? 1 : 0);
+}
+
 void EntryMetrics::CountDroppedMessage() {
   this->metrics.AddToCounter(
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -21,6 +21,7 @@
 #include "cicadaloft/forwarding/protocols.h"
 #include "cicadaloft/forwarding/target_connection_pool.h"
 #include "cicadaloft/forwarding/target_exchange.h"
+#include "cicadaloft/forwarding/target_probe.h"
 #include "cicadaloft/telemetry/log_task_failure.h"
 
 namespace cicadaloft {
@@ -111,6 +112,21 @@
     }
   }
 
+  /// Starts a probe. A TargetProbed follows.
+  void Execute(const ProbeTarget& probe) {
+    const auto report = [inbox = this->entry_inbox,
+                         target = probe.target](bool is_reached) {
+      Post(*inbox, EntryTaskMessage(EntryEvent(TargetProbed{
+                       .target = target, .is_reached = is_reached})));
+    };
+    Spawn(this->executor, "probe of " + probe.address,
+          RunTargetProbe(probe.address, Protocol::FormatProbe(probe), report),
+          [report](const TaskFailure& failure) {
+            LogTaskFailure{}(failure);
+            report(false);
+          });
+  }
+
   /// A lookup that is dropped ends by the entry's time limit.
   /// @return whether it was sent.
   bool Execute(const LookUpOrigin& lookup) {
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -29,6 +29,8 @@
   void CountForwardedRequest();
   /// Counts a request that another host has forwarded to this one.
   void CountTakenRequest();
+  void CountProbe(bool is_reached);
+  void SetReachesTargets(bool reaches_targets);
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
   /// Counts a call of the store by this host.
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -211,6 +211,8 @@
         this->metrics.RecordResponse(ended->http_status, now - *arrival);
       }
       this->effect_executor.RemoveAttempt(*ended);
+    } else if (const auto* probed = std::get_if<TargetProbed>(&event)) {
+      this->metrics.CountProbe(probed->is_reached);
     } else if (std::holds_alternative<EntryStopRequested>(event)) {
       this->is_stopping = true;
     }
@@ -259,8 +261,11 @@
       this->metrics.CountDroppedMessage();
     }
   }
-  void Execute(const ProbeTarget&) {}
+  void Execute(const ProbeTarget& probe) {
+    this->effect_executor.Execute(probe);
+  }
   void Execute(const TargetReachabilityChanged& change) {
+    this->metrics.SetReachesTargets(change.reaches_targets);
     this->NotifyControl(change);
   }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -10,6 +10,7 @@
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/detour/detour_messages.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/forwarding/messages.h"
 #include "cicadaloft/routing/target_load.h"
@@ -73,6 +74,7 @@
 concept TargetProtocol = requires(const CallerRequest& request,
                                   const Dispatch& dispatch,
                                   const HostId& self,
+                                  const ProbeTarget& probe,
                                   Duration remaining_time,
                                   int status,
                                   const std::vector<HeaderField>& fields) {
@@ -82,6 +84,7 @@
   {
     P::FormatForwardedHead(request, self, remaining_time)
   } -> std::same_as<std::string>;
+  { P::FormatProbe(probe) } -> std::same_as<std::string>;
   {
     P::ParseResponseMetadata(request, dispatch, status, fields)
   } -> std::same_as<ResponseMetadata>;
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -42,6 +42,10 @@
            "\r\n\r\n";
   }
 
+  static std::string FormatProbe(const ProbeTarget& probe) {
+    return "GET /probe HTTP/1.1\r\nHost: " + probe.address + "\r\n\r\n";
+  }
+
   static ResponseMetadata ParseResponseMetadata(
       const CallerRequest&,
       const Dispatch&,
