Refuse to forward what another host can't read, and test the edges of forwarding

A request of the own HTTP interface has another path, and no Host or Request-Id of the platform's clients. Sent over another host it would be answered with an error or taken for a request of another route. Its attempt now ends as kNotSent before a byte is sent.

--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -83,7 +83,7 @@
   } -> std::same_as<std::string>;
   {
     P::FormatForwardedHead(request, self, remaining_time)
-  } -> std::same_as<std::string>;
+  } -> std::same_as<std::optional<std::string>>;
   { P::FormatProbe(probe) } -> std::same_as<std::string>;
   {
     P::ParseResponseMetadata(request, dispatch, status, fields)
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -137,17 +137,24 @@
     co_return true;
   }
 
-  boost::asio::awaitable<std::optional<AttemptOutcome>> WriteRequest() {
+  std::optional<std::string> FormatHead() const {
     const CallerRequest& request = *this->params->request;
     const Dispatch& dispatch = this->params->dispatch;
-    const std::string header =
-        dispatch.via_host
-            ? Protocol::FormatForwardedHead(request, this->params->self,
-                                            this->RemainingTime())
-            : Protocol::FormatRequestHead(request, dispatch,
-                                          this->RemainingTime());
+    return dispatch.via_host
+               ? Protocol::FormatForwardedHead(request, this->params->self,
+                                               this->RemainingTime())
+               : std::optional(Protocol::FormatRequestHead(
+                     request, dispatch, this->RemainingTime()));
+  }
+
+  boost::asio::awaitable<std::optional<AttemptOutcome>> WriteRequest() {
+    const std::optional<std::string> header = this->FormatHead();
+    if (!header) {
+      co_return AttemptOutcome::kNotSent;
+    }
     const auto result = co_await WithTimeout(
-        this->RemainingTime(), this->WriteAll(header, request.body));
+        this->RemainingTime(),
+        this->WriteAll(*header, this->params->request->body));
     if (result && *result) {
       co_return std::nullopt;
     }
--- a/forwarding/tests/detour_exchange_test.cc
+++ b/forwarding/tests/detour_exchange_test.cc
@@ -29,6 +29,15 @@
   BOOST_TEST(entry.target.requests.at(0)["X-From"] == "h1");
 }
 
+// Guards against a request that the helping host takes for another one.
+BOOST_AUTO_TEST_CASE(RequestThatCantBeForwardedIsNotSent) {
+  DetourFixture entry;
+  const auto response = entry.ResponseTo(ServiceGet(kUnforwardablePath));
+  BOOST_TEST(response.result_int() == 503);
+  BOOST_TEST((entry.Outcomes() == Outcomes{kNotSent}));
+  BOOST_TEST(entry.target.requests.empty());
+}
+
 // Guards against a caller that gets the refusal of a full host although another
 // host could serve it.
 BOOST_AUTO_TEST_CASE(RefusalOfAHostIsWithheldIfAnotherMayBeTried) {
--- a/forwarding/tests/entry_metrics_test.cc
+++ b/forwarding/tests/entry_metrics_test.cc
@@ -37,6 +37,27 @@
   BOOST_TEST(has(tokens + "\"all\"} 715\n"));
 }
 
+// Guards against detours that operators don't see, or see as reached targets.
+BOOST_AUTO_TEST_CASE(DetoursAndProbesAreCounted) {
+  EntryMetrics metrics;
+  metrics.CountForwardedRequest();
+  metrics.CountTakenRequest();
+  metrics.CountTakenRequest();
+  metrics.CountProbe(true);
+  metrics.CountProbe(false);
+  metrics.CountProbe(false);
+  metrics.SetReachesTargets(false);
+  const std::string text = metrics.Render(StatusReply{}).text;
+  for (const std::string series :
+       {"cicadaloft_entry_forwarded_requests_total 1\n",
+        "cicadaloft_entry_taken_requests_total 2\n",
+        "cicadaloft_entry_target_probes_total{outcome=\"reached\"} 1\n",
+        "cicadaloft_entry_target_probes_total{outcome=\"not_reached\"} 2\n",
+        "cicadaloft_entry_reaches_targets 0\n"}) {
+    BOOST_TEST(text.find(series) != std::string::npos, series);
+  }
+}
+
 // Guards against waits whose estimate wasn't known that count as estimates of
 // 0.
 BOOST_AUTO_TEST_CASE(WaitWithoutEstimateCountsAsActualOnly) {
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_FORWARDING_TESTS_PLAIN_TARGET_PROTOCOL_H_
 #define CICADALOFT_FORWARDING_TESTS_PLAIN_TARGET_PROTOCOL_H_
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -12,6 +13,8 @@
 
 /// The request path for which PlainTargetProtocol fails.
 inline constexpr char kFaultyPath[] = "/faulty";
+/// The request path that PlainTargetProtocol can't send over another host.
+inline constexpr char kUnforwardablePath[] = "/here";
 
 /// Plain HTTP with header fields that report what happened to a request.
 struct PlainTargetProtocol {
@@ -33,9 +36,13 @@
     return text + "\r\n";
   }
 
-  static std::string FormatForwardedHead(const CallerRequest& request,
-                                         const HostId& self,
-                                         Duration) {
+  static std::optional<std::string> FormatForwardedHead(
+      const CallerRequest& request,
+      const HostId& self,
+      Duration) {
+    if (request.path.ends_with(kUnforwardablePath)) {
+      return std::nullopt;
+    }
     return request.method + " " + request.path +
            " HTTP/1.1\r\nX-From: " + self.value() +
            "\r\nContent-Length: " + std::to_string(request.body.size()) +
--- a/settings/tests/settings_test.cc
+++ b/settings/tests/settings_test.cc
@@ -1,6 +1,10 @@
 #define BOOST_TEST_MODULE settings
 #include <unistd.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
@@ -108,6 +112,27 @@
   }
 }
 
+// Guards against connections to peers that are gone which last for minutes, as
+// by the kernel's own values. With an unacknowledged timeout of 3 s the kernel
+// gives up on keep-alive probes by that time, whatever their number.
+BOOST_AUTO_TEST_CASE(KeepAliveOptionsEndDeadConnectionsWithinSeconds) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context, boost::asio::ip::tcp::v4());
+  SetKeepAliveOptions(socket);
+  const auto option = [&](int level, int name) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    BOOST_REQUIRE_EQUAL(
+        ::getsockopt(socket.native_handle(), level, name, &value, &size), 0);
+    return value;
+  };
+  BOOST_TEST(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+  BOOST_TEST(option(IPPROTO_TCP, TCP_KEEPIDLE) == 1);
+  BOOST_TEST(option(IPPROTO_TCP, TCP_KEEPINTVL) == 1);
+  BOOST_TEST(option(IPPROTO_TCP, TCP_KEEPCNT) == 2);
+  BOOST_TEST(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == 3000);
+}
+
 // Guards against starts that fail because the file is just being replaced.
 BOOST_AUTO_TEST_CASE(AFileThatIsBeingWrittenIsNotWhole) {
   const std::string whole = R"({"a": {"b": "}"}} // end)";
--- a/tests/process_start_test.sh
+++ b/tests/process_start_test.sh
@@ -178,6 +178,23 @@
 kill -TERM "$pid"
 expect_exit 0
 
+# Guards against hosts that don't start because a port is taken that they need
+# only for the requests of other hosts.
+check "the default port for forwarded requests is in use: the host starts without it"
+taken=$((base + 5))
+"$1/tests/fake_store" --listen "127.0.0.1:$taken" >"$dir/taken.log" 2>&1 &
+taken_pid=$!
+pids+=("$taken_pid")
+until_ok eval "(exec 3<>/dev/tcp/127.0.0.1/$taken)"
+sed "s/:$((base + 3))\"/:$((base + 6))\"/" "$dir/h1.json" >"$dir/taken.json"
+start without "$dir/taken.json"
+until_ok serves
+until_ok logged without "starts without an address: 127.0.0.1:$taken"
+kill -TERM "$pid"
+expect_exit 0
+kill "$taken_pid"
+wait "$taken_pid" 2>/dev/null || true
+
 # Guards against log lines that are written into a socket of the host.
 check "closed standard descriptors: no other descriptor gets their numbers"
 "$host" --settings "$dir/h1.json" <&- >&- 2>&- &
