--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "cicadaloft/core/id.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/spawn.h"
 #include "cicadaloft/core/time.h"
@@ -20,6 +21,7 @@
 #include "cicadaloft/forwarding/protocols.h"
 #include "cicadaloft/forwarding/target_connection_pool.h"
 #include "cicadaloft/forwarding/target_exchange.h"
+#include "cicadaloft/forwarding/target_probe.h"
 #include "cicadaloft/telemetry/log_task_failure.h"
 
 namespace cicadaloft {
@@ -29,11 +31,14 @@
 template <TargetProtocol Protocol>
 class EffectExecutor {
  public:
+  /// @param self this host, for requests that it forwards to other hosts.
   EffectExecutor(boost::asio::any_io_executor executor,
+                 HostId self,
                  std::shared_ptr<EntryTaskMailbox> entry_inbox,
                  std::shared_ptr<OriginTaskMailbox> origins,
                  const TargetLimits& limits)
       : executor(std::move(executor)),
+        self(std::move(self)),
         entry_inbox(std::move(entry_inbox)),
         origins(std::move(origins)),
         limits(limits),
@@ -75,6 +80,7 @@
     const RequestReceived& received = found->second.received;
     auto params = std::make_shared<const ExchangeParams>(ExchangeParams{
         .dispatch = dispatch,
+        .self = this->self,
         .request = received.request,
         .queue_time = now - found->second.arrival_time,
         .closes_connection = closes_connection,
@@ -106,6 +112,21 @@
     }
   }
 
+  /// Starts a probe. A TargetProbed follows.
+  void Execute(const ProbeTarget& probe) {
+    const auto report = [inbox = this->entry_inbox,
+                         target = probe.target](bool is_reached) {
+      Post(*inbox, EntryTaskMessage(EntryEvent(TargetProbed{
+                       .target = target, .is_reached = is_reached})));
+    };
+    Spawn(this->executor, "probe of " + probe.address,
+          RunTargetProbe(probe.address, Protocol::FormatProbe(probe), report),
+          [report](const TaskFailure& failure) {
+            LogTaskFailure{}(failure);
+            report(false);
+          });
+  }
+
   /// A lookup that is dropped ends by the entry's time limit.
   /// @return whether it was sent.
   bool Execute(const LookUpOrigin& lookup) {
@@ -166,6 +187,7 @@
   using AttemptKey = std::pair<RequestId, AttemptNumber>;
 
   const boost::asio::any_io_executor executor;
+  const HostId self;
   const std::shared_ptr<EntryTaskMailbox> entry_inbox;
   const std::shared_ptr<OriginTaskMailbox> origins;
   const TargetLimits limits;
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -86,7 +86,9 @@
           DecisionSink Sink>
 class EntryTask {
  public:
+  /// @param self this host, for requests that it forwards to other hosts.
   EntryTask(boost::asio::any_io_executor executor,
+            HostId self,
             State state,
             EntryTaskMailboxes mailboxes,
             const TargetLimits& limits,
@@ -97,6 +99,7 @@
         clock(std::move(clock)),
         sink(std::move(sink)),
         effect_executor(std::move(executor),
+                        std::move(self),
                         this->mailboxes.inbox,
                         this->mailboxes.origins,
                         limits) {}
@@ -121,6 +124,9 @@
   }
 
   void Handle(const RequestReceived& received) {
+    if (received.request->arrival.forwarded_by) {
+      this->metrics.CountTakenRequest();
+    }
     this->effect_executor.AddRequest(received, this->clock.Now());
     this->Handle(EntryEvent(received.request->arrival));
   }
@@ -205,12 +211,17 @@
         this->metrics.RecordResponse(ended->http_status, now - *arrival);
       }
       this->effect_executor.RemoveAttempt(*ended);
+    } else if (const auto* probed = std::get_if<TargetProbed>(&event)) {
+      this->metrics.CountProbe(probed->is_reached);
     } else if (std::holds_alternative<EntryStopRequested>(event)) {
       this->is_stopping = true;
     }
   }
 
   void Execute(const Dispatch& dispatch) {
+    if (dispatch.via_host) {
+      this->metrics.CountForwardedRequest();
+    }
     const auto ended = this->effect_executor.Execute(
         dispatch, this->is_stopping, this->clock.Now());
     if (ended) {
@@ -250,8 +261,11 @@
       this->metrics.CountDroppedMessage();
     }
   }
-  void Execute(const ProbeTarget&) {}
+  void Execute(const ProbeTarget& probe) {
+    this->effect_executor.Execute(probe);
+  }
   void Execute(const TargetReachabilityChanged& change) {
+    this->metrics.SetReachesTargets(change.reaches_targets);
     this->NotifyControl(change);
   }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
