--- a/tests/store_restore_process_test.sh
+++ b/tests/store_restore_process_test.sh
@@ -57,7 +57,7 @@
 is_held_by_other_than() { [ "$(holder)" != "$1" ]; }
 knows_version() {  # HOST VERSION
   local status
-  status=$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 -X POST -d x -H 'Host: provador.example' \
+  status=$(curl -s -o /dev/null -w '%{http_code}' --max-time 3 -X POST -d x -H 'Host: provador.example' \
     -H "Authorization: Bearer key-$2" -H "Request-Id: $1-$RANDOM-$RANDOM" -H 'Deadline-Ms: 2000' \
     "http://127.0.0.1:$(port_of "$1")/reservations/a")
   [ "$status" != 401 ] && [ "$status" != 000 ]
