--- a/tests/hosts_without_targets_process_test.sh
+++ b/tests/hosts_without_targets_process_test.sh
@@ -35,7 +35,8 @@
   cat >"$dir/$1.json" <<JSON
 {"host": "$1", "data_centre": "${1:0:1}", "listen": "127.0.0.1:$port",
  "ready_listen": "127.0.0.1:$((port + 1))", "admin_listen": "127.0.0.1:$((port + 2))",
- "peer_listen": "127.0.0.1:$((port + 3))", "store": "$store", "first_start": true}
+ "peer_listen": "127.0.0.1:$((port + 3))", "forward_listen": "127.0.0.1:$((port + 4))",
+ "store": "$store", "first_start": true}
 JSON
   ASAN_OPTIONS=verify_asan_link_order=0 LD_PRELOAD="$build/tests/libconnect_source.so" \
     CICADALOFT_TEST_SOURCE=$(source_of "$1") \
