Read the registry before a take-up goes by the sole version

Cause here: a take-up whose stream has no record, since its append failed, goes by the version that all targets of the service have had. What this host knows of the registry may be older than the stream. A store that comes back from an older copy can lose both the record and the entry of the new version.

A host knows now up to when its registry is complete (the sending of the read, its own or the lease holder's, that returned all records). Such a take-up waits until that is after its arrival, at most 1.5 s, and is then refused with Retry-After. A new era of the store ends the sole version, which has to last again.

Evidence: HostThatIsOutOfStepReadsTheRegistryBeforeItGoesOn, TakeUpIsRefusedWhileTheRegistryCannotBeRead and RestoredStoreEndsTheSoleVersion fail without the change, the first with a dispatch to the old version. The fixture of the tests says now when the registry has been read.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -111,6 +111,11 @@
   this->is_fleet_changed |= this->fleet_tracker.Apply(event, this->now);
 }
 
+// Passed on after the fleet that it speaks of.
+void ControlState::Handle(const RegistryCaughtUp& caught_up) {
+  this->registry_caught_up = caught_up;
+}
+
 void ControlState::Handle(const ModelLoadRequest& request) {
   this->ReportToHolder(request);
 }
@@ -256,6 +261,10 @@
   if (std::exchange(this->is_fleet_changed, false)) {
     this->PublishFleet();
   }
+  if (const auto caught_up =
+          std::exchange(this->registry_caught_up, std::nullopt)) {
+    this->NotifyEntry(*caught_up);
+  }
   if (this->evacuations.Tick(this->now)) {
     this->PublishEvacuations();
   }
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -57,6 +57,7 @@
   void Handle(const RecordRejected& rejected);
   void Handle(const OperatorTopicReachability& reachability);
   void Handle(const FleetEvent& event);
+  void Handle(const RegistryCaughtUp& caught_up);
   void Handle(const StoreEraSeen& seen);
   void Handle(const StoreRead& read);
   // From this host's entry.
@@ -158,7 +159,9 @@
   ActiveConfigurationPtr configuration;
   EvacuationTracker evacuations;
   FleetTracker fleet_tracker;
-  bool is_fleet_changed = false;    ///< Since the fleet was last published.
+  bool is_fleet_changed = false;  ///< Since the fleet was last published.
+  /// Not yet passed on to the entry.
+  std::optional<RegistryCaughtUp> registry_caught_up;
   bool has_reported_usage = false;  ///< The last UsageReport had usages.
   bool is_operator_topic_reachable = false;
   std::optional<StoreEra> store_era;   ///< The highest one seen.
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -52,6 +52,7 @@
   void Handle(const ConfigurationChanged& change);
   void Handle(const EvacuationsChanged& change);
   void Handle(const FleetChanged& change);
+  void Handle(const RegistryCaughtUp& caught_up);
   void Handle(const PlacementChange& change);
   void Handle(const SharesChanged& change);
   void Handle(const QuotaReply& reply);
@@ -196,6 +197,7 @@
                    const StreamOrigin& origin,
                    const OriginEvidence& evidence);
   void PinToSoleOrigin(OpenRequest& request);
+  void WaitForRegistry(OpenRequest& request);
   bool IsVersionGone(const QueueKey& key) const;
   bool RefuseIfVersionGone(const QueueKey& key);
   void RefuseTakeUp(const OpenRequest& request, const Error& error);
@@ -317,6 +319,10 @@
   LapsedNotices lapsed_notices;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
   SoleOrigins sole_origins;
+  /// Up to when the fleet is complete.
+  std::optional<RegistryCaughtUp> registry;
+  /// Take-ups that go on once the registry has been read after they arrived.
+  std::set<RequestId> waiting_for_registry;
   std::map<ServiceId, ServicePace> service_paces;
   ModelLocations model_locations;
 
--- a/entry/entry_resumption.cc
+++ b/entry/entry_resumption.cc
@@ -14,6 +14,10 @@
 /// A take-up whose origin isn't known by then is refused.
 constexpr Duration kOriginReplyTimeout = std::chrono::milliseconds(500);
 
+/// A take-up without a record waits at most this long until the registry has
+/// been read again; hosts read it, or are told, several times a second.
+constexpr Duration kRegistryWait = std::chrono::milliseconds(1500);
+
 /// Streams of routes with a shorter time limit are also taken to last this
 /// long.
 constexpr Duration kMinSoleOriginTime = std::chrono::seconds(60);
@@ -77,9 +81,39 @@
   }
 }
 
+void EntryCore::WaitForRegistry(OpenRequest& request) {
+  request.origin_deadline =
+      std::min(request.wait_deadline, this->now + kRegistryWait);
+  this->expiries.emplace(*request.origin_deadline, request.arrival.request);
+  this->waiting_for_registry.insert(request.arrival.request);
+}
+
+void EntryCore::Handle(const RegistryCaughtUp& caught_up) {
+  if (this->registry && caught_up.era != this->registry->era) {
+    // Entries and records of streams may have been lost.
+    this->sole_origins.Forget(this->now);
+  }
+  this->registry = caught_up;
+  const std::set<RequestId> waiting =
+      std::exchange(this->waiting_for_registry, {});
+  for (const RequestId& id : waiting) {
+    const auto entry = this->requests.find(id);
+    if (entry != this->requests.end() && entry->second.origin_deadline) {
+      this->expiries.erase({*entry->second.origin_deadline, id});
+      entry->second.origin_deadline.reset();
+      this->PinToSoleOrigin(entry->second);
+    }
+  }
+}
+
 // Goes on with a take-up whose stream has no known record, if it can have begun
-// at one origin only.
+// at one origin only. A host that was paused or cut off may not know a version
+// that has joined, so the registry must have been read since the request came.
 void EntryCore::PinToSoleOrigin(OpenRequest& request) {
+  if (!this->registry || this->registry->at < request.arrived_at) {
+    this->WaitForRegistry(request);
+    return;
+  }
   const auto sole = this->sole_origins.Find(request.route->id);
   if (sole && this->now - sole->since > SoleOriginTime(*request.route)) {
     this->PinToOrigin(
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -189,6 +189,17 @@
   friend bool operator==(const FleetChanged&, const FleetChanged&) = default;
 };
 
+/// All entries that the registry had at a time are in the last FleetChanged.
+struct RegistryCaughtUp {
+  TimePoint at{};
+  StoreEra era;
+
+  friend auto operator<=>(const RegistryCaughtUp&,
+                          const RegistryCaughtUp&) = default;
+  friend bool operator==(const RegistryCaughtUp&,
+                         const RegistryCaughtUp&) = default;
+};
+
 /// This host's share of the limits and budgets that are divided among all
 /// hosts.
 struct SharesChanged {
@@ -235,6 +246,7 @@
                                 ConfigurationChanged,
                                 EvacuationsChanged,
                                 FleetChanged,
+                                RegistryCaughtUp,
                                 PlacementChange,
                                 SharesChanged,
                                 QuotaReply,
--- a/entry/sole_origins.cc
+++ b/entry/sole_origins.cc
@@ -54,6 +54,13 @@
   });
 }
 
+void SoleOrigins::Forget(TimePoint now) {
+  this->is_first_start = false;
+  for (Version& version : this->versions | std::views::values) {
+    version.since = now;
+  }
+}
+
 std::optional<SoleOrigin> SoleOrigins::Find(const RouteId& route) const {
   const auto found = this->route_services.find(route);
   if (found == this->route_services.end() || !found->second.service) {
--- a/entry/sole_origins.h
+++ b/entry/sole_origins.h
@@ -40,6 +40,9 @@
   /// Replaces the routes, and forgets services to which none leads.
   void Update(const std::vector<Route>& routes, TimePoint now);
 
+  /// What was known of the time before is no longer certain.
+  void Forget(TimePoint now);
+
   /// @return the origin of all streams of the route since a time; none if there
   /// may have been others, as with several services.
   std::optional<SoleOrigin> Find(const RouteId& route) const;
--- a/entry/tests/resumption_fixture.h
+++ b/entry/tests/resumption_fixture.h
@@ -115,11 +115,18 @@
                               .age = std::chrono::milliseconds(70)}});
   }
 
-  void NotRecorded(const RequestId& request) {
+  /// The log has been read since the request came, but not yet the registry.
+  void NotInLog(const RequestId& request) {
     this->Feed(
         OriginLookedUp{.request = request, .result = OriginNotRecorded{}});
   }
 
+  /// The log and the registry have been read since the request came.
+  void NotRecorded(const RequestId& request) {
+    this->NotInLog(request);
+    this->Feed(RegistryCaughtUp{.at = this->now});
+  }
+
   /// Sends a take-up of a stream that began at the version.
   RequestId TakeUpAt(const std::string& software,
                      const std::string& route = "stream") {
--- a/entry/tests/sole_origin_test.cc
+++ b/entry/tests/sole_origin_test.cc
@@ -116,6 +116,64 @@
   }
 }
 
+// Guards against a host that was paused, or cut off from the others and the
+// store, while targets of a new version joined: the stream began at one of
+// them, its record was not appended, and the host went by the version that it
+// knew.
+BOOST_AUTO_TEST_CASE(HostThatIsOutOfStepReadsTheRegistryBeforeItGoesOn) {
+  for (const bool has_second_version : {true, false}) {
+    SoleOriginFixture entry;
+    entry.Wait(seconds(61));
+    entry.Feed(RegistryCaughtUp{.at = entry.now - milliseconds(1)});
+    const RequestId id = entry.SendTakeUp("first");
+    entry.NotInLog(id);
+    entry.Feed(RegistryCaughtUp{.at = entry.now - milliseconds(1)});
+    BOOST_TEST(entry.EffectsOf<Dispatch>().empty());
+    BOOST_TEST(entry.EffectsOf<Refuse>().empty());
+    if (has_second_version) {
+      entry.SetTargets(
+          {kTarget1, kTarget2, MakeVersionedTarget("p3", "plain", "v2")});
+    }
+    entry.Feed(RegistryCaughtUp{.at = entry.now});
+    BOOST_TEST(entry.TargetsOf(id).size() == (has_second_version ? 0 : 1));
+    if (has_second_version) {
+      BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamOriginUnknown));
+    }
+  }
+}
+
+// Guards against take-ups that wait for a registry that can't be read until
+// their time is over, and against a reply that comes after the refusal.
+BOOST_AUTO_TEST_CASE(TakeUpIsRefusedWhileTheRegistryCannotBeRead) {
+  SoleOriginFixture entry;
+  entry.Wait(seconds(61));
+  const RequestId id = entry.SendTakeUp("first");
+  entry.NotInLog(id);
+  entry.Wait(milliseconds(1500));
+  BOOST_TEST((entry.RefusalKind() == ErrorKind::kStreamOriginUnreachable));
+  BOOST_TEST(entry.EffectsOf<Refuse>()[0].retry_after.has_value());
+  entry.Feed(RegistryCaughtUp{.at = entry.now});
+  BOOST_TEST(entry.EffectsOf<Dispatch>().empty());
+}
+
+// Guards against streams whose records and whose targets' entries were both
+// lost when the store came back from an older copy during a release.
+BOOST_AUTO_TEST_CASE(RestoredStoreEndsTheSoleVersion) {
+  SoleOriginFixture entry(true);
+  entry.Feed(RegistryCaughtUp{.at = entry.now, .era = StoreEra(1)});
+  const auto goes_on = [&entry](std::uint64_t era) {
+    entry.Wait(milliseconds(1));
+    const RequestId id = entry.SendTakeUp("first");
+    entry.NotInLog(id);
+    entry.Feed(RegistryCaughtUp{.at = entry.now, .era = StoreEra(era)});
+    return entry.TargetsOf(id).size() == 1;
+  };
+  BOOST_TEST(goes_on(1));
+  BOOST_TEST(!goes_on(2));
+  entry.Wait(seconds(61));
+  BOOST_TEST(goes_on(2));
+}
+
 // Guards against a sole version that lasts through others, however short.
 BOOST_AUTO_TEST_CASE(OtherOrUnknownVersionEndsTheSoleVersion) {
   for (const std::string version : {"v2", ""}) {
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -104,6 +104,7 @@
                  [&](const KeyChanged& change) {
                    SendOperatorRecord(mailbox, change.record);
                  },
+                 [](const TopicCaughtUp&) {},
                  [&](const StoreReachability& reachability) {
                    SendToControl(mailbox,
                                  OperatorTopicReachability{
@@ -145,24 +146,28 @@
 
 void RegistryFeed::operator()(const FollowerEvent& event) const {
   ControlMailbox& mailbox = *this->control_mailbox;
-  std::visit(Overloaded{[&](const TopicSnapshot& snapshot) {
-                          SendRegistrySnapshot(mailbox, snapshot);
-                        },
-                        [&](const KeyChanged& change) {
-                          SendRegistryRecord(mailbox, change.record);
-                        },
-                        [&](const StoreReachability& reachability) {
-                          SendToControl(
-                              mailbox,
-                              FleetEvent(RegistryReachability{
-                                  .is_reachable = reachability.is_reachable}));
-                        },
-                        [&](const RecordSkipped& skipped) {
-                          ReportRejectedRecord(mailbox,
-                                               platform::kRegistryTopic,
-                                               skipped.reason);
-                        }},
-             event);
+  std::visit(
+      Overloaded{
+          [&](const TopicSnapshot& snapshot) {
+            SendRegistrySnapshot(mailbox, snapshot);
+          },
+          [&](const KeyChanged& change) {
+            SendRegistryRecord(mailbox, change.record);
+          },
+          [&](const TopicCaughtUp& caught_up) {
+            SendToControl(mailbox, RegistryCaughtUp{.at = caught_up.at,
+                                                    .era = caught_up.era});
+          },
+          [&](const StoreReachability& reachability) {
+            SendToControl(mailbox,
+                          FleetEvent(RegistryReachability{
+                              .is_reachable = reachability.is_reachable}));
+          },
+          [&](const RecordSkipped& skipped) {
+            ReportRejectedRecord(mailbox, platform::kRegistryTopic,
+                                 skipped.reason);
+          }},
+      event);
 }
 
 }  // namespace cicadaloft
--- a/relay/include/cicadaloft/relay/relay_buffer.h
+++ b/relay/include/cicadaloft/relay/relay_buffer.h
@@ -29,11 +29,16 @@
   /// @return whether the relayed records are complete up to a recent time.
   bool IsFresh(TimePoint now) const { return now < this->FreshUntil(); }
   TimePoint FreshUntil() const {
-    return this->complete_at ? *this->complete_at + this->max_age : TimePoint{};
+    return this->last_complete_at ? *this->last_complete_at + this->max_age
+                                  : TimePoint{};
   }
 
   /// @return the highest era of a relayed message.
   StoreEra era() const { return this->newest_era; }
+  /// @return when the log had no record after those in the buffer.
+  /// @pre IsFresh()
+  TimePoint complete_at() const { return *this->last_complete_at; }
+
   /// @return whether no record from `offset` on is missing.
   bool Covers(LogOffset offset) const { return offset >= this->first; }
   /// @return the records from `offset` on, which must be covered.
@@ -48,7 +53,7 @@
   StoreEra newest_era;
   LogOffset first;
   std::deque<std::string> records;
-  std::optional<TimePoint> complete_at;
+  std::optional<TimePoint> last_complete_at;
 };
 
 }  // namespace cicadaloft
--- a/relay/include/cicadaloft/relay/relay_reader.h
+++ b/relay/include/cicadaloft/relay/relay_reader.h
@@ -32,6 +32,7 @@
 /// The read is answered with relayed records; there may be none.
 struct AnswerFromRelay {
   std::vector<std::string> records;
+  TimePoint complete_at{};  ///< The log had no further record then.
 };
 
 /// Nothing is due before this time unless a relayed message arrives.
--- a/relay/include/cicadaloft/relay/relayed_store.h
+++ b/relay/include/cicadaloft/relay/relayed_store.h
@@ -75,7 +75,8 @@
             LogRecords{.records = std::move(answer->records),
                        .next_offset = end,
                        .end_offset = end,
-                       .era = this->reader.answer_era()});
+                       .era = this->reader.answer_era(),
+                       .complete_at = answer->complete_at});
       }
       if (const auto* read = std::get_if<ReadFromStore>(&step)) {
         co_return co_await this->ReadStore(topic, from, read->wait);
@@ -113,6 +114,12 @@
                            .records = records->records,
                            .sent_at = is_complete ? sent_at : TimePoint{},
                            .era = records->era});
+      co_return LogReadOutcome(LogRecords{
+          .records = records->records,
+          .next_offset = records->next_offset,
+          .end_offset = records->end_offset,
+          .era = records->era,
+          .complete_at = is_complete ? std::optional(sent_at) : std::nullopt});
     }
     co_return outcome;
   }
--- a/relay/relay_buffer.cc
+++ b/relay/relay_buffer.cc
@@ -17,7 +17,7 @@
     *this = RelayBuffer(this->max_age);
     this->newest_era = topic.era;
   }
-  const bool has_gap = !this->complete_at || topic.from > this->End();
+  const bool has_gap = !this->last_complete_at || topic.from > this->End();
   if (has_gap) {
     this->first = topic.from;
     this->records.clear();
@@ -32,8 +32,9 @@
     this->records.pop_front();
     this->first = this->first.Next();
   }
-  this->complete_at = std::max(this->complete_at.value_or(received.complete_at),
-                               received.complete_at);
+  this->last_complete_at =
+      std::max(this->last_complete_at.value_or(received.complete_at),
+               received.complete_at);
 }
 
 std::vector<std::string> RelayBuffer::RecordsFrom(LogOffset offset) const {
--- a/relay/relay_reader.cc
+++ b/relay/relay_reader.cc
@@ -25,7 +25,8 @@
   if (is_relayed) {
     std::vector<std::string> records = this->buffer.RecordsFrom(from);
     if (!records.empty() || now >= deadline) {
-      return AnswerFromRelay{.records = std::move(records)};
+      return AnswerFromRelay{.records = std::move(records),
+                             .complete_at = this->buffer.complete_at()};
     }
     return WaitForRelay{.until = std::min(deadline, this->buffer.FreshUntil())};
   }
--- a/relay/tests/relayed_store_test.cc
+++ b/relay/tests/relayed_store_test.cc
@@ -128,6 +128,22 @@
 
 BOOST_AUTO_TEST_SUITE(relayed_store)
 
+// Guards against relayed records that count as complete for longer than they
+// are, so that a host that was cut off takes old knowledge for the present one.
+BOOST_FIXTURE_TEST_CASE(ReadsTellUpToWhenTheyAreComplete, Fixture) {
+  const TimePoint before = SteadyTime{}.Now();
+  this->log->records = {"a"};
+  const LogRecords own = this->Read(0);
+  BOOST_REQUIRE(own.complete_at.has_value());
+  BOOST_TEST((*own.complete_at >= before));
+  this->Relay(1, {"b"});
+  const TimePoint relayed_at = SteadyTime{}.Now();
+  const LogRecords relayed = this->Read(1);
+  BOOST_REQUIRE(relayed.complete_at.has_value());
+  BOOST_TEST((*relayed.complete_at >= *own.complete_at));
+  BOOST_TEST((*relayed.complete_at <= relayed_at));
+}
+
 BOOST_AUTO_TEST_CASE(RelayedRecordsReplaceReadsOfTheStore) {
   Fixture fixture;
   fixture.Relay(2, {"2", "3"});
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -40,6 +40,12 @@
   KeyedRecord record;
 };
 
+/// All records that the topic had at a time have been reported.
+struct TopicCaughtUp {
+  TimePoint at{};  ///< On the clock of the store's reader.
+  StoreEra era;
+};
+
 /// Whether the store answers. Reported after each failed call, and after the
 /// first successful one since the start or a failure.
 struct StoreReachability {
@@ -60,8 +66,11 @@
   StoreEra era;
 };
 
-using FollowerEvent =
-    std::variant<TopicSnapshot, KeyChanged, StoreReachability, RecordSkipped>;
+using FollowerEvent = std::variant<TopicSnapshot,
+                                   KeyChanged,
+                                   TopicCaughtUp,
+                                   StoreReachability,
+                                   RecordSkipped>;
 
 /// Topic and timing of a KeyedFollower.
 struct FollowerSettings {
@@ -212,6 +221,9 @@
       }
     }
     this->position.MoveTo(records.next_offset);
+    if (records.complete_at) {
+      this->sink(TopicCaughtUp{.at = *records.complete_at, .era = records.era});
+    }
   }
 
   // Reports the first one in a row only: it is read again until it is newer.
--- a/store/include/cicadaloft/store/messages.h
+++ b/store/include/cicadaloft/store/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cicadaloft/core/id.h"
+#include "cicadaloft/core/time.h"
 
 namespace cicadaloft {
 
@@ -36,6 +37,9 @@
   const LogOffset next_offset;  ///< Offset after the last of `records`.
   const LogOffset end_offset;   ///< End of the log at the time of the read.
   const StoreEra era;
+  /// On this host's clock: at that time the log had no record after these. None
+  /// if that isn't known.
+  const std::optional<TimePoint> complete_at;
 
   friend auto operator<=>(const LogRecords&, const LogRecords&) = default;
   friend bool operator==(const LogRecords&, const LogRecords&) = default;
--- a/store/tests/keyed_follower_test.cc
+++ b/store/tests/keyed_follower_test.cc
@@ -86,6 +86,12 @@
             return text;
           },
           [](const KeyChanged& change) { return ToString(change.record); },
+          [](const TopicCaughtUp& caught_up) {
+            const auto at = std::chrono::duration_cast<milliseconds>(
+                caught_up.at.time_since_epoch());
+            return "caught up at " + std::to_string(at.count()) + " in era " +
+                   std::to_string(caught_up.era.value());
+          },
           [](const StoreReachability& reachability) {
             return std::string(reachability.is_reachable ? "up" : "down");
           },
@@ -182,6 +188,22 @@
   BOOST_TEST((fixture.script->read_from.back() == LogOffset(4)));
 }
 
+// Guards against a topic that counts as known up to a time before its records
+// of that time have been reported, or at a time that isn't known.
+BOOST_AUTO_TEST_CASE(TopicIsCaughtUpAfterItsRecords) {
+  const LogRecords complete{.records = {"a=2"},
+                            .next_offset = LogOffset(11),
+                            .end_offset = LogOffset(11),
+                            .era = StoreEra(1),
+                            .complete_at = TimePoint(milliseconds(70))};
+  Fixture fixture({Snapshot({"a=1"}, 10, 1)},
+                  {LogReadOutcome(complete), Records({"a=3"}, 12, 1)});
+  BOOST_TEST(fixture.RunFor(milliseconds(50)) ==
+                 (Texts{"up", "snapshot a=1", "a=2", "caught up at 70 in era 1",
+                        "a=3"}),
+             boost::test_tools::per_element());
+}
+
 // Guards against a trimmed log that is taken for a restored one.
 BOOST_AUTO_TEST_CASE(TrimmedLogIsNotARestoredOne) {
   Fixture fixture({Snapshot({"a=1"}, 10, 1), Snapshot({"a=3"}, 30, 1)},
