--- a/relay/relay_buffer.cc
+++ b/relay/relay_buffer.cc
@@ -20,7 +20,7 @@
     this->StartAgain(topic.era);
     this->has_gone_back = true;
   }
-  const bool has_gap = !this->complete_at || topic.from > this->End();
+  const bool has_gap = !this->last_complete_at || topic.from > this->End();
   if (has_gap) {
     this->first = topic.from;
     this->records.clear();
@@ -35,8 +35,9 @@
     this->records.pop_front();
     this->first = this->first.Next();
   }
-  this->complete_at = std::max(this->complete_at.value_or(received.complete_at),
-                               received.complete_at);
+  this->last_complete_at =
+      std::max(this->last_complete_at.value_or(received.complete_at),
+               received.complete_at);
   if (topic.End() >= this->End()) {
     this->end_complete_at =
         std::max(this->end_complete_at, received.complete_at);
@@ -45,7 +46,7 @@
 
 // A holder may lag behind the one before.
 bool RelayBuffer::HasGoneBack(const RelayReceived& received) const {
-  return this->newest_era == StoreEra() && this->complete_at &&
+  return this->newest_era == StoreEra() && this->last_complete_at &&
          received.topic.End() < this->End() &&
          received.complete_at - this->end_complete_at >=
              TopicPosition::kMaxTimeBehind;
