--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -1,6 +1,5 @@
 #include "host_runtime.h"
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,8 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 #include <chrono>
-#include <cstddef>
-#include <limits>
 #include <optional>
 #include <random>
 #include <string>
@@ -24,10 +21,8 @@
 #include "cicadaloft/forwarding/admin_listener.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/caller_listener.h"
-#include "cicadaloft/forwarding/descriptor_limits.h"
 #include "cicadaloft/forwarding/entry_task.h"
 #include "cicadaloft/forwarding/origin_task.h"
-#include "cicadaloft/own_interface/native_protocol.h"
 #include "cicadaloft/platform/configuration_codec.h"
 #include "cicadaloft/platform/protocols.h"
 #include "cicadaloft/platform/registry_codec.h"
@@ -39,6 +34,7 @@
 #include "cicadaloft/telemetry/log.h"
 #include "control_task.h"
 #include "peer_links.h"
+#include "request_listeners.h"
 #include "topic_feeds.h"
 #include "usage_duty.h"
 
@@ -76,14 +72,6 @@
 /// callers.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 
-/// @return the prefix of the request ids that this process assigns.
-std::string RequestIdPrefix(const HostId& host) {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-  return host.value() + "-" + std::to_string(ms);
-}
-
 /// @return an unguessable secret, new for each process.
 std::string MakeSecret() {
   constexpr int kWords = 4;
@@ -95,29 +83,6 @@
   return secret;
 }
 
-/// @return the number of descriptors that the process may open.
-std::size_t DescriptorLimit() {
-  rlimit descriptors{};
-  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
-    Log("host").Warn("the limit on descriptors can't be read");
-    return std::numeric_limits<std::size_t>::max();
-  }
-  return descriptors.rlim_cur;
-}
-
-/// @return the number of callers that a listener may serve with these
-/// descriptors.
-std::size_t CallerConnectionLimit(std::size_t descriptors,
-                                  std::size_t listener_count) {
-  const std::size_t limit = MaxCallerConnections(descriptors, listener_count);
-  if (limit < kMaxCallerConnections) {
-    Log("host").Warn("at most " + std::to_string(limit) +
-                     " callers a listener, as the process has " +
-                     std::to_string(descriptors) + " descriptors");
-  }
-  return limit;
-}
-
 using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
@@ -223,7 +188,7 @@
     this->Start("stream origins", this->origin_task->Run());
     this->Start("entry notifications", this->ForwardEntryNotifications());
     this->SpawnFollowers();
-    this->StartCallerListeners();
+    this->request_listeners.Start(this->entry_mailbox);
     this->Start(
         "readiness",
         RunAdminListener(this->listeners.readiness,
@@ -244,9 +209,7 @@
     co_await Send(*this->control_mailbox, control_stop);
     co_await Send(*this->entry_mailbox, EntryTaskMessage(stop));
     co_await this->Sleep(std::min(kConnectionCloseDelay, grace_period));
-    Post(*this->caller_stop, HostStopping{});
-    Post(*this->native_caller_stop, HostStopping{});
-    Post(*this->forwarded_stop, HostStopping{});
+    this->request_listeners.NotifyStop();
     co_await this->Sleep(std::min(kDrainDelay, grace_period) -
                          std::min(kConnectionCloseDelay, grace_period));
     co_await Send(*this->entry_mailbox, EntryTaskMessage(DrainRequest{}));
@@ -255,9 +218,10 @@
     const auto drained =
         co_await WithTimeout(remaining, Receive(*this->drained));
     const ListenerClosed closed = co_await CloseListeners(
-        this->Listeners(), drained ? std::clamp(grace_period - Elapsed(start),
-                                                kMinCloseTime, kMaxCloseTime)
-                                   : kMinCloseTime);
+        this->request_listeners.stops(),
+        drained ? std::clamp(grace_period - Elapsed(start), kMinCloseTime,
+                             kMaxCloseTime)
+                : kMinCloseTime);
     Log("host").Event(
         R"("event":"host.listeners_closed","last_accepted":)" +
         std::to_string(closed.last_accepted) + R"(,"open_connections":)" +
@@ -276,36 +240,6 @@
   }
 
  private:
-  void StartCallerListeners() {
-    const std::size_t descriptors = DescriptorLimit();
-    const std::string prefix = RequestIdPrefix(this->settings.host);
-    const CallerLimits limits{
-        .max_connections = CallerConnectionLimit(
-            descriptors, this->listeners.native_caller == nullptr ? 1 : 2),
-        .memory = this->memory};
-    this->Start("callers", RunCallerListener<platform::ClientProtocol>(
-                               this->listeners.caller, prefix,
-                               this->entry_mailbox, this->caller_stop, limits));
-    if (this->listeners.native_caller != nullptr) {
-      this->Start("native callers",
-                  RunCallerListener<NativeProtocol>(
-                      this->listeners.native_caller, prefix + "-own",
-                      this->entry_mailbox, this->native_caller_stop, limits));
-    }
-    if (this->listeners.forwarded != nullptr) {
-      const CallerLimits forwarded_limits{
-          .max_connections = MaxForwardedConnections(descriptors),
-          .max_rejected_connections = kMaxRejectedForwardedConnections,
-          .idle_timeout = kForwardedIdleTimeout,
-          .memory = this->memory};
-      this->Start(
-          "forwarded requests",
-          RunCallerListener<platform::ForwardedProtocol>(
-              this->listeners.forwarded, prefix + "-fwd", this->entry_mailbox,
-              this->forwarded_stop, forwarded_limits));
-    }
-  }
-
   // Nothing restarts one of these tasks: without it the host would live on and
   // not serve.
   void Start(std::string name, asio::awaitable<void> task) {
@@ -317,17 +251,6 @@
         std::chrono::steady_clock::now() - start);
   }
 
-  std::vector<std::shared_ptr<StopMailbox>> Listeners() const {
-    std::vector<std::shared_ptr<StopMailbox>> listeners = {this->caller_stop};
-    if (this->listeners.native_caller != nullptr) {
-      listeners.push_back(this->native_caller_stop);
-    }
-    if (this->listeners.forwarded != nullptr) {
-      listeners.push_back(this->forwarded_stop);
-    }
-    return listeners;
-  }
-
   void SpawnFollowers() {
     const std::uint64_t seed = StableHash(this->settings.host.value());
     const auto run = [](auto follower) -> asio::awaitable<void> {
@@ -417,12 +340,8 @@
       std::make_shared<RelayMailbox>(this->executor, kRelayMailboxCapacity);
   const std::shared_ptr<RelayMailbox> registry_relay =
       std::make_shared<RelayMailbox>(this->executor, kRelayMailboxCapacity);
-  const std::shared_ptr<StopMailbox> caller_stop =
-      std::make_shared<StopMailbox>(this->executor, 1);
-  const std::shared_ptr<StopMailbox> native_caller_stop =
-      std::make_shared<StopMailbox>(this->executor, 1);
-  const std::shared_ptr<StopMailbox> forwarded_stop =
-      std::make_shared<StopMailbox>(this->executor, 1);
+  RequestListeners request_listeners{this->executor, this->listeners,
+                                     this->settings.host, this->memory};
   HostEntryTask entry_task;
   std::shared_ptr<PeerLinks> peers;
   std::optional<ControlTask> control_task;
