Tell each host its position among all hosts

Cause: a host knows only how many hosts there are. The lease holder now numbers them by the message host_position, and hosts state their numbers to a new holder. Nothing uses the positions yet.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -224,6 +224,7 @@
       this->connected_holder = change.host;
       this->FeedLease(HolderHeartbeat{.holder = change.host});
       this->RepeatPoisonReports();
+      this->StatePosition();
     } else {
       this->connected_holder.reset();
       this->relay_clock.OnLinkDown();
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -76,6 +76,8 @@
                            this->now);
     this->NotifyEntry(QuotaHistoryRequest{});
     this->RepeatPoisonReports();
+    this->host_positions.BeginTerm(this->known_host_count > 1, this->now);
+    this->StatePosition();
   }
   this->BeginPlacementIfDue();
   this->DivideShares();
@@ -160,6 +162,49 @@
   this->RecordReportedVersion(report.configuration);
   if (this->is_limit_coordinator) {
     this->ledger.OnReport(report, this->now);
+    this->host_positions.OnReport(report.host, report.grant_number == 0,
+                                  this->now);
+  }
+}
+
+void ControlState::OnPeerMessage(const HostId& host,
+                                 const HostPosition& position) {
+  if (this->is_limit_coordinator && position.host == host &&
+      host != this->holder) {
+    this->host_positions.OnStatement(position, this->now);
+  } else if (this->holder == host &&
+             position.host == this->lease_settings.self) {
+    this->AdoptPosition(position);
+  }
+}
+
+void ControlState::AdoptPosition(const HostPosition& position) {
+  this->own_position = position;
+  this->positioned_since = this->now - position.age;
+  this->PublishShares();
+}
+
+void ControlState::StatePosition() {
+  if (!this->own_position) {
+    return;
+  }
+  this->own_position->age = this->now - this->positioned_since;
+  if (this->is_limit_coordinator) {
+    this->host_positions.OnStatement(*this->own_position, this->now);
+  } else {
+    this->effects.emplace_back(SendToHolder{.message = *this->own_position});
+  }
+}
+
+void ControlState::SendPositions() {
+  for (const HostPosition& position :
+       this->host_positions.TakeChanged(this->now)) {
+    if (position.host == this->lease_settings.self) {
+      this->AdoptPosition(position);
+    } else {
+      this->effects.emplace_back(
+          SendToHost{.host = position.host, .message = position});
+    }
   }
 }
 
@@ -306,6 +351,7 @@
           SendToHost{.host = host, .message = std::move(message)});
     }
   }
+  this->SendPositions();
 }
 
 std::uint32_t ControlState::AssumedHostCount() const {
@@ -359,6 +405,11 @@
       .host_count = hosts,
       .default_share = reserved,
       .is_lease_holder_reachable = this->IsLeaseHolderReachable()};
+  if (this->own_position) {
+    shares.host_position = this->own_position->position;
+    shares.position_count = this->own_position->count;
+    shares.positioned_since = this->positioned_since;
+  }
   if (this->usage_before_start) {
     shares.usage_before_start = *this->usage_before_start;
   }
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -107,6 +107,11 @@
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
   void OnPeerMessage(const HostId& host, const UsageCounts& counts);
   void OnPeerMessage(const HostId& host, const UsageClock& clock);
+  void OnPeerMessage(const HostId& host, const HostPosition& position);
+  /// Tells a new holder which position this host has.
+  void StatePosition();
+  void AdoptPosition(const HostPosition& position);
+  void SendPositions();
   void UpdateRelay();
   void LogLeftOutRecords();
   void DecidePoison();
@@ -206,6 +211,11 @@
   bool is_relay_reader = false;    ///< As last announced by a RelayRole.
   TimePoint left_out_logged_at{};
 
+  HostPositions host_positions;  ///< Used while this host divides limits.
+  /// Of this host, as the last holder has told it.
+  std::optional<HostPosition> own_position;
+  TimePoint positioned_since{};  ///< When it first got one.
+
   ShareGrant last_grant;  ///< The newest grant for this host.
   TimePoint last_grant_at{};
   /// 0 until another host or the log has reported it.
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -280,6 +280,9 @@
   }
 
   void Execute(Host& host, const SendToEntry& send) {
+    if (const auto* shares = std::get_if<SharesChanged>(&send.event)) {
+      host.shares = *shares;
+    }
     if (const auto* change = std::get_if<FleetChanged>(&send.event)) {
       const auto found = change->fleet->targets.find(this->target.id);
       host.sees_draining_target =
--- a/control/tests/simulated_host.h
+++ b/control/tests/simulated_host.h
@@ -70,6 +70,7 @@
     this->costs.clear();
     this->relayed.clear();
     this->sees_draining_target = false;
+    this->shares = SharesChanged();
   }
 
   /// @return whether the process is frozen; then the action runs when it
@@ -104,6 +105,7 @@
   std::map<RequestId, double> costs;
   std::map<std::string, RelayReceived> relayed;  ///< The newest of each topic.
   bool sees_draining_target = false;
+  SharesChanged shares;  ///< As the entry was last told.
 };
 
 }  // namespace cicadaloft
--- a/control/tests/simulated_hosts.h
+++ b/control/tests/simulated_hosts.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -52,6 +53,17 @@
     return followers;
   }
 
+  /// @return what the entries of the hosts that live were last told, by host.
+  std::map<HostId, SharesChanged> Shares() const {
+    std::map<HostId, SharesChanged> shares;
+    for (const auto& host : this->hosts) {
+      if (host->is_alive) {
+        shares.emplace(host->id, host->shares);
+      }
+    }
+    return shares;
+  }
+
   std::size_t HostCount() const { return this->hosts.size(); }
 
   /// @return whether the host reaches the store.
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -193,6 +193,10 @@
 /// hosts.
 struct SharesChanged {
   std::uint32_t host_count = 1;  ///< Hosts that take requests.
+  /// Of this host among all, below `position_count`; none if it isn't known.
+  std::optional<std::uint32_t> host_position;
+  std::uint32_t position_count = 0;
+  TimePoint positioned_since{};  ///< When it first got a position.
   double default_share = 0;      ///< For customers not in `shares`.
   std::vector<GrantedShare> shares;
   /// Whether quota and warm-up permits can be requested.
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/admission/host_positions.h"
 #include "cicadaloft/admission/share_messages.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/placement/messages.h"
@@ -37,7 +38,8 @@
                                  PoisonBlock,
                                  ServiceLoadReport,
                                  UsageCounts,
-                                 UsageClock>;
+                                 UsageClock,
+                                 HostPosition>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -199,6 +199,13 @@
     std::tuple(Required("host", &ServiceLoadReport::host),
                Required("loads", &ServiceLoadReport::loads));
 
+template <>
+inline constexpr auto kJsonFields<HostPosition> =
+    std::tuple(Required("host", &HostPosition::host),
+               Required("position", &HostPosition::position),
+               Required("count", &HostPosition::count),
+               Required("age", &HostPosition::age));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
@@ -209,7 +216,8 @@
          "target_leaving",   "relay_request",     "relay_welcome",
          "store_relay",      "quota_history",     "crash_evidence",
          "poison_suspects",  "poison_refutation", "poison_block",
-         "service_load",     "usage_counts",      "usage_clock"});
+         "service_load",     "usage_counts",      "usage_clock",
+         "host_position"});
 
 }  // namespace cicadaloft
 
