Bound what one host sends to a brittle target

Cause: each host bounded by itself what it sends. BrittleBound gives each host a part of the slots; the parts of all hosts add up to the slots. The entry doesn't use it yet.

--- a/routing/include/cicadaloft/routing/target_view.h
+++ b/routing/include/cicadaloft/routing/target_view.h
@@ -7,6 +7,7 @@
 
 #include "cicadaloft/core/time.h"
 #include "cicadaloft/fleet/target_record.h"
+#include "cicadaloft/routing/brittle_bound.h"
 #include "cicadaloft/routing/ejection.h"
 #include "cicadaloft/routing/target_capacity.h"
 #include "cicadaloft/routing/target_load.h"
@@ -41,8 +42,24 @@
   bool OnNotice(const TargetNotice& notice, TimePoint now) {
     return this->observed_notices.Add(notice, now);
   }
+  /// The process has answered. @return whether it has become brittle, or has
+  /// ceased to be.
+  bool OnAnswer(const TargetNotice& notice, TimePoint now) {
+    return this->observed_notices.OnAnswer(notice, now);
+  }
   const ObservedNotices& notices() const { return this->observed_notices; }
 
+  /// Used while the target is brittle.
+  BrittleBound& brittle_bound() { return this->observed_brittle_bound; }
+  const BrittleBound& brittle_bound() const {
+    return this->observed_brittle_bound;
+  }
+  /// @return the last load report, without this host's requests.
+  BrittleBound::Report LoadReport() const {
+    return {.other_hosts_load = this->other_hosts_load,
+            .reported_at = this->load_reported_at};
+  }
+
   /// @return the estimated number of requests at the target: those of this
   /// host, plus those of other hosts by its last load report, which decays with
   /// age.
@@ -69,6 +86,7 @@
   Ejection ejection_state;
   ObservedNotices observed_notices;
   TargetCapacity observed_capacity;
+  BrittleBound observed_brittle_bound;
   std::uint32_t in_flight_count = 0;
   /// Requests of other hosts, by the last load report.
   double other_hosts_load = 0;
--- a/routing/target_view.cc
+++ b/routing/target_view.cc
@@ -30,6 +30,7 @@
     this->ejection_state = Ejection();
     this->observed_notices = ObservedNotices();
     this->observed_capacity = TargetCapacity();
+    this->observed_brittle_bound = BrittleBound();
     this->other_hosts_load = 0;
   }
   if (record->cold_remaining > Duration::zero()) {
