Keep all hosts together below the limits of brittle targets

Cause: what a target has to reject grows with the number of hosts, and a host that has just started has no bound at all. The entry now keeps to its part of the slots of targets that state a limit, also before the first answer after a restart, and a rejection there uses up no retry budget.

--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -66,6 +66,7 @@
   found->second.has_response_started = true;
   found->second.response_started_at = this->now;
   this->RecordNotice(found->second, started.notice);
+  this->RecordAnswer(found->second, started.notice);
   const auto target = this->targets.find(found->second.target);
   if (target != this->targets.end() && started.load) {
     target->second.OnLoadReport(*started.load, this->now);
@@ -119,6 +120,12 @@
   target.OnRequestEnd();
   this->RecordRun(request, ended, target);
   this->RecordNotice(request, ended.notice);
+  const bool is_answer = ended.http_status != 0 &&
+                         !request.has_response_started &&
+                         ended.outcome != AttemptOutcome::kOtherInstance;
+  if (is_answer) {
+    this->RecordAnswer(request, ended.notice);
+  }
   if (ended.load) {
     target.OnLoadReport(*ended.load, this->now);
   }
@@ -181,6 +188,11 @@
   const bool has_free_slots =
       ended.load &&
       ended.load->running + ended.load->waiting < target.record().slots;
+  const auto brittle = this->BrittleTargetOf(target);
+  if (brittle && !(request.queue_key.model && has_free_slots)) {
+    target.brittle_bound().OnRejection(*brittle, target.in_flight(), this->now);
+    return;
+  }
   if (request.queue_key.model && (has_free_slots || !this->IsFull(target))) {
     this->model_locations.OnDenial(request.target, *request.queue_key.model,
                                    ModelLocations::kShortDenialTtl, this->now);
@@ -204,7 +216,10 @@
     return;
   }
   const bool was_delivered = ended.outcome != AttemptOutcome::kNotSent;
-  request.delivery_count += was_delivered ? 1 : 0;
+  // How often brittle targets reject is bounded by what is sent to them.
+  const bool is_bounded = ended.outcome == AttemptOutcome::kShed &&
+                          ended.notice.rejection_limit.has_value();
+  request.delivery_count += was_delivered && !is_bounded ? 1 : 0;
   this->TryRetry(request, ended, request.delivery_count > 0);
 }
 
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -25,6 +25,7 @@
 #include "cicadaloft/entry/entry_settings.h"
 #include "cicadaloft/entry/messages.h"
 #include "cicadaloft/poison/poison_guard.h"
+#include "cicadaloft/routing/brittle_service.h"
 #include "cicadaloft/routing/lapsed_notices.h"
 #include "cicadaloft/routing/model_locations.h"
 #include "cicadaloft/routing/prompt_chain.h"
@@ -261,6 +262,21 @@
                  TargetView& target);
   std::vector<LogField> EstimateFields(const OpenRequest& request) const;
 
+  // Brittle targets.
+  /// @return the target as far as it is brittle; none if it isn't.
+  std::optional<BrittleTarget> BrittleTargetOf(const TargetView& target) const;
+  /// @return the limit on rejections to assume for the target; none if it
+  /// isn't brittle.
+  std::optional<std::uint32_t> RejectionLimitOf(const TargetView& target) const;
+  BrittleTarget AsBrittle(const TargetView& target,
+                          std::uint32_t rejection_limit) const;
+  bool HasPosition() const;
+  /// @return whether this host has been told that there are no others.
+  bool IsKnownOnlyHost() const;
+  bool HasFirstRequest(const ServiceId& service) const;
+  bool HasRoom(const TargetView& target, const BrittleTarget& brittle) const;
+  void RecordAnswer(const OpenRequest& request, const TargetNotice& notice);
+
   // Cold targets.
   bool NeedsWarmupPermit(const TargetView& target) const;
   void RequestWarmup(const QueueKey& key,
@@ -315,6 +331,7 @@
   FleetPtr fleet;
   std::map<TargetId, TargetView> targets;
   LapsedNotices lapsed_notices;
+  std::map<ServiceId, BrittleService> brittle_services;
   std::map<ServiceId, std::vector<TargetId>> targets_by_service;
   SoleOrigins sole_origins;
   std::map<ServiceId, ServicePace> service_paces;
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -173,6 +173,9 @@
   if (this->NeedsWarmupPermit(*target)) {
     this->permits.OnSend(request.target);
   }
+  if (this->RejectionLimitOf(*target)) {
+    target->brittle_bound().OnDispatch(target->in_flight(), this->now);
+  }
   target->OnDispatch();
   ++this->service_counts[request.queue_key.service].started;
   request.dispatched_at = this->now;
@@ -273,6 +276,9 @@
 }
 
 bool EntryCore::IsFull(const TargetView& target) const {
+  if (const auto brittle = this->BrittleTargetOf(target)) {
+    return !this->HasRoom(target, *brittle);
+  }
   const TargetRecord& record = target.record();
   const ServicePace* pace = this->EstimatedPace(record.service);
   const double load =
--- a/entry/include/cicadaloft/entry/event_names.h
+++ b/entry/include/cicadaloft/entry/event_names.h
@@ -16,6 +16,7 @@
 inline constexpr char kPoisonBlock[] = "route.poison_block";
 inline constexpr char kTargetLeaving[] = "route.target_leaving";
 inline constexpr char kTargetRests[] = "route.target_rests";
+inline constexpr char kTargetBrittle[] = "route.target_brittle";
 inline constexpr char kCallerDisconnected[] = "route.caller_gone";
 inline constexpr char kModelLoadRequest[] = "route.model_wanted";
 inline constexpr char kWarmupRequest[] = "route.warmup_wanted";
