--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -237,6 +237,7 @@
       this->FeedLease(HolderHeartbeat{.holder = change.host});
       this->RepeatPoisonReports();
       this->SendDetourOffer();
+      this->StatePosition();
     } else {
       this->connected_holder.reset();
       this->knows_holder_detours = false;
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -299,6 +299,9 @@
   }
 
   void Execute(Host& host, const SendToEntry& send) {
+    if (const auto* shares = std::get_if<SharesChanged>(&send.event)) {
+      host.shares = *shares;
+    }
     if (const auto* change = std::get_if<FleetChanged>(&send.event)) {
       const auto found = change->fleet->targets.find(this->target.id);
       host.sees_draining_target =
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "cicadaloft/admission/host_positions.h"
 #include "cicadaloft/admission/share_messages.h"
 #include "cicadaloft/detour/detour_messages.h"
 #include "cicadaloft/entry/messages.h"
@@ -40,7 +41,8 @@
                                  UsageCounts,
                                  UsageClock,
                                  DetourOffer,
-                                 DetourHosts>;
+                                 DetourHosts,
+                                 HostPosition>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -217,6 +217,13 @@
 inline constexpr auto kJsonFields<DetourHosts> =
     std::tuple(Required("hosts", &DetourHosts::hosts));
 
+template <>
+inline constexpr auto kJsonFields<HostPosition> =
+    std::tuple(Required("host", &HostPosition::host),
+               Required("position", &HostPosition::position),
+               Required("count", &HostPosition::count),
+               Required("age", &HostPosition::age));
+
 /// Names on the wire, in the order of the variant's alternatives.
 template <>
 inline constexpr auto kJsonTokens<PeerMessage> =
@@ -228,7 +235,7 @@
          "store_relay",      "quota_history",     "crash_evidence",
          "poison_suspects",  "poison_refutation", "poison_block",
          "service_load",     "usage_counts",      "usage_clock",
-         "detour_offer",     "detour_hosts"});
+         "detour_offer",     "detour_hosts",      "host_position"});
 
 }  // namespace cicadaloft
 
