Bound the work of evidence and failures that wait for a decision

While targets are lost, up to 64 reports of broken requests were copied every 10 ms, and failures of targets that answer again were kept until the next suspicion. Reports are kept in place now, and failures end with the next sign of their target. A helping host whose connection broke is left out no longer: only one that could not be connected to or has refused is, as the design says.

Evidence: found by reading the code; nothing was measured.

--- a/detour/target_reachability.cc
+++ b/detour/target_reachability.cc
@@ -20,6 +20,12 @@
   this->silent.erase(request);
   this->signs[target] = now;
   this->last_sign_at = now;
+  const auto failure = this->failures.find(target);
+  if (failure != this->failures.end() &&
+      (failure->second.kind == LinkFailure::kBroken ||
+       now - failure->second.last_at >= kFailureWindow)) {
+    this->failures.erase(failure);
+  }
 }
 
 void TargetReachability::OnFailure(const RequestId& request,
--- a/detour/tests/links_simulation.h
+++ b/detour/tests/links_simulation.h
@@ -1,9 +1,11 @@
 #ifndef CICADALOFT_DETOUR_TESTS_LINKS_SIMULATION_H_
 #define CICADALOFT_DETOUR_TESTS_LINKS_SIMULATION_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <random>
@@ -180,9 +182,8 @@
 
   void Probe() {
     std::vector<ProbeCandidate> candidates;
-    for (const Target& target : this->targets) {
-      candidates.push_back(target.candidate);
-    }
+    std::ranges::transform(this->targets, std::back_inserter(candidates),
+                           &Target::candidate);
     for (const ProbeTarget& probe :
          this->state.StartProbes(std::move(candidates), this->now)) {
       ++this->probe_count;
--- a/detour/tests/target_reachability_test.cc
+++ b/detour/tests/target_reachability_test.cc
@@ -176,6 +176,7 @@
 // Guards against probes that all go to what is lost together.
 BOOST_AUTO_TEST_CASE(ProbesAreSpreadAndPreferWhatWasReachedLast) {
   std::vector<ProbeCandidate> candidates;
+  candidates.reserve(8);
   for (int i = 0; i < 8; ++i) {
     candidates.push_back(
         ProbeCandidate{.target = TargetId("t" + std::to_string(i)),
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -2,6 +2,7 @@
 #define CICADALOFT_ENTRY_ENTRY_CORE_H_
 
 #include <cstddef>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -367,7 +368,7 @@
   std::map<ServiceId, RetryBudget> retry_budgets;
   PoisonGuard poison_guard;
   /// Evidence that may be due to this host's links, and its time.
-  std::vector<std::pair<TimePoint, CrashEvidence>> doubtful_evidence;
+  std::list<std::pair<TimePoint, CrashEvidence>> doubtful_evidence;
   WarmupPermits permits;
   TargetReachability reachability;
   TargetLinks followed_links = TargetLinks::kReached;
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -153,14 +153,9 @@
                              const AttemptEnded& ended) {
   const HostId& host = *request.via_host;
   this->helping_hosts.OnEnded(host);
-  switch (ended.outcome) {
-    case AttemptOutcome::kNotSent:
-    case AttemptOutcome::kShed:
-    case AttemptOutcome::kBrokenBeforeResponse:
-      this->helping_hosts.OnFailure(host, this->now);
-      break;
-    default:
-      break;
+  if (ended.outcome == AttemptOutcome::kNotSent ||
+      ended.outcome == AttemptOutcome::kShed) {
+    this->helping_hosts.OnFailure(host, this->now);
   }
 }
 
--- a/entry/entry_poison.cc
+++ b/entry/entry_poison.cc
@@ -116,9 +116,11 @@
 // A host that has lost its links loses all targets, and that it can't connect
 // shows nothing. Targets may have crashed all the same; the registry shows it.
 void EntryCore::SettleDoubtfulEvidence() {
-  std::vector<std::pair<TimePoint, CrashEvidence>> unsettled;
-  for (const auto& [at, evidence] :
-       std::exchange(this->doubtful_evidence, {})) {
+  const bool is_over =
+      this->reachability.links() == TargetLinks::kReached &&
+      this->now - this->reachability.settled_at() >= kMaxRegistryDelay;
+  std::erase_if(this->doubtful_evidence, [&](const auto& item) {
+    const auto& [at, evidence] = item;
     const auto target = this->targets.find(evidence.target);
     const bool has_ended = target == this->targets.end() ||
                            target->second.record().instance > evidence.instance;
@@ -127,13 +129,9 @@
                                          .instance = evidence.instance,
                                          .requests = evidence.requests,
                                          .age = this->now - at});
-    } else if (this->reachability.links() != TargetLinks::kReached ||
-               this->now - this->reachability.settled_at() <
-                   kMaxRegistryDelay) {
-      unsettled.emplace_back(at, evidence);
     }
-  }
-  this->doubtful_evidence = std::move(unsettled);
+    return has_ended || is_over;
+  });
 }
 
 std::optional<Error> EntryCore::CheckPoison(const OpenRequest& request) const {
