--- a/control/tests/simulated_hosts.h
+++ b/control/tests/simulated_hosts.h
@@ -41,6 +41,8 @@
   }
 
   HostId Holder() const { return this->lease_log.Holder(); }
+  /// The store that has the lease's log states this era from now on.
+  void SetStoreEra(StoreEra era) { this->lease_log.era = era; }
 
   /// @return the hosts that live and don't hold the lease.
   std::vector<const SimulatedHost*> Followers() const {
--- a/control/tests/simulated_surroundings.h
+++ b/control/tests/simulated_surroundings.h
@@ -73,11 +73,13 @@
       this->entries.push_back(
           {.offset = append.expected_end, .record = append.record});
     }
-    return LeaseAppendEnded{.outcome = is_written ? LeaseAppendOutcome::kWritten
-                                       : is_cut   ? LeaseAppendOutcome::kRefused
-                                                : LeaseAppendOutcome::kConflict,
-                            .offset = append.expected_end,
-                            .sent_at = sent_at};
+    return LeaseAppendEnded{
+        .outcome = is_written ? LeaseAppendOutcome::kWritten
+                   : is_cut   ? LeaseAppendOutcome::kRefused
+                              : LeaseAppendOutcome::kConflict,
+        .offset = append.expected_end,
+        .sent_at = sent_at,
+        .era = is_cut ? std::nullopt : std::optional(this->era)};
   }
 
   LeaseLogRead Read(LogOffset from) const {
@@ -86,9 +88,13 @@
         this->entries, std::back_inserter(read),
         [&](const LeaseLogEntry& entry) { return entry.offset >= from; });
     return LeaseLogRead{.entries = std::move(read),
-                        .next_offset = LogOffset(this->entries.size())};
+                        .next_offset = LogOffset(this->entries.size()),
+                        .era = this->era};
   }
 
+  /// Of the store; a new one leaves all records where they are.
+  StoreEra era;
+
  private:
   std::vector<LeaseLogEntry> entries;
 };
--- a/control/tests/store_calls_simulation.h
+++ b/control/tests/store_calls_simulation.h
@@ -29,6 +29,7 @@
   static constexpr int kHeartbeatsPerChange = 10;
 
   explicit StoreCallsSimulation(std::size_t count) : hosts(count) {
+    this->hosts.SetStoreEra(this->registry.era);
     this->hosts.on_effect = [this](const HostId& host,
                                    const ControlEffect& effect) {
       this->OnEffect(host, effect);
@@ -58,6 +59,7 @@
   void BringStoreBack() {
     this->registry.ComeBack(this->registry_copy);
     this->operator_topic.ComeBack(this->operator_copy);
+    this->hosts.SetStoreEra(this->registry.era);
   }
   void CopyStore() {
     this->registry_copy = this->registry.End();
