--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -318,10 +318,14 @@
     return;
   }
   this->reported_version_at = this->now;
-  this->effects.emplace_back(
-      DecisionRecord{.event = "configuration.behind",
-                     .fields = {{"known", this->CurrentVersion().value()},
-                                {"told", this->reported_version.value()}}});
+  this->effects.emplace_back(DecisionRecord{
+      .event = "configuration.behind",
+      .fields = {{"known", this->CurrentVersion().value()},
+                 {"told", this->reported_version.value()},
+                 {"topic", this->is_operator_topic_reachable ? "followed"
+                                                             : "not_followed"},
+                 {"holder",
+                  this->IsLeaseHolderReachable() ? "linked" : "not_linked"}}});
   this->effects.emplace_back(RereadOperatorTopic{});
 }
 
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -49,10 +49,11 @@
     return;
   }
   this->left_out_logged_at = this->now;
-  if (const std::size_t records = this->relay_publisher.TakeLeftOut()) {
+  for (const auto& [topic, records] : this->relay_publisher.TakeLeftOut()) {
     this->effects.emplace_back(DecisionRecord{
         .event = "relay.left_out",
-        .fields = {{"records", records},
+        .fields = {{"topic", topic},
+                   {"records", records},
                    {"hosts", this->relay_publisher.subscribers().size()}}});
   }
 }
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <iterator>
+#include <utility>
+#include <vector>
 
 #include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/core/result.h"
@@ -94,12 +97,13 @@
   if (info.is_retryable) {
     retry_after = std::max(kMinRetryAfter, refusal.retry_after);
   }
-  this->Log(
-      event_names::kRefuse, arrived.caller_request_id,
-      {{"kind", info.token},
-       {"message", refusal.error.message},
-       {"configuration",
-        this->configuration ? this->configuration->version().value() : 0}});
+  std::vector<LogField> fields = {
+      {"kind", info.token},
+      {"message", refusal.error.message},
+      {"configuration",
+       this->configuration ? this->configuration->version().value() : 0}};
+  std::ranges::move(ForwardedFields(arrived), std::back_inserter(fields));
+  this->Log(event_names::kRefuse, arrived.caller_request_id, std::move(fields));
   this->effects.emplace_back(Refuse{.request = arrived.request,
                                     .error = refusal.error,
                                     .run_state = info.run_state,
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -325,6 +325,9 @@
   void TakeDetour(OpenRequest& request);
   void DispatchOverHost(OpenRequest& request);
   void LogDetour(const OpenRequest& request);
+  /// @return for logs, the host that has forwarded the request; empty for one
+  /// that this host received from its caller.
+  static std::vector<LogField> ForwardedFields(const RequestArrived& arrived);
   void RecordDetour(const OpenRequest& request, const AttemptEnded& ended);
 
   // Ends of attempts and requests.
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -137,6 +137,14 @@
                .origin = std::nullopt});
 }
 
+std::vector<LogField> EntryCore::ForwardedFields(
+    const RequestArrived& arrived) {
+  if (!arrived.forwarded_by) {
+    return {};
+  }
+  return {{"forwarded_by", arrived.forwarded_by->value()}};
+}
+
 void EntryCore::LogDetour(const OpenRequest& request) {
   this->Log(event_names::kDetour, request.arrival.caller_request_id,
             {{"host", request.via_host->value()},
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -228,6 +228,8 @@
       {"hosts", this->shares.host_count},
       {"configuration", request.configuration->version().value()}};
   std::ranges::move(this->EstimateFields(request), std::back_inserter(fields));
+  std::ranges::move(ForwardedFields(request.arrival),
+                    std::back_inserter(fields));
   this->Log(event_names::kDispatch, request.arrival.caller_request_id,
             std::move(fields));
 }
--- a/relay/include/cicadaloft/relay/relay_publisher.h
+++ b/relay/include/cicadaloft/relay/relay_publisher.h
@@ -41,9 +41,11 @@
   /// than `interval` has passed.
   std::optional<StoreRelay> Publish(Duration interval, TimePoint now);
 
-  /// @return the number of records that were left out since the last call, and
-  /// that each host therefore reads from the store.
-  std::size_t TakeLeftOut() { return std::exchange(this->left_out, 0); }
+  /// @return by topic, the number of records that were left out since the last
+  /// call, and that each host therefore reads from the store.
+  std::map<std::string, std::size_t> TakeLeftOut() {
+    return std::exchange(this->left_out, {});
+  }
 
   const std::set<HostId>& subscribers() const { return this->subscribed; }
 
@@ -75,7 +77,7 @@
   std::set<HostId> subscribed;
   std::map<std::string, Pending> pending;
   TimePoint published_at{};
-  std::size_t left_out = 0;
+  std::map<std::string, std::size_t> left_out;
 };
 
 /// At the other hosts: relates the times in the holder's messages to this
--- a/relay/relay_publisher.cc
+++ b/relay/relay_publisher.cc
@@ -68,8 +68,9 @@
         this->subscribed.empty() || record.size() > kMaxRecordBytes ||
         record.size() > this->MaxMessageBytes() || item.bytes > max_bytes;
     if (is_left_out) {
-      this->left_out +=
-          this->subscribed.empty() ? 0 : item.topic.records.size();
+      if (!this->subscribed.empty()) {
+        this->left_out[read.topic] += item.topic.records.size();
+      }
       StartAt(item, item.topic.End());
     }
   }
--- a/relay/tests/relay_test.cc
+++ b/relay/tests/relay_test.cc
@@ -163,7 +163,7 @@
   BOOST_TEST(second->topics.at(0).records.size() == 2U);
   BOOST_TEST((second->topics.at(0).complete_at ==
               (kNow + kInterval).time_since_epoch()));
-  BOOST_TEST(publisher.TakeLeftOut() == 0U);
+  BOOST_TEST(publisher.TakeLeftOut().empty());
 }
 
 // Guards against a record that no message can carry, behind which nothing would
