Reproduce requests that are decided by an older configuration

Callers of a host that had lost its links to all targets got 401 or 404 for keys and routes that were in force, or an answer of a service that a route had left.

The stand-in store refuses calls from one address, so that hosts lose the store one by one.

--- a/tests/stand_ins/fake_store.cc
+++ b/tests/stand_ins/fake_store.cc
@@ -43,6 +43,7 @@
   POST /admin/fault?kind=K&for_ms=N   injects a fault for N ms; K: down (answers
                                       503), lost (appends take effect without an
                                       answer), silent (no answer), slow (200 ms)
+  POST /admin/refuse?from=IP&for_ms=N   calls from this address get 429 for N ms
   POST /admin/restore?back_ms=B&away_ms=A   for A ms the store is away: calls
                                   that wait lose their connection, others get
                                   503. Then it has no record that was younger
@@ -106,6 +107,9 @@
   }
 
   asio::awaitable<bool> Handle(const Request& request, Socket& socket) {
+    if (this->IsRefused(socket)) {
+      co_return co_await this->Write(socket, MakeResponse(429));
+    }
     const std::string target(request.target());
     const std::string path = PathOf(target);
     const auto query = QueryOf(target);
@@ -149,6 +153,9 @@
   using Query = std::map<std::string, std::string>;
 
   asio::awaitable<bool> Write(Socket& socket, Response response) {
+    if (this->IsRefused(socket)) {
+      co_return co_await stand_ins::Write(socket, MakeResponse(429));
+    }
     if (this->era) {
       response.set("Store-Era", std::to_string(*this->era));
     }
@@ -162,6 +169,14 @@
 
   bool IsAway() const { return this->away_count > 0; }
 
+  bool IsRefused(const Socket& socket) const {
+    boost::system::error_code error;
+    const auto endpoint = socket.remote_endpoint(error);
+    const auto found = this->refused_until.find(
+        error ? std::string() : endpoint.address().to_string());
+    return found != this->refused_until.end() && Clock::now() < found->second;
+  }
+
   asio::awaitable<void> AppendLater(Query query,
                                     Request request,
                                     milliseconds duration) {
@@ -238,6 +253,11 @@
           Clock::now() + milliseconds(std::stoi(query.at("for_ms")));
       return MakeResponse(200);
     }
+    if (path == "/admin/refuse") {
+      this->refused_until[query.at("from")] =
+          Clock::now() + milliseconds(std::stoi(query.at("for_ms")));
+      return MakeResponse(200);
+    }
     if (path == "/admin/restore") {
       asio::co_spawn(
           this->context,
@@ -346,6 +366,7 @@
   asio::io_context& context;
   std::map<std::string, Topic> topics;
   std::map<std::string, Clock::time_point> faults;
+  std::map<std::string, Clock::time_point> refused_until;  ///< By address.
   asio::steady_timer changed;  ///< Cancelled on each change.
   std::optional<std::uint64_t> era;
   std::uint64_t step_count = 0;  ///< Number of steps back.
