State the configuration of forwarded requests

Callers of a host without targets got 401 or 404 for keys and routes that were in force, or ran by services and keys that no longer were.

Cause: a host decided for another one by its own copy of the operator's state, and neither knew the version of the other. Now a forwarded request states the configuration that has admitted it (Cicadaloft-Configuration), and responses to it the one that has decided. A helping host that is behind waits for the configuration, at most 500 ms from when it began to be behind, and refuses otherwise (503, not run, outdated_configuration); the first host tries another one without charge to the retry budget and never passes on a refusal by an older configuration.

FormatForwardedHead takes the Dispatch; the tests that call it check as much as before.

--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -51,6 +51,7 @@
       read.configuration->version() <= this->configuration->version();
   if (!is_older) {
     this->configuration = read.configuration;
+    this->lag.OnAdopted(read.configuration->version(), this->now);
   }
   const ConfigurationChanged change{.configuration = read.configuration};
   this->FeedPlacement(change);
@@ -301,27 +302,28 @@
                                         : this->configuration->version();
 }
 
+void ControlState::Handle(const ConfigurationHeard& heard) {
+  this->RecordReportedVersion(heard.version);
+}
+
 void ControlState::RecordReportedVersion(ConfigurationVersion version) {
-  if (version > this->CurrentVersion() && version > this->reported_version) {
-    this->reported_version = version;
-    this->reported_version_at = this->now;
+  if (this->lag.OnHeard(version, this->now)) {
+    this->NotifyEntry(ConfigurationHeard{.version = version});
   }
 }
 
 // If another host has had a newer configuration for a while, the connection on
 // which this host waits for it may be dead, so the topic is read again.
 void ControlState::RereadIfBehind() {
-  const bool is_behind =
-      this->reported_version > this->CurrentVersion() &&
-      this->now - this->reported_version_at > kMaxConfigurationLag;
-  if (!is_behind) {
+  if (!this->lag.IsBehindFor(kMaxConfigurationLag, this->now) ||
+      this->now - this->reread_at <= kMaxConfigurationLag) {
     return;
   }
-  this->reported_version_at = this->now;
+  this->reread_at = this->now;
   this->effects.emplace_back(DecisionRecord{
       .event = "configuration.behind",
       .fields = {{"known", this->CurrentVersion().value()},
-                 {"told", this->reported_version.value()},
+                 {"told", this->lag.newest().value()},
                  {"topic", this->is_operator_topic_reachable ? "followed"
                                                              : "not_followed"},
                  {"holder",
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cicadaloft/admission/share_ledger.h"
+#include "cicadaloft/configuration/configuration_lag.h"
 #include "cicadaloft/control/evacuation_tracker.h"
 #include "cicadaloft/control/messages.h"
 #include "cicadaloft/core/step.h"
@@ -75,6 +76,7 @@
   void Handle(const TargetLeavingReport& report);
   void Handle(const QuotaHistory& history);
   void Handle(const TargetReachabilityChanged& change);
+  void Handle(const ConfigurationHeard& heard);
   void MarkLeaving(const TargetLeavingReport& report);
   void SendLeavingTargets(const HostId& host);
   // The lease, and the duties of its holder.
@@ -185,9 +187,8 @@
   std::optional<StoreEra> store_era;   ///< The highest one seen.
   StoreEra reread_era;                 ///< The highest one of a RereadTopics.
   bool is_store_era_outdated = false;  ///< In the last answer of the store.
-  /// The newest version that another host has reported.
-  ConfigurationVersion reported_version;
-  TimePoint reported_version_at{};
+  ConfigurationLag lag;
+  TimePoint reread_at{};  ///< The last time, because of the lag.
 
   LeaseState lease;
   std::optional<HostId> holder;            ///< By the lease's log.
--- a/control/tests/simulated_forwarding.h
+++ b/control/tests/simulated_forwarding.h
@@ -50,7 +50,8 @@
         Key(via, dispatch.request),
         Exchange{.origin = host,
                  .attempt = dispatch.attempt,
-                 .withholds_refusal = dispatch.withholds_error_response});
+                 .withholds_refusal = dispatch.withholds_error_response,
+                 .configuration = dispatch.configuration});
     this->feed(via,
                RequestArrived{.request = arrival.request,
                               .caller_request_id = arrival.caller_request_id,
@@ -60,7 +61,8 @@
                               .prompt_segments = arrival.prompt_segments,
                               .timeout = dispatch.response_timeout,
                               .fingerprint = arrival.fingerprint,
-                              .forwarded_by = host});
+                              .forwarded_by = host,
+                              .admitted_by = dispatch.configuration});
   }
 
   /// Executes the refusal of a request that was forwarded.
@@ -70,10 +72,13 @@
     if (found == this->exchanges.end()) {
       return false;
     }
-    const bool is_withheld = found->second.withholds_refusal &&
-                             refusal.run_state == RunState::kNotRun;
-    this->End(found,
-              is_withheld ? AttemptOutcome::kShed : AttemptOutcome::kCompleted);
+    const bool is_not_run = refusal.run_state == RunState::kNotRun;
+    const bool is_outdated =
+        is_not_run && refusal.configuration < found->second.configuration;
+    const bool is_withheld = is_not_run && found->second.withholds_refusal;
+    this->End(found, is_outdated   ? AttemptOutcome::kOutdatedHost
+                     : is_withheld ? AttemptOutcome::kShed
+                                   : AttemptOutcome::kCompleted);
     return true;
   }
 
@@ -98,6 +103,7 @@
     HostId origin;
     AttemptNumber attempt;
     bool withholds_refusal = false;
+    ConfigurationVersion configuration;  ///< That has admitted the request.
     bool has_started = false;
   };
 
--- a/core/error_kind.cc
+++ b/core/error_kind.cc
@@ -40,6 +40,8 @@
               "Try again through another host."},
     ErrorInfo{kNotConfigured, "not_configured", 503, kNotRun, true,
               "Try again through another host."},
+    ErrorInfo{kOutdatedConfiguration, "outdated_configuration", 503, kNotRun,
+              true, "Try again through another host."},
     ErrorInfo{kPoisonRequest, "poison_request", 500, kUnknown, false,
               "Targets failed while running this request; change it."},
     ErrorInfo{kStreamOriginUnknown, "stream_origin_unknown", 503, kNotRun,
--- a/core/include/cicadaloft/core/error_kind.h
+++ b/core/include/cicadaloft/core/error_kind.h
@@ -24,6 +24,7 @@
   kNoCapacity,
   kStopping,
   kNotConfigured,
+  kOutdatedConfiguration,  ///< Another host has admitted it by a newer one.
   kPoisonRequest,
   kStreamOriginUnknown,      ///< Which version began the stream isn't known.
   kStreamOriginUnreachable,  ///< It can't be looked up at present.
--- a/detour/helping_hosts.cc
+++ b/detour/helping_hosts.cc
@@ -30,7 +30,8 @@
                        });
   const auto best = std::ranges::min_element(usable, {}, [&](const auto& host) {
     const Use use = use_of(host);
-    return std::tuple(use.in_flight, use.last_number);
+    return std::tuple(!use.states_configuration, use.in_flight,
+                      use.last_number);
   });
   return best == usable.end() ? std::nullopt : std::optional(*best);
 }
@@ -52,4 +53,8 @@
   this->uses[host].left_out_until = now + kFailureBackoff;
 }
 
+void HelpingHosts::OnAnswer(const HostId& host, bool states_configuration) {
+  this->uses[host].states_configuration = states_configuration;
+}
+
 }  // namespace cicadaloft
--- a/detour/tests/helping_hosts_test.cc
+++ b/detour/tests/helping_hosts_test.cc
@@ -34,6 +34,23 @@
   BOOST_TEST(sent["b"] > sent["a"]);
 }
 
+// Guards against requests at a host of an earlier version, which may decide by
+// an older configuration, while another one takes them.
+BOOST_AUTO_TEST_CASE(HostsThatStateTheirConfigurationGoFirst) {
+  HelpingHosts hosts;
+  hosts.Replace({MakeHost("a"), MakeHost("b")});
+  hosts.OnAnswer(HostId("a"), false);
+  for (int i = 0; i < 3; ++i) {
+    const auto host = hosts.Choose({}, kNow);
+    BOOST_REQUIRE(host.has_value());
+    BOOST_TEST((host->host == HostId("b")));
+    hosts.OnSent(host->host);
+  }
+  BOOST_TEST((hosts.Choose({HostId("b")}, kNow)->host == HostId("a")));
+  hosts.OnAnswer(HostId("a"), true);
+  BOOST_TEST((hosts.Choose({}, kNow)->host == HostId("a")));
+}
+
 // Guards against requests at a host that has just refused, or is gone.
 BOOST_AUTO_TEST_CASE(HostThatFailedIsLeftOutForAWhile) {
   HelpingHosts hosts;
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -32,9 +32,16 @@
 void EntryCore::Handle(const RequestArrived& arrived) {
   if (const auto refusal = this->CheckForwarded(arrived)) {
     this->RefuseArrival(arrived, *refusal);
-    return;
+  } else if (this->IsOutdatedFor(arrived)) {
+    this->HoldForConfiguration(arrived);
+  } else {
+    this->DecideAdmission(arrived, this->now);
   }
-  Admission admission = this->Admit(arrived);
+}
+
+void EntryCore::DecideAdmission(const RequestArrived& arrived,
+                                TimePoint arrived_at) {
+  Admission admission = this->Admit(arrived, arrived_at);
   if (const auto* refusal = std::get_if<Refusal>(&admission)) {
     this->RefuseArrival(arrived, *refusal);
     return;
@@ -100,14 +107,14 @@
   std::vector<LogField> fields = {
       {"kind", info.token},
       {"message", refusal.error.message},
-      {"configuration",
-       this->configuration ? this->configuration->version().value() : 0}};
+      {"configuration", this->lag.adopted().value()}};
   std::ranges::move(ForwardedFields(arrived), std::back_inserter(fields));
   this->Log(event_names::kRefuse, arrived.caller_request_id, std::move(fields));
   this->effects.emplace_back(Refuse{.request = arrived.request,
                                     .error = refusal.error,
                                     .run_state = info.run_state,
-                                    .retry_after = retry_after});
+                                    .retry_after = retry_after,
+                                    .configuration = this->lag.adopted()});
 }
 
 TimePoint EntryCore::AcceptDeadline() const {
@@ -117,7 +124,8 @@
          std::min<Duration>(kAcceptDurationAfterStop, fraction);
 }
 
-EntryCore::Admission EntryCore::Admit(const RequestArrived& arrived) {
+EntryCore::Admission EntryCore::Admit(const RequestArrived& arrived,
+                                      TimePoint arrived_at) {
   if (this->is_stopping && this->now > this->AcceptDeadline()) {
     return Refusal{
         MakeError(ErrorKind::kStopping, "this host is shutting down")};
@@ -131,7 +139,7 @@
     return Refusal{ErrorOf(route)};
   }
   OpenRequest request{.arrival = arrived,
-                      .arrived_at = this->now,
+                      .arrived_at = arrived_at,
                       .sequence_number = ++this->last_sequence_number,
                       .configuration = this->configuration,
                       .route = ValueOf(route)};
@@ -140,13 +148,13 @@
                              StableHash(arrived.caller_request_id.value())),
       .model = arrived.model};
   const Duration timeout = std::min(request.route->timeout, arrived.timeout);
-  request.response_deadline = this->now + timeout;
+  request.response_deadline = arrived_at + timeout;
   const Duration caller_timeout =
       std::min(timeout, request.route->caller_timeout);
   request.wait_deadline =
       std::min(this->stop_wait_deadline,
-               this->now + std::chrono::duration_cast<Duration>(
-                               caller_timeout * kMaxWaitFraction));
+               arrived_at + std::chrono::duration_cast<Duration>(
+                                caller_timeout * kMaxWaitFraction));
   if (auto error = this->CheckCustomer(request)) {
     return Refusal{*error};
   }
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -14,6 +14,7 @@
   switch (outcome) {
     case AttemptOutcome::kNotSent:
     case AttemptOutcome::kShed:
+    case AttemptOutcome::kOutdatedHost:
     case AttemptOutcome::kNotLoaded:
     case AttemptOutcome::kOtherInstance:
       return false;
@@ -37,6 +38,9 @@
     case AttemptOutcome::kShed:
       return MakeError(ErrorKind::kQueueFull,
                        name + " is overloaded and has not run the request");
+    case AttemptOutcome::kOutdatedHost:
+      return MakeError(ErrorKind::kOutdatedConfiguration,
+                       name + " has an older configuration than this host");
     case AttemptOutcome::kNotLoaded:
     case AttemptOutcome::kOtherInstance:
       return MakeError(
@@ -103,18 +107,25 @@
 // Logs the outcome and updates the state of the target.
 void EntryCore::RecordOutcome(const OpenRequest& request,
                               const AttemptEnded& ended) {
-  this->Log(
-      event_names::kAttemptEnded, request.arrival.caller_request_id,
-      {{request.via_host ? "host" : "target",
-        request.via_host ? request.via_host->value() : request.target.value()},
-       {"attempt", request.attempt.value()},
-       {"outcome", ToString(ended.outcome)},
-       {"status", ended.http_status},
-       {"response_bytes", ended.response_bytes},
-       {"response_ms", request.has_response_started
-                           ? this->now - request.response_started_at
-                           : Duration::zero()},
-       {"total_ms", this->now - request.arrived_at}});
+  std::vector<LogField> fields = {
+      {request.via_host ? "host" : "target",
+       request.via_host ? request.via_host->value() : request.target.value()},
+      {"attempt", request.attempt.value()},
+      {"outcome", ToString(ended.outcome)},
+      {"status", ended.http_status},
+      {"response_bytes", ended.response_bytes},
+      {"response_ms", request.has_response_started
+                          ? this->now - request.response_started_at
+                          : Duration::zero()},
+      {"total_ms", this->now - request.arrived_at}};
+  if (request.via_host) {
+    fields.emplace_back("host_configuration",
+                        ended.host_configuration
+                            ? std::to_string(ended.host_configuration->value())
+                            : "-");
+  }
+  this->Log(event_names::kAttemptEnded, request.arrival.caller_request_id,
+            std::move(fields));
   if (request.via_host) {
     this->RecordDetour(request, ended);
     return;
@@ -152,6 +163,7 @@
                                        ModelLocations::kDenialTtl, this->now);
       }
       break;
+    case AttemptOutcome::kOutdatedHost:
     case AttemptOutcome::kMemoryLimit:
     case AttemptOutcome::kCancelled:
       break;
@@ -219,7 +231,9 @@
     this->Close(request);
     return;
   }
-  const bool was_delivered = ended.outcome != AttemptOutcome::kNotSent;
+  // A host that is outdated has sent it to no target.
+  const bool was_delivered = ended.outcome != AttemptOutcome::kNotSent &&
+                             ended.outcome != AttemptOutcome::kOutdatedHost;
   const bool may_be_links_fault = may_have_run && !request.via_host;
   if (may_be_links_fault &&
       this->reachability.links() == TargetLinks::kSuspected) {
@@ -319,12 +333,14 @@
       Refuse{.request = request.arrival.request,
              .error = reported,
              .run_state = GetErrorInfo(reported.kind).run_state,
-             .retry_after = this->RetryAfter(request, reported.kind)});
+             .retry_after = this->RetryAfter(request, reported.kind),
+             .configuration = request.configuration->version()});
 }
 
 void EntryCore::Handle(const CallerDisconnected& disconnected) {
   const auto found = this->requests.find(disconnected.request);
   if (found == this->requests.end()) {
+    this->held_arrivals.erase(disconnected.request);
     return;
   }
   const OpenRequest& request = found->second;
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -31,6 +31,8 @@
       return "not_sent";
     case AttemptOutcome::kShed:
       return "shed";
+    case AttemptOutcome::kOutdatedHost:
+      return "outdated_host";
     case AttemptOutcome::kNotLoaded:
       return "not_loaded";
     case AttemptOutcome::kOtherInstance:
@@ -78,6 +80,7 @@
   }
   this->configuration = change.configuration;
   this->configured_at = this->now;
+  this->lag.OnAdopted(version, this->now);
   this->UpdateRankedServices();
   this->UpdateAllShares();
   const Configuration& value = this->configuration->value();
@@ -86,6 +89,7 @@
             {{"version", version.value()},
              {"routes", value.routes.size()},
              {"customers", value.customers.size()}});
+  this->ReleaseHeldArrivals();
   this->DispatchFromAllQueues();
 }
 
@@ -170,6 +174,7 @@
 void EntryCore::Handle(const EntryTick&) {
   this->ReportStarted();
   this->HandleExpired();
+  this->RefuseExpiredArrivals();
   this->ProbeTargets();
   this->ReportPoisonEvidence();
   this->DispatchFromAllQueues();
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -22,6 +22,7 @@
 #include "cicadaloft/admission/recent_maximum.h"
 #include "cicadaloft/admission/request_queue.h"
 #include "cicadaloft/admission/service_ranks.h"
+#include "cicadaloft/configuration/configuration_lag.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/detour/helping_hosts.h"
 #include "cicadaloft/detour/target_reachability.h"
@@ -54,6 +55,7 @@
   void Handle(const AttemptEnded& ended);
   void Handle(const CallerDisconnected& disconnected);
   void Handle(const ConfigurationChanged& change);
+  void Handle(const ConfigurationHeard& heard);
   void Handle(const EvacuationsChanged& change);
   void Handle(const FleetChanged& change);
   void Handle(const RegistryCaughtUp& caught_up);
@@ -116,6 +118,13 @@
   };
   using Admission = std::variant<OpenRequest, Refusal>;
 
+  /// A forwarded request that waits for a configuration.
+  struct HeldArrival {
+    RequestArrived arrival;
+    TimePoint arrived_at{};
+    TimePoint expires_at{};
+  };
+
   struct WithinLimit {};
   /// The cost does not fit this host's share; the lease holder's pool may cover
   /// it.
@@ -137,7 +146,8 @@
   };
 
   // Admission.
-  Admission Admit(const RequestArrived& arrived);
+  void DecideAdmission(const RequestArrived& arrived, TimePoint arrived_at);
+  Admission Admit(const RequestArrived& arrived, TimePoint arrived_at);
   /// @return until when requests are accepted after a shutdown request.
   TimePoint AcceptDeadline() const;
   void RefuseArrival(const RequestArrived& arrived, const Refusal& refusal);
@@ -316,6 +326,20 @@
   /// @return the refusal of a request that another host has forwarded; none if
   /// this host takes it.
   std::optional<Refusal> CheckForwarded(const RequestArrived& arrived) const;
+  // Configurations of this host and of others.
+  /// Takes a version that another host has.
+  void HearConfiguration(ConfigurationVersion version);
+  /// @return whether the host that has forwarded the request may have admitted
+  /// it by a newer configuration than this host has.
+  bool IsOutdatedFor(const RequestArrived& arrived) const;
+  /// Lets the request wait for the configuration that it needs, or refuses it
+  /// if this host has been waiting for one for too long.
+  void HoldForConfiguration(const RequestArrived& arrived);
+  /// Goes on with the requests that need no newer configuration any more.
+  void ReleaseHeldArrivals();
+  void RefuseExpiredArrivals();
+  void RefuseOutdated(const RequestArrived& arrived);
+
   /// @return whether the request must not wait for targets of this host. One
   /// that was on a detour has not been charged here.
   bool NeedsDetour(const OpenRequest& request) const;
@@ -373,6 +397,8 @@
 
   ActiveConfigurationPtr configuration;
   TimePoint configured_at{};
+  ConfigurationLag lag;
+  std::map<RequestId, HeldArrival> held_arrivals;
   std::set<DataCentreId> evacuated;
   FleetPtr fleet;
   std::map<TargetId, TargetView> targets;
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -35,10 +35,12 @@
     return Refusal{MakeError(ErrorKind::kNoCapacity,
                              "this host reaches no target either")};
   }
-  const auto forwarded = std::ranges::count_if(
-      this->requests | std::views::values, [](const OpenRequest& request) {
-        return request.arrival.forwarded_by.has_value();
-      });
+  const auto forwarded =
+      std::ranges::count_if(this->requests | std::views::values,
+                            [](const OpenRequest& request) {
+                              return request.arrival.forwarded_by.has_value();
+                            }) +
+      std::ssize(this->held_arrivals);
   if (forwarded >= kMaxForwardedRequests) {
     return Refusal{MakeError(
         ErrorKind::kQueueFull,
@@ -134,7 +136,8 @@
                .priority = request.Priority(),
                .response_timeout = request.response_deadline - this->now,
                .withholds_error_response = has_other,
-               .origin = std::nullopt});
+               .origin = std::nullopt,
+               .configuration = request.configuration->version()});
 }
 
 std::vector<LogField> EntryCore::ForwardedFields(
@@ -142,7 +145,10 @@
   if (!arrived.forwarded_by) {
     return {};
   }
-  return {{"forwarded_by", arrived.forwarded_by->value()}};
+  return {{"forwarded_by", arrived.forwarded_by->value()},
+          {"admitted_by", arrived.admitted_by
+                              ? std::to_string(arrived.admitted_by->value())
+                              : "-"}};
 }
 
 void EntryCore::LogDetour(const OpenRequest& request) {
@@ -161,8 +167,15 @@
                              const AttemptEnded& ended) {
   const HostId& host = *request.via_host;
   this->helping_hosts.OnEnded(host);
+  if (ended.http_status != 0) {
+    this->helping_hosts.OnAnswer(host, ended.host_configuration.has_value());
+  }
+  if (ended.host_configuration) {
+    this->HearConfiguration(*ended.host_configuration);
+  }
   if (ended.outcome == AttemptOutcome::kNotSent ||
-      ended.outcome == AttemptOutcome::kShed) {
+      ended.outcome == AttemptOutcome::kShed ||
+      ended.outcome == AttemptOutcome::kOutdatedHost) {
     this->helping_hosts.OnFailure(host, this->now);
   }
 }
--- a/entry/entry_dispatch.cc
+++ b/entry/entry_dispatch.cc
@@ -208,7 +208,8 @@
                   .withholds_error_response =
                       retry_policy == RetryPolicy::kIdempotent &&
                       request.run_count + 1 < request.route->max_runs,
-                  .origin = std::move(origin)};
+                  .origin = std::move(origin),
+                  .configuration = request.configuration->version()};
 }
 
 void EntryCore::LogDispatch(const OpenRequest& request,
--- a/entry/entry_links.cc
+++ b/entry/entry_links.cc
@@ -41,6 +41,7 @@
       break;
     case AttemptOutcome::kCompleted:
     case AttemptOutcome::kShed:
+    case AttemptOutcome::kOutdatedHost:
     case AttemptOutcome::kNotLoaded:
     case AttemptOutcome::kOtherInstance:
     case AttemptOutcome::kErrorResponse:
--- /dev/null
+++ b/entry/entry_outdated.cc
@@ -0,0 +1,83 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "entry_core.h"
+
+namespace cicadaloft {
+namespace {
+
+/// Longest time that forwarded requests wait for a configuration, from when
+/// this host began to be behind. A host that reaches the store has read it by
+/// then.
+constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void EntryCore::Handle(const ConfigurationHeard& heard) {
+  this->lag.OnHeard(heard.version, this->now);
+}
+
+void EntryCore::HearConfiguration(ConfigurationVersion version) {
+  if (this->lag.OnHeard(version, this->now)) {
+    this->effects.emplace_back(ConfigurationHeard{.version = version});
+  }
+}
+
+// A host of an earlier version doesn't state by which configuration it has
+// admitted a request. It may have the newest one.
+bool EntryCore::IsOutdatedFor(const RequestArrived& arrived) const {
+  return arrived.forwarded_by &&
+         this->lag.adopted() < arrived.admitted_by.value_or(this->lag.newest());
+}
+
+void EntryCore::HoldForConfiguration(const RequestArrived& arrived) {
+  if (arrived.admitted_by) {
+    this->HearConfiguration(*arrived.admitted_by);
+  }
+  const TimePoint expires_at = this->lag.since() + kMaxConfigurationWait;
+  if (this->now >= expires_at) {
+    this->RefuseOutdated(arrived);
+    return;
+  }
+  this->held_arrivals.emplace(arrived.request,
+                              HeldArrival{.arrival = arrived,
+                                          .arrived_at = this->now,
+                                          .expires_at = expires_at});
+}
+
+void EntryCore::ReleaseHeldArrivals() {
+  for (const auto& [id, held] : std::exchange(this->held_arrivals, {})) {
+    if (this->IsOutdatedFor(held.arrival)) {
+      this->held_arrivals.emplace(id, held);
+    } else if (const auto refusal = this->CheckForwarded(held.arrival)) {
+      this->RefuseArrival(held.arrival, *refusal);
+    } else {
+      this->DecideAdmission(held.arrival, held.arrived_at);
+    }
+  }
+}
+
+void EntryCore::RefuseExpiredArrivals() {
+  std::vector<RequestArrived> expired;
+  for (const auto& [id, held] : this->held_arrivals) {
+    if (this->now >= held.expires_at) {
+      expired.push_back(held.arrival);
+    }
+  }
+  for (const RequestArrived& arrived : expired) {
+    this->held_arrivals.erase(arrived.request);
+    this->RefuseOutdated(arrived);
+  }
+}
+
+void EntryCore::RefuseOutdated(const RequestArrived& arrived) {
+  this->RefuseArrival(
+      arrived,
+      Refusal{MakeError(ErrorKind::kOutdatedConfiguration,
+                        "this host waits for the configuration by "
+                        "which another one has admitted the request")});
+}
+
+}  // namespace cicadaloft
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -101,6 +101,9 @@
   /// The host that received the request from the caller and reaches no target;
   /// none for a request that this host received from the caller.
   const std::optional<HostId> forwarded_by;
+  /// The configuration by which that host has admitted it; none if that host
+  /// is of an earlier version, which doesn't state it.
+  const std::optional<ConfigurationVersion> admitted_by;
 
   friend auto operator<=>(const RequestArrived&,
                           const RequestArrived&) = default;
@@ -115,6 +118,9 @@
   /// Not run: the target reported overload, or a helping host has refused with
   /// a refusal of its own that states this.
   kShed,
+  /// Not run: a helping host has refused it by an older configuration than the
+  /// one that has admitted it, or by one that it doesn't state.
+  kOutdatedHost,
   kNotLoaded,             ///< The target reports that it lacks the model.
   kOtherInstance,         ///< Another process than expected responded.
   kErrorResponse,         ///< Withheld, since another target may succeed.
@@ -139,6 +145,9 @@
   const std::uint64_t response_events = 0;
   const std::optional<TargetLoad> load;
   const TargetNotice notice;
+  /// The configuration by which a helping host has decided; none on a direct
+  /// way, and if the host doesn't state it.
+  const std::optional<ConfigurationVersion> host_configuration;
 
   friend auto operator<=>(const AttemptEnded&, const AttemptEnded&) = default;
   friend bool operator==(const AttemptEnded&, const AttemptEnded&) = default;
@@ -178,6 +187,16 @@
                          const ConfigurationChanged&) = default;
 };
 
+/// Another host has this version of the configuration.
+struct ConfigurationHeard {
+  const ConfigurationVersion version;
+
+  friend auto operator<=>(const ConfigurationHeard&,
+                          const ConfigurationHeard&) = default;
+  friend bool operator==(const ConfigurationHeard&,
+                         const ConfigurationHeard&) = default;
+};
+
 /// The data centres whose targets must not receive requests.
 struct EvacuationsChanged {
   const std::set<DataCentreId> data_centres;
@@ -254,6 +273,7 @@
                                 AttemptEnded,
                                 CallerDisconnected,
                                 ConfigurationChanged,
+                                ConfigurationHeard,
                                 EvacuationsChanged,
                                 FleetChanged,
                                 RegistryCaughtUp,
@@ -299,6 +319,9 @@
   const bool withholds_error_response = false;
   /// Recorded before the response is passed on; none if it needs no record.
   const std::optional<OriginRecord> origin;
+  /// That has admitted the request. A helping host must not decide by an older
+  /// one.
+  const ConfigurationVersion configuration;
 
   friend auto operator<=>(const Dispatch&, const Dispatch&) = default;
   friend bool operator==(const Dispatch&, const Dispatch&) = default;
@@ -319,6 +342,7 @@
   const Error error;
   const RunState run_state = RunState::kNotRun;
   const std::optional<Duration> retry_after;
+  const ConfigurationVersion configuration;  ///< That decided; 0: none did.
 
   friend auto operator<=>(const Refuse&, const Refuse&) = default;
   friend bool operator==(const Refuse&, const Refuse&) = default;
@@ -424,6 +448,7 @@
                                  LookUpOrigin,
                                  ProbeTarget,
                                  TargetReachabilityChanged,
+                                 ConfigurationHeard,
                                  RequestsStarted,
                                  WaitMeasured,
                                  RunMeasured,
--- a/forwarding/header_rules.cc
+++ b/forwarding/header_rules.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <cstdint>
 #include <iterator>
 #include <ranges>
+#include <system_error>
 
 namespace cicadaloft {
 namespace {
@@ -91,6 +94,20 @@
 
 }  // namespace
 
+std::optional<ConfigurationVersion> StatedConfiguration(
+    const std::vector<HeaderField>& fields) {
+  const std::string* text = FindField(fields, kConfigurationField);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* const end = text->data() + text->size();
+  const auto [parse_end, error] = std::from_chars(text->data(), end, number);
+  return error == std::errc() && parse_end == end && number != 0
+             ? std::optional(ConfigurationVersion(number))
+             : std::nullopt;
+}
+
 bool IsHostField(std::string_view name) {
   return HasPrefix(name, kHostFieldPrefix);
 }
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -57,6 +57,7 @@
                                        TargetLeavingReport,
                                        QuotaHistory,
                                        TargetReachabilityChanged,
+                                       ConfigurationHeard,
                                        RequestsStarted>;
 using EntryNotificationMailbox = Mailbox<EntryNotification>;
 /// No request is open, or the grace period has expired. Sent only after a
@@ -268,6 +269,7 @@
     this->metrics.SetReachesTargets(change.reaches_targets);
     this->NotifyControl(change);
   }
+  void Execute(const ConfigurationHeard& heard) { this->NotifyControl(heard); }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
   void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
--- a/forwarding/include/cicadaloft/forwarding/header_rules.h
+++ b/forwarding/include/cicadaloft/forwarding/header_rules.h
@@ -1,10 +1,12 @@
 #ifndef CICADALOFT_FORWARDING_HEADER_RULES_H_
 #define CICADALOFT_FORWARDING_HEADER_RULES_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "cicadaloft/core/id.h"
 #include "cicadaloft/responses/header_field.h"
 
 namespace cicadaloft {
@@ -16,6 +18,18 @@
 /// the RunState as text.
 inline constexpr std::string_view kRunStateField = "Cicadaloft-Run-State";
 
+/// Field with the version of the configuration: in a request that another host
+/// forwards, the one that has admitted it; in the response, the one by which
+/// the helping host has decided. Hosts of earlier versions neither send nor
+/// read it.
+inline constexpr std::string_view kConfigurationField =
+    "Cicadaloft-Configuration";
+
+/// @return the version that a kConfigurationField states; none if there is no
+/// valid one.
+std::optional<ConfigurationVersion> StatedConfiguration(
+    const std::vector<HeaderField>& fields);
+
 /// @return whether hosts send each other fields of this name.
 bool IsHostField(std::string_view name);
 
--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -48,14 +48,20 @@
 }
 
 /// What the head of a response says in addition to plain HTTP. Over a helping
-/// host: the target's stamp, and was_not_run if the host itself has refused the
-/// request so that another one may take it; nothing about the target.
+/// host: the target's stamp, the host's configuration, and was_not_run or
+/// is_outdated if the host itself has refused the request so that another one
+/// may take it; nothing about the target.
 struct ResponseMetadata {
   bool matches_request = true;  ///< False: the response to an earlier request.
   /// The response names the request that it belongs to.
   bool names_request = false;
-  bool is_stamped = false;         ///< The response carries the target's stamp.
-  bool was_not_run = false;        ///< The target did not run the request.
+  bool is_stamped = false;   ///< The response carries the target's stamp.
+  bool was_not_run = false;  ///< The target did not run the request.
+  /// A helping host has refused the request by an older configuration than the
+  /// one that has admitted it, or by one that it doesn't state.
+  bool is_outdated = false;
+  /// That a helping host states.
+  std::optional<ConfigurationVersion> host_configuration;
   bool is_misdirected = false;     ///< The target doesn't have the model.
   bool is_other_instance = false;  ///< Another process than the expected one.
   std::optional<TargetLoad> load;
@@ -82,7 +88,7 @@
     P::FormatRequestHead(request, dispatch, remaining_time)
   } -> std::same_as<std::string>;
   {
-    P::FormatForwardedHead(request, self, remaining_time)
+    P::FormatForwardedHead(request, dispatch, self, remaining_time)
   } -> std::same_as<std::optional<std::string>>;
   { P::FormatProbe(probe) } -> std::same_as<std::string>;
   {
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -140,11 +140,11 @@
   std::optional<std::string> FormatHead() const {
     const CallerRequest& request = *this->params->request;
     const Dispatch& dispatch = this->params->dispatch;
-    return dispatch.via_host
-               ? Protocol::FormatForwardedHead(request, this->params->self,
-                                               this->RemainingTime())
-               : std::optional(Protocol::FormatRequestHead(
-                     request, dispatch, this->RemainingTime()));
+    return dispatch.via_host ? Protocol::FormatForwardedHead(
+                                   request, dispatch, this->params->self,
+                                   this->RemainingTime())
+                             : std::optional(Protocol::FormatRequestHead(
+                                   request, dispatch, this->RemainingTime()));
   }
 
   boost::asio::awaitable<std::optional<AttemptOutcome>> WriteRequest() {
@@ -221,6 +221,10 @@
 
   std::optional<AttemptOutcome> RefusalOutcome() const {
     const Dispatch& dispatch = this->params->dispatch;
+    // Never passed on: it would be wrong for the caller.
+    if (this->metadata.is_outdated) {
+      return AttemptOutcome::kOutdatedHost;
+    }
     if (dispatch.via_host && !dispatch.withholds_error_response) {
       return std::nullopt;
     }
@@ -304,13 +308,25 @@
     co_return co_await Send(*this->params->session, message);
   }
 
+  // Tells a host that has forwarded the request by which configuration this one
+  // has decided.
+  std::vector<HeaderField> CallerFields() const {
+    std::vector<HeaderField> fields = FieldsForCaller(this->response->fields());
+    if (this->params->request->arrival.forwarded_by) {
+      fields.push_back(
+          {std::string(kConfigurationField),
+           std::to_string(this->params->dispatch.configuration.value())});
+    }
+    return fields;
+  }
+
   ResponseHead MakeResponseHead() const {
     return ResponseHead{
         .request = this->params->dispatch.request,
         .attempt = this->params->dispatch.attempt,
         .status = this->response->status(),
         .reason_phrase = this->response->ReasonPhrase(),
-        .fields = FieldsForCaller(this->response->fields()),
+        .fields = this->CallerFields(),
         .framing = this->response->Framing(),
         .content_length = this->response->ContentLength(),
         .queue_time = this->params->queue_time,
@@ -358,7 +374,8 @@
         .response_bytes = this->response_bytes,
         .response_events = this->response ? this->response->EventCount() : 0,
         .load = this->metadata.load,
-        .notice = this->metadata.notice});
+        .notice = this->metadata.notice,
+        .host_configuration = this->metadata.host_configuration});
     co_await Send(*this->params->entry_inbox, message);
   }
 
--- a/forwarding/problem_response.cc
+++ b/forwarding/problem_response.cc
@@ -71,6 +71,10 @@
   if (format.has_run_state) {
     text += std::string(kRunStateField) + ": " +
             std::string(ToString(refusal.run_state)) + "\r\n";
+    if (refusal.configuration != ConfigurationVersion()) {
+      text += std::string(kConfigurationField) + ": " +
+              std::to_string(refusal.configuration.value()) + "\r\n";
+    }
   }
   if (!keep_alive) {
     text += "Connection: close\r\n";
--- a/forwarding/tests/detour_exchange_test.cc
+++ b/forwarding/tests/detour_exchange_test.cc
@@ -70,6 +70,20 @@
   BOOST_TEST(!started.at(0).has_run);
 }
 
+// Guards against a refusal by an older configuration that reaches the caller,
+// also where no other host is left.
+BOOST_AUTO_TEST_CASE(RefusalOfAnOutdatedHostIsNeverPassedOn) {
+  DetourFixture entry;
+  entry.target.scripts.push_back(
+      {.pieces = {"HTTP/1.1 401 No\r\nX-Outdated: 1\r\nX-Unstamped: 1\r\n"
+                  "Cicadaloft-Configuration: 3\r\n"
+                  "Content-Length: 2\r\n\r\nno"}});
+  const auto response = entry.ResponseTo(ServiceGet("/"));
+  BOOST_TEST((entry.Outcomes().at(0) == kOutdatedHost));
+  BOOST_TEST(response.result_int() != 401);
+  BOOST_TEST(response.body() != "no");
+}
+
 // Guards against an outcome that is unknown and sent again: the helping host
 // has sent the request to a target.
 BOOST_AUTO_TEST_CASE(ErrorResponseOverAHostIsNeverWithheld) {
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -38,13 +38,15 @@
 
   static std::optional<std::string> FormatForwardedHead(
       const CallerRequest& request,
+      const Dispatch& dispatch,
       const HostId& self,
       Duration) {
     if (request.path.ends_with(kUnforwardablePath)) {
       return std::nullopt;
     }
     return request.method + " " + request.path +
-           " HTTP/1.1\r\nX-From: " + self.value() +
+           " HTTP/1.1\r\nX-From: " + self.value() + "\r\nX-Configuration: " +
+           std::to_string(dispatch.configuration.value()) +
            "\r\nContent-Length: " + std::to_string(request.body.size()) +
            "\r\n\r\n";
   }
@@ -65,6 +67,8 @@
                             .names_request = !has("X-Nameless"),
                             .is_stamped = !has("X-Unstamped"),
                             .was_not_run = has("X-Not-Run"),
+                            .is_outdated = has("X-Outdated"),
+                            .host_configuration = StatedConfiguration(fields),
                             .is_misdirected = has("X-Not-Loaded"),
                             .is_other_instance = has("X-Other-Instance")};
   }
