--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -91,7 +91,8 @@
 /// Task that reports the content of a keyed topic: first a snapshot, then each
 /// change. It takes a new snapshot when the log has been trimmed beyond its
 /// position, when the store has come back from an older copy, when several
-/// reads in a row have failed, and on request.
+/// reads in a row have failed, and on request. After the last two it goes on
+/// with changes if the store answers no snapshot.
 template <Store S, KeyedDecoder Decode, std::invocable<FollowerEvent> Sink>
 class KeyedFollower {
  public:
@@ -116,6 +117,7 @@
           co_await this->store.ReadNewest(this->settings.topic);
       if (!IsOk(newest)) {
         co_await this->HandleFailure(ErrorOf(newest));
+        co_await this->GoOnWithoutSnapshot();
         continue;
       }
       const SnapshotKind kind =
@@ -153,11 +155,31 @@
     Result<LogReadOutcome> outcome;
   };
 
+  // Reads changes from where they ended, while the store answers no snapshot:
+  // others may relay them. Requests for a snapshot that have come meanwhile are
+  // answered by the next attempt.
+  boost::asio::awaitable<void> GoOnWithoutSnapshot() {
+    bool is_following = this->is_position_valid;
+    bool has_request = true;
+    while (has_request) {
+      has_request = this->resync_requests->channel().try_receive(
+          [&](boost::system::error_code,
+              const std::shared_ptr<const ResyncRequest>& request) {
+            is_following &=
+                request != nullptr && this->position.HasReached(request->era);
+          });
+    }
+    if (is_following) {
+      co_await this->FollowChanges();
+    }
+  }
+
   // Returns when a new snapshot is needed.
   boost::asio::awaitable<void> FollowChanges() {
     using boost::asio::experimental::awaitable_operators::operator||;
     bool is_following = true;
     int failed_reads = 0;
+    this->is_position_valid = true;
     while (is_following) {
       auto first_completed =
           co_await (this->ReadOn() || Receive(*this->resync_requests));
@@ -174,6 +196,7 @@
       }
       const auto* records = std::get_if<LogRecords>(&ValueOf(outcome));
       if (records == nullptr || !this->position.HasReached(records->era)) {
+        this->is_position_valid = false;
         co_return;
       }
       failed_reads = 0;
@@ -265,6 +288,8 @@
   Backoff backoff;
   TopicPosition position;
   bool has_older_snapshot = false;  ///< The last one was older.
+  /// The log is known to go on from `position`.
+  bool is_position_valid = false;
   bool is_reachable = false;
 };
 
--- a/store/tests/keyed_follower_test.cc
+++ b/store/tests/keyed_follower_test.cc
@@ -302,6 +302,40 @@
   BOOST_TEST(fixture.script->snapshots_read == 1U);
 }
 
+// Guards against hosts that take no relayed record any more while the store
+// answers no snapshot, because one was requested or several reads have failed.
+BOOST_AUTO_TEST_CASE(ChangesAreFollowedWhileNoSnapshotIsAnswered) {
+  const Error refused = MakeError(ErrorKind::kStoreUnavailable, "status 429");
+  Fixture requested({Snapshot({"a=1"}, 10, 1), refused},
+                    {Records({"a=2"}, 11, 1)});
+  requested.RunFor(milliseconds(20));
+  // The second answer is that of the read which the request ends.
+  requested.script->reads.push_back(Records({}, 11, 1));
+  requested.script->reads.push_back(Records({"a=3"}, 12, 1));
+  Post(*requested.resync, ResyncRequest{});
+  Post(*requested.resync, ResyncRequest{});
+  BOOST_TEST(requested.RunFor(milliseconds(500)) ==
+                 (Texts{"up", "snapshot a=1", "a=2", "down", "up", "a=3"}),
+             boost::test_tools::per_element());
+  Fixture failed({Snapshot({"a=1"}, 10, 1), refused},
+                 {refused, refused, refused, refused, Records({"a=2"}, 11, 1)});
+  BOOST_TEST(
+      failed.RunFor(seconds(4)) == (Texts{"up", "snapshot a=1", "down", "down",
+                                          "down", "down", "down", "up", "a=2"}),
+      boost::test_tools::per_element());
+}
+
+// Guards against records that are taken for the ones after a position from
+// which the log doesn't go on.
+BOOST_AUTO_TEST_CASE(NoChangesAreFollowedAfterATrimmedLog) {
+  const Error refused = MakeError(ErrorKind::kStoreUnavailable, "status 429");
+  Fixture fixture({Snapshot({"a=1"}, 10, 1), refused},
+                  {Trimmed(20, 1), Records({"a=2"}, 11, 1)});
+  fixture.RunFor(milliseconds(600));
+  BOOST_TEST(fixture.script->snapshots_read >= 3U);
+  BOOST_TEST(fixture.script->read_from.size() == 1U);
+}
+
 // Guards against a snapshot of the era before the one that a read has stated:
 // it was sent before the store stepped back again.
 BOOST_AUTO_TEST_CASE(SnapshotOfAnEarlierEraThanTheReadIsRepeated) {
