Offer no help from hosts with an outdated configuration

Requests of hosts without targets went over hosts that refuse them, or on hosts of the earlier version decide them, by an outdated configuration. A host that has been behind for more than 1 s offers no help, with the message that holders of the earlier version know; the holder leaves out hosts whose reports lack a version that it has known for 1 s and a report interval, which covers hosts of the earlier version as well.

Evidence: detour_ledger_test/OutdatedHostsAreInNoList, which doesn't compile before.

--- a/control/detour_duties.cc
+++ b/control/detour_duties.cc
@@ -23,24 +23,31 @@
     return;
   }
   this->detour_offered_at = this->now;
-  this->ReportToHolder(DetourOffer{
-      .host = this->lease_settings.self,
-      .address = this->forward_address,
-      .reaches_targets = this->reaches_targets && !this->is_stopping});
+  this->offers_detours = this->CanHelp();
+  this->ReportToHolder(DetourOffer{.host = this->lease_settings.self,
+                                   .address = this->forward_address,
+                                   .reaches_targets = this->offers_detours});
+}
+
+// A host whose configuration is too old would refuse what others send it.
+bool ControlState::CanHelp() const {
+  return this->reaches_targets && !this->is_stopping &&
+         !this->lag.IsBehindFor(DetourLedger::kMaxConfigurationAge, this->now);
 }
 
 void ControlState::UpdateDetours() {
   const bool may_repeat =
       this->is_limit_coordinator || this->knows_holder_detours;
-  if (may_repeat &&
-      this->now - this->detour_offered_at >= kDetourOfferInterval) {
+  const bool is_repetition_due =
+      may_repeat && this->now - this->detour_offered_at >= kDetourOfferInterval;
+  if (is_repetition_due || this->offers_detours != this->CanHelp()) {
     this->SendDetourOffer();
   }
   if (!this->is_limit_coordinator) {
     return;
   }
-  for (const HostDetours& detours :
-       this->detour_ledger.TakeChanges(this->now)) {
+  for (const HostDetours& detours : this->detour_ledger.TakeChanges(
+           this->now, kUsageReportIntervalPerHost * this->AssumedHostCount())) {
     this->SendDetourHosts(detours);
   }
 }
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -164,6 +164,8 @@
 void ControlState::OnPeerMessage(const HostId&, const DemandReport& report) {
   this->RecordReportedVersion(report.configuration);
   if (this->is_limit_coordinator) {
+    this->detour_ledger.OnConfiguration(report.host, report.configuration,
+                                        this->now);
     this->ledger.OnReport(report, this->now);
     this->host_positions.OnReport(report.host, report.grant_number == 0,
                                   this->now);
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -121,6 +121,8 @@
   void OnPeerMessage(const HostId& host, const DetourHosts& hosts);
   /// Tells the holder whether this host reaches targets, if it can be told.
   void SendDetourOffer();
+  /// @return whether this host can take requests of others.
+  bool CanHelp() const;
   void UpdateDetours();
   void SendDetourHosts(const HostDetours& detours);
   void OnPeerMessage(const HostId& host, const HostPosition& position);
@@ -233,6 +235,7 @@
   /// version, which logs each message that it doesn't know.
   bool knows_holder_detours = false;
   TimePoint detour_offered_at{};
+  bool offers_detours = true;  ///< As in the last offer.
 
   RelayPublisher relay_publisher;  ///< Used while this host divides limits.
   RelayClock relay_clock;          ///< Of the connected holder.
--- a/detour/include/cicadaloft/detour/detour_ledger.h
+++ b/detour/include/cicadaloft/detour/detour_ledger.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <compare>
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,13 +34,23 @@
   /// each change concerns the lists of many.
   static constexpr Duration kListInterval = std::chrono::milliseconds(200);
 
+  /// Longest time for which a host that takes requests of others may lack a
+  /// version of the configuration, besides the interval of its reports.
+  static constexpr Duration kMaxConfigurationAge = std::chrono::seconds(1);
+
   void OnOffer(const DetourOffer& offer);
+  /// A host has this version of the configuration.
+  void OnConfiguration(const HostId& host,
+                       ConfigurationVersion version,
+                       TimePoint now);
   /// The host can't be told anything, and must not be sent requests.
   void OnLinkDown(const HostId& host);
 
+  /// @param report_interval at which hosts report their configuration.
   /// @return the lists that have changed since they were last taken, and those
   /// of hosts that have made their first offer since their link went up.
-  std::vector<HostDetours> TakeChanges(TimePoint now);
+  std::vector<HostDetours> TakeChanges(TimePoint now,
+                                       Duration report_interval = {});
 
  private:
   struct Offer {
@@ -49,10 +61,22 @@
     friend bool operator==(const Offer&, const Offer&) = default;
   };
 
+  struct KnownVersion {
+    ConfigurationVersion version;
+    TimePoint known_since{};
+  };
+
   std::vector<DetourHost> HostsFor(const HostId& host) const;
+  /// @return the hosts whose configuration is too old to decide for others.
+  std::set<HostId> OutdatedHosts(Duration max_age, TimePoint now);
 
   std::map<HostId, Offer> offers;
   std::map<HostId, std::vector<DetourHost>> told;
+  std::map<HostId, ConfigurationVersion> versions;
+  /// Each newer than the one before. The first is the newest one that hosts
+  /// need.
+  std::deque<KnownVersion> known_versions;
+  std::set<HostId> outdated;
   bool is_changed = false;
   TimePoint taken_at{};
 };
--- a/detour/tests/detour_ledger_test.cc
+++ b/detour/tests/detour_ledger_test.cc
@@ -55,6 +55,50 @@
   }
 }
 
+// Guards against requests at hosts that don't learn of new configurations, also
+// of earlier versions, which would decide by the one that they have.
+BOOST_FIXTURE_TEST_CASE(OutdatedHostsAreInNoList, Offers) {
+  constexpr std::size_t kHosts = 4;
+  const auto report = [&](std::size_t index, std::uint64_t version) {
+    this->ledger.OnConfiguration(HostId("host-" + std::to_string(index)),
+                                 ConfigurationVersion(version), this->now);
+  };
+  const auto is_listed = [&](std::size_t index) {
+    return std::ranges::any_of(
+        this->lists.at(HostId("host-0")), [&](const DetourHost& host) {
+          return host.host == HostId("host-" + std::to_string(index));
+        });
+  };
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    this->Offer(i);
+    report(i, 1);
+  }
+  this->Tell();
+  report(0, 2);
+  this->now += DetourLedger::kMaxConfigurationAge / 2;
+  this->Tell();
+  BOOST_TEST(is_listed(1));
+  report(1, 2);
+  this->now += DetourLedger::kMaxConfigurationAge;
+  this->Tell();
+  BOOST_TEST(is_listed(1));
+  BOOST_TEST(!is_listed(2));
+  BOOST_TEST(!is_listed(3));
+  // A host that is a version behind in a series of changes keeps its place.
+  report(2, 2);
+  for (std::uint64_t version = 3; version < 12; ++version) {
+    report(0, version);
+    this->now += std::chrono::milliseconds(500);
+    report(1, version - 1);
+    this->Tell();
+    BOOST_TEST(is_listed(1));
+  }
+  BOOST_TEST(!is_listed(2));
+  report(2, 11);
+  this->Tell();
+  BOOST_TEST(is_listed(2));
+}
+
 // Guards against requests at hosts that are cut off themselves.
 BOOST_FIXTURE_TEST_CASE(HostsWithoutTargetsAreInNoList, Offers) {
   for (std::size_t i = 0; i < 6; ++i) {
