Relay the operator's topic to hosts that the store doesn't answer

Hosts that don't reach the store kept their configuration for as long as that lasted, and their own callers were refused by it, although the lease holder on their link had each new one. Cause: configurations are larger than the records that are relayed, each host reads the gap from the store, and the store refuses it.

The follower takes it instead of the store's answer, only if it lacks nothing that the host has read: a later era of the store, or the same one and an end not below its position. Holders of the earlier version skip the request; they are asked every 2 s at most.

--- a/control/control_load_monitor.cc
+++ b/control/control_load_monitor.cc
@@ -10,16 +10,16 @@
 
 /// In the order of the alternatives of ControlEvent.
 constexpr auto kEventKindNames = std::to_array<std::string_view>(
-    {"configuration_read",  "evacuation_asked",   "evacuations_read",
-     "record_refused",      "operator_reachable", "fleet_event",
-     "registry_caught_up",  "store_era_seen",     "store_read",
-     "model_wanted",        "usage_measured",     "limit_draw_asked",
-     "warmup_asked",        "crash_evidence",     "poison_refutation",
-     "target_leaving",      "quota_history",      "reachability_changed",
-     "configuration_heard", "lease_event",        "usage_event",
-     "order_ended",         "report_read",        "report_failed",
-     "count_order_ended",   "peer_changed",       "peer_received",
-     "control_stop",        "control_tick"});
+    {"configuration_read",   "evacuation_asked",    "evacuations_read",
+     "record_refused",       "operator_reachable",  "fleet_event",
+     "registry_caught_up",   "store_era_seen",      "store_read",
+     "snapshot_read",        "model_wanted",        "usage_measured",
+     "limit_draw_asked",     "warmup_asked",        "crash_evidence",
+     "poison_refutation",    "target_leaving",      "quota_history",
+     "reachability_changed", "configuration_heard", "lease_event",
+     "usage_event",          "order_ended",         "report_read",
+     "report_failed",        "count_order_ended",   "peer_changed",
+     "peer_received",        "control_stop",        "control_tick"});
 static_assert(kEventKindNames.size() == std::variant_size_v<ControlEvent>);
 
 }  // namespace
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -80,6 +80,9 @@
 }
 
 void ControlState::Handle(const OperatorTopicReachability& reachability) {
+  if (!reachability.is_reachable) {
+    this->RequestSnapshot();
+  }
   if (reachability.is_reachable == this->is_operator_topic_reachable) {
     return;
   }
@@ -223,6 +226,7 @@
     this->linked_hosts.erase(change.host);
     this->ledger.OnLinkDown(change.host);
     this->relay_publisher.OnLinkDown(change.host);
+    this->snapshot_queue.OnLinkDown(change.host);
     this->detour_ledger.OnLinkDown(change.host);
   }
   if (change.is_up && this->is_limit_coordinator) {
@@ -242,6 +246,7 @@
     } else {
       this->connected_holder.reset();
       this->knows_holder_detours = false;
+      this->knows_holder_snapshots = false;
       this->relay_clock.OnLinkDown();
       this->FeedLease(HolderDisconnected{});
     }
@@ -328,6 +333,7 @@
                                                              : "not_followed"},
                  {"holder",
                   this->IsLeaseHolderReachable() ? "linked" : "not_linked"}}});
+  this->RequestSnapshot();
   this->effects.emplace_back(RereadOperatorTopic{});
 }
 
--- a/control/holder_duties.cc
+++ b/control/holder_duties.cc
@@ -52,10 +52,12 @@
     this->is_limit_coordinator = false;
     this->has_begun_placement = false;
     this->detour_ledger = DetourLedger();
+    this->snapshot_queue.Clear();
   }
   this->holder = record.holder;
   this->connected_holder.reset();
   this->knows_holder_detours = false;
+  this->knows_holder_snapshots = false;
   this->relay_clock.OnHolderChanged();
   this->FeedUsage(UsageHolderChanged{});
   this->effects.emplace_back(ConnectToHolder{.record = record});
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -22,6 +22,7 @@
 #include "cicadaloft/placement/placement_state.h"
 #include "cicadaloft/poison/poison_ledger.h"
 #include "cicadaloft/relay/relay_publisher.h"
+#include "cicadaloft/relay/snapshot_queue.h"
 #include "cicadaloft/scaling/scaling_state.h"
 #include "cicadaloft/usage/usage_settings.h"
 #include "cicadaloft/usage/usage_state.h"
@@ -66,6 +67,7 @@
   void Handle(const RegistryCaughtUp& caught_up);
   void Handle(const StoreEraSeen& seen);
   void Handle(const StoreRead& read);
+  void Handle(const SnapshotRead& read);
   // From this host's entry.
   void Handle(const ModelLoadRequest& request);
   void Handle(const UsageReport& report);
@@ -115,6 +117,10 @@
   void OnPeerMessage(const HostId& host, const RelayRequest& request);
   void OnPeerMessage(const HostId& host, const RelayWelcome& welcome);
   void OnPeerMessage(const HostId& host, const StoreRelay& relay);
+  void OnPeerMessage(const HostId& host, const SnapshotRequest& request);
+  void OnPeerMessage(const HostId& host, const RelayedSnapshot& snapshot);
+  /// Asks the holder for the operator's topic, which the store doesn't answer.
+  void RequestSnapshot();
   void OnPeerMessage(const HostId& host, const UsageCounts& counts);
   void OnPeerMessage(const HostId& host, const UsageClock& clock);
   void OnPeerMessage(const HostId& host, const DetourOffer& offer);
@@ -241,6 +247,11 @@
   RelayClock relay_clock;          ///< Of the connected holder.
   bool is_relay_reader = false;    ///< As last announced by a RelayRole.
   TimePoint left_out_logged_at{};
+  SnapshotQueue snapshot_queue;  ///< Used while this host divides limits.
+  TimePoint snapshot_requested_at{};
+  /// The connected holder has sent one: it isn't of an earlier version, which
+  /// logs each message that it doesn't know.
+  bool knows_holder_snapshots = false;
 
   HostPositions host_positions;  ///< Used while this host divides limits.
   /// Of this host, as the last holder has told it.
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -117,6 +117,7 @@
                                   RegistryCaughtUp,
                                   StoreEraSeen,
                                   StoreRead,
+                                  SnapshotRead,
                                   ModelLoadRequest,
                                   UsageReport,
                                   QuotaRequest,
@@ -163,6 +164,13 @@
   friend bool operator==(const RereadTopics&, const RereadTopics&) = default;
 };
 
+/// Read a snapshot of the operator's topic for hosts that have asked for it. A
+/// SnapshotRead follows.
+struct ReadSnapshot {
+  friend auto operator<=>(const ReadSnapshot&, const ReadSnapshot&) = default;
+  friend bool operator==(const ReadSnapshot&, const ReadSnapshot&) = default;
+};
+
 /// Keep a link to this holder, and to no other host.
 struct ConnectToHolder {
   const LeaseRecord record;
@@ -218,6 +226,8 @@
                                    SendToAllHosts,
                                    SendToHosts,
                                    RelayReceived,
+                                   SnapshotReceived,
+                                   ReadSnapshot,
                                    RelayRole,
                                    ReadLeaseLog,
                                    AppendLeaseRecord,
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -1,5 +1,7 @@
 #include <chrono>
 #include <cstddef>
+#include <utility>
+#include <vector>
 
 #include "cicadaloft/control/control_state.h"
 
@@ -9,8 +11,57 @@
 /// Interval of the log records about what the relays leave out.
 constexpr Duration kLeftOutLogInterval = std::chrono::seconds(5);
 
+/// Minimum time between two requests for a snapshot, and the same for a holder
+/// that has answered none yet.
+constexpr Duration kSnapshotRequestInterval = std::chrono::milliseconds(250);
+constexpr Duration kFirstSnapshotRequestInterval = std::chrono::seconds(2);
+
 }  // namespace
 
+void ControlState::RequestSnapshot() {
+  const Duration interval = this->knows_holder_snapshots
+                                ? kSnapshotRequestInterval
+                                : kFirstSnapshotRequestInterval;
+  const bool is_follower =
+      this->connected_holder && !this->is_limit_coordinator;
+  if (!is_follower || this->now - this->snapshot_requested_at < interval) {
+    return;
+  }
+  this->snapshot_requested_at = this->now;
+  this->effects.emplace_back(SendToHolder{
+      .message = SnapshotRequest{.host = this->lease_settings.self}});
+}
+
+void ControlState::OnPeerMessage(const HostId& host, const SnapshotRequest&) {
+  if (this->is_limit_coordinator && host != this->lease_settings.self) {
+    this->snapshot_queue.OnRequest(host);
+  }
+}
+
+void ControlState::Handle(const SnapshotRead& read) {
+  const std::vector<HostId> hosts = this->snapshot_queue.OnRead(read);
+  if (!read.snapshot || hosts.empty()) {
+    return;
+  }
+  this->effects.emplace_back(
+      DecisionRecord{.event = "relay.snapshot_sent",
+                     .fields = {{"hosts", hosts.size()},
+                                {"end", read.snapshot->end.value()},
+                                {"era", read.snapshot->era.value()}}});
+  this->effects.emplace_back(SendToHosts{.hosts = {hosts.begin(), hosts.end()},
+                                         .message = *read.snapshot});
+}
+
+void ControlState::OnPeerMessage(const HostId& host,
+                                 const RelayedSnapshot& snapshot) {
+  if (this->connected_holder != host) {
+    return;
+  }
+  this->knows_holder_snapshots = true;
+  this->effects.emplace_back(
+      SnapshotReceived{.snapshot = snapshot, .received_at = this->now});
+}
+
 void ControlState::Handle(const StoreRead& read) {
   this->relay_publisher.OnRead(read);
 }
@@ -34,6 +85,11 @@
     }
     this->LogLeftOutRecords();
   }
+  const bool can_read =
+      this->is_limit_coordinator && this->is_operator_topic_reachable;
+  if (can_read && this->snapshot_queue.BeginRead(this->now)) {
+    this->effects.emplace_back(ReadSnapshot{});
+  }
   if (this->connected_holder &&
       *this->connected_holder != this->lease_settings.self) {
     if (auto request =
--- a/host/control_task.h
+++ b/host/control_task.h
@@ -18,6 +18,7 @@
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/entry_task_messages.h"
 #include "cicadaloft/lease/lease_log_client.h"
+#include "cicadaloft/platform/configuration_codec.h"
 #include "cicadaloft/platform/duty_client.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/runner_client.h"
@@ -73,6 +74,7 @@
                                         store,
                                         memory,
                                         report_store_call)),
+        snapshot_store(this->executor, store, memory, report_store_call),
         runners(this->executor, settings.self, memory) {
     if (duties) {
       this->duty_client.emplace(this->executor, duties->address, settings.self,
@@ -152,6 +154,15 @@
                 : *this->channels.operator_relay,
             RelayInput(received));
   }
+  // The follower takes it instead of the store's answer.
+  void Execute(const SnapshotReceived& received) {
+    Post(*this->channels.operator_relay, RelayInput(received));
+    TrySend(*this->channels.operator_resync, ResyncRequest{});
+  }
+  void Execute(const ReadSnapshot&) {
+    this->Call("read of the operator's topic for other hosts",
+               this->ReadOperatorTopic(), SnapshotRead{});
+  }
   // Relayed records of the registry lack what the lease holder needs, so a
   // reader begins with a snapshot.
   void Execute(const RelayRole& role) {
@@ -237,6 +248,18 @@
                                     .call = order, .outcome = outcome}));
   }
 
+  boost::asio::awaitable<void> ReadOperatorTopic() {
+    const Result<NewestRecords> newest =
+        co_await this->snapshot_store.ReadNewest(platform::kOperatorTopic);
+    SnapshotRead read;
+    if (IsOk(newest)) {
+      read.snapshot.emplace(RelayedSnapshot{.records = ValueOf(newest).records,
+                                            .end = ValueOf(newest).end_offset,
+                                            .era = ValueOf(newest).era});
+    }
+    Post(*this->channels.inbox, ControlEvent(std::move(read)));
+  }
+
   boost::asio::awaitable<void> CallLease(
       boost::asio::awaitable<LeaseEvent> call) {
     const ControlEvent event = co_await std::move(call);
@@ -304,6 +327,8 @@
   ControlState state;
   const ControlTaskChannels channels;
   LeaseLogClient<platform::StoreClient> lease_log;
+  /// For the reads on behalf of other hosts.
+  platform::StoreClient snapshot_store;
   platform::RunnerClient runners;
   // Absent if the platform wants no usage reports.
   std::optional<UsageTopicClient<platform::StoreClient,
--- a/peering/include/cicadaloft/peering/messages.h
+++ b/peering/include/cicadaloft/peering/messages.h
@@ -42,7 +42,9 @@
                                  UsageClock,
                                  DetourOffer,
                                  DetourHosts,
-                                 HostPosition>;
+                                 HostPosition,
+                                 SnapshotRequest,
+                                 RelayedSnapshot>;
 
 }  // namespace cicadaloft
 
--- a/peering/link_json.h
+++ b/peering/link_json.h
@@ -178,6 +178,23 @@
 inline constexpr auto kJsonFields<StoreRelay> =
     std::tuple(Required("topics", &StoreRelay::topics));
 
+template <>
+inline constexpr auto kJsonFields<KeyedRecord> =
+    std::tuple(Required("key", &KeyedRecord::key),
+               Defaulted("value", &KeyedRecord::value));
+template <>
+inline constexpr bool kIsJsonRow<KeyedRecord> = true;
+
+template <>
+inline constexpr auto kJsonFields<SnapshotRequest> =
+    std::tuple(Required("host", &SnapshotRequest::host));
+
+template <>
+inline constexpr auto kJsonFields<RelayedSnapshot> =
+    std::tuple(Required("records", &RelayedSnapshot::records),
+               Required("end", &RelayedSnapshot::end),
+               Required("era", &RelayedSnapshot::era));
+
 template <>
 inline constexpr auto kJsonFields<DataCentreLoad> =
     std::tuple(Required("data_centre", &DataCentreLoad::data_centre),
@@ -235,7 +252,8 @@
          "store_relay",      "quota_history",     "crash_evidence",
          "poison_suspects",  "poison_refutation", "poison_block",
          "service_load",     "usage_counts",      "usage_clock",
-         "detour_offer",     "detour_hosts",      "host_position"});
+         "detour_offer",     "detour_hosts",      "host_position",
+         "snapshot_request", "relayed_snapshot"});
 
 }  // namespace cicadaloft
 
--- a/relay/include/cicadaloft/relay/messages.h
+++ b/relay/include/cicadaloft/relay/messages.h
@@ -3,12 +3,14 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
+#include "cicadaloft/store/messages.h"
 
 namespace cicadaloft {
 
@@ -61,6 +63,49 @@
   friend bool operator==(const StoreRelay&, const StoreRelay&) = default;
 };
 
+/// A host asks the lease holder for a snapshot of the operator's topic, which
+/// the store doesn't answer it.
+struct SnapshotRequest {
+  HostId host;
+
+  friend auto operator<=>(const SnapshotRequest&,
+                          const SnapshotRequest&) = default;
+  friend bool operator==(const SnapshotRequest&,
+                         const SnapshotRequest&) = default;
+};
+
+/// The holder's answer: what it has read from the store for the request.
+struct RelayedSnapshot {
+  std::vector<KeyedRecord> records;  ///< The newest one of each key.
+  LogOffset end;                     ///< A read from here misses no record.
+  StoreEra era;
+
+  friend auto operator<=>(const RelayedSnapshot&,
+                          const RelayedSnapshot&) = default;
+  friend bool operator==(const RelayedSnapshot&,
+                         const RelayedSnapshot&) = default;
+};
+
+/// The read for hosts that have asked for a snapshot has ended.
+struct SnapshotRead {
+  std::optional<RelayedSnapshot> snapshot;  ///< None: the call has failed.
+
+  friend auto operator<=>(const SnapshotRead&, const SnapshotRead&) = default;
+  friend bool operator==(const SnapshotRead&, const SnapshotRead&) = default;
+};
+
+/// A snapshot from another host, with the time on this host's clock at which it
+/// was received.
+struct SnapshotReceived {
+  RelayedSnapshot snapshot;
+  TimePoint received_at{};
+
+  friend auto operator<=>(const SnapshotReceived&,
+                          const SnapshotReceived&) = default;
+  friend bool operator==(const SnapshotReceived&,
+                         const SnapshotReceived&) = default;
+};
+
 /// This host has read a topic from the store itself.
 struct StoreRead {
   std::string topic;
@@ -92,7 +137,7 @@
 };
 
 /// Messages to the task that follows a topic.
-using RelayInput = std::variant<RelayReceived, RelayRole>;
+using RelayInput = std::variant<RelayReceived, RelayRole, SnapshotReceived>;
 
 }  // namespace cicadaloft
 
--- a/relay/include/cicadaloft/relay/relay_reader.h
+++ b/relay/include/cicadaloft/relay/relay_reader.h
@@ -2,6 +2,8 @@
 #define CICADALOFT_RELAY_RELAY_READER_H_
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,7 +57,17 @@
   explicit RelayReader(const RelayedStoreSettings& settings)
       : settings(settings), buffer(settings.max_relay_age) {}
 
+  /// A relayed snapshot of this age is no longer used.
+  static constexpr Duration kMaxSnapshotAge = std::chrono::seconds(1);
+
   void OnInput(const RelayInput& input);
+  /// @return whether a relayed snapshot can be taken.
+  bool HasSnapshot(TimePoint now) const;
+  /// @return a relayed snapshot that lacks nothing that this host has read, at
+  /// most once each; none if there is none.
+  std::optional<RelayedSnapshot> TakeSnapshot(TimePoint now);
+  /// The log is read from here.
+  void OnPosition(LogOffset from) { this->position = from; }
   /// The store has answered this host. Relayed records of another era don't
   /// follow on those that this host has read.
   void OnAnswer(StoreEra era) { this->era = std::max(this->era, era); }
@@ -83,6 +95,8 @@
   /// The highest relayed one at the last call. A store that goes on stating a
   /// lower one is read at the usual interval.
   StoreEra era_at_last_call;
+  std::optional<SnapshotReceived> snapshot;
+  LogOffset position;  ///< Up to which this host has read in `era`.
   bool is_reader = false;
   TimePoint last_call_sent_at{};
   TimePoint last_call_ended_at{};
--- a/relay/include/cicadaloft/relay/relayed_store.h
+++ b/relay/include/cicadaloft/relay/relayed_store.h
@@ -47,11 +47,22 @@
         clock(std::move(clock)),
         sink(std::move(sink)) {}
 
+  /// A snapshot that another host relays is taken before the store's answer:
+  /// it is requested only if the store doesn't answer, or not in time.
   boost::asio::awaitable<Result<NewestRecords>> ReadNewest(std::string topic) {
+    using boost::asio::experimental::awaitable_operators::operator||;
     const TimePoint sent_at = this->clock.Now();
-    Result<NewestRecords> newest = co_await this->store.ReadNewest(topic);
+    auto first = co_await (this->AwaitSnapshot() || this->CallNewest(topic));
+    if (first.index() == 0) {
+      RelayedSnapshot snapshot = std::get<0>(std::move(first));
+      co_return NewestRecords{.records = std::move(snapshot.records),
+                              .end_offset = snapshot.end,
+                              .era = snapshot.era};
+    }
+    Result<NewestRecords> newest = std::get<1>(std::move(first)).outcome;
     this->reader.OnStoreCall(sent_at, this->clock.Now());
     if (IsOk(newest)) {
+      this->reader.OnPosition(ValueOf(newest).end_offset);
       this->reader.OnAnswer(ValueOf(newest).era);
       this->sink(StoreRead{.topic = topic,
                            .from = ValueOf(newest).end_offset,
@@ -65,6 +76,7 @@
                                                       LogOffset from,
                                                       Duration wait) {
     const TimePoint deadline = this->clock.Now() + wait;
+    this->reader.OnPosition(from);
     while (true) {
       this->DrainInbox();
       const TimePoint now = this->clock.Now();
@@ -92,6 +104,31 @@
   }
 
  private:
+  // An awaitable of a std::variant, which a Result is, would have each of its
+  // alternatives as one of the results of operator||.
+  struct NewestRead {
+    Result<NewestRecords> outcome;
+  };
+
+  boost::asio::awaitable<NewestRead> CallNewest(std::string topic) {
+    Result<NewestRecords> outcome =
+        co_await this->store.ReadNewest(std::move(topic));
+    co_return NewestRead{std::move(outcome)};
+  }
+
+  boost::asio::awaitable<RelayedSnapshot> AwaitSnapshot() {
+    this->DrainInbox();
+    while (true) {
+      if (auto snapshot = this->reader.TakeSnapshot(this->clock.Now())) {
+        co_return std::move(*snapshot);
+      }
+      const auto message = co_await Receive(*this->inbox);
+      if (message != nullptr) {
+        this->reader.OnInput(*message);
+      }
+    }
+  }
+
   boost::asio::awaitable<Result<LogReadOutcome>> ReadStore(std::string topic,
                                                            LogOffset from,
                                                            Duration wait) {
--- a/relay/relay_reader.cc
+++ b/relay/relay_reader.cc
@@ -11,10 +11,33 @@
   std::visit(
       Overloaded{
           [this](const RelayReceived& received) { this->buffer.Add(received); },
-          [this](const RelayRole& role) { this->is_reader = role.is_reader; }},
+          [this](const RelayRole& role) { this->is_reader = role.is_reader; },
+          [this](const SnapshotReceived& received) {
+            this->snapshot.emplace(received);
+          }},
       input);
 }
 
+// A holder that lags behind must not take back what this host has read.
+bool RelayReader::HasSnapshot(TimePoint now) const {
+  if (!this->snapshot || now - this->snapshot->received_at >= kMaxSnapshotAge) {
+    return false;
+  }
+  const RelayedSnapshot& relayed = this->snapshot->snapshot;
+  return relayed.era > this->era ||
+         (relayed.era == this->era && relayed.end >= this->position);
+}
+
+std::optional<RelayedSnapshot> RelayReader::TakeSnapshot(TimePoint now) {
+  if (!this->HasSnapshot(now)) {
+    return std::nullopt;
+  }
+  RelayedSnapshot taken = std::exchange(this->snapshot, std::nullopt)->snapshot;
+  this->OnAnswer(taken.era);
+  this->OnPosition(taken.end);
+  return taken;
+}
+
 RelayReadStep RelayReader::Next(LogOffset from,
                                 Duration wait,
                                 TimePoint deadline,
--- a/relay/tests/relayed_store_test.cc
+++ b/relay/tests/relayed_store_test.cc
@@ -6,6 +6,11 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
+#include <set>
+
+#include "cicadaloft/relay/relay_publisher.h"
+#include "cicadaloft/relay/snapshot_queue.h"
 
 namespace cicadaloft {
 namespace {
@@ -13,6 +18,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+using Records = std::vector<std::string>;
+
 const std::string kTopic = "t";
 
 struct SteadyTime {
@@ -28,6 +35,7 @@
   int reads = 0;
   Duration last_wait{};
   bool is_failing = false;
+  bool is_silent = false;  ///< Snapshots fail after 5 s.
   StoreEra era;
 };
 
@@ -37,6 +45,15 @@
 
   boost::asio::awaitable<Result<NewestRecords>> ReadNewest(std::string) {
     ++this->log->reads;
+    if (this->log->is_silent) {
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                      seconds(5));
+      co_await timer.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    if (this->log->is_failing || this->log->is_silent) {
+      co_return MakeError(ErrorKind::kStoreUnavailable, "status 429");
+    }
     co_return NewestRecords{.records = {},
                             .end_offset = LogOffset(this->log->records.size()),
                             .era = this->log->era};
@@ -94,6 +111,28 @@
     return std::get<LogRecords>(ValueOf(future.get()));
   }
 
+  /// @return a snapshot of the topic; none if none is answered.
+  std::optional<NewestRecords> ReadNewest() {
+    this->context.restart();
+    auto future = boost::asio::co_spawn(
+        this->context, this->store.ReadNewest(kTopic), boost::asio::use_future);
+    this->context.run();
+    const Result<NewestRecords> newest = future.get();
+    return IsOk(newest) ? std::optional(ValueOf(newest)) : std::nullopt;
+  }
+
+  void RelaySnapshot(const std::string& value,
+                     std::uint64_t end,
+                     std::uint64_t era,
+                     Duration age = {}) {
+    Post(*this->inbox,
+         RelayInput(SnapshotReceived{
+             .snapshot = {.records = {{.key = "a", .value = value}},
+                          .end = LogOffset(end),
+                          .era = StoreEra(era)},
+             .received_at = SteadyTime{}.Now() - age}));
+  }
+
   /// @return whether a read of the store fails.
   bool IsReadFailing() {
     this->context.restart();
@@ -232,6 +271,84 @@
   BOOST_TEST((SteadyTime{}.Now() - began < milliseconds(40)));
 }
 
+// Guards against a host whose configuration stays as it is while the store
+// refuses its calls, or answers none, although another host has a newer one.
+BOOST_FIXTURE_TEST_CASE(RelayedSnapshotStandsInForTheStore, Fixture) {
+  this->log->is_failing = true;
+  BOOST_TEST(!this->ReadNewest());
+  this->RelaySnapshot("1", 12, 1);
+  const auto refused = this->ReadNewest();
+  BOOST_REQUIRE(refused.has_value());
+  BOOST_TEST(refused->records.at(0).value.value() == "1");
+  BOOST_TEST((refused->end_offset == LogOffset(12)));
+  BOOST_TEST((refused->era == StoreEra(1)));
+  // Records that follow are relayed.
+  this->Relay(12, {"b"}, StoreEra(1));
+  BOOST_TEST(this->Read(12).records == Records{"b"},
+             boost::test_tools::per_element());
+  this->log->is_failing = false;
+  this->log->is_silent = true;
+  const TimePoint before = SteadyTime{}.Now();
+  this->RelaySnapshot("2", 14, 1);
+  BOOST_REQUIRE(this->ReadNewest().has_value());
+  BOOST_TEST((SteadyTime{}.Now() - before < seconds(2)));
+  // None of this was read from the store for others.
+  BOOST_TEST(this->reads->empty());
+}
+
+// Guards against a holder that lags behind and takes back what this host has
+// read, and against a snapshot that has waited for long.
+BOOST_FIXTURE_TEST_CASE(OlderSnapshotsAreNotTaken, Fixture) {
+  this->log->era = StoreEra(2);
+  this->log->records = {"a", "b", "c"};
+  BOOST_REQUIRE(this->ReadNewest().has_value());
+  this->log->is_failing = true;
+  this->RelaySnapshot("1", 2, 2);  // Ends before what was read.
+  BOOST_TEST(!this->ReadNewest());
+  this->RelaySnapshot("2", 9, 1);  // Of an earlier era.
+  BOOST_TEST(!this->ReadNewest());
+  this->RelaySnapshot("3", 9, 2, seconds(2));  // Too old.
+  BOOST_TEST(!this->ReadNewest());
+  this->RelaySnapshot("4", 1, 3);  // Of a later era, in which offsets go back.
+  const auto restored = this->ReadNewest();
+  BOOST_REQUIRE(restored.has_value());
+  BOOST_TEST(restored->records.at(0).value.value() == "4");
+  // Each is taken once.
+  BOOST_TEST(!this->ReadNewest());
+}
+
+// Guards against snapshots without bound on the holder's link, and against a
+// read of the store for each host.
+BOOST_AUTO_TEST_CASE(SnapshotsOfManyHostsAreBounded) {
+  constexpr std::size_t kHosts = 360;
+  const RelayedSnapshot snapshot{
+      .records = {{.key = "config", .value = std::string(60'000, 'c')}}};
+  SnapshotQueue queue;
+  TimePoint now(seconds(1000));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    queue.OnRequest(HostId("h" + std::to_string(i)));
+    queue.OnRequest(HostId("h" + std::to_string(i)));
+  }
+  queue.OnLinkDown(HostId("h0"));
+  std::set<HostId> served;
+  std::size_t reads = 0;
+  while (queue.BeginRead(now)) {
+    BOOST_TEST(!queue.BeginRead(now));
+    ++reads;
+    const auto hosts = queue.OnRead({.snapshot = snapshot});
+    BOOST_TEST(hosts.size() * 60'000 <= RelayPublisher::kMaxPublishedBytes);
+    served.insert(hosts.begin(), hosts.end());
+    BOOST_TEST(!queue.BeginRead(now + SnapshotQueue::kReadInterval / 2));
+    now += SnapshotQueue::kReadInterval;
+  }
+  BOOST_TEST(served.size() == kHosts - 1);
+  BOOST_TEST(reads <= 28U);
+  queue.OnRequest(HostId("h1"));
+  BOOST_TEST(queue.BeginRead(now));
+  BOOST_TEST(queue.OnRead({}).empty());
+  BOOST_TEST(!queue.BeginRead(now + SnapshotQueue::kReadInterval));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -162,12 +162,14 @@
     bool is_following = this->is_position_valid;
     bool has_request = true;
     while (has_request) {
-      has_request = this->resync_requests->channel().try_receive(
+      const bool has_message = this->resync_requests->channel().try_receive(
           [&](boost::system::error_code,
               const std::shared_ptr<const ResyncRequest>& request) {
+            has_request = request != nullptr;
             is_following &=
-                request != nullptr && this->position.HasReached(request->era);
+                request == nullptr || this->position.HasReached(request->era);
           });
+      has_request &= has_message;
     }
     if (is_following) {
       co_await this->FollowChanges();
--- a/tests/outdated_hosts_process_test.sh
+++ b/tests/outdated_hosts_process_test.sh
@@ -97,6 +97,11 @@
 write_configuration 3 new-key other true
 sleep $((config_ms / 1000))
 
+check "b1 and b2 get it over their links to the lease holder"
+for host in b1 b2; do
+  until_ok $((2 * config_ms)) send_request "$(port_of $host)" /added/a "linked-$host"
+done
+
 check "a1 reaches no runner"
 for i in 0 1; do
   curl -fsS -o /dev/null -X POST \
