--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -173,6 +173,15 @@
   if (ended.host_configuration) {
     this->HearConfiguration(*ended.host_configuration);
   }
+  if (ended.outcome == AttemptOutcome::kOutdatedHost) {
+    this->Log(event_names::kOutdatedHost, request.arrival.caller_request_id,
+              {{"host", host.value()},
+               {"configuration", request.configuration->version().value()},
+               {"host_configuration",
+                ended.host_configuration
+                    ? std::to_string(ended.host_configuration->value())
+                    : "-"}});
+  }
   if (ended.outcome == AttemptOutcome::kNotSent ||
       ended.outcome == AttemptOutcome::kShed ||
       ended.outcome == AttemptOutcome::kOutdatedHost) {
--- a/entry/include/cicadaloft/entry/event_names.h
+++ b/entry/include/cicadaloft/entry/event_names.h
@@ -19,6 +19,7 @@
 inline constexpr char kTargetsLost[] = "targets.lost";
 inline constexpr char kTargetsReached[] = "targets.reached";
 inline constexpr char kDetour[] = "route.detour";
+inline constexpr char kOutdatedHost[] = "route.outdated_host";
 inline constexpr char kTargetBrittle[] = "route.target_brittle";
 inline constexpr char kCallerDisconnected[] = "route.caller_gone";
 inline constexpr char kModelLoadRequest[] = "route.model_wanted";
--- a/forwarding/entry_metrics.cc
+++ b/forwarding/entry_metrics.cc
@@ -1,5 +1,6 @@
 #include "cicadaloft/forwarding/entry_metrics.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -89,6 +90,24 @@
                          reaches_targets ? 1 : 0);
 }
 
+void EntryMetrics::SetConfiguration(ConfigurationVersion version) {
+  this->configuration = std::max(this->configuration, version);
+  this->SetHeardConfiguration(version);
+}
+
+void EntryMetrics::SetHeardConfiguration(ConfigurationVersion version) {
+  this->newest_configuration = std::max(this->newest_configuration, version);
+}
+
+void EntryMetrics::RenderConfiguration() {
+  const auto set = [this](const char* name, ConfigurationVersion version) {
+    this->metrics.SetGauge(MetricKey{.name = name},
+                           static_cast<double>(version.value()));
+  };
+  set("cicadaloft_configuration_version", this->configuration);
+  set("cicadaloft_configuration_newest_version", this->newest_configuration);
+}
+
 void EntryMetrics::CountDroppedMessage() {
   this->metrics.AddToCounter(
       MetricKey{.name = "cicadaloft_entry_lost_link_messages_total"});
@@ -112,6 +131,7 @@
 }
 
 MetricsReply EntryMetrics::Render(const StatusReply& status) {
+  this->RenderConfiguration();
   const auto set = [this](const char* name, double value) {
     this->metrics.SetGauge(MetricKey{.name = name}, value);
   };
--- a/forwarding/include/cicadaloft/forwarding/entry_metrics.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_metrics.h
@@ -34,6 +34,11 @@
   void CountTakenRequest();
   void CountProbe(bool is_reached);
   void SetReachesTargets(bool reaches_targets);
+  /// @param version that this host has read; a lower one than before is not in
+  /// force.
+  void SetConfiguration(ConfigurationVersion version);
+  /// @param version that another host has.
+  void SetHeardConfiguration(ConfigurationVersion version);
   /// Counts a message that was dropped because the control mailbox was full.
   void CountDroppedMessage();
   /// Counts a call of the store by this host.
@@ -46,7 +51,11 @@
   MetricsReply Render(const StatusReply& status);
 
  private:
+  void RenderConfiguration();
+
   Metrics metrics;
+  ConfigurationVersion configuration;
+  ConfigurationVersion newest_configuration;  ///< Of this host and others.
 };
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -214,6 +214,10 @@
       this->effect_executor.RemoveAttempt(*ended);
     } else if (const auto* probed = std::get_if<TargetProbed>(&event)) {
       this->metrics.CountProbe(probed->is_reached);
+    } else if (const auto* change = std::get_if<ConfigurationChanged>(&event)) {
+      this->metrics.SetConfiguration(change->configuration->version());
+    } else if (const auto* heard = std::get_if<ConfigurationHeard>(&event)) {
+      this->metrics.SetHeardConfiguration(heard->version);
     } else if (std::holds_alternative<EntryStopRequested>(event)) {
       this->is_stopping = true;
     }
--- a/forwarding/tests/entry_metrics_test.cc
+++ b/forwarding/tests/entry_metrics_test.cc
@@ -38,6 +38,19 @@
   BOOST_TEST(has(tokens + "\"all\"} 715\n"));
 }
 
+// Guards against hosts whose outdated configuration operators don't see.
+BOOST_AUTO_TEST_CASE(ConfigurationIsRenderedBesideTheNewestOne) {
+  EntryMetrics metrics;
+  metrics.SetConfiguration(ConfigurationVersion(7));
+  metrics.SetConfiguration(ConfigurationVersion(3));
+  metrics.SetHeardConfiguration(ConfigurationVersion(9));
+  const std::string text = metrics.Render(StatusReply{}).text;
+  BOOST_TEST(text.find("cicadaloft_configuration_version 7\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("cicadaloft_configuration_newest_version 9\n") !=
+             std::string::npos);
+}
+
 // Guards against detours that operators don't see, or see as reached targets.
 BOOST_AUTO_TEST_CASE(DetoursAndProbesAreCounted) {
   EntryMetrics metrics;
