--- a/tests/hosts_without_targets_process_test.sh
+++ b/tests/hosts_without_targets_process_test.sh
@@ -29,26 +29,12 @@
 number_of() { printf '%s\n' "${hosts[@]}" | grep -n "^$1$" | cut -d: -f1; }
 port_of() { echo $((base + 10 + 5 * $(number_of "$1"))); }
 source_of() { echo "127.0.0.$((10 + $(number_of "$1")))"; }
-start_in_centre() {  # HOST
-  local port
-  port=$(port_of "$1")
-  cat >"$dir/$1.json" <<JSON
-{"host": "$1", "data_centre": "${1:0:1}", "listen": "127.0.0.1:$port",
- "ready_listen": "127.0.0.1:$((port + 1))", "admin_listen": "127.0.0.1:$((port + 2))",
- "peer_listen": "127.0.0.1:$((port + 3))", "forward_listen": "127.0.0.1:$((port + 4))",
- "store": "$store", "first_start": true}
-JSON
-  ASAN_OPTIONS=verify_asan_link_order=0 LD_PRELOAD="$build/tests/libconnect_source.so" \
-    CICADALOFT_TEST_SOURCE=$(source_of "$1") \
-    "$build/host/cicadaloft-host" --settings "$dir/$1.json" >>"$dir/$1.log" 2>&1 &
-  pids+=($!)
-}
 call() {  # HOST KIND CALLERS [OPTION ...]
   "$build/tests/kept_callers" --to "127.0.0.1:$(port_of "$1")" --callers "$3" --ms 170000 \
     --pause-ms 100 --id-prefix "$1-$2-" --log "$dir/$1.calls" "${@:4}" >/dev/null 2>&1 &
   pids+=($!)
 }
-for host in "${hosts[@]}"; do start_in_centre "$host"; done
+for host in "${hosts[@]}"; do start_host_from "$host" "$(port_of "$host")" "$(source_of "$host")"; done
 for host in "${hosts[@]}"; do
   until_ok $start_ms curl -fs "http://127.0.0.1:$(($(port_of "$host") + 1))/readyz"
   until_ok $start_ms send_request "$(port_of "$host")" /reservations/a "first-$host"
--- a/tests/outdated_hosts_process_test.sh
+++ b/tests/outdated_hosts_process_test.sh
@@ -40,22 +40,6 @@
     ' tests/stand_ins/configuration.json >"$dir/configuration-$1.json"
   put config "$dir/configuration-$1.json"
 }
-start_in_centre() {  # HOST
-  local port program
-  port=$(port_of "$1")
-  cat >"$dir/$1.json" <<JSON
-{"host": "$1", "data_centre": "${1:0:1}", "listen": "127.0.0.1:$port",
- "ready_listen": "127.0.0.1:$((port + 1))", "admin_listen": "127.0.0.1:$((port + 2))",
- "peer_listen": "127.0.0.1:$((port + 3))", "forward_listen": "127.0.0.1:$((port + 4))",
- "store": "$store", "first_start": true}
-JSON
-  program=$build
-  [[ "$earlier_hosts" != *" $1 "* ]] || program=$earlier
-  ASAN_OPTIONS=verify_asan_link_order=0 LD_PRELOAD="$build/tests/libconnect_source.so" \
-    CICADALOFT_TEST_SOURCE=$(source_of "$1") \
-    "$program/host/cicadaloft-host" --settings "$dir/$1.json" >>"$dir/$1.log" 2>&1 &
-  pids+=($!)
-}
 # Sends requests until a time; logs the id, the status and the path of each.
 send_until() {  # END HOST PATH KEY
   local number=0 id status
@@ -82,7 +66,9 @@
   pids+=($!)
 done
 for host in a2 a1 b1 b2; do
-  start_in_centre "$host"
+  program=$build
+  [[ "$earlier_hosts" != *" $host "* ]] || program=$earlier
+  start_host_from "$host" "$(port_of "$host")" "$(source_of "$host")" "$program"
   until_ok $start_ms curl -fs "http://127.0.0.1:$(($(port_of "$host") + 1))/readyz"
   until_ok $start_ms send_request "$(port_of "$host")" /reservations/a "first-$host"
   until_ok $start_ms grep -q lease.gained "$dir/a2.log"
--- a/tests/process_functions.sh
+++ b/tests/process_functions.sh
@@ -53,6 +53,20 @@
   pids+=($!)
   eval "pid_$1=$!"
 }
+# Starts a host whose connections come from an address of its own, so that
+# stand-ins can cut it off. Its data centre is the first letter of its name.
+start_host_from() {  # NAME PORT SOURCE_ADDRESS [BUILD_DIR]
+  cat >"$dir/$1.json" <<JSON
+{"host": "$1", "data_centre": "${1:0:1}", "listen": "127.0.0.1:$2",
+ "ready_listen": "127.0.0.1:$(($2 + 1))", "admin_listen": "127.0.0.1:$(($2 + 2))",
+ "peer_listen": "127.0.0.1:$(($2 + 3))", "forward_listen": "127.0.0.1:$(($2 + 4))",
+ "store": "$store", "first_start": true}
+JSON
+  ASAN_OPTIONS=verify_asan_link_order=0 LD_PRELOAD="$build/tests/libconnect_source.so" \
+    CICADALOFT_TEST_SOURCE=$3 \
+    "${4:-$build}/host/cicadaloft-host" --settings "$dir/$1.json" >>"$dir/$1.log" 2>&1 &
+  pids+=($!)
+}
 send_request() {  # PORT PATH ID [OPTION ...]
   curl -sS --fail --max-time $((deadline_ms / 1000)) -H 'Host: provador.example' -X POST -d x \
     -H 'Authorization: Bearer demo-key' -H "Request-Id: $3" \
