Keep hosts that check versions listed while they catch up

Cause: the bound on the lag, meant for hosts of the earlier version, also dropped hosts that check the version of each request.

Evidence: detour_ledger_test/HostsThatCheckVersionsMayBeBehind, which doesn't compile before.

--- a/control/detour_duties.cc
+++ b/control/detour_duties.cc
@@ -11,6 +11,11 @@
 /// holder changed.
 constexpr Duration kDetourOfferInterval = std::chrono::seconds(5);
 
+/// A host that has been behind for this time, and has adopted nothing
+/// meanwhile, takes no requests of others. While it catches up it may still
+/// serve those that an earlier configuration has admitted.
+constexpr Duration kMaxLagOfHelpingHost = std::chrono::seconds(3);
+
 }  // namespace
 
 void ControlState::Handle(const TargetReachabilityChanged& change) {
@@ -32,7 +37,7 @@
 // A host whose configuration is too old would refuse what others send it.
 bool ControlState::CanHelp() const {
   return this->reaches_targets && !this->is_stopping &&
-         !this->lag.IsBehindFor(DetourLedger::kMaxConfigurationAge, this->now);
+         !this->lag.IsBehindFor(kMaxLagOfHelpingHost, this->now);
 }
 
 void ControlState::UpdateDetours() {
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -35,6 +35,8 @@
 void ControlState::OnPeerMessage(const HostId& host, const SnapshotRequest&) {
   if (this->is_limit_coordinator && host != this->lease_settings.self) {
     this->snapshot_queue.OnRequest(host);
+    // Hosts of the earlier version don't know the message.
+    this->detour_ledger.OnVersionCheck(host);
   }
 }
 
--- a/detour/detour_ledger.cc
+++ b/detour/detour_ledger.cc
@@ -41,7 +41,7 @@
   }
   const ConfigurationVersion required = this->known_versions.front().version;
   for (const auto& [host, version] : this->versions) {
-    if (version < required) {
+    if (version < required && !this->checking.contains(host)) {
       hosts.insert(host);
     }
   }
@@ -50,6 +50,7 @@
 
 void DetourLedger::OnLinkDown(const HostId& host) {
   this->versions.erase(host);
+  this->checking.erase(host);
   this->is_changed |= this->offers.erase(host) > 0;
   this->told.erase(host);
 }
--- a/detour/include/cicadaloft/detour/detour_ledger.h
+++ b/detour/include/cicadaloft/detour/detour_ledger.h
@@ -34,8 +34,9 @@
   /// each change concerns the lists of many.
   static constexpr Duration kListInterval = std::chrono::milliseconds(200);
 
-  /// Longest time for which a host that takes requests of others may lack a
-  /// version of the configuration, besides the interval of its reports.
+  /// Longest time for which a host of an earlier version that takes requests of
+  /// others may lack a version of the configuration, besides the interval of
+  /// its reports.
   static constexpr Duration kMaxConfigurationAge = std::chrono::seconds(1);
 
   void OnOffer(const DetourOffer& offer);
@@ -46,6 +47,10 @@
   /// The host can't be told anything, and must not be sent requests.
   void OnLinkDown(const HostId& host);
 
+  /// The host decides no request by an older configuration than the one that
+  /// has admitted it, so it may be listed also while it is behind.
+  void OnVersionCheck(const HostId& host) { this->checking.insert(host); }
+
   /// @param report_interval at which hosts report their configuration.
   /// @return the lists that have changed since they were last taken, and those
   /// of hosts that have made their first offer since their link went up.
@@ -73,6 +78,7 @@
   std::map<HostId, Offer> offers;
   std::map<HostId, std::vector<DetourHost>> told;
   std::map<HostId, ConfigurationVersion> versions;
+  std::set<HostId> checking;  ///< They check the versions of requests.
   /// Each newer than the one before. The first is the newest one that hosts
   /// need.
   std::deque<KnownVersion> known_versions;
--- a/detour/tests/detour_ledger_test.cc
+++ b/detour/tests/detour_ledger_test.cc
@@ -99,6 +99,31 @@
   BOOST_TEST(is_listed(2));
 }
 
+// Guards against hosts without targets that have no host to turn to, because
+// all others are behind for a moment in a series of changes.
+BOOST_FIXTURE_TEST_CASE(HostsThatCheckVersionsMayBeBehind, Offers) {
+  for (std::size_t i = 0; i < 3; ++i) {
+    this->Offer(i);
+    this->ledger.OnConfiguration(HostId("host-" + std::to_string(i)),
+                                 ConfigurationVersion(1), this->now);
+  }
+  this->ledger.OnVersionCheck(HostId("host-1"));
+  this->ledger.OnConfiguration(HostId("host-0"), ConfigurationVersion(2),
+                               this->now);
+  this->now += 2 * DetourLedger::kMaxConfigurationAge;
+  this->Tell();
+  const auto& list = this->lists.at(HostId("host-0"));
+  BOOST_REQUIRE(list.size() == 1U);
+  BOOST_TEST((list[0].host == HostId("host-1")));
+  // After a restart it may be of another version.
+  this->ledger.OnLinkDown(HostId("host-1"));
+  this->Offer(1);
+  this->ledger.OnConfiguration(HostId("host-1"), ConfigurationVersion(1),
+                               this->now);
+  this->Tell();
+  BOOST_TEST(this->lists.at(HostId("host-0")).empty());
+}
+
 // Guards against requests at hosts that are cut off themselves.
 BOOST_FIXTURE_TEST_CASE(HostsWithoutTargetsAreInNoList, Offers) {
   for (std::size_t i = 0; i < 6; ++i) {
