--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -69,6 +69,11 @@
 }
 
 void ControlState::Handle(const EvacuationsRead& read) {
+  if (read.is_relayed) {
+    this->effects.emplace_back(DecisionRecord{
+        .event = "relay.snapshot_taken",
+        .fields = {{"configuration", this->CurrentVersion().value()}}});
+  }
   this->evacuations.OnRead(read, this->now);
   this->PublishEvacuations();
 }
--- a/control/include/cicadaloft/control/messages.h
+++ b/control/include/cicadaloft/control/messages.h
@@ -46,6 +46,7 @@
   const std::set<DataCentreId> data_centres;
   /// The topic has come back from an older copy since it was read last.
   const bool is_restored = false;
+  const bool is_relayed = false;  ///< The lease holder has read them.
 
   friend auto operator<=>(const EvacuationsRead&,
                           const EvacuationsRead&) = default;
--- a/control/relay_duties.cc
+++ b/control/relay_duties.cc
@@ -60,6 +60,10 @@
     return;
   }
   this->knows_holder_snapshots = true;
+  this->effects.emplace_back(
+      DecisionRecord{.event = "relay.snapshot_received",
+                     .fields = {{"end", snapshot.end.value()},
+                                {"era", snapshot.era.value()}}});
   this->effects.emplace_back(
       SnapshotReceived{.snapshot = snapshot, .received_at = this->now});
 }
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -107,7 +107,8 @@
   std::vector<LogField> fields = {
       {"kind", info.token},
       {"message", refusal.error.message},
-      {"configuration", this->lag.adopted().value()}};
+      {"configuration", this->lag.adopted().value()},
+      {"newest_known", this->lag.newest().value()}};
   std::ranges::move(ForwardedFields(arrived), std::back_inserter(fields));
   this->Log(event_names::kRefuse, arrived.caller_request_id, std::move(fields));
   this->effects.emplace_back(Refuse{.request = arrived.request,
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -63,7 +63,8 @@
     }
   }
   SendToControl(mailbox, EvacuationsRead{.data_centres = std::move(evacuated),
-                                         .is_restored = snapshot.is_restored});
+                                         .is_restored = snapshot.is_restored,
+                                         .is_relayed = snapshot.is_relayed});
 }
 
 void SendRegistryRecord(ControlMailbox& mailbox, const KeyedRecord& record) {
--- a/relay/include/cicadaloft/relay/relayed_store.h
+++ b/relay/include/cicadaloft/relay/relayed_store.h
@@ -57,7 +57,8 @@
       RelayedSnapshot snapshot = std::get<0>(std::move(first));
       co_return NewestRecords{.records = std::move(snapshot.records),
                               .end_offset = snapshot.end,
-                              .era = snapshot.era};
+                              .era = snapshot.era,
+                              .is_relayed = true};
     }
     Result<NewestRecords> newest = std::get<1>(std::move(first)).outcome;
     this->reader.OnStoreCall(sent_at, this->clock.Now());
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -33,6 +33,7 @@
   /// The store has come back from an older copy since the last snapshot, so
   /// that records may be missing that were there before.
   bool is_restored = false;
+  bool is_relayed = false;  ///< By another host, not read by this one.
 };
 
 /// A key has a new record, or was deleted.
@@ -135,7 +136,8 @@
       this->backoff.Reset();
       this->has_older_snapshot = false;
       this->sink(TopicSnapshot{.records = ValueOf(newest).records,
-                               .is_restored = kind == SnapshotKind::kRestored});
+                               .is_restored = kind == SnapshotKind::kRestored,
+                               .is_relayed = ValueOf(newest).is_relayed});
       co_await this->FollowChanges();
     }
   }
--- a/store/include/cicadaloft/store/messages.h
+++ b/store/include/cicadaloft/store/messages.h
@@ -26,6 +26,7 @@
   const std::vector<KeyedRecord> records;
   const LogOffset end_offset;  ///< A read from here misses no record.
   const StoreEra era;
+  const bool is_relayed = false;  ///< By another host, which has read them.
 
   friend auto operator<=>(const NewestRecords&, const NewestRecords&) = default;
   friend bool operator==(const NewestRecords&, const NewestRecords&) = default;
