--- a/host/control_task.h
+++ b/host/control_task.h
@@ -157,7 +157,7 @@
   // The follower takes it instead of the store's answer.
   void Execute(const SnapshotReceived& received) {
     Post(*this->channels.operator_relay, RelayInput(received));
-    TrySend(*this->channels.operator_resync, ResyncRequest{});
+    TrySend(*this->channels.operator_resync, ResyncRequest{.is_relayed = true});
   }
   void Execute(const ReadSnapshot&) {
     this->Call("read of the operator's topic for other hosts",
--- a/relay/include/cicadaloft/relay/relayed_store.h
+++ b/relay/include/cicadaloft/relay/relayed_store.h
@@ -52,13 +52,13 @@
   boost::asio::awaitable<Result<NewestRecords>> ReadNewest(std::string topic) {
     using boost::asio::experimental::awaitable_operators::operator||;
     const TimePoint sent_at = this->clock.Now();
+    this->DrainInbox();
+    if (auto snapshot = this->reader.TakeSnapshot(sent_at)) {
+      co_return ToNewestRecords(std::move(*snapshot));
+    }
     auto first = co_await (this->AwaitSnapshot() || this->CallNewest(topic));
     if (first.index() == 0) {
-      RelayedSnapshot snapshot = std::get<0>(std::move(first));
-      co_return NewestRecords{.records = std::move(snapshot.records),
-                              .end_offset = snapshot.end,
-                              .era = snapshot.era,
-                              .is_relayed = true};
+      co_return ToNewestRecords(std::get<0>(std::move(first)));
     }
     Result<NewestRecords> newest = std::get<1>(std::move(first)).outcome;
     this->reader.OnStoreCall(sent_at, this->clock.Now());
@@ -111,6 +111,13 @@
     Result<NewestRecords> outcome;
   };
 
+  static NewestRecords ToNewestRecords(RelayedSnapshot snapshot) {
+    return NewestRecords{.records = std::move(snapshot.records),
+                         .end_offset = snapshot.end,
+                         .era = snapshot.era,
+                         .is_relayed = true};
+  }
+
   boost::asio::awaitable<NewestRead> CallNewest(std::string topic) {
     Result<NewestRecords> outcome =
         co_await this->store.ReadNewest(std::move(topic));
--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -1,6 +1,7 @@
 #ifndef CICADALOFT_STORE_KEYED_FOLLOWER_H_
 #define CICADALOFT_STORE_KEYED_FOLLOWER_H_
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -65,6 +66,9 @@
   /// A snapshot of this era or a later one that has been read suffices; 0: none
   /// does.
   StoreEra era;
+  /// Another host has sent a snapshot, which the store's reader has: it is read
+  /// at once, also in the pause after a failed call.
+  bool is_relayed = false;
 };
 
 using FollowerEvent = std::variant<TopicSnapshot,
@@ -157,27 +161,56 @@
     Result<LogReadOutcome> outcome;
   };
 
+  /// What the requests have asked for that came in the pause after a failed
+  /// call.
+  struct PendingRequests {
+    bool is_unconditional = false;  ///< One of them states no era.
+    StoreEra era;                   ///< The latest one that is stated.
+    bool is_relayed = false;
+  };
+
   // Reads changes from where they ended, while the store answers no snapshot:
   // others may relay them. Requests for a snapshot that have come meanwhile are
   // answered by the next attempt.
   boost::asio::awaitable<void> GoOnWithoutSnapshot() {
-    bool is_following = this->is_position_valid;
     bool has_request = true;
     while (has_request) {
       const bool has_message = this->resync_requests->channel().try_receive(
           [&](boost::system::error_code,
               const std::shared_ptr<const ResyncRequest>& request) {
             has_request = request != nullptr;
-            is_following &=
-                request == nullptr || this->position.HasReached(request->era);
+            this->Note(request.get());
           });
       has_request &= has_message;
     }
-    if (is_following) {
+    const PendingRequests requested = std::exchange(this->pending, {});
+    if (this->is_position_valid && !requested.is_relayed &&
+        this->position.HasReached(requested.era)) {
       co_await this->FollowChanges();
     }
   }
 
+  // @param request null once there are no more.
+  void Note(const ResyncRequest* request) {
+    if (request != nullptr) {
+      this->pending.is_unconditional |= request->era == StoreEra();
+      this->pending.era = std::max(this->pending.era, request->era);
+      this->pending.is_relayed |= request->is_relayed;
+    }
+  }
+
+  // Returns when another host has sent a snapshot.
+  boost::asio::awaitable<void> AwaitRelayedSnapshot() {
+    while (!this->pending.is_relayed) {
+      const auto request = co_await Receive(*this->resync_requests);
+      if (request == nullptr) {
+        // Closed: the pause ends by itself.
+        co_await this->Sleep(kMaxBackoff);
+      }
+      this->Note(request.get());
+    }
+  }
+
   // Returns when a new snapshot is needed.
   boost::asio::awaitable<void> FollowChanges() {
     using boost::asio::experimental::awaitable_operators::operator||;
@@ -195,7 +228,8 @@
           std::get<0>(std::move(first_completed)).outcome;
       if (!IsOk(outcome)) {
         co_await this->HandleFailure(ErrorOf(outcome));
-        is_following = ++failed_reads < kMaxFailedReads;
+        is_following =
+            ++failed_reads < kMaxFailedReads && !this->IsSnapshotPending();
         continue;
       }
       const auto* records = std::get_if<LogRecords>(&ValueOf(outcome));
@@ -222,6 +256,13 @@
     co_return ReadEnded{is_outdated ? OutdatedAnswer() : std::move(outcome)};
   }
 
+  // @return whether a request that came in a pause needs a snapshot.
+  bool IsSnapshotPending() {
+    const PendingRequests requested = std::exchange(this->pending, {});
+    return requested.is_unconditional ||
+           !this->position.HasReached(requested.era);
+  }
+
   // @return whether no snapshot has to be read for the request.
   bool HasAnswered(const ResyncRequest* request) const {
     return request != nullptr && request->era != StoreEra() &&
@@ -272,7 +313,9 @@
     this->is_reachable = false;
     this->sink(
         StoreReachability{.is_reachable = false, .reason = error.message});
-    co_await this->Sleep(this->backoff.Next());
+    using boost::asio::experimental::awaitable_operators::operator||;
+    co_await (this->Sleep(this->backoff.Next()) ||
+              this->AwaitRelayedSnapshot());
   }
 
   boost::asio::awaitable<void> Sleep(Duration duration) {
@@ -294,6 +337,7 @@
   bool has_older_snapshot = false;  ///< The last one was older.
   /// The log is known to go on from `position`.
   bool is_position_valid = false;
+  PendingRequests pending;
   bool is_reachable = false;
 };
 
--- a/store/tests/keyed_follower_test.cc
+++ b/store/tests/keyed_follower_test.cc
@@ -325,6 +325,30 @@
       boost::test_tools::per_element());
 }
 
+// Guards against a relayed snapshot that isn't read until the pause after a
+// failed call has ended, or not at all.
+BOOST_AUTO_TEST_CASE(RelayedSnapshotEndsThePauseAfterAFailedCall) {
+  const Error refused = MakeError(ErrorKind::kStoreUnavailable, "status 429");
+  // The first three calls and pauses take less than 0.9 s, the fourth pause
+  // takes 0.4 s or more.
+  Fixture without_position({refused, refused, refused, refused}, {});
+  BOOST_TEST(without_position.RunFor(kFewRetries).size() >= 3U);
+  const std::size_t failed = without_position.script->snapshots_read;
+  without_position.script->snapshots.clear();
+  without_position.script->snapshots.push_back(Snapshot({"a=2"}, 11, 1));
+  Post(*without_position.resync, ResyncRequest{.is_relayed = true});
+  without_position.RunFor(milliseconds(20));
+  BOOST_TEST(without_position.script->snapshots_read == failed + 1);
+  BOOST_TEST(without_position.events->back() == "snapshot a=2");
+
+  Fixture following({Snapshot({"a=1"}, 10, 1), Snapshot({"a=2"}, 11, 1)},
+                    {refused});
+  following.RunFor(milliseconds(20));
+  Post(*following.resync, ResyncRequest{.is_relayed = true});
+  following.RunFor(milliseconds(20));
+  BOOST_TEST(following.events->back() == "snapshot a=2");
+}
+
 // Guards against records that are taken for the ones after a position from
 // which the log doesn't go on.
 BOOST_AUTO_TEST_CASE(NoChangesAreFollowedAfterATrimmedLog) {
