Take a missing configuration from the host that forwards the request

Cause: a helping host that lacks the configuration by which a request was admitted can get it only from the store or the lease holder. Each request waits up to 500 ms or is refused, although the host that has forwarded it has what is missing.

A forwarded request names the listener of its host. A helping host that is behind compares configurations there, in one call for all requests that wait, and adopts the newer one; a host that has been behind for long does so too instead of refusing at once. A host of an earlier version names no listener and refuses the call as malformed, so that nothing changes beside it.

--- a/configuration/active_configuration.cc
+++ b/configuration/active_configuration.cc
@@ -23,8 +23,9 @@
 
 }  // namespace
 
-ActiveConfiguration::ActiveConfiguration(Configuration value)
-    : configuration(std::move(value)) {
+ActiveConfiguration::ActiveConfiguration(Configuration value,
+                                         std::string record)
+    : configuration(std::move(value)), operator_record(std::move(record)) {
   for (const Route& route : this->configuration.routes) {
     this->routes_by_key.emplace(RouteKey(route.hostname, route.path_prefix),
                                 &route);
--- a/configuration/include/cicadaloft/configuration/active_configuration.h
+++ b/configuration/include/cicadaloft/configuration/active_configuration.h
@@ -15,12 +15,16 @@
 /// under which it was admitted.
 class ActiveConfiguration {
  public:
-  explicit ActiveConfiguration(Configuration configuration);
+  /// @param record as the operator has written it, for other hosts; empty if
+  /// it is not to be sent to any.
+  explicit ActiveConfiguration(Configuration configuration,
+                               std::string record = {});
   ActiveConfiguration(const ActiveConfiguration&) = delete;
   ActiveConfiguration& operator=(const ActiveConfiguration&) = delete;
 
   const Configuration& value() const { return this->configuration; }
   ConfigurationVersion version() const { return this->configuration.version; }
+  const std::string& record() const { return this->operator_record; }
 
   /// @param path without a query.
   /// @return the route with this hostname and the longest prefix of the path,
@@ -39,6 +43,7 @@
 
  private:
   const Configuration configuration;
+  const std::string operator_record;
   std::unordered_map<std::string, const Route*> routes_by_key;
   std::unordered_map<std::string, const Customer*> customers_by_key;
   std::map<CustomerId, const Customer*> customers;
--- a/control/control_load_monitor.cc
+++ b/control/control_load_monitor.cc
@@ -16,10 +16,11 @@
      "snapshot_read",        "model_wanted",        "usage_measured",
      "limit_draw_asked",     "warmup_asked",        "crash_evidence",
      "poison_refutation",    "target_leaving",      "quota_history",
-     "reachability_changed", "configuration_heard", "lease_event",
-     "usage_event",          "order_ended",         "report_read",
-     "report_failed",        "count_order_ended",   "peer_changed",
-     "peer_received",        "control_stop",        "control_tick"});
+     "reachability_changed", "configuration_heard", "configuration_received",
+     "lease_event",          "usage_event",         "order_ended",
+     "report_read",          "report_failed",       "count_order_ended",
+     "peer_changed",         "peer_received",       "control_stop",
+     "control_tick"});
 static_assert(kEventKindNames.size() == std::variant_size_v<ControlEvent>);
 
 }  // namespace
--- a/control/control_state.cc
+++ b/control/control_state.cc
@@ -59,6 +59,10 @@
   this->NotifyEntry(change);
 }
 
+void ControlState::Handle(const ConfigurationReceived& received) {
+  this->Handle(ConfigurationRead{.configuration = received.configuration});
+}
+
 void ControlState::Handle(const EvacuationRequest& request) {
   if (request.is_requested) {
     this->evacuations.Add(request.data_centre);
--- a/control/include/cicadaloft/control/control_state.h
+++ b/control/include/cicadaloft/control/control_state.h
@@ -59,6 +59,7 @@
  private:
   // Read from the store and the registry.
   void Handle(const ConfigurationRead& read);
+  void Handle(const ConfigurationReceived& received);
   void Handle(const EvacuationRequest& request);
   void Handle(const EvacuationsRead& read);
   void Handle(const RecordRejected& rejected);
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -33,7 +33,7 @@
   if (const auto refusal = this->CheckForwarded(arrived)) {
     this->RefuseArrival(arrived, *refusal);
   } else if (this->IsOutdatedFor(arrived)) {
-    this->HoldForConfiguration(arrived);
+    this->HoldForConfiguration(arrived, this->now);
   } else {
     this->DecideAdmission(arrived, this->now);
   }
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -174,7 +174,7 @@
 void EntryCore::Handle(const EntryTick&) {
   this->ReportStarted();
   this->HandleExpired();
-  this->RefuseExpiredArrivals();
+  this->EndExpiredArrivals();
   this->ProbeTargets();
   this->ReportPoisonEvidence();
   this->DispatchFromAllQueues();
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -22,6 +22,7 @@
 #include "cicadaloft/admission/recent_maximum.h"
 #include "cicadaloft/admission/request_queue.h"
 #include "cicadaloft/admission/service_ranks.h"
+#include "cicadaloft/alignment/configuration_alignment.h"
 #include "cicadaloft/configuration/configuration_lag.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/detour/helping_hosts.h"
@@ -56,6 +57,8 @@
   void Handle(const CallerDisconnected& disconnected);
   void Handle(const ConfigurationChanged& change);
   void Handle(const ConfigurationHeard& heard);
+  void Handle(const ComparisonArrived& arrived);
+  void Handle(const ConfigurationsCompared& compared);
   void Handle(const EvacuationsChanged& change);
   void Handle(const FleetChanged& change);
   void Handle(const RegistryCaughtUp& caught_up);
@@ -118,7 +121,7 @@
   };
   using Admission = std::variant<OpenRequest, Refusal>;
 
-  /// A forwarded request that waits for a configuration.
+  /// A forwarded request that waits for a configuration, or for a comparison.
   struct HeldArrival {
     RequestArrived arrival;
     TimePoint arrived_at{};
@@ -334,11 +337,19 @@
   bool IsOutdatedFor(const RequestArrived& arrived) const;
   /// Lets the request wait for the configuration that it needs, or refuses it
   /// if this host has been waiting for one for too long.
-  void HoldForConfiguration(const RequestArrived& arrived);
-  /// Goes on with the requests that need no newer configuration any more.
+  void HoldForConfiguration(const RequestArrived& arrived,
+                            TimePoint arrived_at);
+  void HoldAgain();
+  /// Goes on with the requests that have no more to wait for.
   void ReleaseHeldArrivals();
-  void RefuseExpiredArrivals();
+  void EndExpiredArrivals();
+  void DecideHeldArrival(const HeldArrival& held);
   void RefuseOutdated(const RequestArrived& arrived);
+  /// Compares configurations with the host that has forwarded the request,
+  /// unless a comparison that suffices is running.
+  void CompareFor(const RequestArrived& arrived);
+  void AdoptFrom(const HostId& host,
+                 const ActiveConfigurationPtr& configuration);
 
   /// @return whether the request must not wait for targets of this host. One
   /// that was on a detour has not been charged here.
@@ -399,6 +410,7 @@
   TimePoint configured_at{};
   ConfigurationLag lag;
   std::map<RequestId, HeldArrival> held_arrivals;
+  ConfigurationAlignment alignment;
   std::set<DataCentreId> evacuated;
   FleetPtr fleet;
   std::map<TargetId, TargetView> targets;
--- a/entry/entry_outdated.cc
+++ b/entry/entry_outdated.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -9,8 +11,8 @@
 namespace {
 
 /// Longest time that forwarded requests wait for a configuration, from when
-/// this host began to be behind. A host that reaches the store has read it by
-/// then.
+/// this host began to be behind, or compares configurations with a host that
+/// has it. A host that reaches the store has read it by then.
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -32,18 +34,23 @@
          this->lag.adopted() < arrived.admitted_by.value_or(this->lag.newest());
 }
 
-void EntryCore::HoldForConfiguration(const RequestArrived& arrived) {
+void EntryCore::HoldForConfiguration(const RequestArrived& arrived,
+                                     TimePoint arrived_at) {
   if (arrived.admitted_by) {
     this->HearConfiguration(*arrived.admitted_by);
   }
-  const TimePoint expires_at = this->lag.since() + kMaxConfigurationWait;
+  this->CompareFor(arrived);
+  const bool is_expected =
+      arrived.admitted_by && this->alignment.IsExpecting(*arrived.admitted_by);
+  const TimePoint expires_at =
+      (is_expected ? arrived_at : this->lag.since()) + kMaxConfigurationWait;
   if (this->now >= expires_at) {
     this->RefuseOutdated(arrived);
     return;
   }
   this->held_arrivals.emplace(arrived.request,
                               HeldArrival{.arrival = arrived,
-                                          .arrived_at = this->now,
+                                          .arrived_at = arrived_at,
                                           .expires_at = expires_at});
 }
 
@@ -51,24 +58,28 @@
   for (const auto& [id, held] : std::exchange(this->held_arrivals, {})) {
     if (this->IsOutdatedFor(held.arrival)) {
       this->held_arrivals.emplace(id, held);
-    } else if (const auto refusal = this->CheckForwarded(held.arrival)) {
-      this->RefuseArrival(held.arrival, *refusal);
     } else {
-      this->DecideAdmission(held.arrival, held.arrived_at);
+      this->DecideHeldArrival(held);
     }
   }
 }
 
-void EntryCore::RefuseExpiredArrivals() {
-  std::vector<RequestArrived> expired;
-  for (const auto& [id, held] : this->held_arrivals) {
-    if (this->now >= held.expires_at) {
-      expired.push_back(held.arrival);
-    }
+void EntryCore::DecideHeldArrival(const HeldArrival& held) {
+  if (const auto refusal = this->CheckForwarded(held.arrival)) {
+    this->RefuseArrival(held.arrival, *refusal);
+  } else {
+    this->DecideAdmission(held.arrival, held.arrived_at);
   }
-  for (const RequestArrived& arrived : expired) {
-    this->held_arrivals.erase(arrived.request);
-    this->RefuseOutdated(arrived);
+}
+
+void EntryCore::EndExpiredArrivals() {
+  std::vector<HeldArrival> expired;
+  std::ranges::copy_if(
+      this->held_arrivals | std::views::values, std::back_inserter(expired),
+      [this](const HeldArrival& held) { return this->now >= held.expires_at; });
+  for (const HeldArrival& held : expired) {
+    this->held_arrivals.erase(held.arrival.request);
+    this->RefuseOutdated(held.arrival);
   }
 }
 
--- a/entry/include/cicadaloft/entry/event_names.h
+++ b/entry/include/cicadaloft/entry/event_names.h
@@ -28,6 +28,8 @@
 inline constexpr char kConfigurationAdopted[] = "configuration.adopted";
 inline constexpr char kOlderConfigurationIgnored[] =
     "configuration.older_ignored";
+inline constexpr char kConfigurationReceived[] = "configuration.received";
+inline constexpr char kConfigurationsCompared[] = "configuration.compared";
 inline constexpr char kEvacuations[] = "configuration.evacuations";
 inline constexpr char kSharesChanged[] = "admission.shares";
 
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cicadaloft/admission/share_messages.h"
+#include "cicadaloft/alignment/messages.h"
 #include "cicadaloft/configuration/active_configuration.h"
 #include "cicadaloft/core/decision_record.h"
 #include "cicadaloft/core/error_kind.h"
@@ -104,6 +105,9 @@
   /// The configuration by which that host has admitted it; none if that host
   /// is of an earlier version, which doesn't state it.
   const std::optional<ConfigurationVersion> admitted_by;
+  /// Of that host's listener for forwarded requests; empty if that host is of
+  /// an earlier version, which doesn't compare configurations.
+  const std::string forwarder_address;
 
   friend auto operator<=>(const RequestArrived&,
                           const RequestArrived&) = default;
@@ -274,6 +278,8 @@
                                 CallerDisconnected,
                                 ConfigurationChanged,
                                 ConfigurationHeard,
+                                ComparisonArrived,
+                                ConfigurationsCompared,
                                 EvacuationsChanged,
                                 FleetChanged,
                                 RegistryCaughtUp,
@@ -449,6 +455,9 @@
                                  ProbeTarget,
                                  TargetReachabilityChanged,
                                  ConfigurationHeard,
+                                 CompareConfigurations,
+                                 AnswerComparison,
+                                 ConfigurationReceived,
                                  RequestsStarted,
                                  WaitMeasured,
                                  RunMeasured,
--- /dev/null
+++ b/entry/tests/comparison_test.cc
@@ -0,0 +1,151 @@
+#define BOOST_TEST_MODULE comparison
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cicadaloft/entry/event_names.h"
+#include "detour_fixture.h"
+
+namespace cicadaloft {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A host that takes requests of hosts "d" and "e"; its configuration is
+/// version 1.
+class ComparisonFixture : public DetourFixture {
+ public:
+  RequestId Forward(std::uint64_t admitted_by,
+                    const std::string& key = "key",
+                    const std::string& host = "d") {
+    const RequestId id("f" + std::to_string(++this->request_count));
+    this->Feed(RequestArrived{
+        .request = id,
+        .caller_request_id = id,
+        .credential = key,
+        .destination = ByHostAndPath{.host = "h", .path = "/any/x"},
+        .timeout = seconds(4),
+        .forwarded_by = HostId(host),
+        .admitted_by = ConfigurationVersion(admitted_by),
+        .forwarder_address = host + ":1"});
+    return id;
+  }
+  void EndComparison(const std::string& host,
+                     std::optional<std::uint64_t> version,
+                     const ActiveConfigurationPtr& newer = nullptr) {
+    this->Feed(ConfigurationsCompared{
+        .host = HostId(host),
+        .version = version ? std::optional(ConfigurationVersion(*version))
+                           : std::nullopt,
+        .newer = newer});
+  }
+  void Adopt(std::uint64_t version) {
+    this->Feed(
+        ConfigurationChanged{.configuration = MakeConfiguration(version)});
+  }
+  std::vector<CompareConfigurations> Comparisons() const {
+    return this->EffectsOf<CompareConfigurations>();
+  }
+};
+
+// Guards against requests that are refused, or wait for the store, although the
+// host that they come from has the configuration that this host lacks.
+BOOST_FIXTURE_TEST_CASE(MissingConfigurationIsTakenFromTheForwardingHost,
+                        ComparisonFixture) {
+  this->Forward(2, "new-key");
+  this->Forward(2, "new-key");
+  BOOST_REQUIRE(this->Comparisons().size() == 1U);
+  BOOST_TEST((this->Comparisons()[0].host == HostId("d")));
+  BOOST_TEST(this->Comparisons()[0].address == "d:1");
+  BOOST_TEST((this->Comparisons()[0].version == ConfigurationVersion(1)));
+  BOOST_TEST(this->EffectsOf<Dispatch>().empty());
+  const auto newer = MakeConfiguration(2, {"new-key"});
+  this->EndComparison("d", 2, newer);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
+  BOOST_TEST(this->EffectsOf<Refuse>().empty());
+  // The control task adopts it as well.
+  const auto received = this->EffectsOf<ConfigurationReceived>();
+  BOOST_REQUIRE(received.size() == 1U);
+  BOOST_TEST((received[0].configuration == newer));
+  BOOST_TEST(this->CountLogged(event_names::kConfigurationReceived) == 1U);
+}
+
+// Guards against a host that has been behind for long, and refuses at once what
+// it could serve after a comparison.
+BOOST_FIXTURE_TEST_CASE(HostThatIsBehindForLongStillCompares,
+                        ComparisonFixture) {
+  this->Feed(ConfigurationHeard{.version = ConfigurationVersion(2)});
+  this->RunFor(seconds(5));
+  this->Forward(2);
+  BOOST_TEST(this->EffectsOf<Refuse>().empty());
+  this->EndComparison("d", 2, MakeConfiguration(2));
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
+}
+
+// Guards against requests that wait after their comparison has failed, and
+// against a host that asks no other one.
+BOOST_FIXTURE_TEST_CASE(AfterAFailureAnotherHostIsAsked, ComparisonFixture) {
+  this->Feed(ConfigurationHeard{.version = ConfigurationVersion(2)});
+  this->RunFor(seconds(5));
+  this->Forward(2);
+  this->Forward(2, "key", "e");
+  BOOST_TEST(this->Comparisons().size() == 1U);
+  this->EndComparison("d", std::nullopt);
+  BOOST_REQUIRE(this->Comparisons().size() == 2U);
+  BOOST_TEST((this->Comparisons()[1].host == HostId("e")));
+  this->EndComparison("e", std::nullopt);
+  const auto refusals = this->EffectsOf<Refuse>();
+  BOOST_REQUIRE(refusals.size() == 2U);
+  BOOST_TEST((refusals[0].error.kind == ErrorKind::kOutdatedConfiguration));
+  BOOST_TEST((refusals[0].run_state == RunState::kNotRun));
+  // Neither is asked again for a while.
+  this->Forward(2);
+  BOOST_TEST(this->Comparisons().size() == 2U);
+  BOOST_TEST(this->EffectsOf<Refuse>().size() == 3U);
+}
+
+// Guards against requests that wait without end for comparisons.
+BOOST_FIXTURE_TEST_CASE(RequestsWaitForComparisonsForALimitedTime,
+                        ComparisonFixture) {
+  this->Forward(2);
+  this->RunFor(milliseconds(490));
+  BOOST_TEST(this->EffectsOf<Refuse>().empty());
+  this->RunFor(milliseconds(30));
+  BOOST_TEST(this->EffectsOf<Refuse>().size() == 1U);
+  BOOST_TEST(this->EffectsOf<Dispatch>().empty());
+}
+
+// Guards against a configuration that is sent to a host which has it, is kept
+// from one that lacks it, or replaces a newer one.
+BOOST_FIXTURE_TEST_CASE(AnswerHasTheNewerConfiguration, ComparisonFixture) {
+  this->Adopt(5);
+  this->Feed(ComparisonArrived{.request = RequestId("c1"),
+                               .host = HostId("d"),
+                               .version = ConfigurationVersion(4)});
+  this->Feed(ComparisonArrived{.request = RequestId("c2"),
+                               .host = HostId("d"),
+                               .version = ConfigurationVersion(5)});
+  this->Feed(ComparisonArrived{.request = RequestId("c3"),
+                               .host = HostId("d"),
+                               .version = ConfigurationVersion(4),
+                               .configuration = MakeConfiguration(4)});
+  this->Feed(ComparisonArrived{.request = RequestId("c4"),
+                               .host = HostId("d"),
+                               .version = ConfigurationVersion(6),
+                               .configuration = MakeConfiguration(6)});
+  const auto answers = this->EffectsOf<AnswerComparison>();
+  BOOST_REQUIRE(answers.size() == 4U);
+  BOOST_REQUIRE(answers[0].newer != nullptr);
+  BOOST_TEST((answers[0].newer->version() == ConfigurationVersion(5)));
+  BOOST_TEST((answers[1].newer == nullptr));
+  BOOST_TEST((answers[1].version == ConfigurationVersion(5)));
+  BOOST_TEST((answers[2].version == ConfigurationVersion(5)));
+  BOOST_TEST((answers[3].version == ConfigurationVersion(6)));
+  BOOST_TEST(this->EffectsOf<ConfigurationReceived>().size() == 1U);
+}
+
+}  // namespace
+}  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -8,9 +8,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "cicadaloft/alignment/alignment_codec.h"
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/spawn.h"
@@ -33,7 +35,7 @@
  public:
   /// @param self this host, for requests that it forwards to other hosts.
   EffectExecutor(boost::asio::any_io_executor executor,
-                 HostId self,
+                 DetourHost self,
                  std::shared_ptr<EntryTaskMailbox> entry_inbox,
                  std::shared_ptr<OriginTaskMailbox> origins,
                  const TargetLimits& limits)
@@ -112,6 +114,28 @@
     }
   }
 
+  /// Answers the comparison of another host.
+  void Execute(const AnswerComparison& answer) {
+    const auto found = this->requests.find(answer.request);
+    if (found == this->requests.end()) {
+      return;
+    }
+    const std::string body = EncodeHeldConfiguration(HeldConfiguration{
+        .host = this->self.host,
+        .version = answer.version,
+        .record = answer.newer == nullptr ? "" : answer.newer->record()});
+    SessionMailbox& session = *found->second.received.session;
+    constexpr int kOk = 200;
+    Post(session, ResponseHead{.request = answer.request,
+                               .status = kOk,
+                               .reason_phrase = "OK",
+                               .fields = {{"Content-Type", "application/cbor"}},
+                               .framing = BodyFraming::kLength,
+                               .content_length = body.size()});
+    Post(session, ResponseData{.request = answer.request, .bytes = body});
+    Post(session, ResponseEnd{.request = answer.request});
+  }
+
   /// Starts a probe. A TargetProbed follows.
   void Execute(const ProbeTarget& probe) {
     const auto report = [inbox = this->entry_inbox,
@@ -187,7 +211,7 @@
   using AttemptKey = std::pair<RequestId, AttemptNumber>;
 
   const boost::asio::any_io_executor executor;
-  const HostId self;
+  const DetourHost self;
   const std::shared_ptr<EntryTaskMailbox> entry_inbox;
   const std::shared_ptr<OriginTaskMailbox> origins;
   const TargetLimits limits;
--- a/forwarding/include/cicadaloft/forwarding/entry_task.h
+++ b/forwarding/include/cicadaloft/forwarding/entry_task.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <variant>
 
+#include "cicadaloft/alignment/comparison_task.h"
 #include "cicadaloft/core/result.h"
 #include "cicadaloft/core/step.h"
 #include "cicadaloft/core/time.h"
@@ -58,6 +59,7 @@
                                        QuotaHistory,
                                        TargetReachabilityChanged,
                                        ConfigurationHeard,
+                                       ConfigurationReceived,
                                        RequestsStarted>;
 using EntryNotificationMailbox = Mailbox<EntryNotification>;
 /// No request is open, or the grace period has expired. Sent only after a
@@ -74,6 +76,8 @@
   const std::shared_ptr<DrainedMailbox> drained;  ///< To the main program.
   /// To the task that keeps the origins of streams; null: there is none.
   const std::shared_ptr<OriginTaskMailbox> origins;
+  /// To the task that compares configurations; null: there is none.
+  const std::shared_ptr<ComparisonMailbox> comparisons;
 };
 
 /// Messages that may queue in the entry task's mailbox.
@@ -87,9 +91,10 @@
           DecisionSink Sink>
 class EntryTask {
  public:
-  /// @param self this host, for requests that it forwards to other hosts.
+  /// @param self this host, for requests that it forwards to other hosts; its
+  /// address is empty if it takes none of theirs.
   EntryTask(boost::asio::any_io_executor executor,
-            HostId self,
+            DetourHost self,
             State state,
             EntryTaskMailboxes mailboxes,
             const TargetLimits& limits,
@@ -125,6 +130,11 @@
   }
 
   void Handle(const RequestReceived& received) {
+    if (const auto& comparison = received.request->comparison) {
+      this->effect_executor.AddRequest(received, this->clock.Now());
+      this->Handle(EntryEvent(*comparison));
+      return;
+    }
     if (received.request->arrival.forwarded_by) {
       this->metrics.CountTakenRequest();
     }
@@ -274,6 +284,20 @@
     this->NotifyControl(change);
   }
   void Execute(const ConfigurationHeard& heard) { this->NotifyControl(heard); }
+  void Execute(const CompareConfigurations& compare) {
+    const auto& comparisons = this->mailboxes.comparisons;
+    if (comparisons == nullptr || !TrySend(*comparisons, compare)) {
+      this->metrics.CountDroppedMessage();
+      this->pending_events.emplace_back(
+          ConfigurationsCompared{.host = compare.host});
+    }
+  }
+  void Execute(const AnswerComparison& answer) {
+    this->effect_executor.Execute(answer);
+  }
+  void Execute(const ConfigurationReceived& received) {
+    this->NotifyControl(received);
+  }
   void Execute(const RequestsStarted& started) { this->NotifyControl(started); }
   void Execute(const RunMeasured& run) { this->metrics.RecordRun(run); }
 
--- a/forwarding/include/cicadaloft/forwarding/exchange_params.h
+++ b/forwarding/include/cicadaloft/forwarding/exchange_params.h
@@ -18,7 +18,7 @@
 /// results.
 struct ExchangeParams {
   const Dispatch dispatch;
-  const HostId self;  ///< This host, as a helping host knows it.
+  const DetourHost self;  ///< This host, as a helping host knows it.
   const std::shared_ptr<const CallerRequest> request;
   const Duration queue_time{};
   /// The caller's connection is closed after the response.
--- a/forwarding/include/cicadaloft/forwarding/messages.h
+++ b/forwarding/include/cicadaloft/forwarding/messages.h
@@ -25,6 +25,9 @@
   const std::string path;  ///< Path and query sent to the target.
   const std::vector<HeaderField> fields;  ///< Filtered for targets.
   const std::string body;
+  /// The message of another host instead of a request, which then has nothing
+  /// but the id that this host has assigned.
+  const std::optional<ComparisonArrived> comparison;
 
   friend auto operator<=>(const CallerRequest&, const CallerRequest&) = default;
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -79,7 +79,7 @@
 template <typename P>
 concept TargetProtocol = requires(const CallerRequest& request,
                                   const Dispatch& dispatch,
-                                  const HostId& self,
+                                  const DetourHost& self,
                                   const ProbeTarget& probe,
                                   Duration remaining_time,
                                   int status,
--- a/forwarding/tests/direct_state.h
+++ b/forwarding/tests/direct_state.h
@@ -28,6 +28,8 @@
   bool accepts_after_stop = false;  ///< Accepts requests after a stop as well.
   std::optional<OriginRecord> origin;  ///< Of each dispatch.
   std::optional<HostId> via_host;      ///< Of each dispatch.
+  /// Of this host, in answers to comparisons.
+  ActiveConfigurationPtr configuration;
   std::vector<EntryEvent> events;
 
   template <typename E>
@@ -68,6 +70,12 @@
                           [&](const CallerDisconnected& disconnected) {
                             state.HandleDisconnect(disconnected, effects);
                           },
+                          [&](const ComparisonArrived& arrived) {
+                            effects.emplace_back(AnswerComparison{
+                                .request = arrived.request,
+                                .version = state.plan->configuration->version(),
+                                .newer = state.plan->configuration});
+                          },
                           [&](const EntryStopRequested&) {
                             state.is_stopping = !state.plan->accepts_after_stop;
                           },
--- a/forwarding/tests/entry_fixture.h
+++ b/forwarding/tests/entry_fixture.h
@@ -105,7 +105,7 @@
         plan(std::make_shared<DirectPlan>()),
         entry_task(
             this->context.get_executor(),
-            HostId("h1"),
+            DetourHost{.host = HostId("h1")},
             DirectState(this->plan),
             EntryTaskMailboxes{
                 .inbox = this->inbox,
--- a/forwarding/tests/plain_target_protocol.h
+++ b/forwarding/tests/plain_target_protocol.h
@@ -39,13 +39,14 @@
   static std::optional<std::string> FormatForwardedHead(
       const CallerRequest& request,
       const Dispatch& dispatch,
-      const HostId& self,
+      const DetourHost& self,
       Duration) {
     if (request.path.ends_with(kUnforwardablePath)) {
       return std::nullopt;
     }
     return request.method + " " + request.path +
-           " HTTP/1.1\r\nX-From: " + self.value() + "\r\nX-Configuration: " +
+           " HTTP/1.1\r\nX-From: " + self.host.value() +
+           "\r\nX-Configuration: " +
            std::to_string(dispatch.configuration.value()) +
            "\r\nContent-Length: " + std::to_string(request.body.size()) +
            "\r\n\r\n";
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "cicadaloft/alignment/comparison_task.h"
 #include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/core/spawn.h"
 #include "cicadaloft/entry/entry_state.h"
@@ -24,6 +25,7 @@
 #include "cicadaloft/forwarding/entry_task.h"
 #include "cicadaloft/forwarding/origin_task.h"
 #include "cicadaloft/platform/configuration_codec.h"
+#include "cicadaloft/platform/host_client.h"
 #include "cicadaloft/platform/protocols.h"
 #include "cicadaloft/platform/registry_codec.h"
 #include "cicadaloft/platform/store_client.h"
@@ -86,6 +88,17 @@
 using HostStore = RelayedStore<platform::StoreClient, BootClock, StoreReadFeed>;
 using HostEntryTask =
     EntryTask<EntryState, platform::RunnerProtocol, BootClock, DecisionLog>;
+/// Sends the outcomes of comparisons to the entry task.
+struct ComparisonReports {
+  std::shared_ptr<EntryTaskMailbox> entry;
+
+  void operator()(const ConfigurationsCompared& compared) const {
+    Post(*this->entry, EntryTaskMessage(EntryEvent(compared)));
+  }
+};
+
+using HostComparisonTask =
+    ComparisonTask<platform::HostClient, ComparisonReports>;
 using HostOriginTask =
     OriginTask<platform::StoreClient, BootClock, OriginReplies>;
 
@@ -114,9 +127,13 @@
         origin_mailbox(
             std::make_shared<OriginTaskMailbox>(this->executor,
                                                 kOriginTaskMailboxCapacity)),
+        comparison_mailbox(
+            std::make_shared<ComparisonMailbox>(this->executor,
+                                                kComparisonMailboxCapacity)),
         entry_task(
             this->executor,
-            settings.host,
+            DetourHost{.host = settings.host,
+                       .address = this->ForwardAddress()},
             EntryState(
                 EntrySettings{.host = settings.host,
                               .data_centre = settings.data_centre,
@@ -130,7 +147,8 @@
             EntryTaskMailboxes{.inbox = this->entry_mailbox,
                                .notifications = this->entry_notifications,
                                .drained = this->drained,
-                               .origins = this->origin_mailbox},
+                               .origins = this->origin_mailbox,
+                               .comparisons = this->comparison_mailbox},
             TargetLimits{.memory = this->memory},
             BootClock{},
             DecisionLog()) {}
@@ -187,6 +205,7 @@
     this->Start("control", this->control_task->Run());
     this->Start("control ticks", this->SendControlTicks());
     this->Start("stream origins", this->origin_task->Run());
+    this->Start("comparisons", this->comparison_task.Run());
     this->Start("entry notifications", this->ForwardEntryNotifications());
     this->SpawnFollowers();
     this->request_listeners.Start(this->entry_mailbox);
@@ -335,6 +354,7 @@
   const std::shared_ptr<EntryNotificationMailbox> entry_notifications;
   const std::shared_ptr<DrainedMailbox> drained;
   const std::shared_ptr<OriginTaskMailbox> origin_mailbox;
+  const std::shared_ptr<ComparisonMailbox> comparison_mailbox;
   const std::shared_ptr<Mailbox<ResyncRequest>> operator_resync =
       std::make_shared<Mailbox<ResyncRequest>>(this->executor, 1);
   const std::shared_ptr<Mailbox<ResyncRequest>> registry_resync =
@@ -346,6 +366,10 @@
   RequestListeners request_listeners{this->executor, this->listeners,
                                      this->settings.host, this->memory};
   HostEntryTask entry_task;
+  HostComparisonTask comparison_task{
+      this->executor,
+      platform::HostClient(this->executor, this->settings.host, this->memory),
+      this->comparison_mailbox, ComparisonReports{this->entry_mailbox}};
   std::shared_ptr<PeerLinks> peers;
   std::optional<ControlTask> control_task;
   std::optional<HostOriginTask> origin_task;
--- a/host/topic_feeds.cc
+++ b/host/topic_feeds.cc
@@ -35,7 +35,8 @@
                        ConfigurationRead{
                            .configuration =
                                std::make_shared<const ActiveConfiguration>(
-                                   std::move(configuration))});
+                                   std::move(configuration),
+                                   record.value.value_or(""))});
                  },
                  [&](const platform::Evacuation& evacuation) {
                    SendToControl(mailbox,
