Give the host that forwards the newer configuration before it takes effect

What callers saw: a host whose requests another host had served by a newer configuration refused others by its own, for as long as neither the store nor the lease holder brought it the newer one: a change that came back older.

Cause: the version that a forwarded request states is a lower bound. The helping host decides by a newer one as well, of which the first host learns only with the response, when a target has seen its effect, and it goes on deciding by the older one.

The helping host sends its configuration to the first host, and holds the request until that has adopted it: one call for a version and host. If the host can't be reached the request is decided as before, and the call is not repeated for a second.

--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -30,12 +30,20 @@
 }  // namespace
 
 void EntryCore::Handle(const RequestArrived& arrived) {
+  this->TakeArrival(arrived, this->now);
+}
+
+void EntryCore::TakeArrival(const RequestArrived& arrived,
+                            TimePoint arrived_at) {
   if (const auto refusal = this->CheckForwarded(arrived)) {
     this->RefuseArrival(arrived, *refusal);
   } else if (this->IsOutdatedFor(arrived)) {
-    this->HoldForConfiguration(arrived, this->now);
+    this->HoldForConfiguration(arrived, arrived_at);
+  } else if (this->IsForwarderBehind(arrived) &&
+             this->HoldForForwarder(arrived, arrived_at)) {
+    return;
   } else {
-    this->DecideAdmission(arrived, this->now);
+    this->DecideAdmission(arrived, arrived_at);
   }
 }
 
--- a/entry/entry_alignment.cc
+++ b/entry/entry_alignment.cc
@@ -19,19 +19,25 @@
                        .newer = is_newer ? this->configuration : nullptr});
 }
 
+// One comparison brings a version to all requests that wait for it; each host
+// that is behind needs one of its own.
 void EntryCore::CompareFor(const RequestArrived& arrived) {
-  const bool is_possible =
-      arrived.admitted_by && !arrived.forwarder_address.empty();
-  if (!is_possible || this->alignment.IsExpecting(*arrived.admitted_by) ||
-      !this->alignment.MayBegin(*arrived.forwarded_by, this->now)) {
+  if (!arrived.admitted_by || arrived.forwarder_address.empty()) {
     return;
   }
-  this->alignment.OnBegun(*arrived.forwarded_by, *arrived.admitted_by);
-  this->effects.emplace_back(
-      CompareConfigurations{.host = *arrived.forwarded_by,
-                            .address = arrived.forwarder_address,
-                            .version = this->lag.adopted(),
-                            .configuration = nullptr});
+  const HostId& host = *arrived.forwarded_by;
+  const bool is_sender = this->lag.adopted() > *arrived.admitted_by;
+  const bool is_expected =
+      !is_sender && this->alignment.IsExpecting(*arrived.admitted_by);
+  if (is_expected || !this->alignment.MayBegin(host, this->now)) {
+    return;
+  }
+  this->alignment.OnBegun(host, *arrived.admitted_by);
+  this->effects.emplace_back(CompareConfigurations{
+      .host = host,
+      .address = arrived.forwarder_address,
+      .version = this->lag.adopted(),
+      .configuration = is_sender ? this->configuration : nullptr});
 }
 
 void EntryCore::Handle(const ConfigurationsCompared& compared) {
@@ -46,17 +52,7 @@
   if (compared.newer != nullptr) {
     this->AdoptFrom(compared.host, compared.newer);
   }
-  if (!compared.version) {
-    this->HoldAgain();
-  }
-}
-
-// After a comparison that has failed: another host that has forwarded a request
-// may have the configuration.
-void EntryCore::HoldAgain() {
-  for (const auto& [id, held] : std::exchange(this->held_arrivals, {})) {
-    this->HoldForConfiguration(held.arrival, held.arrived_at);
-  }
+  this->ReleaseHeldArrivals();
 }
 
 // The control task gets it as if it had been read from the store.
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -149,6 +149,7 @@
   };
 
   // Admission.
+  void TakeArrival(const RequestArrived& arrived, TimePoint arrived_at);
   void DecideAdmission(const RequestArrived& arrived, TimePoint arrived_at);
   Admission Admit(const RequestArrived& arrived, TimePoint arrived_at);
   /// @return until when requests are accepted after a shutdown request.
@@ -339,11 +340,18 @@
   /// if this host has been waiting for one for too long.
   void HoldForConfiguration(const RequestArrived& arrived,
                             TimePoint arrived_at);
-  void HoldAgain();
+  /// @return whether the host that has forwarded the request, and will go on
+  /// deciding by its own configuration, has an older one than this host.
+  bool IsForwarderBehind(const RequestArrived& arrived) const;
+  /// Lets the request wait until that host has this host's configuration.
+  /// @return whether it waits; if not, it can't be compared with now.
+  bool HoldForForwarder(const RequestArrived& arrived, TimePoint arrived_at);
+  void Hold(const RequestArrived& arrived,
+            TimePoint arrived_at,
+            TimePoint expires_at);
   /// Goes on with the requests that have no more to wait for.
   void ReleaseHeldArrivals();
   void EndExpiredArrivals();
-  void DecideHeldArrival(const HeldArrival& held);
   void RefuseOutdated(const RequestArrived& arrived);
   /// Compares configurations with the host that has forwarded the request,
   /// unless a comparison that suffices is running.
--- a/entry/entry_outdated.cc
+++ b/entry/entry_outdated.cc
@@ -42,12 +42,41 @@
   this->CompareFor(arrived);
   const bool is_expected =
       arrived.admitted_by && this->alignment.IsExpecting(*arrived.admitted_by);
-  const TimePoint expires_at =
-      (is_expected ? arrived_at : this->lag.since()) + kMaxConfigurationWait;
+  const TimePoint waits_since =
+      is_expected ? arrived_at : std::min(arrived_at, this->lag.since());
+  const TimePoint expires_at = waits_since + kMaxConfigurationWait;
   if (this->now >= expires_at) {
     this->RefuseOutdated(arrived);
-    return;
+  } else {
+    this->Hold(arrived, arrived_at, expires_at);
+  }
+}
+
+// A host of an earlier version can't be compared with.
+bool EntryCore::IsForwarderBehind(const RequestArrived& arrived) const {
+  return arrived.admitted_by && !arrived.forwarder_address.empty() &&
+         std::max(*arrived.admitted_by,
+                  this->alignment.KnownVersion(*arrived.forwarded_by)) <
+             this->lag.adopted();
+}
+
+bool EntryCore::HoldForForwarder(const RequestArrived& arrived,
+                                 TimePoint arrived_at) {
+  const TimePoint expires_at = arrived_at + kMaxConfigurationWait;
+  if (this->now >= expires_at) {
+    return false;
   }
+  this->CompareFor(arrived);
+  if (!this->alignment.IsRunning(*arrived.forwarded_by)) {
+    return false;
+  }
+  this->Hold(arrived, arrived_at, expires_at);
+  return true;
+}
+
+void EntryCore::Hold(const RequestArrived& arrived,
+                     TimePoint arrived_at,
+                     TimePoint expires_at) {
   this->held_arrivals.emplace(arrived.request,
                               HeldArrival{.arrival = arrived,
                                           .arrived_at = arrived_at,
@@ -56,19 +85,7 @@
 
 void EntryCore::ReleaseHeldArrivals() {
   for (const auto& [id, held] : std::exchange(this->held_arrivals, {})) {
-    if (this->IsOutdatedFor(held.arrival)) {
-      this->held_arrivals.emplace(id, held);
-    } else {
-      this->DecideHeldArrival(held);
-    }
-  }
-}
-
-void EntryCore::DecideHeldArrival(const HeldArrival& held) {
-  if (const auto refusal = this->CheckForwarded(held.arrival)) {
-    this->RefuseArrival(held.arrival, *refusal);
-  } else {
-    this->DecideAdmission(held.arrival, held.arrived_at);
+    this->TakeArrival(held.arrival, held.arrived_at);
   }
 }
 
@@ -79,7 +96,7 @@
       [this](const HeldArrival& held) { return this->now >= held.expires_at; });
   for (const HeldArrival& held : expired) {
     this->held_arrivals.erase(held.arrival.request);
-    this->RefuseOutdated(held.arrival);
+    this->TakeArrival(held.arrival, held.arrived_at);
   }
 }
 
--- a/entry/tests/comparison_test.cc
+++ b/entry/tests/comparison_test.cc
@@ -118,6 +118,62 @@
   BOOST_TEST(this->EffectsOf<Dispatch>().empty());
 }
 
+// Guards against a host that goes back to its older configuration after a
+// target has run a request of its callers by this host's newer one.
+BOOST_FIXTURE_TEST_CASE(ForwardingHostHasTheConfigurationBeforeATargetSeesIt,
+                        ComparisonFixture) {
+  this->Adopt(2);
+  this->Forward(1);
+  this->Forward(1);
+  BOOST_TEST(this->EffectsOf<Dispatch>().empty());
+  BOOST_REQUIRE(this->Comparisons().size() == 1U);
+  BOOST_TEST((this->Comparisons()[0].version == ConfigurationVersion(2)));
+  BOOST_REQUIRE(this->Comparisons()[0].configuration != nullptr);
+  BOOST_TEST((this->Comparisons()[0].configuration->version() ==
+              ConfigurationVersion(2)));
+  this->EndComparison("d", 2);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
+  // Requests that were admitted before, and are sent over later.
+  this->Forward(1);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 3U);
+  // Another host has to get it as well.
+  this->Forward(1, "key", "e");
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 3U);
+  BOOST_TEST(this->Comparisons().size() == 2U);
+}
+
+// Guards against requests that wait for good for a host which takes no
+// configuration, and against a wait of each of them.
+BOOST_FIXTURE_TEST_CASE(ForwardingHostThatDoesNotAnswerHoldsNothingUp,
+                        ComparisonFixture) {
+  this->Adopt(2);
+  this->Forward(1);
+  this->EndComparison("d", std::nullopt);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
+  this->Forward(1);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
+  this->RunFor(seconds(2));
+  this->Forward(1);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
+  this->RunFor(milliseconds(520));
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 3U);
+}
+
+// Guards against a configuration that comes while the one before is sent, and
+// reaches the other host only after its effect.
+BOOST_FIXTURE_TEST_CASE(ConfigurationThatComesMeanwhileIsSentAsWell,
+                        ComparisonFixture) {
+  this->Adopt(2);
+  this->Forward(1);
+  this->Adopt(3);
+  this->EndComparison("d", 2);
+  BOOST_TEST(this->EffectsOf<Dispatch>().empty());
+  BOOST_REQUIRE(this->Comparisons().size() == 2U);
+  BOOST_TEST((this->Comparisons()[1].version == ConfigurationVersion(3)));
+  this->EndComparison("d", 3);
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
+}
+
 // Guards against a configuration that is sent to a host which has it, is kept
 // from one that lacks it, or replaces a newer one.
 BOOST_FIXTURE_TEST_CASE(AnswerHasTheNewerConfiguration, ComparisonFixture) {
