Ask the hosts of earlier lists for help that a new lease holder doesn't know

What callers saw: of 60 requests none was served at two hosts without targets, one of which had taken the lease over, while the two hosts that could help reached no store (helpers_without_store_process_test).

Cause: a new holder lists only hosts that are linked to it, and a host learns of it from the store. The list replaced the one of the earlier holder, so that the hosts that reach targets were forgotten though each could be reached.

Hosts of earlier lists, eight at most, are kept. Once targets are lost they are compared with: one that answers may take requests after all that are listed, one that doesn't is forgotten. Hosts of versions before comparisons don't answer, so none that may decide by an older configuration is kept.

--- a/detour/include/cicadaloft/detour/helping_hosts.h
+++ b/detour/include/cicadaloft/detour/helping_hosts.h
@@ -22,21 +22,36 @@
   /// this time.
   static constexpr Duration kFailureBackoff = std::chrono::seconds(1);
 
+  /// Hosts that are kept although they are not listed any more.
+  static constexpr std::size_t kMaxUnlistedHosts = 8;
+
+  /// Takes a list of the lease holder. Hosts of earlier lists are kept: a new
+  /// holder knows none that doesn't reach the store, and so has no link to it.
   void Replace(std::vector<DetourHost> hosts);
   /// @return whether no host is known that could help.
-  bool IsEmpty() const { return this->known_hosts.empty(); }
-  std::size_t size() const { return this->known_hosts.size(); }
+  bool IsEmpty() const { return this->size() == 0; }
+  /// @return the number of hosts that could help.
+  std::size_t size() const;
+  /// @return the hosts that are not listed any more and have not answered
+  /// since. They may be gone, or of an earlier version.
+  std::vector<DetourHost> UnconfirmedHosts() const;
+  /// A host that is not listed has answered a comparison of configurations, or
+  /// hasn't and is forgotten.
+  void OnCompared(const HostId& host, bool has_answered);
 
   /// @param tried hosts that have failed to serve the request.
   /// @return of the hosts that may take it the one with the fewest requests of
   /// this host, and of these the one that was sent one longest ago; none if
-  /// there is none. Hosts that don't state their configuration are the last.
+  /// there is none. Hosts that don't state their configuration are the last but
+  /// for those that are not listed.
   std::optional<DetourHost> Choose(const std::set<HostId>& tried,
                                    TimePoint now) const;
 
   void OnSent(const HostId& host);
   void OnEnded(const HostId& host);
   void OnFailure(const HostId& host, TimePoint now);
+  /// A host could not be connected to; one that is not listed is forgotten.
+  void OnUnreachable(const HostId& host, TimePoint now);
   /// @param states_configuration whether its answer has said by which
   /// configuration it has decided. Hosts of an earlier version don't.
   void OnAnswer(const HostId& host, bool states_configuration);
@@ -49,7 +64,15 @@
     bool states_configuration = true;  ///< In its last answer.
   };
 
+  struct UnlistedHost {
+    DetourHost host;
+    bool is_confirmed = false;
+  };
+
+  Use UseOf(const HostId& host) const;
+
   std::vector<DetourHost> known_hosts;
+  std::vector<UnlistedHost> unlisted_hosts;  ///< The latest first.
   std::map<HostId, Use> uses;
   std::uint64_t last_number = 0;
 };
--- a/detour/tests/helping_hosts_test.cc
+++ b/detour/tests/helping_hosts_test.cc
@@ -76,5 +76,42 @@
   BOOST_TEST(!hosts.Choose({}, kNow).has_value());
 }
 
+// Guards against a host that knows nobody who helps after a change of the lease
+// holder: the new one lists no host that doesn't reach the store.
+BOOST_AUTO_TEST_CASE(HostOfAnEarlierListHelpsOnceItHasAnswered) {
+  HelpingHosts hosts;
+  hosts.Replace({MakeHost("a"), MakeHost("b"), MakeHost("c")});
+  hosts.Replace({MakeHost("c")});
+  BOOST_TEST(hosts.UnconfirmedHosts().size() == 2U);
+  BOOST_TEST(hosts.size() == 1U);
+  hosts.OnCompared(HostId("a"), true);
+  hosts.OnCompared(HostId("b"), false);
+  BOOST_TEST(hosts.UnconfirmedHosts().empty());
+  BOOST_TEST(hosts.size() == 2U);
+  // Those that are listed go first.
+  BOOST_TEST(hosts.Choose({}, kNow)->host.value() == "c");
+  BOOST_TEST(hosts.Choose({HostId("c")}, kNow)->host.value() == "a");
+  hosts.Replace({});
+  BOOST_TEST(!hosts.IsEmpty());
+  BOOST_TEST(hosts.Choose({}, kNow)->host.value() == "a");
+  // It is gone.
+  hosts.OnUnreachable(HostId("a"), kNow);
+  BOOST_TEST(hosts.IsEmpty());
+  hosts.Replace({MakeHost("a")});
+  hosts.OnUnreachable(HostId("a"), kNow);
+  BOOST_TEST(!hosts.IsEmpty());
+}
+
+// Guards against a list of hosts that grows with those that ever were.
+BOOST_AUTO_TEST_CASE(NumberOfHostsOfEarlierListsIsBounded) {
+  HelpingHosts hosts;
+  for (int i = 0; i < 30; ++i) {
+    hosts.Replace({MakeHost("h" + std::to_string(i))});
+  }
+  const auto kept = hosts.UnconfirmedHosts();
+  BOOST_REQUIRE(kept.size() == HelpingHosts::kMaxUnlistedHosts);
+  BOOST_TEST(kept.front().host.value() == "h28");
+}
+
 }  // namespace
 }  // namespace cicadaloft
--- a/entry/entry_alignment.cc
+++ b/entry/entry_alignment.cc
@@ -52,7 +52,9 @@
   if (compared.newer != nullptr) {
     this->AdoptFrom(compared.host, compared.newer);
   }
+  this->helping_hosts.OnCompared(compared.host, compared.version.has_value());
   this->ReleaseHeldArrivals();
+  this->DetourWaitingRequests();
 }
 
 // The control task gets it as if it had been read from the store.
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -362,6 +362,7 @@
   /// @return whether the request must not wait for targets of this host. One
   /// that was on a detour has not been charged here.
   bool NeedsDetour(const OpenRequest& request) const;
+  void ConfirmHelpingHosts();
   void DetourWaitingRequests();
   /// Sends a request that is in no queue over another host. One that was
   /// forwarded to this host is refused instead.
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -51,9 +51,28 @@
 
 void EntryCore::Handle(const DetourHostsChanged& change) {
   this->helping_hosts.Replace(change.hosts);
+  this->ConfirmHelpingHosts();
   this->DetourWaitingRequests();
 }
 
+// Hosts that the lease holder doesn't list may still reach targets. Those of
+// earlier versions, which may decide by an older configuration, don't answer.
+void EntryCore::ConfirmHelpingHosts() {
+  if (this->reachability.links() != TargetLinks::kLost) {
+    return;
+  }
+  for (const DetourHost& host : this->helping_hosts.UnconfirmedHosts()) {
+    if (this->alignment.MayBegin(host.host, this->now)) {
+      this->alignment.OnBegun(host.host, ConfigurationVersion());
+      this->effects.emplace_back(
+          CompareConfigurations{.host = host.host,
+                                .address = host.address,
+                                .version = this->lag.adopted(),
+                                .configuration = nullptr});
+    }
+  }
+}
+
 bool EntryCore::NeedsDetour(const OpenRequest& request) const {
   return request.arrival.forwarded_by
              ? this->reachability.links() == TargetLinks::kLost
@@ -182,8 +201,10 @@
                     ? std::to_string(ended.host_configuration->value())
                     : "-"}});
   }
-  if (ended.outcome == AttemptOutcome::kNotSent ||
-      ended.outcome == AttemptOutcome::kShed ||
+  if (ended.outcome == AttemptOutcome::kNotSent) {
+    this->helping_hosts.OnUnreachable(host, this->now);
+  }
+  if (ended.outcome == AttemptOutcome::kShed ||
       ended.outcome == AttemptOutcome::kOutdatedHost) {
     this->helping_hosts.OnFailure(host, this->now);
   }
--- a/entry/entry_links.cc
+++ b/entry/entry_links.cc
@@ -133,6 +133,7 @@
              {"helping_hosts", this->helping_hosts.size()}});
   this->effects.emplace_back(
       TargetReachabilityChanged{.reaches_targets = false});
+  this->ConfirmHelpingHosts();
   this->ResumeSuspended();
   this->DetourWaitingRequests();
 }
--- a/entry/tests/comparison_test.cc
+++ b/entry/tests/comparison_test.cc
@@ -174,6 +174,25 @@
   BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
 }
 
+// Guards against callers that nobody serves after a change of the lease holder,
+// which lists no host that doesn't reach the store.
+BOOST_FIXTURE_TEST_CASE(HostsOfAnEarlierListAreAskedAndUsed,
+                        ComparisonFixture) {
+  this->SetHosts({});
+  BOOST_TEST(this->Comparisons().empty());
+  this->SuspectLinks();
+  this->FailProbes();
+  const auto comparisons = this->Comparisons();
+  BOOST_REQUIRE(comparisons.size() == 2U);
+  BOOST_TEST((comparisons[0].host == HostId("b")));
+  BOOST_TEST(comparisons[0].address == "b:1");
+  BOOST_TEST((comparisons[1].host == HostId("c")));
+  this->EndComparison("b", std::nullopt);
+  this->EndComparison("c", 1);
+  this->SendRequest("any");
+  BOOST_TEST((this->LastDispatch().via_host == HostId("c")));
+}
+
 // Guards against a configuration that is sent to a host which has it, is kept
 // from one that lacks it, or replaces a newer one.
 BOOST_FIXTURE_TEST_CASE(AnswerHasTheNewerConfiguration, ComparisonFixture) {
