--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -291,6 +291,33 @@
                       TargetProbed{.target = target, .is_reached = is_reached});
     });
   }
+  void ExecuteEntryEffect(Host& host, const CompareConfigurations& compare) {
+    const RequestId id("comparison-" +
+                       std::to_string(this->comparisons.size()));
+    this->comparisons.emplace(
+        id, Comparison{.asking = host.id, .asked = compare.host});
+    this->Schedule(kLinkDelay, [this, id, &host, compare] {
+      if (!this->IsRunning(compare.host)) {
+        this->FeedEntry(host, ConfigurationsCompared{.host = compare.host});
+        return;
+      }
+      this->FeedEntry(
+          *this->Find(compare.host),
+          ComparisonArrived{.request = id,
+                            .host = host.id,
+                            .version = compare.version,
+                            .configuration = compare.configuration});
+    });
+  }
+  void ExecuteEntryEffect(Host&, const AnswerComparison& answer) {
+    const Comparison comparison = this->comparisons.at(answer.request);
+    this->Schedule(kLinkDelay, [this, comparison, answer] {
+      this->FeedEntry(*this->Find(comparison.asking),
+                      ConfigurationsCompared{.host = comparison.asked,
+                                             .version = answer.version,
+                                             .newer = answer.newer});
+    });
+  }
   // No route of the simulation has streams that are resumed.
   void ExecuteEntryEffect(Host&, const LookUpOrigin&) {}
   template <typename Message>
@@ -386,6 +413,13 @@
     });
   }
 
+  /// Of the configurations of two hosts.
+  struct Comparison {
+    HostId asking;
+    HostId asked;
+  };
+
+  std::map<RequestId, Comparison> comparisons;  ///< All that have begun.
   SimulatedForwarding forwarding{
       [this](const HostId& host, const EntryEvent& event) {
         this->Schedule(kLinkDelay, [=, this, to = this->Find(host)] {
