--- a/store/include/cicadaloft/store/keyed_follower.h
+++ b/store/include/cicadaloft/store/keyed_follower.h
@@ -310,6 +310,7 @@
   }
 
   boost::asio::awaitable<void> HandleFailure(Error error) {
+    this->pending = {};
     this->is_reachable = false;
     this->sink(
         StoreReachability{.is_reachable = false, .reason = error.message});
--- a/store/tests/keyed_follower_test.cc
+++ b/store/tests/keyed_follower_test.cc
@@ -349,6 +349,20 @@
   BOOST_TEST(following.events->back() == "snapshot a=2");
 }
 
+// Guards against calls without a pause between them, after a relayed snapshot
+// has come while the store's answers are outdated.
+BOOST_AUTO_TEST_CASE(RelayedSnapshotEndsOnePauseOnly) {
+  Fixture fixture({Snapshot({"a=1"}, 10, 2), Snapshot({"a=0"}, 9, 1)},
+                  {Trimmed(20, 2)});
+  fixture.RunFor(milliseconds(50));
+  const std::size_t before = fixture.script->snapshots_read;
+  BOOST_TEST(before == 2U);
+  Post(*fixture.resync, ResyncRequest{.is_relayed = true});
+  fixture.RunFor(kFewRetries);
+  BOOST_TEST(fixture.script->snapshots_read > before);
+  BOOST_TEST(fixture.script->snapshots_read <= before + 6U);
+}
+
 // Guards against records that are taken for the ones after a position from
 // which the log doesn't go on.
 BOOST_AUTO_TEST_CASE(NoChangesAreFollowedAfterATrimmedLog) {
