Send no configuration again to a host that doesn't adopt it

Found by reading; no caller saw it. Cause: a helping host that is ahead sends its configuration once for each request of a host that answers with the older version, without a pause, as each answer counts as a success.

Evidence: HostThatDoesNotAdoptIsLeftAloneForAWhile.

--- a/alignment/configuration_alignment.cc
+++ b/alignment/configuration_alignment.cc
@@ -13,8 +13,11 @@
 }
 
 void ConfigurationAlignment::OnBegun(const HostId& host,
-                                     ConfigurationVersion stated) {
-  this->comparisons[host].expected = stated;
+                                     ConfigurationVersion stated,
+                                     ConfigurationVersion sent) {
+  Comparison& comparison = this->comparisons[host];
+  comparison.expected = stated;
+  comparison.sent = sent;
 }
 
 void ConfigurationAlignment::OnEnded(
@@ -29,7 +32,8 @@
   comparison.expected.reset();
   if (version) {
     comparison.known = *version;
-  } else {
+  }
+  if (!version || *version < comparison.sent) {
     comparison.not_before = now + kBackoff;
   }
 }
--- a/alignment/include/cicadaloft/alignment/configuration_alignment.h
+++ b/alignment/include/cicadaloft/alignment/configuration_alignment.h
@@ -11,8 +11,7 @@
 
 namespace cicadaloft {
 
-/// The comparisons of configurations with the hosts whose requests this host
-/// takes.
+/// The comparisons of this host's configuration with those of other hosts.
 class ConfigurationAlignment {
  public:
   /// For one comparison; a host that takes longer is frozen, or cut off.
@@ -26,8 +25,12 @@
   /// @return whether a comparison with the host may begin.
   bool MayBegin(const HostId& host, TimePoint now) const;
   /// @param stated the version that the host is known to have.
-  void OnBegun(const HostId& host, ConfigurationVersion stated);
-  /// @param version that the host has now; none: the comparison has failed.
+  /// @param sent the version that it is sent; 0: none.
+  void OnBegun(const HostId& host,
+               ConfigurationVersion stated,
+               ConfigurationVersion sent = {});
+  /// @param version that the host has now; none: the comparison has failed. So
+  /// it has if the host doesn't adopt what it was sent.
   void OnEnded(const HostId& host,
                const std::optional<ConfigurationVersion>& version,
                TimePoint now);
@@ -43,6 +46,7 @@
   struct Comparison {
     /// That the host stated for the running comparison; none: none is running.
     std::optional<ConfigurationVersion> expected;
+    ConfigurationVersion sent;  ///< In the last comparison.
     ConfigurationVersion known;
     TimePoint not_before{};
   };
--- a/alignment/include/cicadaloft/alignment/messages.h
+++ b/alignment/include/cicadaloft/alignment/messages.h
@@ -10,9 +10,10 @@
 
 namespace cicadaloft {
 
-/// Compares this host's configuration with that of another host, which has
-/// forwarded a request to it; the one with the older configuration gets the
-/// newer. A ConfigurationsCompared follows.
+/// Compares this host's configuration with that of another host: one that has
+/// forwarded a request to it, or that may take requests of this host. The one
+/// with the older configuration gets the newer. A ConfigurationsCompared
+/// follows.
 struct CompareConfigurations {
   const HostId host;
   const std::string address;  ///< Of its listener for forwarded requests.
--- a/alignment/tests/configuration_alignment_test.cc
+++ b/alignment/tests/configuration_alignment_test.cc
@@ -41,6 +41,21 @@
   BOOST_TEST((alignment.KnownVersion(kHost) == ConfigurationVersion()));
 }
 
+// Guards against a configuration that is sent again and again to a host which
+// doesn't adopt it.
+BOOST_AUTO_TEST_CASE(HostThatDoesNotAdoptIsLeftAloneForAWhile) {
+  ConfigurationAlignment alignment;
+  alignment.OnBegun(kHost, ConfigurationVersion(7), ConfigurationVersion(8));
+  alignment.OnEnded(kHost, ConfigurationVersion(7), kNow);
+  BOOST_TEST(!alignment.MayBegin(kHost, kNow));
+  BOOST_TEST(
+      alignment.MayBegin(kHost, kNow + ConfigurationAlignment::kBackoff));
+  alignment.OnBegun(kHost, ConfigurationVersion(7), ConfigurationVersion(8));
+  alignment.OnEnded(kHost, ConfigurationVersion(8), kNow);
+  BOOST_TEST(
+      alignment.MayBegin(kHost, kNow + ConfigurationAlignment::kBackoff));
+}
+
 // Guards against memory that grows with the names that other hosts state.
 BOOST_AUTO_TEST_CASE(NumberOfHostsIsBounded) {
   ConfigurationAlignment alignment;
--- a/entry/entry_alignment.cc
+++ b/entry/entry_alignment.cc
@@ -32,7 +32,9 @@
   if (is_expected || !this->alignment.MayBegin(host, this->now)) {
     return;
   }
-  this->alignment.OnBegun(host, *arrived.admitted_by);
+  this->alignment.OnBegun(
+      host, *arrived.admitted_by,
+      is_sender ? this->lag.adopted() : ConfigurationVersion());
   this->effects.emplace_back(CompareConfigurations{
       .host = host,
       .address = arrived.forwarder_address,
