Ask only hosts of earlier lists that reach targets

A host of an earlier list was taken for one that helps as soon as it had answered a comparison, though most of those that a holder no longer lists have lost their targets themselves. As there was another host to try, the refusals of the one that does help were withheld, and it was left out for a second each time.

The answer to a comparison says whether its host reaches targets. Those that don't, or refuse, are asked again after a second.

Evidence: HostOfAnEarlierListHelpsOnlyIfItReachesTargets and HostWithoutTargetsSaysSoAndIsNotAsked, which fail if any answer confirms.

--- a/alignment/alignment_codec.cc
+++ b/alignment/alignment_codec.cc
@@ -12,10 +12,11 @@
 namespace cicadaloft {
 
 template <>
-inline constexpr auto kJsonFields<HeldConfiguration> =
-    std::tuple(Required("host", &HeldConfiguration::host),
-               Required("version", &HeldConfiguration::version),
-               Defaulted("record", &HeldConfiguration::record));
+inline constexpr auto kJsonFields<HeldConfiguration> = std::tuple(
+    Required("host", &HeldConfiguration::host),
+    Required("version", &HeldConfiguration::version),
+    Defaulted("record", &HeldConfiguration::record),
+    Defaulted("reaches_targets", &HeldConfiguration::reaches_targets));
 
 namespace {
 
--- a/alignment/include/cicadaloft/alignment/alignment_codec.h
+++ b/alignment/include/cicadaloft/alignment/alignment_codec.h
@@ -17,6 +17,7 @@
   ConfigurationVersion version;  ///< That it has; 0: none.
   /// As the operator has written it; empty: the other host needs none.
   std::string record;
+  bool reaches_targets = true;  ///< Of the sender.
 
   friend auto operator<=>(const HeldConfiguration&,
                           const HeldConfiguration&) = default;
--- a/alignment/include/cicadaloft/alignment/messages.h
+++ b/alignment/include/cicadaloft/alignment/messages.h
@@ -35,6 +35,8 @@
   const std::optional<ConfigurationVersion> version;
   /// The other host's, if this host's is older; else null.
   const ActiveConfigurationPtr newer;
+  /// The other host reaches targets, and may take requests of this one.
+  const bool reaches_targets = true;
 
   friend auto operator<=>(const ConfigurationsCompared&,
                           const ConfigurationsCompared&) = default;
@@ -63,6 +65,7 @@
   const ConfigurationVersion version;  ///< That this host has now.
   /// This host's, if the other host's is older; else null.
   const ActiveConfigurationPtr newer;
+  const bool reaches_targets = true;  ///< Of this host.
 
   friend auto operator<=>(const AnswerComparison&,
                           const AnswerComparison&) = default;
--- a/alignment/tests/alignment_codec_test.cc
+++ b/alignment/tests/alignment_codec_test.cc
@@ -14,7 +14,7 @@
        {HeldConfiguration{.host = HostId("a"),
                           .version = ConfigurationVersion(7),
                           .record = bytes},
-        HeldConfiguration{.host = HostId("a")}}) {
+        HeldConfiguration{.host = HostId("a"), .reaches_targets = false}}) {
     const auto decoded = DecodeHeldConfiguration(EncodeHeldConfiguration(held));
     BOOST_REQUIRE(IsOk(decoded));
     BOOST_TEST((ValueOf(decoded) == held));
--- a/control/tests/hosts_simulation.h
+++ b/control/tests/hosts_simulation.h
@@ -312,10 +312,12 @@
   void ExecuteEntryEffect(Host&, const AnswerComparison& answer) {
     const Comparison comparison = this->comparisons.at(answer.request);
     this->Schedule(kLinkDelay, [this, comparison, answer] {
-      this->FeedEntry(*this->Find(comparison.asking),
-                      ConfigurationsCompared{.host = comparison.asked,
-                                             .version = answer.version,
-                                             .newer = answer.newer});
+      this->FeedEntry(
+          *this->Find(comparison.asking),
+          ConfigurationsCompared{.host = comparison.asked,
+                                 .version = answer.version,
+                                 .newer = answer.newer,
+                                 .reaches_targets = answer.reaches_targets});
     });
   }
   // No route of the simulation has streams that are resumed.
--- a/detour/helping_hosts.cc
+++ b/detour/helping_hosts.cc
@@ -40,21 +40,33 @@
              this->unlisted_hosts, true, &UnlistedHost::is_confirmed));
 }
 
-std::vector<DetourHost> HelpingHosts::UnconfirmedHosts() const {
+std::vector<DetourHost> HelpingHosts::UnconfirmedHosts(TimePoint now) const {
   std::vector<DetourHost> hosts;
   for (const UnlistedHost& entry : this->unlisted_hosts) {
-    if (!entry.is_confirmed) {
+    if (!entry.is_confirmed &&
+        now >= this->UseOf(entry.host.host).left_out_until) {
       hosts.push_back(entry.host);
     }
   }
   return hosts;
 }
 
-void HelpingHosts::OnCompared(const HostId& host, bool has_answered) {
-  std::erase_if(this->unlisted_hosts, [&](UnlistedHost& entry) {
-    const bool is_same = entry.host.host == host;
-    entry.is_confirmed |= is_same && has_answered;
-    return is_same && !has_answered;
+void HelpingHosts::OnCompared(const HostId& host,
+                              bool reaches_targets,
+                              TimePoint now) {
+  for (UnlistedHost& entry : this->unlisted_hosts) {
+    if (entry.host.host == host) {
+      entry.is_confirmed = reaches_targets;
+      if (!reaches_targets) {
+        this->uses[host].left_out_until = now + kFailureBackoff;
+      }
+    }
+  }
+}
+
+void HelpingHosts::Forget(const HostId& host) {
+  std::erase_if(this->unlisted_hosts, [&](const UnlistedHost& entry) {
+    return entry.host.host == host;
   });
 }
 
@@ -102,11 +114,14 @@
 
 void HelpingHosts::OnFailure(const HostId& host, TimePoint now) {
   this->uses[host].left_out_until = now + kFailureBackoff;
+  for (UnlistedHost& entry : this->unlisted_hosts) {
+    entry.is_confirmed &= entry.host.host != host;
+  }
 }
 
 void HelpingHosts::OnUnreachable(const HostId& host, TimePoint now) {
   this->OnFailure(host, now);
-  this->OnCompared(host, false);
+  this->Forget(host);
 }
 
 void HelpingHosts::OnAnswer(const HostId& host, bool states_configuration) {
--- a/detour/include/cicadaloft/detour/helping_hosts.h
+++ b/detour/include/cicadaloft/detour/helping_hosts.h
@@ -32,12 +32,14 @@
   bool IsEmpty() const { return this->size() == 0; }
   /// @return the number of hosts that could help.
   std::size_t size() const;
-  /// @return the hosts that are not listed any more and have not answered
-  /// since. They may be gone, or of an earlier version.
-  std::vector<DetourHost> UnconfirmedHosts() const;
-  /// A host that is not listed has answered a comparison of configurations, or
-  /// hasn't and is forgotten.
-  void OnCompared(const HostId& host, bool has_answered);
+  /// @return the hosts that are not listed any more and have not said since
+  /// that they reach targets. They may be gone, or of an earlier version.
+  std::vector<DetourHost> UnconfirmedHosts(TimePoint now) const;
+  /// A host has answered a comparison of configurations. One that is not listed
+  /// may help if it reaches targets.
+  void OnCompared(const HostId& host, bool reaches_targets, TimePoint now);
+  /// A host that is not listed can't help.
+  void Forget(const HostId& host);
 
   /// @param tried hosts that have failed to serve the request.
   /// @return of the hosts that may take it the one with the fewest requests of
@@ -49,6 +51,7 @@
 
   void OnSent(const HostId& host);
   void OnEnded(const HostId& host);
+  /// One that is not listed has to answer a comparison again.
   void OnFailure(const HostId& host, TimePoint now);
   /// A host could not be connected to; one that is not listed is forgotten.
   void OnUnreachable(const HostId& host, TimePoint now);
--- a/detour/tests/helping_hosts_test.cc
+++ b/detour/tests/helping_hosts_test.cc
@@ -82,11 +82,11 @@
   HelpingHosts hosts;
   hosts.Replace({MakeHost("a"), MakeHost("b"), MakeHost("c")});
   hosts.Replace({MakeHost("c")});
-  BOOST_TEST(hosts.UnconfirmedHosts().size() == 2U);
+  BOOST_TEST(hosts.UnconfirmedHosts(kNow).size() == 2U);
   BOOST_TEST(hosts.size() == 1U);
-  hosts.OnCompared(HostId("a"), true);
-  hosts.OnCompared(HostId("b"), false);
-  BOOST_TEST(hosts.UnconfirmedHosts().empty());
+  hosts.OnCompared(HostId("a"), true, kNow);
+  hosts.Forget(HostId("b"));
+  BOOST_TEST(hosts.UnconfirmedHosts(kNow).empty());
   BOOST_TEST(hosts.size() == 2U);
   // Those that are listed go first.
   BOOST_TEST(hosts.Choose({}, kNow)->host.value() == "c");
@@ -102,13 +102,36 @@
   BOOST_TEST(!hosts.IsEmpty());
 }
 
+// Guards against requests at hosts that reach no target either, in place of the
+// one that does.
+BOOST_AUTO_TEST_CASE(HostOfAnEarlierListHelpsOnlyIfItReachesTargets) {
+  HelpingHosts hosts;
+  hosts.Replace({MakeHost("a"), MakeHost("b")});
+  hosts.Replace({MakeHost("b")});
+  hosts.OnCompared(HostId("a"), false, kNow);
+  BOOST_TEST(hosts.size() == 1U);
+  BOOST_TEST(!hosts.Choose({HostId("b")}, kNow).has_value());
+  // It is asked again, but not at once.
+  BOOST_TEST(hosts.UnconfirmedHosts(kNow).empty());
+  const TimePoint later = kNow + HelpingHosts::kFailureBackoff;
+  BOOST_TEST(hosts.UnconfirmedHosts(later).size() == 1U);
+  hosts.OnCompared(HostId("a"), true, later);
+  BOOST_TEST(hosts.Choose({HostId("b")}, later)->host.value() == "a");
+  // One that refuses has to say again that it reaches targets.
+  hosts.OnFailure(HostId("a"), later);
+  BOOST_TEST(!hosts.Choose({HostId("b")}, later).has_value());
+  BOOST_TEST(
+      hosts.UnconfirmedHosts(later + HelpingHosts::kFailureBackoff).size() ==
+      1U);
+}
+
 // Guards against a list of hosts that grows with those that ever were.
 BOOST_AUTO_TEST_CASE(NumberOfHostsOfEarlierListsIsBounded) {
   HelpingHosts hosts;
   for (int i = 0; i < 30; ++i) {
     hosts.Replace({MakeHost("h" + std::to_string(i))});
   }
-  const auto kept = hosts.UnconfirmedHosts();
+  const auto kept = hosts.UnconfirmedHosts(kNow);
   BOOST_REQUIRE(kept.size() == HelpingHosts::kMaxUnlistedHosts);
   BOOST_TEST(kept.front().host.value() == "h28");
 }
--- a/entry/entry_alignment.cc
+++ b/entry/entry_alignment.cc
@@ -13,10 +13,11 @@
   }
   this->HearConfiguration(arrived.version);
   const bool is_newer = this->lag.adopted() > arrived.version;
-  this->effects.emplace_back(
-      AnswerComparison{.request = arrived.request,
-                       .version = this->lag.adopted(),
-                       .newer = is_newer ? this->configuration : nullptr});
+  this->effects.emplace_back(AnswerComparison{
+      .request = arrived.request,
+      .version = this->lag.adopted(),
+      .newer = is_newer ? this->configuration : nullptr,
+      .reaches_targets = this->reachability.links() != TargetLinks::kLost});
 }
 
 // One comparison brings a version to all requests that wait for it; each host
@@ -54,7 +55,12 @@
   if (compared.newer != nullptr) {
     this->AdoptFrom(compared.host, compared.newer);
   }
-  this->helping_hosts.OnCompared(compared.host, compared.version.has_value());
+  if (compared.version) {
+    this->helping_hosts.OnCompared(compared.host, compared.reaches_targets,
+                                   this->now);
+  } else {
+    this->helping_hosts.Forget(compared.host);
+  }
   this->ReleaseHeldArrivals();
   this->DetourWaitingRequests();
 }
--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -176,6 +176,7 @@
   this->HandleExpired();
   this->EndExpiredArrivals();
   this->ProbeTargets();
+  this->ConfirmHelpingHosts();
   this->ReportPoisonEvidence();
   this->DispatchFromAllQueues();
   if (this->now - this->usage_reported_at >= this->UsageReportInterval()) {
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -61,7 +61,8 @@
   if (this->reachability.links() != TargetLinks::kLost) {
     return;
   }
-  for (const DetourHost& host : this->helping_hosts.UnconfirmedHosts()) {
+  for (const DetourHost& host :
+       this->helping_hosts.UnconfirmedHosts(this->now)) {
     if (this->alignment.MayBegin(host.host, this->now)) {
       this->alignment.OnBegun(host.host, ConfigurationVersion());
       this->effects.emplace_back(
--- a/entry/tests/comparison_test.cc
+++ b/entry/tests/comparison_test.cc
@@ -193,6 +193,29 @@
   BOOST_TEST((this->LastDispatch().via_host == HostId("c")));
 }
 
+// Guards against hosts that reach no target and are asked for help all the
+// same.
+BOOST_FIXTURE_TEST_CASE(HostWithoutTargetsSaysSoAndIsNotAsked,
+                        ComparisonFixture) {
+  this->SetHosts({"b"});
+  this->SuspectLinks();
+  this->FailProbes();
+  this->Feed(ComparisonArrived{.request = RequestId("c1"),
+                               .host = HostId("b"),
+                               .version = ConfigurationVersion(1)});
+  BOOST_REQUIRE(this->EffectsOf<AnswerComparison>().size() == 1U);
+  BOOST_TEST(!this->EffectsOf<AnswerComparison>()[0].reaches_targets);
+  // Host "c" of the earlier list reaches none either.
+  this->Feed(ConfigurationsCompared{.host = HostId("c"),
+                                    .version = ConfigurationVersion(1),
+                                    .reaches_targets = false});
+  this->SendRequest("any");
+  const Dispatch dispatch = this->LastDispatch();
+  BOOST_TEST((dispatch.via_host == HostId("b")));
+  // There is no other host, so the refusal of "b" is for the caller.
+  BOOST_TEST(!dispatch.withholds_error_response);
+}
+
 // Guards against a configuration that is sent to a host which has it, is kept
 // from one that lacks it, or replaces a newer one.
 BOOST_FIXTURE_TEST_CASE(AnswerHasTheNewerConfiguration, ComparisonFixture) {
--- a/forwarding/include/cicadaloft/forwarding/effect_executor.h
+++ b/forwarding/include/cicadaloft/forwarding/effect_executor.h
@@ -123,7 +123,8 @@
     const std::string body = EncodeHeldConfiguration(HeldConfiguration{
         .host = this->self.host,
         .version = answer.version,
-        .record = answer.newer == nullptr ? "" : answer.newer->record()});
+        .record = answer.newer == nullptr ? "" : answer.newer->record(),
+        .reaches_targets = answer.reaches_targets});
     SessionMailbox& session = *found->second.received.session;
     constexpr int kOk = 200;
     Post(session, ResponseHead{.request = answer.request,
