Bound forwarded requests by what a host can carry

Cause: a helping host served 64 forwarded requests at a time whatever its descriptors, memory or load are, and accepted 160 connections for them.

A host now serves as many as its own sockets allow: a quarter of them for connections, half of these for requests, the other half being kept by hosts for their next one. That is 215 requests at 4,100 descriptors and 41 at 1,024, where 64 were more than the 83 connections left room for. The sum of descriptors, by which memory is bounded, stays as it was. A host whose ticks come over 200 ms after each other takes none, so its own callers don't pay.

descriptor_limits_test compared with the removed constant of 160; it now states the numbers for three limits of descriptors, which is as strict.

Evidence: with the code of before MoreForwardedRequestsFitALargerHost and HostThatRunsLateTakesNoForwardedRequests fail.

--- a/entry/entry_core.cc
+++ b/entry/entry_core.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <numeric>
 #include <ranges>
+#include <utility>
 
 #include "cicadaloft/core/rendezvous.h"
 #include "cicadaloft/entry/event_names.h"
@@ -172,6 +173,9 @@
 }
 
 void EntryCore::Handle(const EntryTick&) {
+  const TimePoint before = std::exchange(this->ticked_at, this->now);
+  this->tick_gap =
+      before == TimePoint{} ? Duration::zero() : this->now - before;
   this->ReportStarted();
   this->HandleExpired();
   this->EndExpiredArrivals();
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -418,6 +418,8 @@
   const EntrySettings settings;
   TimePoint now{};
   TimePoint first_event_at{};
+  TimePoint ticked_at{};
+  Duration tick_gap{};  ///< Between the last two ticks.
   std::vector<EntryEffect> effects;
 
   ActiveConfigurationPtr configuration;
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -10,9 +10,9 @@
 namespace cicadaloft {
 namespace {
 
-/// Requests that other hosts have forwarded and this host serves at a time, so
-/// that they leave most of a small host to its own callers.
-constexpr std::ptrdiff_t kMaxForwardedRequests = 64;
+/// A host whose ticks come later than this after each other lacks processor
+/// time for its own callers.
+constexpr Duration kMaxTickGap = std::chrono::milliseconds(200);
 
 /// A request with less remaining time than this is not sent over another host.
 constexpr Duration kMinDetourTime = std::chrono::milliseconds(20);
@@ -35,13 +35,19 @@
     return Refusal{MakeError(ErrorKind::kNoCapacity,
                              "this host reaches no target either")};
   }
+  if (this->tick_gap > kMaxTickGap) {
+    return Refusal{MakeError(
+        ErrorKind::kQueueFull,
+        "this host lacks processor time for requests of other hosts")};
+  }
   const auto forwarded =
       std::ranges::count_if(this->requests | std::views::values,
                             [](const OpenRequest& request) {
                               return request.arrival.forwarded_by.has_value();
                             }) +
       std::ssize(this->held_arrivals);
-  if (forwarded >= kMaxForwardedRequests) {
+  if (static_cast<std::size_t>(forwarded) >=
+      this->settings.max_forwarded_requests) {
     return Refusal{MakeError(
         ErrorKind::kQueueFull,
         "this host already serves as many requests of other hosts as it may")};
--- a/entry/include/cicadaloft/entry/entry_settings.h
+++ b/entry/include/cicadaloft/entry/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 
 #include "cicadaloft/core/id.h"
 #include "cicadaloft/core/time.h"
@@ -27,6 +28,9 @@
   /// True only when all hosts start together, so that nothing of customers'
   /// limits can have been used yet; false when a process restarts.
   bool is_first_start = false;
+  /// Requests that other hosts have forwarded and this host serves at a time:
+  /// what its descriptors allow besides its own callers.
+  std::size_t max_forwarded_requests = 64;
   /// Whether requests that begin to run are counted, by customer.
   bool counts_usage = false;
 
--- a/entry/tests/detour_test.cc
+++ b/entry/tests/detour_test.cc
@@ -317,6 +317,42 @@
       (std::ranges::find(refusals, own, &Refuse::request) == refusals.end()));
 }
 
+// Guards against a limit of forwarded requests that ignores what a host can
+// carry: callers of many hosts are refused while the only helping host is idle.
+BOOST_FIXTURE_TEST_CASE(MoreForwardedRequestsFitALargerHost, DetourFixture) {
+  this->state = EntryState(EntrySettings{.host = HostId("a"),
+                                         .data_centre = DataCentreId("dc-p1"),
+                                         .is_first_start = true,
+                                         .max_forwarded_requests = 100});
+  this->Start();
+  this->effects.clear();
+  for (int i = 0; i < 101; ++i) {
+    this->ForwardRequest();
+  }
+  const auto refusals = this->EffectsOf<Refuse>();
+  BOOST_REQUIRE(refusals.size() == 1U);
+  BOOST_TEST((refusals[0].error.kind == ErrorKind::kQueueFull));
+}
+
+// Guards against a host that takes requests of others while it lacks the time
+// to serve its own callers.
+BOOST_FIXTURE_TEST_CASE(HostThatRunsLateTakesNoForwardedRequests,
+                        DetourFixture) {
+  this->RunFor(milliseconds(50));
+  this->now += milliseconds(300);
+  this->Feed(EntryTick{});
+  this->ForwardRequest();
+  const auto refusals = this->EffectsOf<Refuse>();
+  BOOST_REQUIRE(refusals.size() == 1U);
+  BOOST_TEST((refusals[0].error.kind == ErrorKind::kQueueFull));
+  BOOST_TEST((refusals[0].run_state == RunState::kNotRun));
+  this->SendRequest("any");
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 1U);
+  this->RunFor(milliseconds(20));
+  this->ForwardRequest();
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
+}
+
 // Guards against a change on sites where no host can help: requests wait for
 // targets.
 BOOST_FIXTURE_TEST_CASE(WithoutHelpingHostsRequestsWait, DetourFixture) {
--- a/forwarding/include/cicadaloft/forwarding/descriptor_limits.h
+++ b/forwarding/include/cicadaloft/forwarding/descriptor_limits.h
@@ -51,8 +51,14 @@
 /// quarter of the host's own sockets.
 constexpr std::size_t MaxForwardedConnections(std::size_t descriptors) {
   const std::size_t share = OwnSockets(SocketDescriptors(descriptors)) / 4;
-  return std::min(kMaxForwardedConnections,
-                  share - std::min(share, kMaxRejectedForwardedConnections));
+  return share - std::min(share, kMaxRejectedForwardedConnections);
+}
+
+/// The other half of the connections is kept by hosts for their next request.
+/// @param descriptors the limit of the process.
+/// @return how many forwarded requests are served at the same time.
+constexpr std::size_t MaxForwardedRequests(std::size_t descriptors) {
+  return MaxForwardedConnections(descriptors) / 2;
 }
 
 }  // namespace cicadaloft
--- a/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
+++ b/forwarding/include/cicadaloft/forwarding/forwarding_settings.h
@@ -14,10 +14,7 @@
 inline constexpr std::size_t kMaxCallerConnections = 2000;
 /// Connections over the limit that still get an error response.
 inline constexpr std::size_t kMaxRejectedConnections = 100;
-/// Connections from other hosts. A host takes 80 forwarded requests at a time
-/// at most; the remainder is for connections that hosts keep for their next
-/// request.
-inline constexpr std::size_t kMaxForwardedConnections = 160;
+/// Connections from other hosts that still get an error response.
 inline constexpr std::size_t kMaxRejectedForwardedConnections = 20;
 /// Hosts keep an idle connection to another host for less than
 /// TargetLimits::idle_timeout.
--- a/forwarding/tests/descriptor_limits_test.cc
+++ b/forwarding/tests/descriptor_limits_test.cc
@@ -30,7 +30,10 @@
     BOOST_TEST_REQUIRE(
         (served == 0 || served + kMaxRejectedForwardedConnections <= own / 4));
   }
-  BOOST_TEST(MaxForwardedConnections(4100) == kMaxForwardedConnections);
+  BOOST_TEST(MaxForwardedConnections(4100) == 430U);
+  BOOST_TEST(MaxForwardedConnections(1'000'000) == 430U);
+  BOOST_TEST(MaxForwardedRequests(4100) == 215U);
+  BOOST_TEST(MaxForwardedRequests(1024) == 41U);
   BOOST_TEST(MaxForwardedConnections(1024) == 83U);
   BOOST_TEST(MaxForwardedConnections(0) == 0U);
 }
--- a/host/host_runtime.cc
+++ b/host/host_runtime.cc
@@ -22,6 +22,7 @@
 #include "cicadaloft/forwarding/admin_listener.h"
 #include "cicadaloft/forwarding/boot_clock.h"
 #include "cicadaloft/forwarding/caller_listener.h"
+#include "cicadaloft/forwarding/descriptor_limits.h"
 #include "cicadaloft/forwarding/entry_task.h"
 #include "cicadaloft/forwarding/origin_task.h"
 #include "cicadaloft/platform/configuration_codec.h"
@@ -143,6 +144,8 @@
                               .limit_slack = settings.limit_slack,
                               .limit_window = settings.limit_window,
                               .is_first_start = settings.is_first_start,
+                              .max_forwarded_requests =
+                                  MaxForwardedRequests(DescriptorLimit()),
                               .counts_usage = ReportsUsage(settings)}),
             EntryTaskMailboxes{.inbox = this->entry_mailbox,
                                .notifications = this->entry_notifications,
--- a/host/request_listeners.cc
+++ b/host/request_listeners.cc
@@ -25,16 +25,6 @@
   return host.value() + "-" + std::to_string(ms);
 }
 
-/// @return the number of descriptors that the process may open.
-std::size_t DescriptorLimit() {
-  rlimit descriptors{};
-  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
-    Log("host").Warn("the limit on descriptors can't be read");
-    return std::numeric_limits<std::size_t>::max();
-  }
-  return descriptors.rlim_cur;
-}
-
 /// @return the number of callers that a listener may serve with these
 /// descriptors.
 std::size_t CallerConnectionLimit(std::size_t descriptors,
@@ -58,6 +48,15 @@
 
 }  // namespace
 
+std::size_t DescriptorLimit() {
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+    Log("host").Warn("the limit on descriptors can't be read");
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return descriptors.rlim_cur;
+}
+
 RequestListeners::RequestListeners(boost::asio::any_io_executor executor,
                                    HostListeners listeners,
                                    HostId host,
--- a/host/request_listeners.h
+++ b/host/request_listeners.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,6 +16,9 @@
 
 namespace cicadaloft {
 
+/// @return the number of descriptors that the process may open.
+std::size_t DescriptorLimit();
+
 /// The listeners of a host that take requests: of callers, by each protocol,
 /// and of other hosts.
 class RequestListeners {
