--- a/tests/configuration_functions.sh
+++ b/tests/configuration_functions.sh
@@ -9,7 +9,7 @@
 runner_port() { echo $((base + 1 + $1)); }
 
 # The route /moved/ and the keys follow the version.
-write_configuration() {  # VERSION KEY SERVICE_OF_MOVED ADDED
+write_configuration() {  # VERSION KEY SERVICE_OF_MOVED ADDED [JQ_FILTER]
   jq --argjson version "$1" --arg key "$2" --arg moved "$3" --argjson added "$4" '
     def route($name; $service): .routes[1] + {name: $name, path_prefix: ("/" + $name + "/"), service: $service};
     . as $base
@@ -19,7 +19,7 @@
     | .routes += [$base | route("moved"; $moved)]
     | .routes += (if $added then [$base | route("added"; "counter")] else [] end)
     | .routes += [range(40) as $i | $base | route("unused-\($i)"; "counter")]
-    ' tests/stand_ins/configuration.json >"$dir/configuration-$1.json"
+    | '"${5:-.}" tests/stand_ins/configuration.json >"$dir/configuration-$1.json"
   put config "$dir/configuration-$1.json"
 }
 # Sends requests until a time; logs the id, the status and the path of each.
