Leave no helping host out for the refusal of one request

A refusal of a forwarded request now states whether its host takes others, Cicadaloft-Takes-Other-Requests; only a host that doesn't is left out. Hosts of earlier versions don't send the field, and are left out as before; they drop it with the other fields of their prefix, by reading.

Evidence: with the field sent by nobody and read by nobody RefusalOfOneRequestLeavesNoHostOut and RefusalStatesWhetherTheHostTakesOthers fail.

--- a/control/tests/simulated_forwarding.h
+++ b/control/tests/simulated_forwarding.h
@@ -76,9 +76,11 @@
     const bool is_outdated =
         is_not_run && refusal.configuration < found->second.configuration;
     const bool is_withheld = is_not_run && found->second.withholds_refusal;
-    this->End(found, is_outdated   ? AttemptOutcome::kOutdatedHost
-                     : is_withheld ? AttemptOutcome::kShed
-                                   : AttemptOutcome::kCompleted);
+    this->End(found,
+              is_outdated   ? AttemptOutcome::kOutdatedHost
+              : is_withheld ? AttemptOutcome::kShed
+                            : AttemptOutcome::kCompleted,
+              0, refusal.takes_other_requests);
     return true;
   }
 
@@ -109,12 +111,14 @@
 
   void End(std::map<Key, Exchange>::iterator entry,
            AttemptOutcome outcome,
-           int http_status = 0) {
+           int http_status = 0,
+           bool takes_other_requests = false) {
     this->feed(entry->second.origin,
                AttemptEnded{.request = entry->first.second,
                             .attempt = entry->second.attempt,
                             .outcome = outcome,
-                            .http_status = http_status});
+                            .http_status = http_status,
+                            .takes_other_requests = takes_other_requests});
     this->exchanges.erase(entry);
   }
 
--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -35,7 +35,9 @@
 
 void EntryCore::TakeArrival(const RequestArrived& arrived,
                             TimePoint arrived_at) {
-  if (const auto refusal = this->CheckForwarded(arrived)) {
+  const std::optional<Refusal> refusal =
+      arrived.forwarded_by ? this->CheckForwarded() : std::nullopt;
+  if (refusal) {
     this->RefuseArrival(arrived, *refusal);
   } else if (this->IsVersionUnknowable(arrived)) {
     this->RefuseOutdated(arrived);
@@ -121,11 +123,13 @@
       {"newest_known", this->lag.newest().value()}};
   std::ranges::move(ForwardedFields(arrived), std::back_inserter(fields));
   this->Log(event_names::kRefuse, arrived.caller_request_id, std::move(fields));
-  this->effects.emplace_back(Refuse{.request = arrived.request,
-                                    .error = refusal.error,
-                                    .run_state = info.run_state,
-                                    .retry_after = retry_after,
-                                    .configuration = this->lag.adopted()});
+  this->effects.emplace_back(
+      Refuse{.request = arrived.request,
+             .error = refusal.error,
+             .run_state = info.run_state,
+             .retry_after = retry_after,
+             .configuration = this->lag.adopted(),
+             .takes_other_requests = this->TakesOtherRequests(arrived)});
 }
 
 TimePoint EntryCore::AcceptDeadline() const {
--- a/entry/entry_attempts.cc
+++ b/entry/entry_attempts.cc
@@ -329,12 +329,13 @@
        {"rank", request.RankText()},
        {"waited_ms", this->now - request.arrived_at},
        {"runs", request.run_count}});
-  this->effects.emplace_back(
-      Refuse{.request = request.arrival.request,
-             .error = reported,
-             .run_state = GetErrorInfo(reported.kind).run_state,
-             .retry_after = this->RetryAfter(request, reported.kind),
-             .configuration = request.configuration->version()});
+  this->effects.emplace_back(Refuse{
+      .request = request.arrival.request,
+      .error = reported,
+      .run_state = GetErrorInfo(reported.kind).run_state,
+      .retry_after = this->RetryAfter(request, reported.kind),
+      .configuration = request.configuration->version(),
+      .takes_other_requests = this->TakesOtherRequests(request.arrival)});
 }
 
 void EntryCore::Handle(const CallerDisconnected& disconnected) {
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -328,9 +328,13 @@
 
   // Requests over other hosts.
   bool UsesDetours() const;
-  /// @return the refusal of a request that another host has forwarded; none if
-  /// this host takes it.
-  std::optional<Refusal> CheckForwarded(const RequestArrived& arrived) const;
+  /// @return the refusal of any request that another host forwards now; none if
+  /// this host takes them.
+  std::optional<Refusal> CheckForwarded() const;
+  /// @return whether the host that forwarded this request should forward others
+  /// here although it has been refused.
+  bool TakesOtherRequests(const RequestArrived& refused) const;
+
   // Configurations of this host and of others.
   /// Takes a version that another host has.
   void HearConfiguration(ConfigurationVersion version);
--- a/entry/entry_detours.cc
+++ b/entry/entry_detours.cc
@@ -26,11 +26,7 @@
 }
 
 // A request is forwarded only once.
-std::optional<EntryCore::Refusal> EntryCore::CheckForwarded(
-    const RequestArrived& arrived) const {
-  if (!arrived.forwarded_by) {
-    return std::nullopt;
-  }
+std::optional<EntryCore::Refusal> EntryCore::CheckForwarded() const {
   if (this->reachability.links() == TargetLinks::kLost) {
     return Refusal{MakeError(ErrorKind::kNoCapacity,
                              "this host reaches no target either")};
@@ -55,6 +51,11 @@
   return std::nullopt;
 }
 
+bool EntryCore::TakesOtherRequests(const RequestArrived& refused) const {
+  return refused.forwarded_by && this->configuration && !this->is_stopping &&
+         !this->CheckForwarded();
+}
+
 void EntryCore::Handle(const DetourHostsChanged& change) {
   this->helping_hosts.Replace(change.hosts);
   this->ConfirmHelpingHosts();
@@ -211,7 +212,8 @@
   if (ended.outcome == AttemptOutcome::kNotSent) {
     this->helping_hosts.OnUnreachable(host, this->now);
   }
-  if (ended.outcome == AttemptOutcome::kShed ||
+  const bool is_shed = ended.outcome == AttemptOutcome::kShed;
+  if ((is_shed && !ended.takes_other_requests) ||
       ended.outcome == AttemptOutcome::kOutdatedHost) {
     this->helping_hosts.OnFailure(host, this->now);
   }
--- a/entry/include/cicadaloft/entry/messages.h
+++ b/entry/include/cicadaloft/entry/messages.h
@@ -152,6 +152,8 @@
   /// The configuration by which a helping host has decided; none on a direct
   /// way, and if the host doesn't state it.
   const std::optional<ConfigurationVersion> host_configuration;
+  /// A helping host has refused this request only.
+  const bool takes_other_requests = false;
 
   friend auto operator<=>(const AttemptEnded&, const AttemptEnded&) = default;
   friend bool operator==(const AttemptEnded&, const AttemptEnded&) = default;
@@ -361,6 +363,8 @@
   const RunState run_state = RunState::kNotRun;
   const std::optional<Duration> retry_after;
   const ConfigurationVersion configuration;  ///< That decided; 0: none did.
+  /// Of a forwarded request: this host takes others meanwhile.
+  const bool takes_other_requests = false;
 
   friend auto operator<=>(const Refuse&, const Refuse&) = default;
   friend bool operator==(const Refuse&, const Refuse&) = default;
--- a/entry/tests/detour_test.cc
+++ b/entry/tests/detour_test.cc
@@ -158,6 +158,39 @@
   }
 }
 
+// Guards against callers that are refused because helping hosts have refused
+// single requests: of a customer over its limit, or for a model without room.
+BOOST_FIXTURE_TEST_CASE(RefusalOfOneRequestLeavesNoHostOut, DetourFixture) {
+  this->LoseTargets();
+  this->SendRequest("once");
+  this->EndAttempt(this->LastDispatch(), AttemptOutcome::kShed, 503, true);
+  this->EndAttempt(this->LastDispatch(), AttemptOutcome::kShed, 503, true);
+  this->SendRequest("any");
+  this->EndAttempt(this->LastDispatch(), AttemptOutcome::kShed, 429, true);
+  BOOST_TEST(this->EffectsOf<Refuse>().size() == 2U);
+  this->effects.clear();
+  this->SendRequest("once");
+  this->SendRequest("once");
+  BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
+  BOOST_TEST(this->EffectsOf<Refuse>().empty());
+}
+
+// Guards against a helping host that is left out for a refusal of one request,
+// and against one that isn't although it takes none.
+BOOST_FIXTURE_TEST_CASE(RefusalStatesWhetherTheHostTakesOthers, DetourFixture) {
+  this->SendRequest("unknown");
+  this->ForwardRequest("unknown");
+  auto refusals = this->EffectsOf<Refuse>();
+  BOOST_REQUIRE(refusals.size() == 2U);
+  BOOST_TEST(!refusals[0].takes_other_requests);
+  BOOST_TEST(refusals[1].takes_other_requests);
+  this->LoseTargets();
+  this->ForwardRequest();
+  refusals = this->EffectsOf<Refuse>();
+  BOOST_REQUIRE(refusals.size() == 1U);
+  BOOST_TEST(!refusals[0].takes_other_requests);
+}
+
 // Guards against requests over a customer's limit that go from host to host,
 // use up the retry budget and end as 503.
 BOOST_FIXTURE_TEST_CASE(RequestOverItsLimitIsNotSentAgain, DetourFixture) {
--- a/entry/tests/entry_fixture.h
+++ b/entry/tests/entry_fixture.h
@@ -127,11 +127,13 @@
 
   void EndAttempt(const Dispatch& dispatch,
                   AttemptOutcome outcome,
-                  int status = 0) {
+                  int status = 0,
+                  bool takes_other_requests = false) {
     this->Feed(AttemptEnded{.request = dispatch.request,
                             .attempt = dispatch.attempt,
                             .outcome = outcome,
-                            .http_status = status});
+                            .http_status = status,
+                            .takes_other_requests = takes_other_requests});
   }
 
   void RunFor(Duration time) {
--- a/forwarding/include/cicadaloft/forwarding/header_rules.h
+++ b/forwarding/include/cicadaloft/forwarding/header_rules.h
@@ -25,6 +25,13 @@
 inline constexpr std::string_view kConfigurationField =
     "Cicadaloft-Configuration";
 
+/// Field of a host's own refusal of a request that another host has forwarded:
+/// "yes" if it takes other requests meanwhile. Hosts of earlier versions
+/// neither send nor read it.
+inline constexpr std::string_view kTakesOtherRequestsField =
+    "Cicadaloft-Takes-Other-Requests";
+inline constexpr std::string_view kTakesOtherRequests = "yes";
+
 /// @return the version that a kConfigurationField states; none if there is no
 /// valid one.
 std::optional<ConfigurationVersion> StatedConfiguration(
--- a/forwarding/include/cicadaloft/forwarding/protocols.h
+++ b/forwarding/include/cicadaloft/forwarding/protocols.h
@@ -62,6 +62,8 @@
   bool is_outdated = false;
   /// That a helping host states.
   std::optional<ConfigurationVersion> host_configuration;
+  /// A helping host has refused this request only.
+  bool takes_other_requests = false;
   bool is_misdirected = false;     ///< The target doesn't have the model.
   bool is_other_instance = false;  ///< Another process than the expected one.
   std::optional<TargetLoad> load;
--- a/forwarding/include/cicadaloft/forwarding/target_exchange.h
+++ b/forwarding/include/cicadaloft/forwarding/target_exchange.h
@@ -375,7 +375,8 @@
         .response_events = this->response ? this->response->EventCount() : 0,
         .load = this->metadata.load,
         .notice = this->metadata.notice,
-        .host_configuration = this->metadata.host_configuration});
+        .host_configuration = this->metadata.host_configuration,
+        .takes_other_requests = this->metadata.takes_other_requests});
     co_await Send(*this->params->entry_inbox, message);
   }
 
--- a/forwarding/problem_response.cc
+++ b/forwarding/problem_response.cc
@@ -75,6 +75,10 @@
       text += std::string(kConfigurationField) + ": " +
               std::to_string(refusal.configuration.value()) + "\r\n";
     }
+    if (refusal.takes_other_requests) {
+      text += std::string(kTakesOtherRequestsField) + ": " +
+              std::string(kTakesOtherRequests) + "\r\n";
+    }
   }
   if (!keep_alive) {
     text += "Connection: close\r\n";
--- a/forwarding/tests/direct_state.h
+++ b/forwarding/tests/direct_state.h
@@ -24,7 +24,8 @@
   bool withholds_error_response = false;
   /// Cancels attempts when their callers disconnect.
   bool cancels_attempts = true;
-  bool refuses_requests = false;    ///< Refuses each request with kRateLimited.
+  bool refuses_requests = false;  ///< Refuses each request with kRateLimited.
+  bool takes_other_requests = false;  ///< States it in refusals.
   bool accepts_after_stop = false;  ///< Accepts requests after a stop as well.
   std::optional<OriginRecord> origin;  ///< Of each dispatch.
   std::optional<HostId> via_host;      ///< Of each dispatch.
@@ -93,7 +94,8 @@
       effects.emplace_back(
           Refuse{.request = arrived.request,
                  .error = MakeError(kind, "refused by plan"),
-                 .retry_after = std::chrono::milliseconds(1200)});
+                 .retry_after = std::chrono::milliseconds(1200),
+                 .takes_other_requests = this->plan->takes_other_requests});
       return;
     }
     this->open.insert(arrived.request);
