Deny no route or key by a configuration that is known to be outdated

Cause: the first host hears the newer version with the response of a helping host. It gets the configuration by a comparison, unless that host is of an earlier version or can't call back; until the store or the holder brings it, the host went on to deny what only the newer version has.

A host that knows of a newer version than its own now refuses an unknown route or key as not run, 503 with Retry-After. What its configuration allows is served as before. Versions only grow and are heard from hosts that have them, so this lasts until the host has caught up.

Evidence: with the code of before HostThatIsBehindDeniesNoRouteOrKey fails.

--- a/entry/entry_admission.cc
+++ b/entry/entry_admission.cc
@@ -27,6 +27,12 @@
 /// changed.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
 
+// Whether a newer configuration may have the key or route that is missing.
+bool FollowsFromConfiguration(const Error& error) {
+  return error.kind == ErrorKind::kUnknownRoute ||
+         error.kind == ErrorKind::kUnauthenticated;
+}
+
 }  // namespace
 
 void EntryCore::Handle(const RequestArrived& arrived) {
@@ -55,7 +61,11 @@
                                 TimePoint arrived_at) {
   Admission admission = this->Admit(arrived, arrived_at);
   if (const auto* refusal = std::get_if<Refusal>(&admission)) {
-    this->RefuseArrival(arrived, *refusal);
+    if (this->lag.IsBehind() && FollowsFromConfiguration(refusal->error)) {
+      this->RefuseAsBehind(arrived);
+    } else {
+      this->RefuseArrival(arrived, *refusal);
+    }
     return;
   }
   OpenRequest& admitted = std::get<OpenRequest>(admission);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -362,6 +362,8 @@
   void ReleaseHeldArrivals();
   void EndExpiredArrivals();
   void RefuseOutdated(const RequestArrived& arrived);
+  /// Refuses what a newer configuration than this host's may allow.
+  void RefuseAsBehind(const RequestArrived& arrived);
   /// Compares configurations with the host that has forwarded the request,
   /// unless a comparison that suffices is running.
   void CompareFor(const RequestArrived& arrived);
--- a/entry/entry_outdated.cc
+++ b/entry/entry_outdated.cc
@@ -117,4 +117,11 @@
                         "which another one has admitted the request")});
 }
 
+void EntryCore::RefuseAsBehind(const RequestArrived& arrived) {
+  this->RefuseArrival(
+      arrived, Refusal{MakeError(ErrorKind::kOutdatedConfiguration,
+                                 "the newer configuration that another host "
+                                 "has may have the request's route or key")});
+}
+
 }  // namespace cicadaloft
--- a/entry/tests/outdated_host_test.cc
+++ b/entry/tests/outdated_host_test.cc
@@ -143,6 +143,32 @@
   BOOST_TEST(this->EffectsOf<Dispatch>().size() == 2U);
 }
 
+// Guards against a 401 or 404 by an older configuration than callers have seen,
+// at a host that knows of a newer one and can't get it.
+BOOST_FIXTURE_TEST_CASE(HostThatIsBehindDeniesNoRouteOrKey,
+                        OutdatedHostFixture) {
+  this->SendRequest("unknown");
+  BOOST_TEST((this->RefusalKinds() ==
+              std::vector<ErrorKind>{ErrorKind::kUnknownRoute}));
+  this->effects.clear();
+  this->Feed(ConfigurationHeard{.version = ConfigurationVersion(9)});
+  this->SendRequest("unknown");
+  this->Forward(1, "new-key");
+  BOOST_TEST((this->RefusalKinds() ==
+              std::vector<ErrorKind>(2, ErrorKind::kOutdatedConfiguration)));
+  for (const Refuse& refusal : this->EffectsOf<Refuse>()) {
+    BOOST_TEST((refusal.run_state == RunState::kNotRun));
+    BOOST_TEST(refusal.retry_after.has_value());
+  }
+  this->Adopt(9, {"key"});
+  this->effects.clear();
+  this->SendRequest("unknown");
+  this->Forward(1, "new-key");
+  BOOST_TEST((this->RefusalKinds() ==
+              std::vector<ErrorKind>{ErrorKind::kUnknownRoute,
+                                     ErrorKind::kUnauthenticated}));
+}
+
 // Guards against held requests whose caller has left, or whose host loses its
 // targets meanwhile.
 BOOST_FIXTURE_TEST_CASE(HeldRequestsEndWithTheirCallersAndTargets,
